--- /dev/null
+++ b/crates/cli/src/commands/demo.rs
@@ -0,0 +1,58 @@
+//! `fescuerack demo`.
+
+use std::io::Write as _;
+use std::path::PathBuf;
+
+use anyhow::{Context as _, Result, ensure};
+use clap::Args;
+use flexi_logger::Logger;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::demo::{Scene, once};
+
+/// Starts stand-ins of the platform and of backend servers, and instances of
+/// the real router, in one process on loopback.
+#[derive(Debug, Args)]
+pub struct Demo {
+    /// Folder of configuration files.
+    #[arg(long, value_name = "DIR", default_value = "examples/hoivapolku")]
+    config: PathBuf,
+    /// Number of instances.
+    #[arg(long, value_name = "N", default_value_t = 3)]
+    instances: usize,
+    /// IP number to listen on.
+    #[arg(long, value_name = "ADDR", default_value = "127.0.0.1")]
+    listen: String,
+    /// Sends one request of each kind, prints a table and exits.
+    #[arg(long)]
+    once: bool,
+}
+
+impl Demo {
+    /// Runs until a signal, or through one round of requests.
+    ///
+    /// # Errors
+    ///
+    /// When something cannot be started or, with `--once`, when an outcome is
+    /// not the right one.
+    pub fn execute(self) -> Result<()> {
+        ensure!(self.instances > 0, "--instances must be at least 1");
+        let _logger = Logger::try_with_str("info")?
+            .log_to_stderr()
+            .start()
+            .context("start the logger")?;
+        let mut signals = Signals::new([SIGTERM, SIGINT]).context("register signals")?;
+        let scene = Scene::new(&self.config, self.instances, &self.listen)?;
+        let result = if self.once {
+            once::run(scene.ready())
+        } else {
+            println!("{}", serde_json::to_string(scene.ready())?);
+            std::io::stdout().flush()?;
+            signals.forever().next();
+            Ok(())
+        };
+        scene.shutdown();
+        result
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/once.rs
@@ -0,0 +1,276 @@
+//! One request of each kind, through real sockets.
+
+use std::io::{BufRead as _, BufReader};
+use std::time::{Duration, Instant};
+
+use anyhow::{Context as _, Result, bail, ensure};
+use comfy_table::Table;
+use fescuerack_platform::{Agent, agent};
+use fescuerack_wire::{chat, header};
+use serde_json::{Value, json};
+
+use super::Ready;
+
+/// Tokens of the long answer.
+const LONG_TOKENS: u64 = 120;
+
+/// What came of one request.
+struct Row {
+    kind: &'static str,
+    outcome: String,
+    version: String,
+    first_token: Option<Duration>,
+    total: Duration,
+    cost: String,
+    right: bool,
+}
+
+/// Sends one request of each kind and prints what came of them.
+///
+/// # Errors
+///
+/// When an outcome is not the right one.
+pub fn run(ready: &Ready) -> Result<()> {
+    let client = Client::new(ready)?;
+    let booking = json!({"family": "virtanen", "evening": "2026-12-02"});
+    let rows = [
+        client.chat("chat, streamed", true, None)?,
+        client.chat("chat, whole", false, None)?,
+        client.chat("long dossier, streamed", true, Some(LONG_TOKENS))?,
+        client.book("booking", 0, &booking, false)?,
+        client.book("booking, sent again", 1, &booking, true)?,
+        client.forbidden("model not allowed")?,
+    ];
+    let mut table = Table::new();
+    table.set_header([
+        "kind",
+        "outcome",
+        "version",
+        "first token",
+        "total",
+        "micro-euro",
+        "right",
+    ]);
+    for row in &rows {
+        table.add_row(row.cells());
+    }
+    println!("{table}");
+    let wrong = rows.iter().filter(|row| !row.right).count();
+    if wrong > 0 {
+        bail!("{wrong} of {} outcomes are wrong", rows.len());
+    }
+    Ok(())
+}
+
+impl Row {
+    fn cells(&self) -> Vec<String> {
+        let millis = |time: Duration| format!("{} ms", time.as_millis());
+        vec![
+            self.kind.to_owned(),
+            self.outcome.clone(),
+            self.version.clone(),
+            self.first_token.map(millis).unwrap_or_default(),
+            millis(self.total),
+            self.cost.clone(),
+            if self.right { "yes" } else { "NO" }.to_owned(),
+        ]
+    }
+}
+
+struct Client<'a> {
+    agent: Agent,
+    ready: &'a Ready,
+    key: &'a str,
+    /// Class of work that the key's organisation may use.
+    model: String,
+    /// Key of an organisation and a model that it may not use.
+    barred: (&'a str, String),
+}
+
+type Response = ureq::http::Response<ureq::Body>;
+
+fn text(response: &Response, name: &str) -> String {
+    let value = response.headers().get(name);
+    let value = value.and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+impl<'a> Client<'a> {
+    fn new(ready: &'a Ready) -> Result<Self> {
+        ensure!(
+            !ready.services.is_empty(),
+            "the configuration has no plain service"
+        );
+        let agent = agent(4);
+        let key = ready.widest.as_deref();
+        let key = key.context("no organisation has a key that the demo knows")?;
+        let usable = usable_models(&agent, ready, key)?;
+        let model = usable.iter().find(|model| model.starts_with("auto:"));
+        let model = model.context("the configuration has no class of work")?;
+        let mut barred = None;
+        for key in ready.keys.values() {
+            let usable = usable_models(&agent, ready, key)?;
+            if let Some(model) = ready.models.iter().find(|model| !usable.contains(model)) {
+                barred = Some((key.as_str(), model.clone()));
+            }
+        }
+        let unknown = || (key, "a-model-of-nobody".to_owned());
+        Ok(Self {
+            agent,
+            ready,
+            key,
+            model: model.clone(),
+            barred: barred.unwrap_or_else(unknown),
+        })
+    }
+
+    fn post(
+        &self,
+        key: &str,
+        instance: usize,
+        path: &str,
+    ) -> ureq::RequestBuilder<ureq::typestate::WithBody> {
+        let callers = &self.ready.callers;
+        let url = format!("{}{path}", callers[instance % callers.len()]);
+        self.agent
+            .post(url)
+            .header("authorization", format!("Bearer {key}"))
+    }
+
+    fn chat(&self, kind: &'static str, stream: bool, tokens: Option<u64>) -> Result<Row> {
+        let mut body = json!({
+            "model": self.model,
+            "stream": stream,
+            "messages": [{"role": "user", "content": "Who can sit tonight from six to nine?"}],
+        });
+        if let Some(tokens) = tokens {
+            body["max_tokens"] = tokens.into();
+        }
+        let start = Instant::now();
+        let response = self
+            .post(self.key, 0, "/v1/chat/completions")
+            .send_json(&body)
+            .with_context(|| format!("send {kind}"))?;
+        let version = text(&response, header::VERSION);
+        let cost = text(&response, header::COST);
+        if stream {
+            return read_stream(kind, start, version, response);
+        }
+        let outcome = text(&response, header::OUTCOME);
+        let right = response.status() == 200 && outcome == "done";
+        Ok(Row {
+            kind,
+            outcome,
+            version,
+            first_token: None,
+            total: start.elapsed(),
+            cost,
+            right,
+        })
+    }
+
+    fn book(
+        &self,
+        kind: &'static str,
+        instance: usize,
+        body: &Value,
+        replayed: bool,
+    ) -> Result<Row> {
+        let path = format!("/v1/services/{}/confirm", self.ready.services[0]);
+        let start = Instant::now();
+        let response = self
+            .post(self.key, instance, &path)
+            .header(header::IDEMPOTENCY, "demo-booking")
+            .send_json(body)
+            .with_context(|| format!("send {kind}"))?;
+        let outcome = text(&response, header::OUTCOME);
+        let was_replayed = text(&response, header::REPLAYED) == "true";
+        Ok(Row {
+            kind,
+            right: outcome == "done" && was_replayed == replayed,
+            outcome: if was_replayed {
+                format!("{outcome}, replayed")
+            } else {
+                outcome
+            },
+            version: self.ready.services[0].clone(),
+            first_token: None,
+            total: start.elapsed(),
+            cost: text(&response, header::COST),
+        })
+    }
+
+    fn forbidden(&self, kind: &'static str) -> Result<Row> {
+        let (key, model) = &self.barred;
+        let body = json!({"model": model, "messages": []});
+        let start = Instant::now();
+        let mut response = self
+            .post(key, 0, "/v1/chat/completions")
+            .send_json(&body)
+            .with_context(|| format!("send {kind}"))?;
+        let status = response.status();
+        let outcome = text(&response, header::OUTCOME);
+        let answer: Value = response.body_mut().read_json()?;
+        let error = answer["error"]["type"]
+            .as_str()
+            .unwrap_or_default()
+            .to_owned();
+        Ok(Row {
+            kind,
+            right: status == 403 && outcome == "not-run",
+            outcome: format!("{error}, {outcome}"),
+            version: String::new(),
+            first_token: None,
+            total: start.elapsed(),
+            cost: String::new(),
+        })
+    }
+}
+
+/// Returns what an organisation may put into `model`.
+fn usable_models(agent: &Agent, ready: &Ready, key: &str) -> Result<Vec<String>> {
+    let mut response = agent
+        .get(format!("{}/v1/models", ready.callers[0]))
+        .header("authorization", format!("Bearer {key}"))
+        .call()
+        .context("ask for the models")?;
+    let models: chat::Models = response.body_mut().read_json()?;
+    Ok(models.data.into_iter().map(|model| model.id).collect())
+}
+
+fn read_stream(
+    kind: &'static str,
+    start: Instant,
+    version: String,
+    response: Response,
+) -> Result<Row> {
+    let status = response.status();
+    let mut first_token = None;
+    let mut ended = false;
+    let mut cost = String::new();
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        let line = line.with_context(|| format!("read {kind}"))?;
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        first_token.get_or_insert_with(|| start.elapsed());
+        if data == chat::DONE {
+            ended = true;
+            continue;
+        }
+        let part: Value = serde_json::from_str(data)?;
+        if let Some(value) = part.get("cost_micro_euro") {
+            cost = value.to_string();
+        }
+    }
+    let right = status == 200 && ended;
+    Ok(Row {
+        kind,
+        outcome: if right { "done" } else { "cut" }.to_owned(),
+        version,
+        first_token,
+        total: start.elapsed(),
+        cost,
+        right,
+    })
+}
--- /dev/null
+++ b/crates/config/src/file.rs
@@ -0,0 +1,218 @@
+//! The shape of one configuration file.
+//!
+//! Every section is optional and every entry has a name. Unknown fields are
+//! refused, so that a misspelt field cannot silently fall back to a default.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// One file of the folder; the merge of all files has the same shape.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct File {
+    /// Organisations by name.
+    pub organisations: BTreeMap<String, Organisation>,
+    /// Models by name.
+    pub models: BTreeMap<String, Model>,
+    /// Versions by `model@version`.
+    pub versions: BTreeMap<String, Version>,
+    /// Classes of work by name, with their quality targets.
+    pub targets: BTreeMap<String, Target>,
+    /// Roll-outs by the name of their model.
+    pub rollouts: BTreeMap<String, Rollout>,
+    /// Plain services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Fleets of backend servers by name.
+    pub backends: BTreeMap<String, Backend>,
+    /// Limits by name; a later file overrides an earlier one.
+    pub limits: BTreeMap<String, f64>,
+}
+
+/// An organisation and what it may use.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Organisation {
+    /// SHA-256 digests, in hex, of the keys that its callers present.
+    #[serde(default)]
+    pub keys: Vec<String>,
+    /// Names of models (every version) or `model@version` (that version only).
+    #[serde(default)]
+    pub allow: Vec<String>,
+    /// Plain services that it may call.
+    #[serde(default)]
+    pub services: Vec<String>,
+    /// Share of capacity relative to other organisations, at least 1.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// Whether an answer below the quality target is better than none.
+    #[serde(default)]
+    pub below_target: bool,
+}
+
+/// A model.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Model {
+    /// What the model is for.
+    pub note: String,
+}
+
+/// A version of a model.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Version {
+    /// Cost of 1,000 input tokens, in micro-euro.
+    pub cost_input: u64,
+    /// Cost of 1,000 output tokens, in micro-euro.
+    pub cost_output: u64,
+    /// Expected quality by class of work, 0 to 1; `default` serves the rest.
+    #[serde(default)]
+    pub quality: BTreeMap<String, f64>,
+    /// Number of ratings that the expected quality is worth.
+    #[serde(default = "prior_weight")]
+    pub prior_weight: f64,
+    /// Whether the version takes work.
+    #[serde(default)]
+    pub state: State,
+}
+
+/// Whether a version takes work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Takes all work.
+    #[default]
+    Open,
+    /// Takes no new session and keeps those it has.
+    Closed,
+    /// Takes no new work at all.
+    Withdrawn,
+}
+
+/// A class of work and its quality target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Least expected quality of an answer, 0 to 1.
+    pub quality: f64,
+    /// Models to choose from.
+    pub models: Vec<String>,
+    /// Milliseconds within which the first token is due.
+    #[serde(default = "first_token_ms")]
+    pub first_token_ms: u64,
+    /// Milliseconds within which the whole answer is due.
+    #[serde(default = "deadline_ms")]
+    pub deadline_ms: u64,
+    /// Whether the work is long and draws on the budget of long work.
+    #[serde(default)]
+    pub long: bool,
+    /// Whether a cheap answer may be rated and escalated before it is handed on.
+    #[serde(default)]
+    pub cascade: bool,
+    /// Priority; a lower number goes first.
+    #[serde(default = "priority")]
+    pub priority: u8,
+}
+
+/// A roll-out of a new version of a model.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rollout {
+    /// Version that sessions use today.
+    pub current: String,
+    /// Version that is being rolled out.
+    #[serde(default)]
+    pub candidate: Option<String>,
+    /// Shares of new sessions, rising, each over 0 and at most 1.
+    #[serde(default = "stages")]
+    pub stages: Vec<f64>,
+    /// Position in `stages`.
+    #[serde(default)]
+    pub stage: usize,
+    /// Whether the roll-out may advance.
+    #[serde(default)]
+    pub paused: bool,
+    /// Bad answers that may reach callers before the roll-out halts.
+    #[serde(default = "exposure")]
+    pub exposure: u32,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Fleet that runs it.
+    pub backend: String,
+    /// Whether a call may be repeated.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Milliseconds within which the answer is due.
+    #[serde(default = "deadline_ms")]
+    pub deadline_ms: u64,
+}
+
+/// A fleet of alike backend servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Backend {
+    /// What the servers run.
+    pub kind: Kind,
+    /// Versions that the servers of an engine fleet serve.
+    #[serde(default)]
+    pub versions: Vec<String>,
+    /// Availability zones in which its servers stand.
+    #[serde(default)]
+    pub zones: Vec<String>,
+    /// Requests that one server runs at a time.
+    #[serde(default = "slots")]
+    pub slots: u32,
+    /// Whether its engines refuse an order with an old fencing number.
+    #[serde(default)]
+    pub fences: bool,
+    /// Servers that take no new work, by identifier.
+    #[serde(default)]
+    pub retired: Vec<String>,
+}
+
+/// What the servers of a fleet run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+fn one() -> u32 {
+    1
+}
+
+fn prior_weight() -> f64 {
+    20.0
+}
+
+fn first_token_ms() -> u64 {
+    350
+}
+
+fn deadline_ms() -> u64 {
+    30_000
+}
+
+fn priority() -> u8 {
+    5
+}
+
+fn stages() -> Vec<f64> {
+    vec![0.01, 0.05, 0.2, 0.5, 1.0]
+}
+
+fn exposure() -> u32 {
+    20
+}
+
+fn slots() -> u32 {
+    16
+}
--- /dev/null
+++ b/crates/config/src/folder.rs
@@ -0,0 +1,57 @@
+//! The folder of files as it stands on disk or in a manifest.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::path::Path;
+
+use bytes::Bytes;
+use sha2::{Digest as _, Sha256};
+
+/// Files by name; the order of the names is the order of the merge.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Folder {
+    /// Content by file name.
+    pub files: BTreeMap<String, Bytes>,
+}
+
+impl Folder {
+    /// Returns an empty folder.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds or replaces a file.
+    #[must_use]
+    pub fn with_file(mut self, name: &str, content: impl Into<Bytes>) -> Self {
+        self.files.insert(name.to_owned(), content.into());
+        self
+    }
+
+    /// Reads every `*.yaml` file of a directory; other files are passed over.
+    ///
+    /// # Errors
+    ///
+    /// When the directory or one of its files cannot be read.
+    pub fn read(path: &Path) -> io::Result<Self> {
+        let mut folder = Self::new();
+        for entry in std::fs::read_dir(path)? {
+            let path = entry?.path();
+            if path.extension().is_none_or(|extension| extension != "yaml") {
+                continue;
+            }
+            if let Some(name) = path.file_name().and_then(|name| name.to_str()) {
+                folder
+                    .files
+                    .insert(name.to_owned(), Bytes::from(std::fs::read(&path)?));
+            }
+        }
+        Ok(folder)
+    }
+}
+
+/// Returns the digest under which a file's content is kept, in lower-case hex.
+#[must_use]
+pub fn digest(content: &[u8]) -> String {
+    hex::encode(Sha256::digest(content))
+}
--- /dev/null
+++ b/crates/config/src/key.rs
@@ -0,0 +1,20 @@
+//! Typed keys into the arenas of [`crate::Names`].
+//!
+//! A key stays valid for the life of the process, also when a later
+//! configuration no longer mentions the name: counters and sessions keep
+//! referring to it. Keys never leave the process; messages carry names.
+
+slotmap::new_key_type! {
+    /// An organisation that sends requests.
+    pub struct Organisation;
+    /// A model, which has one or more versions.
+    pub struct Model;
+    /// A version of a model.
+    pub struct Version;
+    /// A class of work with its quality target.
+    pub struct Class;
+    /// A group of alike backend servers.
+    pub struct Fleet;
+    /// One backend server.
+    pub struct Server;
+}
--- /dev/null
+++ b/crates/core/src/clock.rs
@@ -0,0 +1,55 @@
+//! Points in time.
+//!
+//! State stores deadlines ([`Instant`]); durations appear only in settings and
+//! on the way to computing a deadline.
+
+use std::ops::Add;
+use std::time::Duration;
+
+/// Microseconds since an origin that the process chooses.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct Instant(pub u64);
+
+impl Instant {
+    /// The origin.
+    pub const ORIGIN: Self = Self(0);
+
+    /// Creates an instant from milliseconds since the origin.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1000)
+    }
+
+    /// Returns the time from `earlier` to `self`, or zero.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns the instant `millis` milliseconds later.
+    #[must_use]
+    pub const fn plus_millis(self, millis: u64) -> Self {
+        Self(self.0.saturating_add(millis * 1000))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
--- /dev/null
+++ b/crates/node/src/callers/models.rs
@@ -0,0 +1,41 @@
+//! `GET /v1/models`: what the organisation may use.
+
+use std::collections::BTreeSet;
+
+use fescuerack_wire::chat::{Model, Models};
+
+use super::intake::Call;
+use super::reply::{Reply, json};
+use crate::shared::Shared;
+
+/// Answers with models, versions and classes of work.
+pub fn answer(shared: &Shared, call: &Call) -> Reply {
+    let force = shared.force();
+    let mut ids = BTreeSet::new();
+    if let Some(organisation) = force.catalog.organisations.get(call.organisation) {
+        for version in &organisation.allowed {
+            ids.insert(force.names.versions.name(*version).to_string());
+            let model = force.catalog.versions[*version].model;
+            ids.insert(force.names.models.name(model).to_string());
+        }
+        for (class, entry) in &force.catalog.classes {
+            let usable = organisation.allowed.iter().any(|version| {
+                entry
+                    .models
+                    .contains(&force.catalog.versions[*version].model)
+            });
+            if usable {
+                ids.insert(format!("auto:{}", force.names.classes.name(class)));
+            }
+        }
+    }
+    let entry = |id| Model {
+        id,
+        object: "model".to_owned(),
+        owned_by: "fescuerack".to_owned(),
+    };
+    json(&Models {
+        object: "list".to_owned(),
+        data: ids.into_iter().map(entry).collect(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/callers/reply.rs
@@ -0,0 +1,114 @@
+//! Building answers.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use fescuerack_core::attempt::Outcome;
+use fescuerack_wire::error::{Body as ErrorBody, Error, Kind};
+use fescuerack_wire::header;
+use http_body_util::{BodyExt as _, Full, combinators::BoxBody};
+use hyper::Response;
+use hyper::header::{HeaderName, HeaderValue};
+
+/// Body of an answer; an error cuts the connection.
+pub type Body = BoxBody<Bytes, std::io::Error>;
+/// An answer.
+pub type Reply = Response<Body>;
+
+/// Returns a body that is sent at once.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed()
+}
+
+/// Returns the name of an outcome in headers and error bodies.
+pub const fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done => "done",
+        Outcome::NotRun => "not-run",
+        Outcome::Unknown => "unknown",
+    }
+}
+
+/// Returns an answer with a body that is sent at once.
+pub fn whole(status: u16, content_type: &'static str, bytes: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(full(bytes));
+    if let Ok(status) = hyper::StatusCode::from_u16(status) {
+        *reply.status_mut() = status;
+    }
+    let value = HeaderValue::from_static(content_type);
+    reply
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, value);
+    reply
+}
+
+/// Returns an answer that is JSON.
+pub fn json<T: serde::Serialize>(value: &T) -> Reply {
+    let bytes = serde_json::to_vec(value).expect("wire messages have only plain fields");
+    whole(200, "application/json", bytes)
+}
+
+/// Adds a header; a value that no header can hold is left out.
+pub fn with_header(mut reply: Reply, name: &'static str, value: &str) -> Reply {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        reply
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+    reply
+}
+
+/// A request that is refused before anything was run.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// What went wrong.
+    pub kind: Kind,
+    /// Text for people.
+    pub message: String,
+}
+
+impl Refusal {
+    /// Creates a refusal.
+    pub fn new(kind: Kind, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            message: message.into(),
+        }
+    }
+}
+
+impl From<Refusal> for Reply {
+    fn from(refusal: Refusal) -> Self {
+        failure(refusal.kind, &refusal.message)
+    }
+}
+
+/// Returns a typed error for a request of which nothing was run.
+pub fn failure(kind: Kind, message: &str) -> Reply {
+    failure_with(kind, message, Outcome::NotRun)
+}
+
+/// Returns a typed error.
+pub fn failure_with(kind: Kind, message: &str, outcome: Outcome) -> Reply {
+    let body = error_body(kind, message, outcome);
+    let reply = whole(kind.status(), "application/json", body);
+    let reply = with_header(reply, header::OUTCOME, outcome_name(outcome));
+    if matches!(kind, Kind::Overloaded | Kind::Unavailable) {
+        return with_header(reply, "retry-after", "1");
+    }
+    reply
+}
+
+/// Returns the body of a typed error.
+pub fn error_body(kind: Kind, message: &str, outcome: Outcome) -> Vec<u8> {
+    let body = ErrorBody {
+        error: Error {
+            kind,
+            message: message.to_owned(),
+            outcome: outcome_name(outcome).to_owned(),
+        },
+    };
+    serde_json::to_vec(&body).expect("wire messages have only plain fields")
+}
--- /dev/null
+++ b/crates/node/src/callers/service.rs
@@ -0,0 +1,254 @@
+//! Calls of plain services, some of which must not be repeated.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fescuerack_config::{Service, folder};
+use fescuerack_core::attempt::{Attempts, End, Next, Outcome};
+use fescuerack_core::claim::{State, Verdict};
+use fescuerack_core::ledger::Entry;
+use fescuerack_platform::Fault;
+use fescuerack_platform::service::{self, Answer};
+use fescuerack_wire::error::Kind;
+use fescuerack_wire::header;
+
+use super::intake::Call;
+use super::reply::{Reply, failure, failure_with, whole, with_header};
+use crate::claims::{self, Claim, Name};
+use crate::shared::{Force, Shared, lock};
+
+/// Attempts that one call may make; more than one only while it surely has
+/// not run, or when it is idempotent.
+const MOST_ATTEMPTS: u32 = 3;
+/// Milliseconds for which recording an answer is tried.
+const RECORD_MS: u64 = 5_000;
+
+/// A call of a service.
+struct Job {
+    shared: Arc<Shared>,
+    force: Arc<Force>,
+    call: Call,
+    service: Service,
+    name: String,
+    path: String,
+}
+
+/// How a call ended.
+struct Ended {
+    outcome: Outcome,
+    answer: Option<Answer>,
+}
+
+/// Answers a call; `rest` is `<service>/<path>`.
+pub async fn answer(shared: Arc<Shared>, call: Call, rest: &str) -> Reply {
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let force = shared.force();
+    let allowed = force
+        .catalog
+        .organisations
+        .get(call.organisation)
+        .is_some_and(|organisation| organisation.services.contains(name));
+    let service = force.catalog.services.get(name).filter(|_| allowed);
+    let Some(service) = service.cloned() else {
+        return failure(
+            Kind::Forbidden,
+            "the organisation may not call this service",
+        );
+    };
+    let mut call = call;
+    let due = shared.now().plus_millis(service.deadline_ms);
+    call.deadline = call.deadline.min(due);
+    let Ok(place) = shared.gate.enter(shared.clock, call.deadline).await else {
+        return failure(Kind::Overloaded, "too much work; not run");
+    };
+    let path = match &call.query {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    let job = Job {
+        name: name.to_owned(),
+        path,
+        shared,
+        force,
+        call,
+        service,
+    };
+    // The thread goes on when the caller goes away: a call that has been sent
+    // must have its end recorded.
+    let run = tokio::task::spawn_blocking(move || {
+        let _place = place;
+        job.run()
+    });
+    let unknown = || {
+        failure_with(
+            Kind::OutcomeUnknown,
+            "the call ended abnormally",
+            Outcome::Unknown,
+        )
+    };
+    run.await.unwrap_or_else(|_| unknown())
+}
+
+impl Job {
+    fn run(self) -> Reply {
+        let reply = match &self.call.idempotency_key {
+            Some(key) if !self.service.idempotent => {
+                let name = self.claim_name(key);
+                self.run_claimed(&name)
+            }
+            _ => self.reply(self.attempt()),
+        };
+        with_header(reply, header::REQUEST, &self.call.request)
+    }
+
+    fn claim_name(&self, key: &str) -> Name {
+        let organisation = self.force.names.organisations.name(self.call.organisation);
+        let request = [
+            self.call.method.as_bytes(),
+            b" ",
+            self.path.as_bytes(),
+            b"\n",
+            &self.call.body,
+        ];
+        Name {
+            key: format!(
+                "claim/{organisation}/{}/{}",
+                self.name,
+                folder::digest(key.as_bytes())
+            ),
+            digest: folder::digest(&request.concat()),
+        }
+    }
+
+    fn run_claimed(&self, name: &Name) -> Reply {
+        match claims::claim(&self.shared, name, self.call.deadline) {
+            claims::Outcome::Claimed(claim) => {
+                let ended = self.attempt();
+                self.record(&claim, &ended);
+                self.reply(ended)
+            }
+            claims::Outcome::Taken(verdict) => taken(verdict),
+            claims::Outcome::Out => {
+                failure(Kind::Unavailable, "the claim could not be kept; not run")
+            }
+        }
+    }
+
+    fn record(&self, claim: &Claim, ended: &Ended) {
+        let state = match (ended.outcome, &ended.answer) {
+            (Outcome::Done, Some(answer)) => State::Done {
+                status: answer.status,
+                body: answer.body.clone(),
+            },
+            (Outcome::NotRun, _) => State::NotRun,
+            _ => State::Unknown,
+        };
+        let deadline = self.shared.now().plus_millis(RECORD_MS);
+        claims::record(&self.shared, claim, state, deadline);
+    }
+
+    fn attempt(&self) -> Ended {
+        let deadline = self.call.deadline;
+        let mut attempts = Attempts::new(self.service.idempotent, deadline, MOST_ATTEMPTS);
+        let fleets = [self.service.fleet];
+        loop {
+            let Some(running) = self.shared.start_attempt(&fleets, attempts.tried()) else {
+                return Ended {
+                    outcome: attempts.outcome(),
+                    answer: None,
+                };
+            };
+            attempts.start(running.server);
+            let remaining = deadline.since(self.shared.now());
+            let call = self.service_call(running.address.clone());
+            let agent = if self.service.idempotent {
+                &self.shared.upstream
+            } else {
+                &self.shared.once
+            };
+            let result = service::call(agent, &call, remaining);
+            let end = match &result {
+                Ok(_) => End::Done,
+                Err(Fault::NotSent(_) | Fault::Refused { .. }) => End::NotRun,
+                Err(Fault::Unknown(_) | Fault::Malformed(_)) => End::Unknown,
+            };
+            if let Next::Stop(outcome) = attempts.end(self.shared.now(), end, false) {
+                return Ended {
+                    outcome,
+                    answer: result.ok(),
+                };
+            }
+        }
+    }
+
+    fn service_call(&self, address: String) -> service::Call {
+        service::Call {
+            address,
+            method: self.call.method.clone(),
+            path: self.path.clone(),
+            content_type: self.call.content_type.clone(),
+            body: self.call.body.clone(),
+            attempt: self.shared.random_id(),
+            idempotency_key: self.call.idempotency_key.clone(),
+        }
+    }
+
+    fn reply(&self, ended: Ended) -> Reply {
+        match (ended.outcome, ended.answer) {
+            (Outcome::Done, Some(answer)) => {
+                self.bill();
+                done(answer.status, answer.body)
+            }
+            (Outcome::NotRun, _) => failure(
+                Kind::Unavailable,
+                "no backend server took the call; not run",
+            ),
+            _ => unknown(),
+        }
+    }
+
+    fn bill(&self) {
+        let organisation = self.force.names.organisations.name(self.call.organisation);
+        lock(&self.shared.book).add(Entry {
+            request: self.call.request.clone(),
+            organisation: organisation.to_string(),
+            version: self.name.clone(),
+            input_tokens: 0,
+            output_tokens: 0,
+            cost: 0,
+        });
+        self.shared.metrics.count("callers.done");
+    }
+}
+
+fn done(status: u16, body: Bytes) -> Reply {
+    with_header(
+        whole(status, "application/json", body),
+        header::OUTCOME,
+        "done",
+    )
+}
+
+fn unknown() -> Reply {
+    let message = "the call was sent and its end is not known; it is not repeated";
+    failure_with(Kind::OutcomeUnknown, message, Outcome::Unknown)
+}
+
+fn taken(verdict: Verdict) -> Reply {
+    match verdict {
+        Verdict::Replay { status, body } => {
+            with_header(done(status, body), header::REPLAYED, "true")
+        }
+        Verdict::StillRunning => failure_with(
+            Kind::Conflict,
+            "a request with this idempotency key still runs",
+            Outcome::Unknown,
+        ),
+        Verdict::Unknown => unknown(),
+        Verdict::Mismatch => failure(
+            Kind::Conflict,
+            "the idempotency key was used with another request; not run",
+        ),
+        Verdict::Reclaim => failure(Kind::Unavailable, "the claim was given up; not run"),
+    }
+}
--- /dev/null
+++ b/crates/node/src/callers/upstream.rs
@@ -0,0 +1,66 @@
+//! One attempt at a model engine, on a thread of the bounded set.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fescuerack_core::clock::Instant;
+use fescuerack_platform::Fault;
+use fescuerack_platform::engine::{self, Attempt, Event};
+use tokio::sync::mpsc;
+
+use crate::shared::{Running, Shared};
+
+/// Events that wait for a slow reader before the engine's thread waits too;
+/// bounds the memory of a stream whose caller reads slowly.
+const BUFFER: usize = 16;
+
+/// Events of one attempt; dropping it cancels the attempt.
+pub type Events = mpsc::Receiver<Result<Event, Fault>>;
+
+/// Starts an attempt.
+pub fn start(
+    shared: &Arc<Shared>,
+    running: Running,
+    priority: u8,
+    body: Bytes,
+    deadline: Instant,
+) -> Events {
+    let (sender, events) = mpsc::channel(BUFFER);
+    let shared = Arc::clone(shared);
+    let attempt = Attempt {
+        address: running.address.clone(),
+        id: shared.random_id(),
+        priority,
+        body,
+    };
+    tokio::task::spawn_blocking(move || {
+        let _running = running;
+        run(&shared, &attempt, deadline, &sender);
+    });
+    events
+}
+
+fn run(
+    shared: &Shared,
+    attempt: &Attempt,
+    deadline: Instant,
+    sender: &mpsc::Sender<Result<Event, Fault>>,
+) {
+    let remaining = deadline.since(shared.now());
+    let mut stream = match engine::open(&shared.upstream, attempt, remaining) {
+        Ok(stream) => stream,
+        Err(fault) => {
+            let _ = sender.blocking_send(Err(fault));
+            return;
+        }
+    };
+    loop {
+        let event = stream.next_event();
+        let last = !matches!(event, Ok(Event::Part(_)));
+        // The receiver is dropped when the caller goes away; returning drops
+        // the connection, which cancels the attempt at the engine.
+        if sender.blocking_send(event).is_err() || last {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/commands/mod.rs
@@ -0,0 +1,37 @@
+//! Subcommands of `fescuerackd`.
+
+mod check;
+mod run;
+
+use anyhow::Result;
+use clap::{Parser, Subcommand};
+
+/// Model-aware router for versions and cascades: the process on each instance.
+#[derive(Debug, Parser)]
+#[command(name = "fescuerackd", version, about)]
+pub struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Runs until SIGTERM or SIGINT.
+    Run(run::Run),
+    /// Checks a settings file and exits.
+    Check(check::Check),
+}
+
+impl Arguments {
+    /// Executes the subcommand.
+    ///
+    /// # Errors
+    ///
+    /// Whatever keeps the subcommand from succeeding.
+    pub fn execute(self) -> Result<()> {
+        match self.command {
+            Command::Run(run) => run.execute(),
+            Command::Check(check) => check.execute(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,90 @@
+//! The operators' port: health, readiness and the dump of the process's state.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use anyhow::{Result, anyhow};
+use rouille::{Request, Response};
+use serde_json::json;
+
+use crate::shared::{Shared, lock};
+
+/// A running operators' port.
+pub struct Port {
+    /// Address that is served.
+    pub address: std::net::SocketAddr,
+    thread: std::thread::JoinHandle<()>,
+    stop: std::sync::mpsc::Sender<()>,
+}
+
+impl Port {
+    /// Starts serving.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub fn new(shared: &Arc<Shared>) -> Result<Self> {
+        let listen = shared.settings.listen.operators.clone();
+        let for_handler = Arc::clone(shared);
+        let server = rouille::Server::new(&listen, move |request| serve(&for_handler, request))
+            .map_err(|error| anyhow!("listen.operators: bind {listen}: {error}"))?;
+        let address = server.server_addr();
+        let (thread, stop) = server.stoppable();
+        Ok(Self {
+            address,
+            thread,
+            stop,
+        })
+    }
+
+    /// Stops serving.
+    pub fn stop(self) {
+        // The receiver is gone only when the thread has already ended.
+        let _ = self.stop.send(());
+        let _ = self.thread.join();
+    }
+}
+
+fn serve(shared: &Shared, request: &Request) -> Response {
+    match (request.method(), request.url().as_str()) {
+        ("GET", "/healthz") => Response::text("ok"),
+        ("GET", "/readyz") => {
+            if shared.is_ready() {
+                Response::text("ready")
+            } else {
+                Response::text("not ready").with_status_code(503)
+            }
+        }
+        ("GET", "/state") => Response::json(&state(shared)),
+        _ => Response::text("no such path").with_status_code(404),
+    }
+}
+
+fn state(shared: &Shared) -> serde_json::Value {
+    let force = shared.force();
+    let (running, waiting) = shared.gate.load();
+    let servers: Vec<_> = lock(&shared.routes)
+        .iter()
+        .map(|(_, server)| {
+            json!({
+                "id": server.id,
+                "zone": server.zone,
+                "address": server.address,
+                "state": server.state,
+                "in_flight": server.in_flight,
+            })
+        })
+        .collect();
+    json!({
+        "instance": shared.settings.instance,
+        "zone": shared.settings.zone,
+        "incarnation": shared.incarnation,
+        "ready": shared.is_ready(),
+        "draining": shared.draining.load(Ordering::SeqCst),
+        "configuration": {"revision": force.catalog.revision},
+        "admission": {"running": running, "waiting": waiting},
+        "route": {"servers": servers},
+        "ledger": {"pending": lock(&shared.book).pending()},
+        "counters": shared.metrics.counters(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,123 @@
+//! Settings of one process, read from YAML.
+
+use std::path::Path;
+
+use anyhow::{Context as _, Result, anyhow, ensure};
+use serde::Deserialize;
+
+/// Settings of one process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance.
+    pub instance: String,
+    /// Availability zone of the instance.
+    pub zone: String,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Address of the platform, as `host:port`.
+    pub platform: String,
+    /// Limits.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Logs.
+    #[serde(default)]
+    pub logs: Logs,
+    /// Where metrics go in the `StatsD` protocol, as `host:port`; nowhere if empty.
+    #[serde(default)]
+    pub statsd: String,
+}
+
+/// Addresses to listen on, as `ip:port`; port 0 takes a free one.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: String,
+    /// For operators.
+    pub operators: String,
+    /// For other instances.
+    pub peers: String,
+}
+
+/// Limits of one process.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Requests that run at a time.
+    pub concurrency: usize,
+    /// Threads of the async runtime.
+    pub workers: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Milliseconds within which the headers of a request must arrive.
+    pub header_timeout_ms: u64,
+    /// Milliseconds within which the body of a request must arrive.
+    pub body_timeout_ms: u64,
+    /// Milliseconds for which new work is taken after readiness is withdrawn.
+    pub drain_lag_ms: u64,
+    /// Milliseconds within which running requests end before the process does.
+    pub drain_deadline_ms: u64,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            concurrency: 400,
+            workers: 2,
+            body_bytes: 4 << 20,
+            header_timeout_ms: 5_000,
+            body_timeout_ms: 10_000,
+            drain_lag_ms: 0,
+            drain_deadline_ms: 120_000,
+        }
+    }
+}
+
+/// How the process logs.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Logs {
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// Whether each line is a JSON object.
+    pub json: bool,
+}
+
+impl Default for Logs {
+    fn default() -> Self {
+        Self {
+            level: "info".to_owned(),
+            json: false,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the file, with its line.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("read settings {}", path.display()))?;
+        let settings: Self = serde_saphyr::from_str(&text)
+            .map_err(|error| anyhow!("{}: {error}", path.display()))?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<()> {
+        ensure!(!self.instance.is_empty(), "instance: must not be empty");
+        ensure!(
+            self.limits.concurrency > 0,
+            "limits.concurrency: must be at least 1"
+        );
+        ensure!(
+            self.limits.workers > 0,
+            "limits.workers: must be at least 1"
+        );
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/node/src/shared.rs
@@ -0,0 +1,197 @@
+//! What the threads of a process share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use anyhow::Result;
+use fescuerack_config::{Catalog, Names, key};
+use fescuerack_core::clock::Instant;
+use fescuerack_core::{ledger, route};
+use fescuerack_platform::{Agent, HttpDirectory, HttpStore, agent};
+use fescuerack_wire::list;
+use rand::{Rng, RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+use crate::admission::Gate;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+
+/// The configuration in force, with the names of its keys.
+#[derive(Clone, Debug, Default)]
+pub struct Force {
+    /// The compiled configuration.
+    pub catalog: Catalog,
+    /// Names at the time of compilation.
+    pub names: Names,
+}
+
+/// State of the process.
+pub struct Shared {
+    /// Settings.
+    pub settings: Settings,
+    /// Name of this start of the process; differs after every restart.
+    pub incarnation: String,
+    /// Clock.
+    pub clock: Clock,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Key-value service.
+    pub store: HttpStore,
+    /// Instance list.
+    pub directory: HttpDirectory,
+    /// Connections to backend servers.
+    pub upstream: Agent,
+    /// Connections that carry one non-idempotent call each.
+    pub once: Agent,
+    /// What is let in.
+    pub gate: Gate,
+    /// Backend servers.
+    pub routes: Mutex<route::Table>,
+    /// Names; the only writer is [`Shared::names`].
+    names: Mutex<Names>,
+    /// Entries that are to be kept.
+    pub book: Mutex<ledger::Book>,
+    /// Other instances.
+    pub peers: Mutex<Vec<list::Instance>>,
+    /// Whether the instance list has been read since the start.
+    pub listed: AtomicBool,
+    /// Whether the process has begun to shut down.
+    pub leaving: AtomicBool,
+    /// Whether new requests are refused.
+    pub draining: AtomicBool,
+    force: RwLock<Arc<Force>>,
+    rng: Mutex<Pcg64Mcg>,
+}
+
+/// Locks a mutex; a panic elsewhere does not make its data unusable, because
+/// every section under these locks is complete in itself.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Idle connections kept to one backend server.
+    const IDLE: usize = 32;
+
+    /// Creates the state of a process that has no configuration yet.
+    ///
+    /// # Errors
+    ///
+    /// When the metrics' address is malformed.
+    pub fn new(settings: Settings) -> Result<Self> {
+        let mut rng = Pcg64Mcg::from_rng(&mut rand::rng());
+        let incarnation = format!("{:016x}", rng.random::<u64>());
+        Ok(Self {
+            incarnation,
+            clock: Clock::new(),
+            metrics: Metrics::new(&settings.statsd)?,
+            store: HttpStore::new(&settings.platform),
+            directory: HttpDirectory::new(&settings.platform),
+            upstream: agent(Self::IDLE),
+            // A connection that was idle may be closed by the other side while
+            // a request is being written, and its outcome would be unknown: a
+            // call that must not be repeated gets a connection of its own.
+            once: agent(0),
+            gate: Gate::new(settings.limits.concurrency),
+            routes: Mutex::new(route::Table::new()),
+            names: Mutex::new(Names::new()),
+            book: Mutex::new(ledger::Book::new()),
+            peers: Mutex::new(Vec::new()),
+            listed: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            force: RwLock::new(Arc::new(Force::default())),
+            rng: Mutex::new(rng),
+            settings,
+        })
+    }
+
+    /// Returns the time since the start of the process.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn force(&self) -> Arc<Force> {
+        Arc::clone(&self.force.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Puts a configuration in force unless it is older than the present one.
+    ///
+    /// Returns whether it is in force. An older one may arrive late; taking it
+    /// would let an accepted configuration revert.
+    pub fn put_in_force(&self, force: Force) -> bool {
+        let mut current = self.force.write().unwrap_or_else(PoisonError::into_inner);
+        if force.catalog.revision <= current.catalog.revision {
+            return false;
+        }
+        *current = Arc::new(force);
+        true
+    }
+
+    /// Returns whether the process can answer requests: it has a configuration
+    /// and knows backend servers.
+    #[must_use]
+    pub fn is_able(&self) -> bool {
+        self.force().catalog.revision > 0 && self.listed.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether the balancer may send callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_able() && !self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Changes the names of the process.
+    pub fn names<R>(&self, change: impl FnOnce(&mut Names) -> R) -> R {
+        change(&mut lock(&self.names))
+    }
+
+    /// Chooses a backend server and counts an attempt on it.
+    #[must_use]
+    pub fn start_attempt(
+        self: &Arc<Self>,
+        fleets: &[key::Fleet],
+        avoid: &std::collections::BTreeSet<key::Server>,
+    ) -> Option<Running> {
+        let mut routes = lock(&self.routes);
+        let server = routes.choose(fleets, avoid, &mut *lock(&self.rng))?;
+        routes.start(server);
+        let address = routes.get(server)?.address.clone();
+        Some(Running {
+            shared: Arc::clone(self),
+            server,
+            address,
+        })
+    }
+
+    /// Returns a random identifier.
+    #[must_use]
+    pub fn random_id(&self) -> String {
+        format!("{:016x}{:016x}", self.random(), self.random())
+    }
+
+    /// Returns a random number.
+    #[must_use]
+    pub fn random(&self) -> u64 {
+        lock(&self.rng).next_u64()
+    }
+}
+
+/// An attempt that runs on a backend server; dropping it ends the count.
+pub struct Running {
+    shared: Arc<Shared>,
+    /// The server.
+    pub server: key::Server,
+    /// Its address.
+    pub address: String,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        lock(&self.shared.routes).end(self.server);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Integration tests: real processes against stand-ins.
+
+mod path;
+mod support;
--- /dev/null
+++ b/crates/node/tests/all/support.rs
@@ -0,0 +1,152 @@
+//! Starts stand-ins and `fescuerackd` processes on loopback.
+
+use std::io::Write as _;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use fescuerack_config::Folder;
+use fescuerack_core::route::State;
+use fescuerack_platform::{Agent, HttpStore, agent, manifest};
+use fescuerack_standin::{Engine, Pace, Platform, Service};
+use fescuerack_wire::list::Instance;
+use tokio::runtime::Runtime;
+
+/// Key of an organisation of the example configuration.
+pub const KEY: &str = "demo-perhepalvelut-espoo";
+/// Time within which a process must become ready.
+const READY: Duration = Duration::from_secs(20);
+
+/// Stand-ins of the platform and of backend servers.
+pub struct World {
+    pub runtime: Runtime,
+    pub platform: Platform,
+    pub engines: Vec<Engine>,
+    pub services: Vec<Service>,
+}
+
+/// A real process; it is killed when dropped.
+pub struct Process {
+    pub child: Child,
+    pub callers: String,
+    pub operators: String,
+    _settings: tempfile::NamedTempFile,
+}
+
+impl World {
+    /// Starts stand-ins with the example configuration of Hoivapolku.
+    pub fn new() -> Self {
+        let runtime = Runtime::new().expect("a runtime starts");
+        let platform = Platform::new(runtime.handle(), "127.0.0.1:0").expect("platform");
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hoivapolku");
+        let folder = Folder::read(&root).expect("the example is readable");
+        let store = HttpStore::new(&platform.address());
+        manifest::publish(&store, &folder, "test").expect("the example is accepted");
+        let pace = Pace {
+            first_ms: 5,
+            token_ms: 2,
+        };
+        let mut world = Self {
+            runtime,
+            platform,
+            engines: Vec::new(),
+            services: Vec::new(),
+        };
+        for index in 0..3 {
+            let engine = Engine::new(world.runtime.handle(), "127.0.0.1:0", pace);
+            let engine = engine.expect("an engine starts");
+            world.list(&format!("engine-{index}"), "kaisla-llm", engine.address());
+            world.engines.push(engine);
+        }
+        let delay = Duration::from_millis(5);
+        let service = Service::new(world.runtime.handle(), "127.0.0.1:0", delay);
+        let service = service.expect("a service starts");
+        world.list("service-0", "varaus-api", service.address());
+        world.services.push(service);
+        world
+    }
+
+    fn list(&self, id: &str, fleet: &str, address: String) {
+        self.platform.list(Instance {
+            id: id.to_owned(),
+            fleet: fleet.to_owned(),
+            zone: "espoo-a".to_owned(),
+            address,
+            state: State::Live,
+        });
+    }
+
+    /// Starts a process and waits until it is ready.
+    pub fn start(&self, instance: &str) -> Process {
+        let ports = free_ports();
+        let settings = format!(
+            "instance: {instance}\nzone: espoo-a\nplatform: {}\nlisten:\n  \
+             callers: 127.0.0.1:{}\n  operators: 127.0.0.1:{}\n  peers: 127.0.0.1:{}\n",
+            self.platform.address(),
+            ports[0],
+            ports[1],
+            ports[2]
+        );
+        let mut file = tempfile::NamedTempFile::new().expect("a temporary file");
+        file.write_all(settings.as_bytes())
+            .expect("settings are written");
+        let child = Command::new(env!("CARGO_BIN_EXE_fescuerackd"))
+            .args(["run", "--settings"])
+            .arg(file.path())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the process starts");
+        let process = Process {
+            child,
+            callers: format!("http://127.0.0.1:{}", ports[0]),
+            operators: format!("http://127.0.0.1:{}", ports[1]),
+            _settings: file,
+        };
+        process.wait_until_ready();
+        process
+    }
+}
+
+fn free_ports() -> [u16; 3] {
+    let listeners = [0; 3].map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address").port())
+}
+
+impl Process {
+    fn wait_until_ready(&self) {
+        let client = client();
+        let deadline = Instant::now() + READY;
+        let url = format!("{}/readyz", self.operators);
+        while !client
+            .get(&url)
+            .call()
+            .is_ok_and(|answer| answer.status() == 200)
+        {
+            assert!(
+                Instant::now() < deadline,
+                "the process did not become ready"
+            );
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Asks for a graceful shutdown.
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args(["-TERM", &pid]).status();
+        assert!(status.is_ok_and(|status| status.success()));
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Returns a client that takes every status as a value.
+pub fn client() -> Agent {
+    agent(8)
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,22 @@
+//! The edges of the process: what it asks of the platform and of backend
+//! servers, and the HTTP clients that do so.
+//!
+//! Each edge is a trait ([`Store`], [`Directory`], [`Rating`]) so that a test
+//! can put something small in its place. Every call has a deadline and its
+//! failures say whether the call may have taken effect ([`Fault`]).
+
+mod directory;
+pub mod engine;
+mod fault;
+mod http;
+pub mod ledger;
+pub mod manifest;
+mod rating;
+pub mod service;
+mod store;
+
+pub use directory::{Directory, HttpDirectory};
+pub use fault::Fault;
+pub use http::{Agent, agent};
+pub use rating::{HttpRating, Rating};
+pub use store::{HttpStore, Store, Swap, Value};
--- /dev/null
+++ b/crates/platform/src/rating.rs
@@ -0,0 +1,60 @@
+//! The service that rates answers.
+
+use std::time::Duration;
+
+use fescuerack_wire::rating;
+
+use crate::{Agent, Fault, agent};
+
+/// Rates answers.
+pub trait Rating: Send + Sync {
+    /// Returns the rating of an answer.
+    ///
+    /// # Errors
+    ///
+    /// When the service is down, slow or turns the request away.
+    fn rate(&self, request: &rating::Request) -> Result<rating::Rating, Fault>;
+}
+
+/// The rating service over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpRating {
+    agent: Agent,
+    url: String,
+}
+
+impl HttpRating {
+    const TIMEOUT: Duration = Duration::from_secs(2);
+
+    /// Creates a client of the service at `address`, as `host:port`.
+    #[must_use]
+    pub fn new(address: &str) -> Self {
+        Self {
+            agent: agent(4),
+            url: format!("http://{address}/v1/ratings"),
+        }
+    }
+}
+
+impl Rating for HttpRating {
+    fn rate(&self, request: &rating::Request) -> Result<rating::Rating, Fault> {
+        let mut response = self
+            .agent
+            .post(&self.url)
+            .config()
+            .timeout_global(Some(Self::TIMEOUT))
+            .build()
+            .send_json(request)
+            .map_err(|error| Fault::from_client(&error))?;
+        if response.status() != 200 {
+            return Err(Fault::Refused {
+                status: response.status().as_u16(),
+                message: String::new(),
+            });
+        }
+        response
+            .body_mut()
+            .read_json()
+            .map_err(|error| Fault::Malformed(error.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/platform/src/service.rs
@@ -0,0 +1,91 @@
+//! Client of a plain service: one call, answered whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuerack_wire::header;
+
+use crate::{Agent, Fault};
+
+/// One call of a plain service.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Address of the server, as `host:port`.
+    pub address: String,
+    /// Method.
+    pub method: String,
+    /// Path below the service, without a leading slash.
+    pub path: String,
+    /// Content type of the body, when there is one.
+    pub content_type: Option<String>,
+    /// Body.
+    pub body: Bytes,
+    /// Identifier of the attempt, which the server echoes.
+    pub attempt: String,
+    /// Key of the caller, passed on so that the service can check it too.
+    pub idempotency_key: Option<String>,
+}
+
+/// The answer of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Header by which a server says that it did not start the call.
+pub const NOT_STARTED: &str = "x-not-started";
+
+/// Makes a call.
+///
+/// # Errors
+///
+/// A [`Fault`] that says whether the service may have run the call;
+/// [`Fault::Refused`] only when the server itself said that it did not start.
+pub fn call(agent: &Agent, call: &Call, timeout: Duration) -> Result<Answer, Fault> {
+    let method = ureq::http::Method::from_bytes(call.method.as_bytes())
+        .map_err(|error| Fault::NotSent(error.to_string()))?;
+    let mut request = ureq::http::Request::builder()
+        .method(method)
+        .uri(format!("http://{}/{}", call.address, call.path))
+        .header(header::ATTEMPT, &call.attempt);
+    if let Some(kind) = &call.content_type {
+        request = request.header("content-type", kind);
+    }
+    if let Some(key) = &call.idempotency_key {
+        request = request.header(header::IDEMPOTENCY, key);
+    }
+    let request = request
+        .body(call.body.to_vec())
+        .map_err(|error| Fault::NotSent(error.to_string()))?;
+    let request = agent
+        .configure_request(request)
+        .timeout_global(Some(timeout))
+        .allow_non_standard_methods(true)
+        .build();
+    let mut response = agent
+        .run(request)
+        .map_err(|error| Fault::from_client(&error))?;
+    let status = response.status().as_u16();
+    let echoed = response.headers().get(header::ATTEMPT);
+    if echoed.is_none_or(|echoed| echoed.as_bytes() != call.attempt.as_bytes()) {
+        return Err(Fault::Malformed(
+            "answer to another attempt, or to none".to_owned(),
+        ));
+    }
+    let not_started = response.headers().contains_key(NOT_STARTED);
+    let body = response
+        .body_mut()
+        .read_to_vec()
+        .map_err(|error| Fault::from_client(&error))?;
+    if not_started {
+        let message = String::from_utf8_lossy(&body).into_owned();
+        return Err(Fault::Refused { status, message });
+    }
+    Ok(Answer {
+        status,
+        body: Bytes::from(body),
+    })
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,99 @@
+//! A plain service whose calls must not be repeated. It counts its runs, so
+//! that a test can show that none ran twice.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use anyhow::Result;
+use fescuerack_wire::header;
+use tokio::runtime::Handle;
+use tokio::time::sleep;
+
+use crate::http::{header as read_header, json};
+use crate::{Fault, Faults, Request, Response, Server};
+
+#[derive(Debug)]
+struct Shared {
+    delay: Duration,
+    faults: Faults,
+    runs: Mutex<BTreeMap<String, u64>>,
+}
+
+/// The service's stand-in.
+#[derive(Debug)]
+pub struct Service {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+impl Service {
+    /// Starts a service on `listen` that answers after `delay`.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound.
+    pub fn new(runtime: &Handle, listen: &str, delay: Duration) -> Result<Self> {
+        let shared = Arc::new(Shared {
+            delay,
+            faults: Faults::new(),
+            runs: Mutex::new(BTreeMap::new()),
+        });
+        let for_handler = Arc::clone(&shared);
+        let handler: crate::Handler = Arc::new(move |request| {
+            let shared = Arc::clone(&for_handler);
+            Box::pin(async move { shared.serve(request).await })
+        });
+        let server = Server::new(runtime, listen, handler)?;
+        Ok(Self { shared, server })
+    }
+
+    /// Returns its address, as `host:port`.
+    #[must_use]
+    pub fn address(&self) -> String {
+        self.server.address().to_string()
+    }
+
+    /// Returns its faults.
+    #[must_use]
+    pub fn faults(&self) -> &Faults {
+        &self.shared.faults
+    }
+
+    /// Returns how often each body ran.
+    #[must_use]
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.shared
+            .runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+impl Shared {
+    async fn serve(&self, request: Request) -> Response {
+        if self.faults.get(Fault::Down) > 0 {
+            return None;
+        }
+        let body = String::from_utf8_lossy(request.body()).into_owned();
+        let run = {
+            let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+            let run = runs.entry(body).or_insert(0);
+            *run += 1;
+            *run
+        };
+        let slow_ms = self.faults.get(Fault::SlowMs);
+        sleep(self.delay + Duration::from_millis(slow_ms)).await;
+        if self.faults.get(Fault::LoseAnswers) > 0 {
+            return None;
+        }
+        let mut response = json(&serde_json::json!({"confirmed": true, "run": run}));
+        if let Some(attempt) = read_header(&request, header::ATTEMPT)
+            && let Ok(value) = attempt.parse()
+        {
+            response.headers_mut().insert(header::ATTEMPT, value);
+        }
+        Some(response)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,12 @@
+//! Messages of fescuerack: towards callers ([`chat`], [`error`], [`header`]),
+//! towards the platform ([`kv`], [`list`], [`rating`]) and backend servers.
+//!
+//! Codecs come from serde; this crate only gives the shapes and their names.
+
+pub mod chat;
+pub mod error;
+pub mod header;
+pub mod kv;
+pub mod list;
+pub mod peer;
+pub mod rating;
--- /dev/null
+++ b/crates/wire/src/rating.rs
@@ -0,0 +1,21 @@
+//! The service that rates answers: `POST /v1/ratings`.
+
+use serde::{Deserialize, Serialize};
+
+/// An answer to be rated.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// Class of work.
+    pub class: String,
+    /// Version that answered.
+    pub version: String,
+    /// The answer.
+    pub answer: String,
+}
+
+/// A rating.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rating {
+    /// Quality, 0 to 1.
+    pub quality: f64,
+}
