Split the answering of completions into one module per duty

Cause: choice, admission, attempts, streaming and billing stood in one file of 300 lines, which every slice would have had to change.

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -10,7 +10,7 @@
 use fescuerack_config::file::{Backend, Kind};
 use fescuerack_config::{Folder, Merged, folder};
 use fescuerack_core::route::State;
-use fescuerack_node::{Limits, Listen, Logs, Node, Settings};
+use fescuerack_node::{Listen, Node, Settings};
 use fescuerack_platform::{HttpStore, manifest};
 use fescuerack_standin::{Engine, Pace, Platform, Service};
 use fescuerack_wire::list::Instance;
@@ -104,7 +104,7 @@
         }
         let zones = zones(&merged);
         for index in 0..instances {
-            scene.start_node(index, &zones[index % zones.len()], &any_port)?;
+            scene.start_node(index, &zones[index % zones.len()], listen)?;
         }
         scene.wait_until_ready()?;
         Ok(scene)
@@ -159,19 +159,8 @@
 
     fn start_node(&mut self, index: usize, zone: &str, listen: &str) -> Result<()> {
         let id = format!("entry-{index}");
-        let node = Node::new(Settings {
-            instance: id.clone(),
-            zone: zone.to_owned(),
-            listen: Listen {
-                callers: listen.to_owned(),
-                operators: listen.to_owned(),
-                peers: listen.to_owned(),
-            },
-            platform: self.platform.address(),
-            limits: Limits::default(),
-            logs: Logs::default(),
-            statsd: String::new(),
-        })?;
+        let settings = Settings::new(&id, zone, &self.platform.address());
+        let node = Node::new(settings.with_listen(Listen::new(listen)))?;
         self.platform.list(Instance {
             id,
             fleet: "fescuerack".to_owned(),
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -4,11 +4,17 @@
 //! (measured; see `docs/design/callers-port.md`), so tokens would not reach
 //! the caller as they come.
 
+mod attempts;
+mod bill;
 mod chat;
+mod choice;
+mod collect;
+mod entry;
 mod intake;
 mod models;
 mod reply;
 mod service;
+mod stream;
 mod upstream;
 
 use std::convert::Infallible;
--- a/crates/node/src/callers/service.rs
+++ b/crates/node/src/callers/service.rs
@@ -6,7 +6,6 @@
 use fescuerack_config::{Service, folder};
 use fescuerack_core::attempt::{Attempts, End, Next, Outcome};
 use fescuerack_core::claim::{State, Verdict};
-use fescuerack_core::ledger::Entry;
 use fescuerack_platform::Fault;
 use fescuerack_platform::service::{self, Answer};
 use fescuerack_wire::error::Kind;
@@ -14,8 +13,9 @@
 
 use super::intake::Call;
 use super::reply::{Reply, failure, failure_with, whole, with_header};
+use super::{bill, entry};
 use crate::claims::{self, Claim, Name};
-use crate::shared::{Force, Shared, lock};
+use crate::shared::{Force, Shared};
 
 /// Attempts that one call may make; more than one only while it surely has
 /// not run, or when it is idempotent.
@@ -58,8 +58,9 @@
     let mut call = call;
     let due = shared.now().plus_millis(service.deadline_ms);
     call.deadline = call.deadline.min(due);
-    let Ok(place) = shared.gate.enter(shared.clock, call.deadline).await else {
-        return failure(Kind::Overloaded, "too much work; not run");
+    let place = match entry::enter(&shared, &call, None).await {
+        Ok(place) => place,
+        Err(refusal) => return refusal.into(),
     };
     let path = match &call.query {
         Some(query) => format!("{path}?{query}"),
@@ -196,7 +197,7 @@
     fn reply(&self, ended: Ended) -> Reply {
         match (ended.outcome, ended.answer) {
             (Outcome::Done, Some(answer)) => {
-                self.bill();
+                bill::call(&self.shared, &self.force, &self.call, &self.name);
                 done(answer.status, answer.body)
             }
             (Outcome::NotRun, _) => failure(
@@ -206,19 +207,6 @@
             _ => unknown(),
         }
     }
-
-    fn bill(&self) {
-        let organisation = self.force.names.organisations.name(self.call.organisation);
-        lock(&self.shared.book).add(Entry {
-            request: self.call.request.clone(),
-            organisation: organisation.to_string(),
-            version: self.name.clone(),
-            input_tokens: 0,
-            output_tokens: 0,
-            cost: 0,
-        });
-        self.shared.metrics.count("callers.done");
-    }
 }
 
 fn done(status: u16, body: Bytes) -> Reply {
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_platform::Fault;
 use fescuerack_platform::engine::{self, Attempt, Event};
 use tokio::sync::mpsc;
 
+use super::attempts::Work;
 use crate::shared::{Running, Shared};
 
 /// Events that wait for a slow reader before the engine's thread waits too;
@@ -18,21 +18,16 @@
 pub type Events = mpsc::Receiver<Result<Event, Fault>>;
 
 /// Starts an attempt.
-pub fn start(
-    shared: &Arc<Shared>,
-    running: Running,
-    priority: u8,
-    body: Bytes,
-    deadline: Instant,
-) -> Events {
+pub fn start(shared: &Arc<Shared>, running: Running, work: Work) -> Events {
     let (sender, events) = mpsc::channel(BUFFER);
     let shared = Arc::clone(shared);
     let attempt = Attempt {
         address: running.address.clone(),
         id: shared.random_id(),
-        priority,
-        body,
+        priority: work.priority,
+        body: work.body,
     };
+    let deadline = work.deadline;
     tokio::task::spawn_blocking(move || {
         let _running = running;
         run(&shared, &attempt, deadline, &sender);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -40,6 +40,19 @@
     pub peers: String,
 }
 
+impl Listen {
+    /// Listens on free ports of one IP number.
+    #[must_use]
+    pub fn new(ip: &str) -> Self {
+        let any_port = format!("{ip}:0");
+        Self {
+            callers: any_port.clone(),
+            operators: any_port.clone(),
+            peers: any_port,
+        }
+    }
+}
+
 /// Limits of one process.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -94,6 +107,34 @@
 }
 
 impl Settings {
+    /// Creates settings that listen on free loopback ports.
+    #[must_use]
+    pub fn new(instance: &str, zone: &str, platform: &str) -> Self {
+        Self {
+            instance: instance.to_owned(),
+            zone: zone.to_owned(),
+            listen: Listen::new("127.0.0.1"),
+            platform: platform.to_owned(),
+            limits: Limits::default(),
+            logs: Logs::default(),
+            statsd: String::new(),
+        }
+    }
+
+    /// Listens on other addresses.
+    #[must_use]
+    pub fn with_listen(mut self, listen: Listen) -> Self {
+        self.listen = listen;
+        self
+    }
+
+    /// Works under other limits.
+    #[must_use]
+    pub fn with_limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
