--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -96,6 +96,10 @@
     pub long: bool,
     /// Whether a cheap answer may be escalated.
     pub cascade: bool,
+    /// Rating under which an answer counts as bad.
+    pub bad_quality: f64,
+    /// Share of requests that may try a version of uncertain quality.
+    pub explore: f64,
     /// Priority; a lower number goes first.
     pub priority: u8,
 }
@@ -111,8 +115,10 @@
     pub stages: Vec<f64>,
     /// Position in `stages`.
     pub stage: usize,
-    /// Whether it may advance.
+    /// Whether it stays at its stage.
     pub paused: bool,
+    /// Number of the operators' word; a higher one clears a halt.
+    pub word: u64,
     /// Bad answers that may reach callers.
     pub exposure: u32,
 }
@@ -316,6 +322,13 @@
             if !(0.0..=1.0).contains(&target.quality) {
                 self.report(&path, "quality must lie between 0 and 1");
             }
+            if !(0.0..=0.2).contains(&target.explore) {
+                self.report(&path, "explore must lie between 0 and 0.2");
+            }
+            let bad_quality = target.bad_quality.unwrap_or(target.quality * 0.75);
+            if !(0.0..=1.0).contains(&bad_quality) {
+                self.report(&path, "bad_quality must lie between 0 and 1");
+            }
             let mut models = Vec::new();
             for model in &target.models {
                 match self.known_model(model) {
@@ -333,6 +346,8 @@
                     deadline_ms: target.deadline_ms,
                     long: target.long,
                     cascade: target.cascade,
+                    bad_quality,
+                    explore: target.explore,
                     priority: target.priority,
                 },
             );
@@ -374,6 +389,7 @@
                     stages: rollout.stages.clone(),
                     stage: rollout.stage,
                     paused: rollout.paused,
+                    word: rollout.word,
                     exposure: rollout.exposure,
                 },
             );
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -110,6 +110,14 @@
     /// Whether a cheap answer may be rated and escalated before it is handed on.
     #[serde(default)]
     pub cascade: bool,
+    /// Rating under which an answer counts as bad, 0 to 1; three quarters of
+    /// `quality` if absent.
+    #[serde(default)]
+    pub bad_quality: Option<f64>,
+    /// Share of requests, 0 to 0.2, that may try a version whose quality is
+    /// not known well enough, where trying it cannot hand on an unrated answer.
+    #[serde(default = "explore")]
+    pub explore: f64,
     /// Priority; a lower number goes first.
     #[serde(default = "priority")]
     pub priority: u8,
@@ -130,9 +138,14 @@
     /// Position in `stages`.
     #[serde(default)]
     pub stage: usize,
-    /// Whether the roll-out may advance.
+    /// Whether the roll-out stays at its stage.
     #[serde(default)]
     pub paused: bool,
+    /// Number of the operators' word on this roll-out. It rises with every
+    /// change of the entry. A halt holds for the words up to the one that it
+    /// stopped; only a higher number lets the same candidate start again.
+    #[serde(default)]
+    pub word: u64,
     /// Bad answers that may reach callers before the roll-out halts.
     #[serde(default = "exposure")]
     pub exposure: u32,
@@ -209,6 +222,10 @@
     vec![0.01, 0.05, 0.2, 0.5, 1.0]
 }
 
+fn explore() -> f64 {
+    0.02
+}
+
 fn exposure() -> u32 {
     20
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod claim;
 pub mod clock;
 pub mod ledger;
+pub mod poison;
+pub mod rollout;
 pub mod route;
 pub mod session;
 
--- /dev/null
+++ b/crates/core/src/rollout/board.rs
@@ -0,0 +1,500 @@
+//! All roll-outs as one instance sees them.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fescuerack_config::file::State;
+use fescuerack_config::{Catalog, Names, key};
+use serde::Serialize;
+use slotmap::SecondaryMap;
+
+use super::count::{Count, Pair};
+use super::digest::{Digest, Report};
+use super::record::{Halt, Record, Step};
+use super::trial::{Hold, Id, Trial, Verdict};
+use crate::clock::Instant;
+
+/// Milliseconds within which failures at one backend server count once: they
+/// have one cause, and counting each would condemn a version for its server.
+const CLUSTER_MS: u64 = 10_000;
+/// Milliseconds without a rating from anywhere after which the candidate gets
+/// no new session once this instance's part of the budget has passed unrated.
+const STARVED_MS: u64 = 30_000;
+/// Servers of which the last failure is remembered.
+const MOST_SERVERS: usize = 4096;
+/// Reports of others that go into one digest.
+const RELAYED: usize = 24;
+
+/// What an instance saw of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It came.
+    Answered {
+        /// Whether its first token came too late.
+        late: bool,
+    },
+    /// The backend server answered with an error or broke off.
+    Failed(key::Server),
+    /// The backend server crashed, and not because of the request.
+    Crashed(key::Server),
+    /// It was rated.
+    Rated {
+        /// Rating in thousandths.
+        quality_milli: u32,
+        /// Whether it is a bad answer.
+        bad: bool,
+    },
+}
+
+/// Which version new sessions of a model start on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Share {
+    /// Version of today.
+    pub current: key::Version,
+    /// Candidate and its share of new sessions.
+    pub candidate: Option<(key::Version, f64)>,
+}
+
+/// What is to be made durable.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Write the model's record, which holds a halt: the store lacks it.
+    Keep(String),
+    /// Swap this step into the model's record; it counts only once the store
+    /// has taken it.
+    Step(String, String, Step),
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Entry {
+    #[serde(skip)]
+    share: Option<Share>,
+    stages: Vec<f64>,
+    trial: Option<Trial>,
+    open: bool,
+    steady: bool,
+    unrated: u32,
+}
+
+/// The roll-outs.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Board {
+    source: String,
+    informed: bool,
+    records: BTreeMap<String, Record>,
+    kept: BTreeMap<String, Record>,
+    entries: SecondaryMap<key::Model, Entry>,
+    #[serde(skip)]
+    withdrawn: SecondaryMap<key::Version, ()>,
+    #[serde(skip)]
+    failures: BTreeMap<key::Server, Instant>,
+    #[serde(skip)]
+    relay: VecDeque<Report>,
+    peers: u32,
+}
+
+impl Board {
+    /// Creates a board of an incarnation that has heard of no record yet.
+    #[must_use]
+    pub fn new(source: &str) -> Self {
+        Self {
+            source: source.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// Says among how many instances the exposure budget is divided.
+    pub fn with_peers(&mut self, peers: u32) {
+        self.peers = peers;
+    }
+
+    /// Returns whether a record has been heard from the store or from a peer.
+    #[must_use]
+    pub fn is_informed(&self) -> bool {
+        self.informed
+    }
+
+    /// Notes that the store was read and holds no more than was adopted.
+    pub fn inform(&mut self) {
+        self.informed = true;
+    }
+
+    /// Takes over the configuration in force; call it after every change.
+    pub fn configure(&mut self, now: Instant, catalog: &Catalog, names: &Names) {
+        let models = &catalog.models;
+        self.entries.retain(|model, _| models.contains_key(model));
+        self.withdrawn.clear();
+        for (version, entry) in &catalog.versions {
+            if entry.state == State::Withdrawn {
+                self.withdrawn.insert(version, ());
+            }
+        }
+        for model in catalog.models.keys() {
+            self.configure_model(now, catalog, names, model);
+        }
+    }
+
+    fn configure_model(
+        &mut self,
+        now: Instant,
+        catalog: &Catalog,
+        names: &Names,
+        model: key::Model,
+    ) {
+        let name = names.models.name(model).to_string();
+        let record = self.records.get(&name).cloned().unwrap_or_default();
+        let Some(rollout) = catalog.rollouts.get(model) else {
+            self.entries.remove(model);
+            for version in &catalog.models[model] {
+                if record.halted(names.versions.name(*version), 0).is_some() {
+                    self.withdrawn.insert(*version, ());
+                }
+            }
+            return;
+        };
+        let is_named = |version| rollout.candidate == Some(version) || rollout.current == version;
+        let halted = |version: key::Version| {
+            // A newer word clears the halt of a version that it names, and of
+            // no other.
+            let word = if is_named(version) { rollout.word } else { 0 };
+            record.halted(names.versions.name(version), word)
+        };
+        // An operator who makes a halted candidate the version of today
+        // without a newer word has not seen the halt.
+        let current = halted(rollout.current)
+            .and_then(|halt| names.versions.get(&halt.fallback))
+            .filter(|version| catalog.versions.contains_key(*version))
+            .unwrap_or(rollout.current);
+        for version in &catalog.models[model] {
+            if halted(*version).is_some() {
+                self.withdrawn.insert(*version, ());
+            }
+        }
+        let previous = self.entries.remove(model);
+        let mut entry = Entry {
+            share: None,
+            stages: rollout.stages.clone(),
+            trial: None,
+            open: false,
+            steady: true,
+            unrated: previous.as_ref().map_or(0, |entry| entry.unrated),
+        };
+        if let Some(candidate) = rollout.candidate {
+            let id = Id {
+                model: name,
+                current: names.versions.name(current).to_string(),
+                candidate: names.versions.name(candidate).to_string(),
+                word: rollout.word,
+            };
+            let mut trial = previous
+                .and_then(|entry| entry.trial)
+                .filter(|trial| trial.id == id)
+                .unwrap_or_else(|| {
+                    entry.unrated = 0;
+                    Trial::new(id.clone(), current, candidate, now)
+                });
+            trial.exposure = rollout.exposure;
+            let stage = record
+                .stage(&id.candidate, id.word)
+                .unwrap_or(rollout.stage)
+                .max(rollout.stage)
+                .min(rollout.stages.len().saturating_sub(1));
+            trial.enter(now, stage);
+            entry.open = catalog.versions[candidate].state == State::Open;
+            entry.steady = rollout.paused || !entry.open;
+            let part = rollout.stages.get(stage).copied().filter(|_| entry.open);
+            entry.share = Some(Share {
+                current,
+                candidate: Some((candidate, part.unwrap_or(0.0))),
+            });
+            entry.trial = Some(trial);
+        }
+        entry.share = entry.share.or(Some(Share {
+            current,
+            candidate: None,
+        }));
+        self.entries.insert(model, entry);
+    }
+
+    /// Returns which version new sessions start on; `None` when the model has
+    /// no roll-out.
+    #[must_use]
+    pub fn share(&self, now: Instant, model: key::Model) -> Option<Share> {
+        let entry = self.entries.get(model)?;
+        let mut share = entry.share?;
+        if let Some((candidate, _)) = share.candidate
+            && (!self.informed || self.is_withdrawn(candidate) || self.is_starved(now, entry))
+        {
+            share.candidate = Some((candidate, 0.0));
+        }
+        Some(share)
+    }
+
+    /// Returns whether a version takes no new work: withdrawn by operators or
+    /// halted by evidence.
+    #[must_use]
+    pub fn is_withdrawn(&self, version: key::Version) -> bool {
+        self.withdrawn.contains_key(version)
+    }
+
+    /// Returns whether answers to callers outrun the ratings by more than this
+    /// instance's part of the exposure budget.
+    fn is_starved(&self, now: Instant, entry: &Entry) -> bool {
+        let Some(trial) = &entry.trial else {
+            return false;
+        };
+        let part = (trial.exposure / self.peers.max(1)).max(1);
+        entry.unrated >= part && !trial.is_rated_within(now, STARVED_MS)
+    }
+
+    /// Counts what this instance saw of an answer of `version`.
+    pub fn observe(&mut self, now: Instant, version: key::Version, event: Event) {
+        if let Event::Failed(server) | Event::Crashed(server) = event
+            && !self.is_news(now, server)
+        {
+            return;
+        }
+        let source = self.source.clone();
+        for entry in self.entries.values_mut() {
+            let Some(trial) = entry.trial.as_mut() else {
+                continue;
+            };
+            let mut pair = trial.source(&source);
+            if version == trial.candidate {
+                add(&mut pair.candidate, event);
+                match event {
+                    Event::Rated { .. } => entry.unrated = 0,
+                    _ => entry.unrated = entry.unrated.saturating_add(1),
+                }
+            } else if version == trial.current {
+                add(&mut pair.current, event);
+            } else {
+                continue;
+            }
+            trial.learn(now, &source, pair);
+        }
+        self.enforce(now);
+    }
+
+    fn is_news(&mut self, now: Instant, server: key::Server) -> bool {
+        let recent = |at: &Instant| now < at.plus_millis(CLUSTER_MS);
+        if self.failures.get(&server).is_some_and(recent) {
+            return false;
+        }
+        if self.failures.len() >= MOST_SERVERS {
+            self.failures.retain(|_, at| recent(at));
+        }
+        self.failures.insert(server, now);
+        true
+    }
+
+    /// Takes over a model's record from the store or from a peer.
+    /// Returns whether anything was news; then [`Board::configure`] must follow.
+    pub fn adopt(&mut self, now: Instant, model: &str, record: &Record) -> bool {
+        self.informed = true;
+        let known = self.records.entry(model.to_owned()).or_default();
+        let news = known.merge(record);
+        self.enforce(now);
+        news
+    }
+
+    /// Notes what the store holds of a model, so that only what it lacks is
+    /// written again.
+    pub fn kept(&mut self, model: &str, record: &Record) {
+        self.kept.insert(model.to_owned(), record.clone());
+    }
+
+    /// Returns what is known of a model's halts and steps.
+    #[must_use]
+    pub fn record(&self, model: &str) -> Record {
+        self.records.get(model).cloned().unwrap_or_default()
+    }
+
+    /// Judges all roll-outs and returns what is to be made durable. A halt is
+    /// in force here when this returns.
+    ///
+    /// # Panics
+    ///
+    /// When a halted candidate would get new sessions.
+    pub fn decide(&mut self, now: Instant) -> Vec<Act> {
+        self.enforce(now);
+        let mut acts = Vec::new();
+        for (model, record) in &self.records {
+            let mut kept = self.kept.get(model).cloned().unwrap_or_default();
+            let lacks = record
+                .halts
+                .iter()
+                .any(|(candidate, halt)| kept.halt(candidate, halt.clone()));
+            if lacks {
+                acts.push(Act::Keep(model.clone()));
+            }
+        }
+        for (model, entry) in &self.entries {
+            let share = self.share(now, model).and_then(|share| share.candidate);
+            if let Some((candidate, share)) = share {
+                assert!(
+                    share == 0.0 || !self.is_withdrawn(candidate),
+                    "a halted candidate would get new sessions"
+                );
+            }
+            if self.verdict(now, entry) == Verdict::Step
+                && let Some(trial) = &entry.trial
+            {
+                let step = Step {
+                    word: trial.id.word,
+                    stage: trial.stage + 1,
+                };
+                let candidate = trial.id.candidate.clone();
+                acts.push(Act::Step(trial.id.model.clone(), candidate, step));
+            }
+        }
+        acts
+    }
+
+    /// Returns what the evidence says of a model's roll-out, when it has one.
+    #[must_use]
+    pub fn verdict_of(&self, now: Instant, model: key::Model) -> Option<Verdict> {
+        let entry = self.entries.get(model)?;
+        entry.trial.as_ref()?;
+        Some(self.verdict(now, entry))
+    }
+
+    /// Returns the trial of a model, when there is one.
+    #[must_use]
+    pub fn trial(&self, model: key::Model) -> Option<&Trial> {
+        self.entries.get(model)?.trial.as_ref()
+    }
+
+    fn verdict(&self, now: Instant, entry: &Entry) -> Verdict {
+        let Some(trial) = &entry.trial else {
+            return Verdict::Hold(Hold::Operator);
+        };
+        let next = entry.stages.get(trial.stage + 1);
+        let here = entry.stages.get(trial.stage).copied().unwrap_or(1.0);
+        let growth = next.map_or(1.0, |next| next / here);
+        match trial.verdict(now, growth) {
+            Verdict::Halt(cause) => Verdict::Halt(cause),
+            _ if entry.steady || next.is_none() => Verdict::Hold(Hold::Operator),
+            _ if self.is_withdrawn(trial.candidate) => Verdict::Hold(Hold::Operator),
+            _ if !self.informed => Verdict::Hold(Hold::Uninformed),
+            verdict => verdict,
+        }
+    }
+
+    /// Puts what is known of the running trials in force: halts, by own
+    /// evidence or heard, and steps.
+    fn enforce(&mut self, now: Instant) {
+        for entry in self.entries.values_mut() {
+            let Some(trial) = entry.trial.as_mut() else {
+                continue;
+            };
+            let id = trial.id.clone();
+            let record = self.records.entry(id.model).or_default();
+            if let Verdict::Halt(cause) = trial.verdict(now, 1.0) {
+                let halt = Halt {
+                    word: id.word,
+                    fallback: id.current,
+                    cause,
+                };
+                if record.halted(&id.candidate, id.word).is_none() {
+                    record.halt(&id.candidate, halt);
+                }
+            }
+            if record.halted(&id.candidate, id.word).is_some() {
+                self.withdrawn.insert(trial.candidate, ());
+            }
+            let last = entry.stages.len().saturating_sub(1);
+            let stage = record.stage(&id.candidate, id.word).unwrap_or(0);
+            trial.enter(now, stage.max(trial.stage).min(last));
+            if let Some(share) = entry.share.as_mut()
+                && let Some((_, part)) = share.candidate.as_mut()
+                && entry.open
+            {
+                *part = entry.stages.get(trial.stage).copied().unwrap_or(0.0);
+            }
+        }
+    }
+
+    /// Returns what peers are told.
+    pub fn digest(&mut self) -> Digest {
+        let mut reports = Vec::new();
+        for entry in self.entries.values() {
+            if let Some(trial) = &entry.trial {
+                let pair = trial.source(&self.source);
+                if pair != Pair::default() {
+                    reports.push(Report {
+                        trial: trial.id.clone(),
+                        source: self.source.clone(),
+                        pair,
+                    });
+                }
+            }
+        }
+        let relayed = self.relay.len().min(RELAYED);
+        reports.extend(self.relay.iter().rev().take(relayed).cloned());
+        // What was told moves to the back, so that every report gets its turn.
+        self.relay.rotate_right(relayed);
+        Digest {
+            informed: self.informed,
+            records: self.records.clone(),
+            reports,
+        }
+    }
+
+    /// Takes over what a peer tells; repeated, reordered and old messages
+    /// change nothing.
+    /// Returns whether a halt or a step was news; then
+    /// [`Board::configure`] must follow.
+    pub fn merge(&mut self, now: Instant, digest: &Digest) -> bool {
+        let mut news = false;
+        for (model, record) in &digest.records {
+            news |= self.records.entry(model.clone()).or_default().merge(record);
+        }
+        self.informed |= digest.informed;
+        for report in &digest.reports {
+            self.hear(now, report);
+        }
+        self.enforce(now);
+        news
+    }
+
+    fn hear(&mut self, now: Instant, report: &Report) {
+        let trials = self.entries.values_mut();
+        let known = trials
+            .filter_map(|entry| entry.trial.as_mut())
+            .find(|trial| trial.id == report.trial);
+        let Some(trial) = known else {
+            return;
+        };
+        let before = trial.source(&report.source);
+        // An instance that forgot a trial resumes its own counters from what
+        // its peers heard of them.
+        trial.learn(now, &report.source, report.pair);
+        if trial.source(&report.source) != before && report.source != self.source {
+            self.relay
+                .retain(|told| told.source != report.source || told.trial != report.trial);
+            self.relay.push_back(report.clone());
+        }
+    }
+}
+
+fn add(count: &mut Count, event: Event) {
+    match event {
+        Event::Answered { late } => {
+            count.answers = count.answers.saturating_add(1);
+            count.late = count.late.saturating_add(u32::from(late));
+        }
+        Event::Failed(_) => {
+            count.answers = count.answers.saturating_add(1);
+            count.errors = count.errors.saturating_add(1);
+        }
+        Event::Crashed(_) => {
+            count.answers = count.answers.saturating_add(1);
+            count.crashes = count.crashes.saturating_add(1);
+        }
+        Event::Rated { quality_milli, bad } => {
+            count.rated = count.rated.saturating_add(1);
+            count.bad = count.bad.saturating_add(u32::from(bad));
+            count.quality_milli = count.quality_milli.saturating_add(quality_milli);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/rollout/count.rs
@@ -0,0 +1,111 @@
+//! Counters of what a version's answers were like.
+//!
+//! Every counter only rises and is owned by one incarnation of one instance,
+//! so that taking the larger value merges repeated, reordered and old
+//! messages alike.
+
+use serde::{Deserialize, Serialize};
+
+/// What one incarnation has seen of one version in one trial.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Count {
+    /// Attempts that ended, well or not.
+    #[serde(rename = "a")]
+    pub answers: u32,
+    /// Attempts that ended with an error.
+    #[serde(rename = "e")]
+    pub errors: u32,
+    /// Attempts whose backend server crashed.
+    #[serde(rename = "c")]
+    pub crashes: u32,
+    /// Answers whose first token came too late.
+    #[serde(rename = "l")]
+    pub late: u32,
+    /// Answers that were rated.
+    #[serde(rename = "r")]
+    pub rated: u32,
+    /// Rated answers that were bad.
+    #[serde(rename = "b")]
+    pub bad: u32,
+    /// Sum of the ratings, in thousandths.
+    #[serde(rename = "q")]
+    pub quality_milli: u32,
+}
+
+impl Count {
+    fn zip(self, other: Self, merge: fn(u32, u32) -> u32) -> Self {
+        Self {
+            answers: merge(self.answers, other.answers),
+            errors: merge(self.errors, other.errors),
+            crashes: merge(self.crashes, other.crashes),
+            late: merge(self.late, other.late),
+            rated: merge(self.rated, other.rated),
+            bad: merge(self.bad, other.bad),
+            quality_milli: merge(self.quality_milli, other.quality_milli),
+        }
+    }
+
+    /// Returns the later of two states of the same counters.
+    #[must_use]
+    pub fn join(self, other: Self) -> Self {
+        self.zip(other, u32::max)
+    }
+
+    /// Returns the sum.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        self.zip(other, u32::saturating_add)
+    }
+
+    /// Returns what was added since `earlier`.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        self.zip(earlier, u32::saturating_sub)
+    }
+
+    /// Returns the mean rating, when there is one.
+    #[must_use]
+    pub fn quality(self) -> Option<f64> {
+        (self.rated > 0).then(|| f64::from(self.quality_milli) / f64::from(self.rated) / 1000.0)
+    }
+}
+
+/// Counters of both versions of a trial.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Pair {
+    /// The version of today.
+    pub current: Count,
+    /// The version that is being rolled out.
+    pub candidate: Count,
+}
+
+impl Pair {
+    /// Returns the later of two states.
+    #[must_use]
+    pub fn join(self, other: Self) -> Self {
+        Self {
+            current: self.current.join(other.current),
+            candidate: self.candidate.join(other.candidate),
+        }
+    }
+
+    /// Returns the sum.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            current: self.current.plus(other.current),
+            candidate: self.candidate.plus(other.candidate),
+        }
+    }
+
+    /// Returns what was added since `earlier`.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Self {
+        Self {
+            current: self.current.since(earlier.current),
+            candidate: self.candidate.since(earlier.candidate),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/rollout/digest.rs
@@ -0,0 +1,34 @@
+//! What instances tell each other about roll-outs.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::count::Pair;
+use super::record::Record;
+use super::trial::Id;
+
+/// Counters of one incarnation in one trial.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The trial.
+    pub trial: Id,
+    /// Incarnation that counted.
+    pub source: String,
+    /// Its counters.
+    pub pair: Pair,
+}
+
+/// What one instance tells a peer. Peers pass on what they heard, so that a
+/// halt and the counts behind it reach everyone in a few rounds also when two
+/// instances cannot reach each other or the store is down.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Digest {
+    /// Whether the sender has heard of a record from the store or from others.
+    pub informed: bool,
+    /// Halts and steps by model.
+    pub records: BTreeMap<String, Record>,
+    /// Counters: the sender's own and some that it heard.
+    pub reports: Vec<Report>,
+}
--- /dev/null
+++ b/crates/core/tests/all/fleet.rs
@@ -0,0 +1,216 @@
+//! Several instances' roll-out boards, a store that can be down and peers that
+//! can be cut off; shared by the tests and by `benches/versions.rs`.
+
+use std::collections::BTreeMap;
+
+use fescuerack_config::{Catalog, Folder, Merged, Names, key};
+use fescuerack_core::clock::Instant;
+use fescuerack_core::rollout::{Act, Board, Digest, Event, Record, Verdict};
+use fescuerack_core::session;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+/// Name of the model under roll-out.
+pub const MODEL: &str = "m";
+
+/// Returns a configuration file with a roll-out of `m@2` over `m@1`.
+pub fn file(word: u64, start: usize, exposure: u32, more: &str, state: &str) -> String {
+    format!(
+        "models: {{m: {{}}, strong: {{}}}}\n\
+         versions:\n  \
+         m@1: {{cost_input: 40, cost_output: 160, quality: {{default: 0.87}}}}\n  \
+         m@2: {{cost_input: 40, cost_output: 150, quality: {{default: 0.87}}, state: {state}}}\n  \
+         strong@1: {{cost_input: 600, cost_output: 2400, quality: {{default: 0.95}}}}\n\
+         rollouts:\n  m: {{current: m@1, candidate: m@2, stage: {start}, word: {word}, \
+         exposure: {exposure}{more}}}\n"
+    )
+}
+
+/// Compiles one file.
+pub fn compile(revision: u64, file: &str, names: &mut Names) -> Catalog {
+    let folder = Folder::new().with_file("10.yaml", file.to_owned());
+    let merged = Merged::new(&folder).expect("the file is well formed");
+    Catalog::new(revision, &merged, names).expect("the file is consistent")
+}
+
+/// A store with compare-and-swap.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub down: bool,
+    pub values: BTreeMap<String, (u64, Record)>,
+}
+
+impl Store {
+    fn get(&self, model: &str) -> Option<(u64, Record)> {
+        (!self.down).then(|| self.values.get(model).cloned().unwrap_or_default())
+    }
+
+    fn swap(&mut self, model: &str, expected: u64, record: Record) -> bool {
+        let present = self.values.get(model).map_or(0, |value| value.0);
+        if self.down || present != expected {
+            return false;
+        }
+        self.values.insert(model.to_owned(), (present + 1, record));
+        true
+    }
+}
+
+/// The instances.
+pub struct Fleet {
+    pub names: Names,
+    pub catalog: Catalog,
+    pub boards: Vec<Board>,
+    pub store: Store,
+    pub rng: Pcg64Mcg,
+    pub model: key::Model,
+    pub current: key::Version,
+    pub candidate: key::Version,
+    pub server: key::Server,
+    starts: u32,
+    told: Vec<Digest>,
+}
+
+impl Fleet {
+    /// Starts `count` instances under `file`.
+    pub fn new(count: usize, seed: u64, file: &str) -> Self {
+        let mut names = Names::new();
+        let catalog = compile(1, file, &mut names);
+        let mut fleet = Self {
+            model: names.models.get(MODEL).expect("the model"),
+            current: names.versions.get("m@1").expect("the current version"),
+            candidate: names.versions.get("m@2").expect("the candidate"),
+            server: names.servers.intern("server-0"),
+            names,
+            catalog,
+            boards: Vec::new(),
+            store: Store::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            starts: 0,
+            told: Vec::new(),
+        };
+        for _ in 0..count {
+            let board = fleet.board(Instant::ORIGIN);
+            fleet.boards.push(board);
+        }
+        for index in 0..count {
+            fleet.sync(Instant::ORIGIN, index);
+        }
+        fleet
+    }
+
+    fn board(&mut self, now: Instant) -> Board {
+        self.starts += 1;
+        let mut board = Board::new(&format!("instance-{}", self.starts));
+        board.with_peers(u32::try_from(self.boards.len().max(1)).expect("a small fleet"));
+        board.configure(now, &self.catalog, &self.names);
+        board
+    }
+
+    /// Replaces an instance; it has forgotten everything.
+    pub fn restart(&mut self, now: Instant, index: usize) {
+        self.boards[index] = self.board(now);
+    }
+
+    /// Puts another file in force on all instances.
+    pub fn accept(&mut self, now: Instant, file: &str) {
+        self.catalog = compile(self.catalog.revision + 1, file, &mut self.names);
+        for board in &mut self.boards {
+            board.configure(now, &self.catalog, &self.names);
+        }
+    }
+
+    /// Returns the version that a new session starts on at an instance.
+    pub fn start(&self, now: Instant, index: usize, session: &[u8]) -> key::Version {
+        let share = self.boards[index].share(now, self.model);
+        let share = share.expect("a roll-out");
+        session::start(share, session::position(MODEL, session))
+    }
+
+    /// Tells an instance of an answer.
+    pub fn observe(&mut self, now: Instant, index: usize, version: key::Version, event: Event) {
+        self.boards[index].observe(now, version, event);
+    }
+
+    /// One instance reads the store, judges and writes what is to last.
+    /// Returns whether it made a step.
+    pub fn sync(&mut self, now: Instant, index: usize) -> bool {
+        let board = &mut self.boards[index];
+        if let Some((_, record)) = self.store.get(MODEL) {
+            board.kept(MODEL, &record);
+            if board.adopt(now, MODEL, &record) {
+                board.configure(now, &self.catalog, &self.names);
+            }
+        }
+        let mut stepped = false;
+        for act in board.decide(now) {
+            let (Act::Keep(model) | Act::Step(model, ..)) = &act;
+            let Some((version, mut record)) = self.store.get(model) else {
+                continue;
+            };
+            record.merge(&board.record(model));
+            if let Act::Step(_, candidate, step) = &act {
+                if record.halted(candidate, step.word).is_some() {
+                    continue;
+                }
+                record.step(candidate, *step);
+                stepped = true;
+            }
+            if self.store.swap(model, version, record.clone()) {
+                board.kept(model, &record);
+                if board.adopt(now, model, &record) {
+                    board.configure(now, &self.catalog, &self.names);
+                }
+            }
+        }
+        stepped
+    }
+
+    /// Each instance hears one other; every tenth message is an old one.
+    pub fn gossip(&mut self, now: Instant) {
+        let count = self.boards.len();
+        for index in 0..count {
+            let other = self.rng.random_range(0..count);
+            if other != index {
+                self.tell(now, other, index);
+            }
+        }
+    }
+
+    /// One instance hears another.
+    pub fn tell(&mut self, now: Instant, from: usize, to: usize) {
+        let mut digest = self.boards[from].digest();
+        if !self.told.is_empty() && self.rng.random_bool(0.1) {
+            let old = self.rng.random_range(0..self.told.len());
+            digest = std::mem::replace(&mut self.told[old], digest);
+        } else if self.told.len() < 64 {
+            self.told.push(digest.clone());
+        }
+        if self.boards[to].merge(now, &digest) {
+            self.boards[to].configure(now, &self.catalog, &self.names);
+        }
+    }
+
+    /// Returns whether an instance takes the candidate for withdrawn.
+    pub fn is_halted(&self, index: usize) -> bool {
+        self.boards[index].is_withdrawn(self.candidate)
+    }
+
+    /// Returns whether all instances do.
+    pub fn is_halted_everywhere(&self) -> bool {
+        (0..self.boards.len()).all(|index| self.is_halted(index))
+    }
+
+    /// Returns the stage in force at an instance.
+    pub fn stage(&self, index: usize) -> usize {
+        self.boards[index]
+            .trial(self.model)
+            .map_or(0, |trial| trial.stage)
+    }
+
+    /// Returns what an instance's evidence says.
+    pub fn verdict(&self, now: Instant, index: usize) -> Verdict {
+        self.boards[index]
+            .verdict_of(now, self.model)
+            .expect("a trial")
+    }
+}
--- /dev/null
+++ b/crates/core/tests/all/replay.rs
@@ -0,0 +1,316 @@
+//! Replay of recorded traces against their stated outcomes.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use fescuerack_core::clock::Instant;
+use fescuerack_core::key;
+use fescuerack_core::rollout::{Cause, Event, Hold, Verdict};
+use fescuerack_core::session::{self, Place};
+use rstest::rstest;
+use serde::Deserialize;
+
+use crate::fleet::{Fleet, MODEL, file};
+
+/// One trace: what happened, and after it what must be so.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Trace {
+    #[allow(dead_code)]
+    story: String,
+    instances: usize,
+    exposure: u32,
+    stage: usize,
+    steps: Vec<Step>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+enum Step {
+    Traffic(Traffic),
+    Store(bool),
+    Peers(bool),
+    Restart(usize),
+    /// An operator's word: number, stage, state of the candidate, paused.
+    Word(u64, usize, String, bool),
+    Burst(Burst),
+    /// Counts the candidate's bad answers from here on.
+    Mark,
+    Expect(Expect),
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Traffic {
+    seconds: u64,
+    /// Requests in ten minutes.
+    rate: u64,
+    /// Sessions that send them; 0: each request is its own.
+    #[serde(default)]
+    sessions: u64,
+    #[serde(default = "yes")]
+    rated: bool,
+    #[serde(default)]
+    current: Quality,
+    #[serde(default)]
+    candidate: Quality,
+}
+
+/// Every so many answers one is bad, fails or is late; 0: none.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Quality {
+    bad: u64,
+    failed: u64,
+    late: u64,
+    /// By how many answers `bad` shrinks after each bad one.
+    worse: u64,
+}
+
+/// Failures of the candidate at one server at one instant.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Burst {
+    instance: usize,
+    failed: u32,
+    bad: u32,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Expect {
+    halted: Option<bool>,
+    cause: Option<Cause>,
+    stage: Option<usize>,
+    served_bad_at_most: Option<u64>,
+    hold: Option<String>,
+    moved: Option<u64>,
+    moved_twice: Option<u64>,
+    share_of_candidate: Option<f64>,
+}
+
+fn yes() -> bool {
+    true
+}
+
+struct Replay {
+    fleet: Fleet,
+    now: Instant,
+    requests: u64,
+    served_bad: u64,
+    peers: bool,
+    counts: BTreeMap<(key::Version, &'static str), u64>,
+    pins: BTreeMap<u64, key::Version>,
+    moves: BTreeMap<u64, u64>,
+    exposure: u32,
+}
+
+impl Replay {
+    fn new(trace: &Trace) -> Self {
+        let start = file(1, trace.stage, trace.exposure, "", "open");
+        Self {
+            fleet: Fleet::new(trace.instances, 1, &start),
+            now: Instant::ORIGIN,
+            requests: 0,
+            served_bad: 0,
+            peers: true,
+            counts: BTreeMap::new(),
+            pins: BTreeMap::new(),
+            moves: BTreeMap::new(),
+            exposure: trace.exposure,
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Traffic(traffic) => self.traffic(&traffic),
+            Step::Store(up) => self.fleet.store.down = !up,
+            Step::Peers(up) => self.peers = up,
+            Step::Restart(index) => self.fleet.restart(self.now, index),
+            Step::Word(word, start, state, paused) => {
+                let more = if paused { ", paused: true" } else { "" };
+                let file = file(word, start, self.exposure, more, &state);
+                self.fleet.accept(self.now, &file);
+            }
+            Step::Mark => self.served_bad = 0,
+            Step::Burst(burst) => self.burst(&burst),
+            Step::Expect(expect) => self.expect(&expect),
+        }
+    }
+
+    fn burst(&mut self, burst: &Burst) {
+        let version = self.fleet.candidate;
+        let server = self.fleet.server;
+        for _ in 0..burst.failed {
+            let event = Event::Failed(server);
+            self.fleet.observe(self.now, burst.instance, version, event);
+        }
+        for _ in 0..burst.bad {
+            let event = Event::Rated {
+                quality_milli: 300,
+                bad: true,
+            };
+            self.fleet.observe(self.now, burst.instance, version, event);
+        }
+    }
+
+    fn traffic(&mut self, traffic: &Traffic) {
+        let mut due = 0;
+        for second in 0..traffic.seconds {
+            self.now = self.now.plus_millis(1000);
+            due += traffic.rate;
+            while due >= 600 {
+                due -= 600;
+                self.request(traffic);
+            }
+            if self.peers {
+                self.fleet.gossip(self.now);
+            }
+            if second % 5 == 0 {
+                for index in 0..self.fleet.boards.len() {
+                    self.fleet.sync(self.now, index);
+                }
+            }
+        }
+    }
+
+    fn place(&mut self, traffic: &Traffic, index: usize) -> key::Version {
+        let session = self.requests % traffic.sessions.max(1);
+        let own = format!("request-{}", self.requests);
+        let name = if traffic.sessions == 0 {
+            own
+        } else {
+            format!("session-{session}")
+        };
+        let fresh = self.fleet.start(self.now, index, name.as_bytes());
+        if traffic.sessions == 0 {
+            return fresh;
+        }
+        let board = &self.fleet.boards[index];
+        let pinned = self.pins.get(&session).copied();
+        let place = session::place(
+            pinned,
+            |version| board.is_withdrawn(version),
+            || Ok::<_, ()>(fresh),
+        );
+        let place = place.expect("the current version is open");
+        if let Place::Move { .. } = place {
+            *self.moves.entry(session).or_default() += 1;
+        }
+        self.pins.insert(session, place.version());
+        place.version()
+    }
+
+    /// Returns whether this is one of every `every` answers.
+    fn is_due(&mut self, version: key::Version, what: &'static str, every: u64) -> bool {
+        let count = self.counts.entry((version, what)).or_default();
+        *count += 1;
+        let due = every > 0 && *count >= every;
+        if due {
+            *count = 0;
+        }
+        due
+    }
+
+    fn request(&mut self, traffic: &Traffic) {
+        let index = usize::try_from(self.requests).expect("few requests") % self.fleet.boards.len();
+        self.requests += 1;
+        let version = self.place(traffic, index);
+        let mut quality = traffic.current;
+        if version == self.fleet.candidate {
+            quality = traffic.candidate;
+            let worse = self.counts.get(&(version, "worse")).copied();
+            quality.bad = quality
+                .bad
+                .saturating_sub(quality.worse * worse.unwrap_or(0))
+                .max(u64::from(quality.bad > 0));
+        }
+        if self.is_due(version, "failed", quality.failed) {
+            let server = self.fleet.server;
+            let event = Event::Failed(server);
+            self.fleet.observe(self.now, index, version, event);
+            return;
+        }
+        let late = self.is_due(version, "late", quality.late);
+        let event = Event::Answered { late };
+        self.fleet.observe(self.now, index, version, event);
+        let bad = self.is_due(version, "bad", quality.bad);
+        if bad {
+            *self.counts.entry((version, "worse")).or_default() += 1;
+            self.served_bad += u64::from(version == self.fleet.candidate);
+        }
+        if traffic.rated {
+            let quality_milli = if bad { 300 } else { 900 };
+            let event = Event::Rated { quality_milli, bad };
+            self.fleet.observe(self.now, index, version, event);
+        }
+    }
+
+    fn expect(&self, expect: &Expect) {
+        let all = 0..self.fleet.boards.len();
+        if let Some(halted) = expect.halted {
+            assert_eq!(self.fleet.is_halted_everywhere(), halted);
+            for index in all.clone() {
+                assert_eq!(self.fleet.is_halted(index), halted, "instance {index}");
+            }
+        }
+        if let Some(cause) = expect.cause {
+            let record = self.fleet.boards[0].record(MODEL);
+            assert_eq!(record.halts["m@2"].cause, cause);
+        }
+        if let Some(stage) = expect.stage {
+            for index in all.clone() {
+                assert_eq!(self.fleet.stage(index), stage, "instance {index}");
+            }
+        }
+        if let Some(most) = expect.served_bad_at_most {
+            assert!(self.served_bad <= most, "{} bad answers", self.served_bad);
+        }
+        if let Some(hold) = &expect.hold {
+            let verdict = self.fleet.verdict(self.now, 0);
+            let Verdict::Hold(reason) = verdict else {
+                panic!("{verdict:?} in place of a hold");
+            };
+            assert_eq!(&name(reason), hold);
+        }
+        if let Some(moved) = expect.moved {
+            assert_eq!(u64::try_from(self.moves.len()), Ok(moved));
+        }
+        if let Some(twice) = expect.moved_twice {
+            let found = self.moves.values().filter(|moves| **moves > 1).count();
+            assert_eq!(u64::try_from(found), Ok(twice));
+        }
+        if let Some(share) = expect.share_of_candidate {
+            let found = self.fleet.boards[0].share(self.now, self.fleet.model);
+            let found = found
+                .expect("a roll-out")
+                .candidate
+                .map_or(0.0, |part| part.1);
+            assert!((found - share).abs() < 1e-9, "a share of {found}");
+        }
+    }
+}
+
+fn name(hold: Hold) -> String {
+    let name = serde_json::to_value(hold).expect("a plain name");
+    name.as_str().expect("a name").to_owned()
+}
+
+#[rstest]
+#[case("bad-at-two")]
+#[case("slowly-worse")]
+#[case("unlucky-burst")]
+#[case("ratings-gone")]
+#[case("withdrawn-in-sessions")]
+#[case("step-races-withdraw")]
+#[case("interrupted")]
+#[case("store-down")]
+fn trace_ends_as_stated(#[case] trace: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/traces/{trace}.json"));
+    let text = std::fs::read_to_string(&path).expect("the trace is readable");
+    let trace: Trace = serde_json::from_str(&text).expect("the trace is well formed");
+    let mut replay = Replay::new(&trace);
+    for step in trace.steps {
+        replay.step(step);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/all/rollout.rs
@@ -0,0 +1,193 @@
+//! Roll-outs under random operators, ratings, faults and restarts.
+
+use fescuerack_core::clock::Instant;
+use fescuerack_core::rollout::Event;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+use crate::fleet::{Fleet, MODEL, file};
+
+const INSTANCES: usize = 4;
+/// Seed of the short run; `FESCUERACK_SEED` replaces it.
+const SEED: u64 = 41;
+/// Cases of the short run; `FESCUERACK_STEPS` replaces it.
+const CASES: u32 = 96;
+
+fn environment<T: std::str::FromStr>(name: &str, default: T) -> T {
+    let value = std::env::var(name).ok();
+    value
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
+
+/// Returns the short run's configuration, or that of the long run if the
+/// environment asks for one.
+pub fn config() -> Config {
+    Config {
+        cases: environment("FESCUERACK_STEPS", CASES),
+        rng_seed: RngSeed::Fixed(environment("FESCUERACK_SEED", SEED)),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Op {
+    Rated(usize, bool, bool),
+    Failed(usize),
+    Tell(usize, usize),
+    Sync(usize),
+    Restart(usize),
+    Store(bool),
+    Word(bool, usize, &'static str),
+    Wait(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let instance = 0..INSTANCES;
+    prop_oneof![
+        8 => (instance.clone(), any::<bool>(), prop::bool::weighted(0.4))
+            .prop_map(|(index, candidate, bad)| Op::Rated(index, candidate, bad)),
+        1 => instance.clone().prop_map(Op::Failed),
+        6 => (instance.clone(), instance.clone()).prop_map(|(from, to)| Op::Tell(from, to)),
+        3 => instance.clone().prop_map(Op::Sync),
+        1 => instance.prop_map(Op::Restart),
+        1 => any::<bool>().prop_map(Op::Store),
+        1 => (prop::bool::weighted(0.3), 0..5_usize, prop_oneof!["open", "closed", "withdrawn"])
+            .prop_map(|(newer, stage, state)| {
+                let state = match state.as_str() { "open" => "open", "closed" => "closed", _ => "withdrawn" };
+                Op::Word(newer, stage, state)
+            }),
+        2 => (1..900_u64).prop_map(Op::Wait),
+    ]
+}
+
+struct Run {
+    fleet: Fleet,
+    now: Instant,
+    word: u64,
+    /// Highest word that each instance, since its start, knew to be halted.
+    known: [u64; INSTANCES],
+}
+
+impl Run {
+    fn new() -> Self {
+        Self {
+            fleet: Fleet::new(INSTANCES, 7, &file(1, 0, 20, "", "open")),
+            now: Instant::ORIGIN,
+            word: 1,
+            known: [0; INSTANCES],
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        self.now = self.now.plus_millis(10);
+        let before = self
+            .fleet
+            .store
+            .values
+            .get(MODEL)
+            .map(|value| value.1.clone());
+        match *op {
+            Op::Rated(index, candidate, bad) => {
+                let version = if candidate {
+                    self.fleet.candidate
+                } else {
+                    self.fleet.current
+                };
+                let quality_milli = if bad { 200 } else { 900 };
+                let event = Event::Rated {
+                    quality_milli,
+                    bad: bad && candidate,
+                };
+                self.fleet
+                    .observe(self.now, index, version, Event::Answered { late: false });
+                self.fleet.observe(self.now, index, version, event);
+            }
+            Op::Failed(index) => {
+                let event = Event::Failed(self.fleet.server);
+                self.fleet
+                    .observe(self.now, index, self.fleet.candidate, event);
+            }
+            Op::Tell(from, to) => self.fleet.tell(self.now, from, to),
+            Op::Sync(index) => {
+                let stepped = self.fleet.sync(self.now, index);
+                assert!(
+                    !stepped || !self.fleet.store.down,
+                    "a step without the store"
+                );
+            }
+            Op::Restart(index) => {
+                self.fleet.restart(self.now, index);
+                self.known[index] = 0;
+            }
+            Op::Store(down) => self.fleet.store.down = down,
+            Op::Word(newer, start, state) => {
+                self.word += u64::from(newer);
+                let file = file(self.word, start, 20, "", state);
+                self.fleet.accept(self.now, &file);
+            }
+            Op::Wait(seconds) => self.now = self.now.plus_millis(seconds * 1000),
+        }
+        self.check(before.as_ref());
+    }
+
+    fn check(&mut self, before: Option<&fescuerack_core::rollout::Record>) {
+        for index in 0..INSTANCES {
+            let record = self.fleet.boards[index].record(MODEL);
+            let halted = record.halts.get("m@2").map_or(0, |halt| halt.word);
+            assert!(
+                halted >= self.known[index],
+                "instance {index} forgot a halt"
+            );
+            self.known[index] = halted;
+            let share = self.fleet.boards[index].share(self.now, self.fleet.model);
+            let part = share
+                .expect("a roll-out")
+                .candidate
+                .map_or(0.0, |part| part.1);
+            if halted >= self.word {
+                assert!(self.fleet.is_halted(index), "a halt that is not in force");
+                assert!(part == 0.0, "a halted candidate gets new sessions");
+            }
+        }
+        let after = self.fleet.store.values.get(MODEL).map(|value| &value.1);
+        if let (Some(before), Some(after)) = (before, after) {
+            let mut merged = after.clone();
+            assert!(!merged.merge(before), "the store lost a halt or a step");
+        }
+    }
+
+    /// With all faults gone, all instances agree within a few rounds.
+    fn settle(&mut self) {
+        self.fleet.store.down = false;
+        for _ in 0..3 {
+            for index in 0..INSTANCES {
+                self.fleet.sync(self.now, index);
+            }
+        }
+        let first = self.fleet.boards[0].record(MODEL);
+        for index in 1..INSTANCES {
+            let record = self.fleet.boards[index].record(MODEL);
+            assert_eq!(record, first, "instance {index} disagrees");
+            assert_eq!(self.fleet.stage(index), self.fleet.stage(0));
+        }
+    }
+}
+
+#[test]
+fn halt_random_faults_is_never_undone() {
+    let ops = prop::collection::vec(op(), 1..300);
+    let mut runner = TestRunner::new(config());
+    let result = runner.run(&ops, |ops| {
+        let mut run = Run::new();
+        for op in &ops {
+            run.apply(op);
+        }
+        run.settle();
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- a/crates/node/src/callers/attempts.rs
+++ b/crates/node/src/callers/attempts.rs
@@ -6,12 +6,14 @@
 use fescuerack_config::key;
 use fescuerack_core::attempt::{Attempts, End, Next, Outcome};
 use fescuerack_core::clock::Instant;
+use fescuerack_core::poison::Fingerprint;
 use fescuerack_platform::Fault;
 use fescuerack_platform::engine::Event;
 use fescuerack_wire::chat::Completion;
 
 use super::upstream::{self, Events};
 use crate::shared::{Force, Shared};
+use crate::versions::suspects;
 
 /// Attempts that one request may make.
 const MOST_ATTEMPTS: u32 = 3;
@@ -23,6 +25,8 @@
     pub version: key::Version,
     /// Priority at the engine.
     pub priority: u8,
+    /// What the request is known by if its server crashes.
+    pub fingerprint: Fingerprint,
     /// Body for the engine.
     pub body: Bytes,
     /// When the answer is due.
@@ -44,6 +48,8 @@
     NoServer(Outcome),
     /// Every attempt failed.
     Failed(Outcome),
+    /// Servers crashed under it; it does not run again.
+    Crashes(Outcome),
 }
 
 /// The attempts of one completion.
@@ -72,11 +78,18 @@
     /// When none did.
     pub async fn begin(&mut self) -> Result<Begun, Failure> {
         loop {
+            if !suspects::admit(&self.shared, self.work.fingerprint).await {
+                return Err(Failure::Crashes(self.attempts.outcome()));
+            }
             let fleets = &self.force.catalog.versions[self.work.version].fleets;
             let tried = self.attempts.tried();
-            let Some(running) = self.shared.start_attempt(fleets, tried) else {
+            let avoid = suspects::avoid(&self.shared, self.work.fingerprint, tried);
+            let Some(running) = self.shared.start_attempt(fleets, &avoid) else {
                 return Err(Failure::NoServer(self.attempts.outcome()));
             };
+            if !suspects::start(&self.shared, self.work.fingerprint, running.server) {
+                return Err(Failure::Crashes(self.attempts.outcome()));
+            }
             self.attempts.start(running.server);
             let mut events = upstream::start(&self.shared, running, self.work.clone());
             let end = match events.recv().await {
--- a/crates/node/src/callers/bill.rs
+++ b/crates/node/src/callers/bill.rs
@@ -9,7 +9,29 @@
 use super::intake::Call;
 use crate::shared::{Force, Shared, lock};
 
-/// Bills an answered completion; returns its cost in micro-euro.
+/// What the steps of one request used; one entry bills them all.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    input_tokens: u64,
+    output_tokens: u64,
+    cost: u64,
+}
+
+impl Spent {
+    /// Adds a step.
+    pub fn add(&mut self, force: &Force, version: key::Version, usage: Usage) {
+        self.input_tokens += usage.prompt_tokens;
+        self.output_tokens += usage.completion_tokens;
+        self.cost += cost(force, version, usage);
+    }
+
+    /// Returns the cost of all steps in micro-euro.
+    pub fn cost(self) -> u64 {
+        self.cost
+    }
+}
+
+/// Bills an answered completion with what its earlier steps spent; returns its cost in micro-euro.
 ///
 /// Called before the answer's end leaves for the caller.
 pub fn completion(
@@ -18,8 +40,10 @@
     call: &Call,
     version: key::Version,
     usage: Usage,
+    mut spent: Spent,
 ) -> u64 {
-    let cost = cost(force, version, usage);
+    spent.add(force, version, usage);
+    let cost = spent.cost;
     keep(
         shared,
         Entry {
@@ -30,8 +54,8 @@
                 .name(call.organisation)
                 .to_string(),
             version: force.names.versions.name(version).to_string(),
-            input_tokens: usage.prompt_tokens,
-            output_tokens: usage.completion_tokens,
+            input_tokens: spent.input_tokens,
+            output_tokens: spent.output_tokens,
             cost,
         },
     );
@@ -58,7 +82,7 @@
 }
 
 /// Returns the cost of an answer in micro-euro.
-pub fn cost(force: &Force, version: key::Version, usage: Usage) -> u64 {
+fn cost(force: &Force, version: key::Version, usage: Usage) -> u64 {
     let cost = force.catalog.versions[version].cost;
     cost.of(usage.prompt_tokens, usage.completion_tokens)
 }
--- a/crates/node/src/callers/chat.rs
+++ b/crates/node/src/callers/chat.rs
@@ -2,20 +2,21 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use fescuerack_config::key;
 use fescuerack_core::clock::Instant;
 use fescuerack_wire::chat;
 use fescuerack_wire::error::Kind;
 use fescuerack_wire::header;
 
-use super::attempts::{Begun, Failure, Run, Work};
+use super::attempts::{Begun, Failure};
+use super::bill::Spent;
 use super::choice::{self, Choice};
 use super::collect::Answer;
 use super::intake::Call;
-use super::reply::{Reply, failure, failure_with, json, with_header};
+use super::observer::Observer;
+use super::reply::{Reply, failure, failure_with, json, whole, with_header};
+use super::steps::{Part, Steps};
 use super::stream::Stream;
-use super::{bill, entry};
+use super::{bill, entry, steps};
 use crate::admission::Place;
 use crate::shared::{Force, Shared};
 
@@ -37,7 +38,7 @@
     };
     let start = shared.now();
     let force = shared.force();
-    let choice = match choice::choose(&shared, &force, &call, &asked.model) {
+    let choice = match choice::choose(&shared, &force, &call, &asked) {
         Ok(choice) => choice,
         Err(refusal) => return refusal.into(),
     };
@@ -56,60 +57,42 @@
     job.run(asked).await
 }
 
-/// Returns the body for the engine: always a stream, so that an attempt can be
-/// cancelled and its first token is seen as soon as it exists.
-fn body(force: &Force, version: key::Version, asked: chat::Request) -> Bytes {
-    let request = chat::Request {
-        model: force.names.versions.name(version).to_string(),
-        stream: true,
-        rest: asked.rest,
-    };
-    Bytes::from(serde_json::to_vec(&request).expect("wire messages have only plain fields"))
-}
-
 impl Job {
-    async fn run(self, asked: chat::Request) -> Reply {
-        let stream = asked.stream;
-        let work = Work {
-            version: self.choice.version,
-            priority: self.choice.priority,
-            body: body(&self.force, self.choice.version, asked),
-            deadline: self.call.deadline,
+    async fn run(mut self, asked: chat::Request) -> Reply {
+        let steps = Steps {
+            shared: &self.shared,
+            force: &self.force,
+            call: &self.call,
+            choice: &self.choice,
+            asked: &asked,
         };
-        let mut run = Run::new(Arc::clone(&self.shared), Arc::clone(&self.force), work);
-        loop {
-            let begun = match run.begin().await {
-                Ok(begun) => begun,
-                Err(failure) => return self.fail(failure),
-            };
-            let waited = self.shared.now().since(self.start);
-            self.shared.metrics.time("callers.first_token", waited);
-            if stream {
-                return self.stream(begun);
-            }
-            match Answer::read(begun).await {
-                Ok(answer) => return self.whole(&answer),
-                Err(end) => {
-                    if let Err(failure) = run.end(end) {
-                        return self.fail(failure);
-                    }
-                }
-            }
+        let ready = match steps.run().await {
+            Ok(ready) => ready,
+            Err(failure) => return self.fail(failure),
+        };
+        let waited = self.shared.now().since(self.start);
+        self.shared.metrics.time("callers.first_token", waited);
+        self.choice.version = ready.version;
+        match ready.part {
+            Part::Begun(begun, observer) => self.stream(begun, observer, ready.spent),
+            Part::Whole(answer) => self.whole(&answer, ready.spent, asked.stream),
         }
     }
 
-    fn stream(self, begun: Begun) -> Reply {
+    fn stream(self, begun: Begun, observer: Observer, spent: Spent) -> Reply {
         let labels = self.labels();
+        let choice = self.choice;
         let stream = Stream {
             shared: self.shared,
             force: self.force,
             call: self.call,
-            version: self.choice.version,
+            version: choice.version,
+            spent,
         };
-        labels.on(stream.start(begun, self.place))
+        labels.on(choice.on(stream.start(begun, observer, self.place)))
     }
 
-    fn whole(&self, answer: &Answer) -> Reply {
+    fn whole(&self, answer: &Answer, spent: Spent, as_stream: bool) -> Reply {
         let Self {
             shared,
             force,
@@ -117,11 +100,17 @@
             choice,
             ..
         } = self;
-        let cost = bill::completion(shared, force, call, choice.version, answer.usage);
+        let cost = bill::completion(shared, force, call, choice.version, answer.usage, spent);
         let labels = self.labels();
-        let reply = json(&answer.completion(&labels.request, &labels.version));
+        let reply = if as_stream {
+            let body = steps::as_stream(answer, &labels.request, &labels.version, cost);
+            whole(200, "text/event-stream", body)
+        } else {
+            json(&answer.completion(&labels.request, &labels.version))
+        };
         let reply = with_header(reply, header::OUTCOME, "done");
-        labels.on(with_header(reply, header::COST, &cost.to_string()))
+        let reply = with_header(reply, header::COST, &cost.to_string());
+        labels.on(choice.on(reply))
     }
 
     fn fail(&self, failure: Failure) -> Reply {
@@ -134,6 +123,11 @@
             Failure::Failed(outcome) => {
                 failure_with(Kind::UpstreamFailed, "every attempt failed", outcome)
             }
+            Failure::Crashes(outcome) => failure_with(
+                Kind::UpstreamFailed,
+                "backend servers crashed under this request; it does not run again",
+                outcome,
+            ),
         };
         self.labels().on(reply)
     }
--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -1,19 +1,21 @@
 //! Choice of the version that answers: from the name in the request to the
-//! core's decision.
+//! core's decision, and the session's token back to the caller.
 
 use fescuerack_config::key;
-use fescuerack_core::cascade::{self, Wanted};
+use fescuerack_core::cascade::{self, Plan, Wanted, World};
+use fescuerack_core::session::{self, Pins, Place};
 use fescuerack_wire::error::Kind;
+use fescuerack_wire::{chat, header, token};
 
 use super::intake::Call;
-use super::reply::Refusal;
-use crate::shared::{Force, Shared};
+use super::reply::{Refusal, Reply, with_header};
+use crate::shared::{Force, Shared, lock};
 
 /// Priority of a request that names no class of work.
 const DEFAULT_PRIORITY: u8 = 5;
 
 /// What was chosen for a request.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Choice {
     /// Version that answers.
     pub version: key::Version,
@@ -21,6 +23,30 @@
     pub class: Option<key::Class>,
     /// Priority at the engine; a lower number goes first.
     pub priority: u8,
+    /// Plans, cheapest first.
+    pub plans: Vec<Plan>,
+    /// Headers about the session.
+    session: Option<Session>,
+}
+
+#[derive(Clone, Debug)]
+struct Session {
+    token: String,
+    moved_from: Option<String>,
+}
+
+impl Choice {
+    /// Adds what the caller is told of its session.
+    pub fn on(&self, reply: Reply) -> Reply {
+        let Some(session) = &self.session else {
+            return reply;
+        };
+        let reply = with_header(reply, header::SESSION_TOKEN, &session.token);
+        match &session.moved_from {
+            Some(version) => with_header(reply, header::SESSION_MOVED, version),
+            None => reply,
+        }
+    }
 }
 
 /// Chooses the version that answers a request for `model`.
@@ -30,27 +56,59 @@
 /// Why no version may answer. A model that does not exist and one that the
 /// organisation may not use are refused alike, so that nothing is told of
 /// what others use.
-pub fn choose(_: &Shared, force: &Force, call: &Call, model: &str) -> Result<Choice, Refusal> {
-    let forbidden = || Refusal::new(Kind::Forbidden, "the organisation may not use this model");
+pub fn choose(
+    shared: &Shared,
+    force: &Force,
+    call: &Call,
+    asked: &chat::Request,
+) -> Result<Choice, Refusal> {
+    let model = asked.model.as_str();
     let wanted = wanted(force, model).ok_or_else(forbidden)?;
+    let now = shared.now();
+    shared.versions.configure(now, force);
+    let pins = pins(shared, force, call);
+    let pinned = pinned(shared, force, call, model, &pins);
+    let within = call.deadline.since(now).as_millis();
     let request = cascade::Request {
         organisation: call.organisation,
         wanted,
         session: call.session.as_deref().unwrap_or(&call.request).as_bytes(),
+        pinned,
+        stream: asked.stream,
+        within_ms: u32::try_from(within).unwrap_or(u32::MAX),
+        input_tokens: u64::try_from(call.body.len() / 4).unwrap_or(u64::MAX),
+        dice: shared.dice(),
     };
-    let version = cascade::choose(&force.catalog, &force.names, request).map_err(refusal)?;
+    let board = lock(&shared.versions.board);
+    let learner = lock(&shared.versions.learner);
+    let world = World {
+        catalog: &force.catalog,
+        names: &force.names,
+        board: &board,
+        learner: &learner,
+        now,
+    };
+    let chosen = cascade::choose(world, request).map_err(refusal)?;
+    drop(learner);
+    drop(board);
     let class = match wanted {
         Wanted::Class(class) => Some(class),
         Wanted::Version(_) | Wanted::Model(_) => None,
     };
     let priority = class.map(|class| force.catalog.classes[class].priority);
     Ok(Choice {
-        version,
+        version: chosen.place.version(),
         class,
         priority: priority.unwrap_or(DEFAULT_PRIORITY),
+        session: keep(shared, force, call, model, pins, chosen.place),
+        plans: chosen.plans,
     })
 }
 
+fn forbidden() -> Refusal {
+    Refusal::new(Kind::Forbidden, "the organisation may not use this model")
+}
+
 fn wanted(force: &Force, model: &str) -> Option<Wanted> {
     if let Some(class) = model.strip_prefix("auto:") {
         let class = force.names.classes.get(class)?;
@@ -66,17 +124,90 @@
     force.names.models.get(model).map(Wanted::Model)
 }
 
+/// Returns what the caller's token says, if it is this session's.
+fn pins(shared: &Shared, force: &Force, call: &Call) -> Pins {
+    let (Some(session), Some(token)) = (&call.session, &call.session_token) else {
+        return Pins::new();
+    };
+    let secret = shared.settings.session_secret.as_bytes();
+    let organisation = force.names.organisations.name(call.organisation);
+    token::open(secret, organisation, session, token).unwrap_or_default()
+}
+
+/// Returns the version that a session keeps: by its token, else by what this
+/// instance or a peer remembers.
+fn pinned(
+    shared: &Shared,
+    force: &Force,
+    call: &Call,
+    model: &str,
+    pins: &Pins,
+) -> Option<key::Version> {
+    let session = call.session.as_deref()?;
+    let by_token = pins
+        .get(model)
+        .and_then(|name| force.names.versions.get(name));
+    by_token.or_else(|| {
+        let organisation = force.names.organisations.name(call.organisation);
+        let id = session::id(organisation, model, session);
+        lock(&shared.versions.sessions).get(id)
+    })
+}
+
+/// Remembers the session's version and returns what the caller is told.
+fn keep(
+    shared: &Shared,
+    force: &Force,
+    call: &Call,
+    model: &str,
+    mut pins: Pins,
+    place: Place,
+) -> Option<Session> {
+    let session = call.session.as_deref()?;
+    let version = place.version();
+    let name = force.names.versions.name(version);
+    let organisation = force.names.organisations.name(call.organisation);
+    let id = session::id(organisation, model, session);
+    // Sessions on the current version of a trial would move when its share
+    // grows; peers must know of them.
+    let on_current = force
+        .catalog
+        .rollouts
+        .get(force.catalog.versions[version].model)
+        .is_some_and(|rollout| {
+            rollout
+                .candidate
+                .is_some_and(|candidate| candidate != version)
+        });
+    lock(&shared.versions.sessions).keep(id, version, on_current);
+    pins.set(model, name);
+    let moved_from = match place {
+        Place::Move { from, .. } => {
+            shared.metrics.count("sessions.moved");
+            Some(force.names.versions.name(from).to_string())
+        }
+        Place::Start(_) | Place::Keep(_) => None,
+    };
+    let secret = shared.settings.session_secret.as_bytes();
+    Some(Session {
+        token: token::sign(secret, organisation, session, &pins),
+        moved_from,
+    })
+}
+
 fn refusal(refusal: cascade::Refusal) -> Refusal {
     match refusal {
-        cascade::Refusal::Forbidden => {
-            Refusal::new(Kind::Forbidden, "the organisation may not use this model")
-        }
+        cascade::Refusal::Forbidden => forbidden(),
         cascade::Refusal::Withdrawn => {
             Refusal::new(Kind::Unavailable, "the version has been withdrawn; not run")
         }
+        cascade::Refusal::Closed => Refusal::new(
+            Kind::Unavailable,
+            "the version takes no new session; not run",
+        ),
         cascade::Refusal::BelowTarget => Refusal::new(
             Kind::Unavailable,
-            "no allowed version meets the target; not run",
+            "no allowed version is known to meet the target; not run",
         ),
     }
 }
--- a/crates/node/src/callers/intake.rs
+++ b/crates/node/src/callers/intake.rs
@@ -31,6 +31,8 @@
     pub request: String,
     /// Session that it belongs to.
     pub session: Option<String>,
+    /// Token of its session, as an earlier answer handed it out.
+    pub session_token: Option<String>,
     /// When its answer is due.
     pub deadline: Instant,
     /// Key under which it runs at most once.
@@ -72,6 +74,7 @@
         organisation,
         request,
         session: text(headers, header::SESSION)?.map(str::to_owned),
+        session_token: text(headers, header::SESSION_TOKEN)?.map(str::to_owned),
         deadline,
         idempotency_key: text(headers, header::IDEMPOTENCY)?.map(str::to_owned),
         content_type: text(headers, "content-type")?.map(str::to_owned),
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -12,8 +12,10 @@
 mod entry;
 mod intake;
 mod models;
+mod observer;
 mod reply;
 mod service;
+mod steps;
 mod stream;
 mod upstream;
 
--- /dev/null
+++ b/crates/node/src/callers/observer.rs
@@ -0,0 +1,114 @@
+//! What an answer tells the slices that learn from it: how soon it came, how
+//! long it was, and, if it is among those that are rated, its text.
+
+use std::sync::Arc;
+
+use fescuerack_config::key;
+use fescuerack_core::cascade::Purpose;
+use fescuerack_core::clock::Instant;
+use fescuerack_core::rollout::Event;
+use fescuerack_wire::chat::{Completion, Usage};
+
+use super::collect::Answer;
+use crate::shared::{Force, Shared, lock};
+use crate::versions::ratings;
+
+/// Observes the answer of one version.
+pub struct Observer {
+    shared: Arc<Shared>,
+    force: Arc<Force>,
+    version: key::Version,
+    class: Option<key::Class>,
+    start: Instant,
+    text: Option<String>,
+}
+
+impl Observer {
+    /// Starts to observe; an answer that is rated anyway is not sampled again.
+    pub fn new(
+        shared: &Arc<Shared>,
+        force: &Arc<Force>,
+        version: key::Version,
+        class: Option<key::Class>,
+        is_judged: bool,
+    ) -> Self {
+        let mut observer = Self {
+            shared: Arc::clone(shared),
+            force: Arc::clone(force),
+            version,
+            class,
+            start: shared.now(),
+            text: None,
+        };
+        if !is_judged && class.is_some() && observer.is_sampled() {
+            observer.text = Some(String::new());
+        }
+        observer
+    }
+
+    /// All answers of a candidate are rated as far as the service keeps up,
+    /// and a share of the others.
+    fn is_sampled(&self) -> bool {
+        let model = self.force.catalog.versions[self.version].model;
+        let versions = &self.shared.versions;
+        if versions.is_candidate(model, self.version) {
+            return ratings::may_rate(&self.shared, &self.force, Purpose::Candidate);
+        }
+        let limits = &self.force.catalog.limits;
+        let share = limits.get(ratings::SAMPLE_LIMIT).copied();
+        self.shared.dice() < share.unwrap_or(ratings::DEFAULT_SAMPLE)
+            && ratings::may_rate(&self.shared, &self.force, Purpose::Sample)
+    }
+
+    /// Notes that the first token has come.
+    pub fn first(&self) {
+        let now = self.shared.now();
+        let class = self
+            .class
+            .and_then(|class| self.force.catalog.classes.get(class));
+        let late = class.is_some_and(|class| now > self.start.plus_millis(class.first_token_ms));
+        let event = Event::Answered { late };
+        lock(&self.shared.versions.board).observe(now, self.version, event);
+    }
+
+    /// Reads a part of the answer.
+    pub fn read(&mut self, part: &Completion) {
+        let Some(text) = self.text.as_mut() else {
+            return;
+        };
+        for choice in &part.choices {
+            if let Some(delta) = &choice.delta {
+                text.push_str(&delta.content);
+            }
+        }
+    }
+
+    /// Notes that the answer was collected whole.
+    pub fn ended_whole(mut self, answer: &Answer) {
+        if let Some(text) = self.text.as_mut() {
+            text.clone_from(&answer.text);
+        }
+        self.ended(answer.usage);
+    }
+
+    /// Notes that the answer is whole.
+    pub fn ended(self, usage: Usage) {
+        let Some(class) = self.class else {
+            return;
+        };
+        let took = self.shared.now().since(self.start).as_secs_f64() * 1000.0;
+        let tokens = u32::try_from(usage.completion_tokens).unwrap_or(u32::MAX);
+        lock(&self.shared.versions.learner).answered(class, self.version, took, tokens);
+        if let Some(text) = self.text {
+            let version = self.version;
+            ratings::submit(
+                &self.shared,
+                ratings::Answer {
+                    class,
+                    version,
+                    text,
+                },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/callers/steps.rs
@@ -0,0 +1,243 @@
+//! The steps of a plan: one version directly, or a cheap one whose answer is
+//! held until it is judged, then perhaps a dearer one.
+//!
+//! An answer that may still be replaced is not handed on before its judgement:
+//! a caller would get two answers, or one that is then taken back. Which
+//! classes can wait for that is settled by their need for the first token, in
+//! the core's plan. When the judgement fails, the dearer version answers: a
+//! rating service that is down costs money and no quality.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuerack_config::key;
+use fescuerack_core::attempt::Outcome;
+use fescuerack_core::cascade::{Plan, Purpose, Steps as Kind};
+use fescuerack_core::poison::Fingerprint;
+use fescuerack_wire::chat;
+
+use super::attempts::{Begun, Failure, Run, Work};
+use super::bill::Spent;
+use super::choice::Choice;
+use super::collect::Answer;
+use super::intake::Call;
+use super::observer::Observer;
+use crate::shared::{Force, Shared};
+use crate::versions::ratings;
+
+/// Milliseconds for which a request waits when no plan's pool has a server.
+/// Longer outages are not over within a request; the caller is told when to
+/// come back instead.
+const WAIT_MS: u64 = 2_000;
+/// Time between two tries of a request that waits.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// What it takes to follow the plans of a request.
+pub struct Steps<'a> {
+    /// State of the process.
+    pub shared: &'a Arc<Shared>,
+    /// Configuration under which the request runs.
+    pub force: &'a Arc<Force>,
+    /// The request.
+    pub call: &'a Call,
+    /// What was chosen for it.
+    pub choice: &'a Choice,
+    /// What it asks.
+    pub asked: &'a chat::Request,
+}
+
+/// An answer that may be handed on.
+pub struct Ready {
+    /// Version that gave it.
+    pub version: key::Version,
+    /// The answer.
+    pub part: Part,
+    /// What earlier steps used.
+    pub spent: Spent,
+}
+
+/// An answer, as far as it has come.
+pub enum Part {
+    /// Its first part.
+    Begun(Begun, Observer),
+    /// All of it.
+    Whole(Answer),
+}
+
+impl Steps<'_> {
+    /// Follows the plans, the cheapest first; one whose pool has no server
+    /// gives way to the next.
+    ///
+    /// # Errors
+    ///
+    /// When no plan brought an answer.
+    pub async fn run(&self) -> Result<Ready, Failure> {
+        let now = self.shared.now();
+        let until = now.plus_millis(WAIT_MS).min(self.call.deadline);
+        loop {
+            for plan in &self.choice.plans {
+                match self.follow(plan).await {
+                    Err(Failure::NoServer(Outcome::NotRun)) => {
+                        self.shared.metrics.count("plans.no_server");
+                    }
+                    result => return result,
+                }
+            }
+            if self.shared.now() >= until {
+                return Err(Failure::NoServer(Outcome::NotRun));
+            }
+            tokio::time::sleep(RETRY).await;
+        }
+    }
+
+    async fn follow(&self, plan: &Plan) -> Result<Ready, Failure> {
+        match plan.steps {
+            Kind::Direct(version) => self.direct(version, Spent::default()).await,
+            Kind::Cascade {
+                first,
+                second,
+                accept,
+            } => self.cascade(first, second, accept).await,
+        }
+    }
+
+    async fn direct(&self, version: key::Version, spent: Spent) -> Result<Ready, Failure> {
+        let observer = self.observer(version, false);
+        let part = if self.asked.stream {
+            let begun = self.attempts(version).begin().await?;
+            observer.first();
+            Part::Begun(begun, observer)
+        } else {
+            Part::Whole(self.collect(version, observer).await?)
+        };
+        Ok(Ready {
+            version,
+            part,
+            spent,
+        })
+    }
+
+    async fn cascade(
+        &self,
+        first: key::Version,
+        second: key::Version,
+        accept: f64,
+    ) -> Result<Ready, Failure> {
+        let answer = match self.collect(first, self.observer(first, true)).await {
+            Ok(answer) => answer,
+            Err(Failure::Crashes(outcome)) => return Err(Failure::Crashes(outcome)),
+            Err(_) => return self.direct(second, Spent::default()).await,
+        };
+        let rating = self.judge(first, &answer).await;
+        if rating.is_some_and(|rating| rating >= accept) {
+            self.shared.metrics.count("cascade.handed_on");
+            return Ok(whole(first, answer));
+        }
+        self.shared.metrics.count(match rating {
+            Some(_) => "cascade.escalated",
+            None => "cascade.not_judged",
+        });
+        let mut spent = Spent::default();
+        spent.add(self.force, first, answer.usage);
+        match self.direct(second, spent).await {
+            // Better below the target than no answer, if that is their word.
+            Err(_) if self.may_miss() => Ok(whole(first, answer)),
+            // The first step has run, whatever became of the second.
+            Err(Failure::NoServer(_)) => Err(Failure::NoServer(Outcome::Unknown)),
+            result => result,
+        }
+    }
+
+    fn may_miss(&self) -> bool {
+        let organisations = &self.force.catalog.organisations;
+        let entry = organisations.get(self.call.organisation);
+        entry.is_some_and(|entry| entry.below_target)
+    }
+
+    async fn collect(&self, version: key::Version, observer: Observer) -> Result<Answer, Failure> {
+        let mut run = self.attempts(version);
+        loop {
+            let begun = run.begin().await?;
+            observer.first();
+            match Answer::read(begun).await {
+                Ok(answer) => {
+                    observer.ended_whole(&answer);
+                    return Ok(answer);
+                }
+                Err(end) => run.end(end)?,
+            }
+        }
+    }
+
+    /// Asks for the rating of an answer; `None` when none came in time.
+    async fn judge(&self, version: key::Version, answer: &Answer) -> Option<f64> {
+        let class = self.choice.class?;
+        if !ratings::may_rate(self.shared, self.force, Purpose::Judge) {
+            self.shared.metrics.count("ratings.over_rate");
+            return None;
+        }
+        let answer = ratings::Answer {
+            class,
+            version,
+            text: answer.text.clone(),
+        };
+        let shared = Arc::clone(self.shared);
+        let asked = tokio::task::spawn_blocking(move || ratings::rate(&shared, &answer));
+        let remaining = self.call.deadline.since(self.shared.now());
+        let rating = tokio::time::timeout(remaining, asked).await;
+        rating.ok()?.ok()?
+    }
+
+    fn observer(&self, version: key::Version, is_judged: bool) -> Observer {
+        let class = self.choice.class;
+        Observer::new(self.shared, self.force, version, class, is_judged)
+    }
+
+    fn attempts(&self, version: key::Version) -> Run {
+        let work = Work {
+            version,
+            priority: self.choice.priority,
+            fingerprint: fingerprint(self.force, self.call),
+            body: body(self.force, version, self.asked),
+            deadline: self.call.deadline,
+        };
+        Run::new(Arc::clone(self.shared), Arc::clone(self.force), work)
+    }
+}
+
+fn whole(version: key::Version, answer: Answer) -> Ready {
+    Ready {
+        version,
+        part: Part::Whole(answer),
+        spent: Spent::default(),
+    }
+}
+
+/// Returns the body for the engine: always a stream, so that an attempt can be
+/// cancelled and its first token is seen as soon as it exists.
+fn body(force: &Force, version: key::Version, asked: &chat::Request) -> Bytes {
+    let request = chat::Request {
+        model: force.names.versions.name(version).to_string(),
+        stream: true,
+        rest: asked.rest.clone(),
+    };
+    Bytes::from(serde_json::to_vec(&request).expect("wire messages have only plain fields"))
+}
+
+fn fingerprint(force: &Force, call: &Call) -> Fingerprint {
+    let organisation = force.names.organisations.name(call.organisation);
+    Fingerprint::new(organisation, &call.body)
+}
+
+/// Returns an answer that was held back as the only part of a stream.
+pub fn as_stream(answer: &Answer, request: &str, version: &str, cost: u64) -> Bytes {
+    let mut whole = answer.completion(request, version);
+    "chat.completion.chunk".clone_into(&mut whole.object);
+    whole.cost_micro_euro = Some(cost);
+    for choice in &mut whole.choices {
+        choice.delta = choice.message.take();
+    }
+    let json = serde_json::to_string(&whole).expect("wire messages have only plain fields");
+    Bytes::from(format!("data: {json}\n\ndata: {}\n\n", chat::DONE))
+}
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -12,8 +12,9 @@
 use http_body_util::channel::{Channel, Sender};
 
 use super::attempts::Begun;
-use super::bill;
+use super::bill::{self, Spent};
 use super::intake::Call;
+use super::observer::Observer;
 use super::reply::{Reply, error_body, whole};
 use super::upstream::Events;
 use crate::admission::Place;
@@ -32,17 +33,19 @@
     pub call: Call,
     /// Version that answers.
     pub version: key::Version,
+    /// What earlier steps used.
+    pub spent: Spent,
 }
 
 impl Stream {
     /// Starts handing on and returns the answer's head; `place` is held until
     /// the stream ends.
-    pub fn start(self, begun: Begun, place: Place) -> Reply {
+    pub fn start(self, begun: Begun, observer: Observer, place: Place) -> Reply {
         let (sender, body) = Channel::new(BUFFER);
         let mut reply = whole(200, "text/event-stream", Bytes::new());
         *reply.body_mut() = body.boxed();
         tokio::spawn(async move {
-            self.pump(begun.first, begun.events, sender).await;
+            self.pump(begun.first, begun.events, observer, sender).await;
             drop(place);
         });
         reply
@@ -52,6 +55,7 @@
         self,
         first: Completion,
         mut events: Events,
+        mut observer: Observer,
         mut sender: Sender<Bytes, std::io::Error>,
     ) {
         let mut usage = Usage::default();
@@ -60,6 +64,7 @@
             match next {
                 Some(Ok(Event::Part(part))) => {
                     usage = part.usage.unwrap_or(usage);
+                    observer.read(&part);
                     if sender.send_data(self.line(part)).await.is_err() {
                         self.shared.metrics.count("callers.gone");
                         return;
@@ -72,7 +77,8 @@
                         call,
                         ..
                     } = &self;
-                    bill::completion(shared, force, call, self.version, usage);
+                    bill::completion(shared, force, call, self.version, usage, self.spent);
+                    observer.ended(usage);
                     let _ = sender.send_data(line(chat::DONE)).await;
                     return;
                 }
@@ -84,7 +90,9 @@
 
     fn line(&self, mut part: Completion) -> Bytes {
         if let Some(usage) = part.usage {
-            part.cost_micro_euro = Some(bill::cost(&self.force, self.version, usage));
+            let mut spent = self.spent;
+            spent.add(&self.force, self.version, usage);
+            part.cost_micro_euro = Some(spent.cost());
         }
         part.id.clone_from(&self.call.request);
         line(&serde_json::to_string(&part).unwrap_or_default())
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -9,6 +9,7 @@
 
 use super::attempts::Work;
 use crate::shared::{Running, Shared};
+use crate::versions::suspects;
 
 /// Events that wait for a slow reader before the engine's thread waits too;
 /// bounds the memory of a stream whose caller reads slowly.
@@ -28,9 +29,15 @@
         body: work.body,
     };
     let deadline = work.deadline;
+    let watched = suspects::Attempt {
+        version: work.version,
+        fingerprint: work.fingerprint,
+        server: running.server,
+        address: running.address.clone(),
+    };
     tokio::task::spawn_blocking(move || {
         let _running = running;
-        run(&shared, &attempt, deadline, &sender);
+        run(&shared, &attempt, &watched, deadline, &sender);
     });
     events
 }
@@ -38,6 +45,7 @@
 fn run(
     shared: &Shared,
     attempt: &Attempt,
+    watched: &suspects::Attempt,
     deadline: Instant,
     sender: &mpsc::Sender<Result<Event, Fault>>,
 ) {
@@ -45,6 +53,8 @@
     let mut stream = match engine::open(&shared.upstream, attempt, remaining) {
         Ok(stream) => stream,
         Err(fault) => {
+            // Before the request hears of it and tries again.
+            suspects::ended(shared, watched, Err(&fault));
             let _ = sender.blocking_send(Err(fault));
             return;
         }
@@ -52,9 +62,13 @@
     loop {
         let event = stream.next_event();
         let last = !matches!(event, Ok(Event::Part(_)));
+        if last {
+            suspects::ended(shared, watched, event.as_ref().map(|_| ()));
+        }
         // The receiver is dropped when the caller goes away; returning drops
         // the connection, which cancels the attempt at the engine.
         if sender.blocking_send(event).is_err() || last {
+            suspects::left(shared, watched);
             return;
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod shared;
 mod stop;
+mod versions;
 
 pub use node::Node;
 pub use settings::{Limits, Listen, Logs, Settings};
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// A running operators' port.
 pub struct Port {
@@ -84,6 +85,7 @@
         "configuration": {"revision": force.catalog.revision},
         "admission": {"running": running, "waiting": waiting},
         "route": {"servers": servers},
+        "versions": versions::state(shared),
         "ledger": {"pending": lock(&shared.book).pending()},
         "counters": shared.metrics.counters(),
     })
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,6 +13,7 @@
 use jsonrpsee::{RpcModule, rpc_params};
 
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// Time between two digests.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -39,10 +40,16 @@
 }
 
 fn digest(shared: &Shared) -> Digest {
+    let force = shared.force();
+    let (rollouts, quality, sessions, suspects) = versions::digests(shared, &force);
     Digest {
         protocol: PROTOCOL,
         instance: shared.settings.instance.clone(),
-        revision: shared.force().catalog.revision,
+        revision: force.catalog.revision,
+        rollouts,
+        quality,
+        sessions,
+        suspects,
     }
 }
 
@@ -54,7 +61,10 @@
             continue;
         };
         match ask(&address).await {
-            Ok(_) => shared.metrics.count("peers.digests"),
+            Ok(digest) => {
+                versions::merge(&shared, &shared.force(), &digest);
+                shared.metrics.count("peers.digests");
+            }
             Err(_) => shared.metrics.count("peers.failed"),
         }
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,11 @@
     pub listen: Listen,
     /// Address of the platform, as `host:port`.
     pub platform: String,
+    /// Secret that signs sessions' tokens, the same on all instances. Without
+    /// one a caller could write itself a token and start a session on a closed
+    /// version that its organisation may use; nothing else.
+    #[serde(default)]
+    pub session_secret: String,
     /// Limits.
     #[serde(default)]
     pub limits: Limits,
@@ -115,6 +120,7 @@
             zone: zone.to_owned(),
             listen: Listen::new("127.0.0.1"),
             platform: platform.to_owned(),
+            session_secret: String::new(),
             limits: Limits::default(),
             logs: Logs::default(),
             statsd: String::new(),
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::versions::Versions;
 
 /// The configuration in force, with the names of its keys.
 #[derive(Clone, Debug, Default)]
@@ -48,6 +49,8 @@
     pub gate: Gate,
     /// Backend servers.
     pub routes: Mutex<route::Table>,
+    /// Roll-outs, quality, sessions, suspects.
+    pub versions: Versions,
     /// Names; the only writer is [`Shared::names`].
     names: Mutex<Names>,
     /// Entries that are to be kept.
@@ -83,7 +86,6 @@
         let mut rng = Pcg64Mcg::from_rng(&mut rand::rng());
         let incarnation = format!("{:016x}", rng.random::<u64>());
         Ok(Self {
-            incarnation,
             clock: Clock::new(),
             metrics: Metrics::new(&settings.statsd)?,
             store: HttpStore::new(&settings.platform),
@@ -95,6 +97,7 @@
             once: agent(0),
             gate: Gate::new(settings.limits.concurrency),
             routes: Mutex::new(route::Table::new()),
+            versions: Versions::new(&incarnation, &settings.platform),
             names: Mutex::new(Names::new()),
             book: Mutex::new(ledger::Book::new()),
             peers: Mutex::new(Vec::new()),
@@ -103,6 +106,7 @@
             draining: AtomicBool::new(false),
             force: RwLock::new(Arc::new(Force::default())),
             rng: Mutex::new(rng),
+            incarnation,
             settings,
         })
     }
@@ -174,6 +178,12 @@
         format!("{:016x}{:016x}", self.random(), self.random())
     }
 
+    /// Returns a random number from 0 to 1.
+    #[must_use]
+    pub fn dice(&self) -> f64 {
+        lock(&self.rng).random()
+    }
+
     /// Returns a random number.
     #[must_use]
     pub fn random(&self) -> u64 {
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -4,6 +4,11 @@
 pub const REQUEST: &str = "x-request-id";
 /// Identifier of a caller's session.
 pub const SESSION: &str = "x-session-id";
+/// Token of a session: handed out with an answer, to be sent back with the
+/// session's next request so that it keeps its version.
+pub const SESSION_TOKEN: &str = "x-session-token";
+/// Version that a session has left because it is withdrawn.
+pub const SESSION_MOVED: &str = "x-session-moved-from";
 /// Milliseconds that the caller is ready to wait.
 pub const DEADLINE: &str = "x-deadline-ms";
 /// Key under which a non-idempotent request runs at most once.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod list;
 pub mod peer;
 pub mod rating;
+pub mod token;
