Spread soft state among instances by bounded, sealed messages

Cause: instances only counted each other's digests; a halt, a suspected request or a leaving instance could not become known while the store is down. Ruled out: reports of every instance passed on to all. Kept: shared state compared by hash and sent only where it differs, changes told to three peers at once, digests of slices in turn within 650 bytes a message.

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -33,6 +33,9 @@
 /// Availability zone of servers whose fleet names none.
 const DEFAULT_ZONE: &str = "local";
 
+/// Key that the demo's instances share; the demo listens on loopback only.
+const PEER_KEY: &str = "the demo's key of its peers";
+
 /// What the demo prints when it is ready.
 #[derive(Clone, Debug, Serialize)]
 pub struct Ready {
@@ -159,7 +162,7 @@
 
     fn start_node(&mut self, index: usize, zone: &str, listen: &str) -> Result<()> {
         let id = format!("entry-{index}");
-        let settings = Settings::new(&id, zone, &self.platform.address());
+        let settings = Settings::new(&id, zone, &self.platform.address(), PEER_KEY);
         let node = Node::new(settings.with_listen(Listen::new(listen)))?;
         self.platform.list(Instance {
             id,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claim;
 pub mod clock;
 pub mod ledger;
+pub mod member;
 pub mod route;
 pub mod session;
 
--- /dev/null
+++ b/crates/core/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the core's slices, without a network.
+
+mod member;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -105,6 +105,8 @@
         let deadline = self.shared.now().plus_millis(limits.drain_deadline_ms);
         self.shared.leaving.store(true, Ordering::SeqCst);
         log::info!("shutting down");
+        crate::shared::lock(&self.shared.member).leave();
+        self.shared.wake.notify_one();
         std::thread::sleep(Duration::from_millis(limits.drain_lag_ms));
         self.shared.draining.store(true, Ordering::SeqCst);
         let remaining = deadline.since(self.shared.now());
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -84,7 +84,33 @@
         "configuration": {"revision": force.catalog.revision},
         "admission": {"running": running, "waiting": waiting},
         "route": {"servers": servers},
+        "member": member(shared),
         "ledger": {"pending": lock(&shared.book).pending()},
         "counters": shared.metrics.counters(),
     })
 }
+
+fn member(shared: &Shared) -> serde_json::Value {
+    let now = shared.now();
+    let member = lock(&shared.member);
+    let instances: Vec<_> = member
+        .view
+        .iter()
+        .map(|(key, instance)| {
+            json!({
+                "id": instance.id,
+                "zone": instance.zone,
+                "address": instance.address,
+                "state": instance.state,
+                "listed": instance.listed,
+                "live": member.view.is_live(now, key),
+                "heard_ms_ago": instance.heard.map(|heard| now.since(heard).as_millis()),
+                "failures": instance.failures,
+            })
+        })
+        .collect();
+    json!({
+        "instances": instances,
+        "hashes": member.replica.hashes(),
+    })
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -1,23 +1,32 @@
 //! Soft state between instances, over JSON-RPC.
+//!
+//! The core decides whom to ask, what to say and what to believe
+//! ([`fescuerack_core::member`]); this module carries the messages, seals them
+//! with the fleet's key, and hands to each slice what concerns it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
-use fescuerack_wire::peer::{Digest, PROTOCOL};
+use fescuerack_core::member::{self, Exchange, Input, Time};
+use fescuerack_wire::list::Instance;
+use fescuerack_wire::peer::{self, Digest, EXCHANGE, Sealed};
 use jsonrpsee::core::client::ClientT as _;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::server::{ServerBuilder, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{RpcModule, rpc_params};
 
+use crate::clock;
 use crate::shared::{Shared, lock};
 
-/// Time between two digests.
-const PERIOD: Duration = Duration::from_secs(1);
 /// Time within which a peer must answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest message that is taken, in bytes.
+const LARGEST: u32 = 64 << 10;
+/// JSON-RPC error code of a message that is refused.
+const REFUSED: i32 = -32_001;
 
 /// Starts the port for peers; returns its address.
 ///
@@ -26,54 +35,158 @@
 /// When the address cannot be bound.
 pub async fn serve(shared: Arc<Shared>) -> Result<(SocketAddr, ServerHandle)> {
     let listen = shared.settings.listen.peers.clone();
-    let server = ServerBuilder::default()
+    let config = jsonrpsee::server::ServerConfig::builder()
+        .max_request_body_size(LARGEST)
+        .max_response_body_size(LARGEST)
+        .build();
+    let server = ServerBuilder::with_config(config)
         .build(&listen)
         .await
         .with_context(|| format!("listen.peers: bind {listen}"))?;
     let address = server.local_addr()?;
+    lock(&shared.member).set_address(address.to_string());
     let mut module = RpcModule::new(shared);
-    module.register_method("digest", |_, shared, _| {
-        Ok::<_, ErrorObjectOwned>(digest(shared))
+    module.register_method(EXCHANGE, |params, shared, _| {
+        let sealed: Sealed = params.one()?;
+        answer(shared, &sealed).map_err(|reason| {
+            shared.metrics.count("peers.refused");
+            ErrorObjectOwned::owned(REFUSED, reason, None::<()>)
+        })
     })?;
     Ok((address, server.start(module)))
 }
 
-fn digest(shared: &Shared) -> Digest {
-    Digest {
-        protocol: PROTOCOL,
-        instance: shared.settings.instance.clone(),
-        revision: shared.force().catalog.revision,
-    }
-}
-
-/// Asks one random peer for its digest, again and again.
+/// Begins an exchange every period, and at once when something must be told.
 pub async fn follow(shared: Arc<Shared>) {
+    let period = Duration::from_millis(Exchange::PERIOD_MS);
     loop {
-        tokio::time::sleep(PERIOD).await;
-        let Some(address) = random_peer(&shared) else {
+        let woken = tokio::time::timeout(period, shared.wake.notified()).await;
+        publish(&shared);
+        let pressing = lock(&shared.member).take_pressing();
+        let exchanges = if pressing { Exchange::FANOUT } else { 1 };
+        if woken.is_ok() && !pressing {
             continue;
-        };
-        match ask(&address).await {
-            Ok(_) => shared.metrics.count("peers.digests"),
-            Err(_) => shared.metrics.count("peers.failed"),
         }
+        for _ in 0..exchanges {
+            exchange(&shared).await;
+        }
+    }
+}
+
+/// Takes over what the platform's list says of the instances of the fleet.
+pub fn observe(shared: &Shared, instances: &[Instance]) {
+    let mut member = lock(&shared.member);
+    let list = instances.iter().map(|instance| {
+        let state = match instance.state {
+            fescuerack_core::route::State::Live => member::State::Live,
+            fescuerack_core::route::State::Leaving => member::State::Leaving,
+        };
+        let Instance {
+            id, zone, address, ..
+        } = instance;
+        (id.as_str(), zone.as_str(), address.as_str(), state)
+    });
+    member.view.observe(shared.now(), list);
+    member.forget();
+}
+
+/// Takes over what the slices hold now; wakes the exchange when something that
+/// all should hold alike has changed.
+pub fn publish(shared: &Shared) {
+    let states = peer::slices(&shared_state(shared));
+    let digests = peer::slices(&digest(shared));
+    let mut member = lock(&shared.member);
+    let members = member.view.size();
+    let mut changed = false;
+    for (slice, state) in states {
+        changed |= member.replica.set(&slice, state, members);
     }
+    member.tell(digests);
+    drop(member);
+    if changed {
+        shared.wake.notify_one();
+    }
+}
+
+/// Collects what all instances should hold alike.
+fn shared_state(_shared: &Shared) -> peer::Shared {
+    peer::Shared {}
 }
 
-fn random_peer(shared: &Shared) -> Option<String> {
-    let own = &shared.settings.instance;
-    let peers = lock(&shared.peers);
-    let others: Vec<_> = peers.iter().filter(|peer| peer.id != *own).collect();
-    let count = u64::try_from(others.len())
-        .ok()
-        .filter(|count| *count > 0)?;
-    let index = usize::try_from(shared.random() % count).ok()?;
-    Some(others[index].address.clone())
+/// Collects what the slices tell their peers.
+fn digest(_shared: &Shared) -> Digest {
+    Digest {}
+}
+
+/// Hands to the slices what a peer told.
+fn take_in(shared: &Shared, input: Input) {
+    let _states: peer::Shared = peer::from_slices(input.states);
+    let _digest: Digest = peer::from_slices(input.digests);
+    publish(shared);
+}
+
+fn time(shared: &Shared) -> Time {
+    Time {
+        now: shared.now(),
+        wall: clock::wall(),
+    }
+}
+
+fn answer(shared: &Shared, sealed: &Sealed) -> Result<Sealed, String> {
+    let key = shared.settings.peer_key.as_bytes();
+    let request = peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
+    let about = (request.origin.clone(), request.sequence);
+    let hashes = request.hashes.clone();
+    let time = time(shared);
+    let input = lock(&shared.member).receive(time, request);
+    let input = input.map_err(|refusal| refusal.to_string())?;
+    take_in(shared, input);
+    shared.metrics.count("peers.answered");
+    let revision = shared.force().catalog.revision;
+    let message = lock(&shared.member).answer(time, revision, about, &hashes);
+    Ok(peer::seal(key, &message))
+}
+
+async fn exchange(shared: &Arc<Shared>) {
+    let revision = shared.force().catalog.revision;
+    let begun = shared.with_rng(|rng| lock(&shared.member).begin(time(shared), revision, rng));
+    let Some((partner, message)) = begun else {
+        return;
+    };
+    let Some(address) = lock(&shared.member)
+        .view
+        .get(partner)
+        .map(|peer| peer.address.clone())
+    else {
+        return;
+    };
+    let sequence = message.sequence;
+    let Ok(answer) = ask(shared, &address, &message).await else {
+        lock(&shared.member).view.fail(shared.now(), partner);
+        shared.metrics.count("peers.failed");
+        return;
+    };
+    receive_answer(shared, sequence, answer);
+}
+
+fn receive_answer(shared: &Shared, sequence: u64, answer: member::Message) {
+    let input = lock(&shared.member).receive_answer(time(shared), sequence, answer);
+    match input {
+        Ok(input) => {
+            shared.metrics.count("peers.exchanged");
+            take_in(shared, input);
+        }
+        Err(_) => shared.metrics.count("peers.refused"),
+    }
 }
 
-async fn ask(address: &str) -> Result<Digest> {
+async fn ask(shared: &Shared, address: &str, message: &member::Message) -> Result<member::Message> {
+    let key = shared.settings.peer_key.as_bytes();
     let client = HttpClientBuilder::default()
         .request_timeout(TIMEOUT)
         .build(format!("http://{address}"))?;
-    Ok(client.request("digest", rpc_params![]).await?)
+    let sealed: Sealed = client
+        .request(EXCHANGE, rpc_params![peer::seal(key, message)])
+        .await?;
+    Ok(peer::open(key, &sealed)?)
 }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -9,6 +9,7 @@
 use fescuerack_platform::Directory as _;
 use fescuerack_wire::list::{Instance, Instances};
 
+use crate::peers;
 use crate::shared::{Shared, lock};
 use crate::stop::Stop;
 
@@ -56,7 +57,7 @@
         lock(&shared.routes).observe(key, server(instance, fleet, retired));
     }
     lock(&shared.routes).retain(&listed);
-    *lock(&shared.peers) = peers;
+    peers::observe(shared, &peers);
     shared.listed.store(true, Ordering::SeqCst);
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use anyhow::{Context as _, Result, anyhow, ensure};
+use fescuerack_wire::peer::LEAST_KEY;
 use serde::Deserialize;
 
 /// Settings of one process.
@@ -17,6 +18,12 @@
     pub listen: Listen,
     /// Address of the platform, as `host:port`.
     pub platform: String,
+    /// Name of the fleet of instances that share soft state.
+    #[serde(default = "default_fleet")]
+    pub fleet: String,
+    /// Key that all instances of the fleet share; messages without its seal
+    /// are refused.
+    pub peer_key: String,
     /// Limits.
     #[serde(default)]
     pub limits: Limits,
@@ -106,15 +113,21 @@
     }
 }
 
+fn default_fleet() -> String {
+    "fescuerack".to_owned()
+}
+
 impl Settings {
     /// Creates settings that listen on free loopback ports.
     #[must_use]
-    pub fn new(instance: &str, zone: &str, platform: &str) -> Self {
+    pub fn new(instance: &str, zone: &str, platform: &str, peer_key: &str) -> Self {
         Self {
             instance: instance.to_owned(),
             zone: zone.to_owned(),
             listen: Listen::new("127.0.0.1"),
             platform: platform.to_owned(),
+            fleet: default_fleet(),
+            peer_key: peer_key.to_owned(),
             limits: Limits::default(),
             logs: Logs::default(),
             statsd: String::new(),
@@ -151,6 +164,10 @@
 
     fn check(&self) -> Result<()> {
         ensure!(!self.instance.is_empty(), "instance: must not be empty");
+        ensure!(
+            self.peer_key.len() >= LEAST_KEY,
+            "peer_key: must hold at least {LEAST_KEY} characters"
+        );
         ensure!(
             self.limits.concurrency > 0,
             "limits.concurrency: must be at least 1"
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,14 +6,13 @@
 use anyhow::Result;
 use fescuerack_config::{Catalog, Names, key};
 use fescuerack_core::clock::Instant;
-use fescuerack_core::{ledger, route};
+use fescuerack_core::{ledger, member, route};
 use fescuerack_platform::{Agent, HttpDirectory, HttpStore, agent};
-use fescuerack_wire::list;
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
 use crate::admission::Gate;
-use crate::clock::Clock;
+use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
@@ -52,8 +51,10 @@
     names: Mutex<Names>,
     /// Entries that are to be kept.
     pub book: Mutex<ledger::Book>,
-    /// Other instances.
-    pub peers: Mutex<Vec<list::Instance>>,
+    /// Other instances and the soft state that is shared with them.
+    pub member: Mutex<member::Exchange>,
+    /// Wakes the exchange with other instances.
+    pub wake: tokio::sync::Notify,
     /// Whether the instance list has been read since the start.
     pub listed: AtomicBool,
     /// Whether the process has begun to shut down.
@@ -97,7 +98,8 @@
             routes: Mutex::new(route::Table::new()),
             names: Mutex::new(Names::new()),
             book: Mutex::new(ledger::Book::new()),
-            peers: Mutex::new(Vec::new()),
+            member: Mutex::new(member::Exchange::new(identity(&settings))),
+            wake: tokio::sync::Notify::new(),
             listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -168,6 +170,11 @@
         })
     }
 
+    /// Draws on the process's randomness.
+    pub fn with_rng<R>(&self, draw: impl FnOnce(&mut Pcg64Mcg) -> R) -> R {
+        draw(&mut lock(&self.rng))
+    }
+
     /// Returns a random identifier.
     #[must_use]
     pub fn random_id(&self) -> String {
@@ -181,6 +188,19 @@
     }
 }
 
+fn identity(settings: &Settings) -> member::Identity {
+    member::Identity {
+        fleet: settings.fleet.clone(),
+        id: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        address: String::new(),
+        // A later start has a later time, which is all that is needed: a clock
+        // that was set back makes peers pass over the new start's word until
+        // it has caught up, and costs no promise.
+        incarnation: clock::wall().0,
+    }
+}
+
 /// An attempt that runs on a backend server; dropping it ends the count.
 pub struct Running {
     shared: Arc<Shared>,
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -31,6 +31,8 @@
     pub child: Child,
     pub callers: String,
     pub operators: String,
+    pub instance: String,
+    pub peers: String,
     _settings: tempfile::NamedTempFile,
 }
 
@@ -81,7 +83,7 @@
     pub fn start(&self, instance: &str) -> Process {
         let ports = free_ports();
         let settings = format!(
-            "instance: {instance}\nzone: espoo-a\nplatform: {}\nlisten:\n  \
+            "instance: {instance}\nzone: espoo-a\npeer_key: a key for the tests\nplatform: {}\nlisten:\n  \
              callers: 127.0.0.1:{}\n  operators: 127.0.0.1:{}\n  peers: 127.0.0.1:{}\n",
             self.platform.address(),
             ports[0],
@@ -101,6 +103,8 @@
             child,
             callers: format!("http://127.0.0.1:{}", ports[0]),
             operators: format!("http://127.0.0.1:{}", ports[1]),
+            instance: instance.to_owned(),
+            peers: format!("127.0.0.1:{}", ports[2]),
             _settings: file,
         };
         process.wait_until_ready();
