Shut down without losing a request between close and send

Cause: the port closed idle keep-alive connections at once and then its socket; a request that crossed the close, or waited in the kernel's queue, met a reset and its caller could not tell whether it ran. Work whose caller had gone was abandoned with the runtime.

Now the port goes through serving, refusing, closed. During drain_lag_ms answers carry 'connection: close'. An idle connection that is given up gets a last answer (503, x-outcome: not-run, or 408 after slow headers) and a lingering close. New connections are refused until nothing runs. The process waits for work whose caller has gone. Default drain_lag_ms is 5000 in settings files (was 0, under which a balancer's lag became refusals).

Ruled out: closing the listener first (resets what the kernel had taken).

--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -9,111 +9,26 @@
 mod chat;
 mod choice;
 mod collect;
+mod connection;
 mod entry;
 mod intake;
 mod models;
+mod port;
 mod reply;
 mod service;
 mod stream;
 mod upstream;
 
-use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
-use anyhow::{Context as _, Result};
 use fescuerack_wire::error::Kind;
 use hyper::body::Incoming;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::{GracefulShutdown, Watcher};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 use crate::shared::Shared;
+pub use port::Port;
 use reply::{Reply, failure};
 
-/// A running callers' port.
-pub struct Port {
-    address: SocketAddr,
-    stop: watch::Sender<bool>,
-    accepting: tokio::task::JoinHandle<GracefulShutdown>,
-}
-
-impl Port {
-    /// Starts serving.
-    ///
-    /// # Errors
-    ///
-    /// When the address cannot be bound.
-    pub async fn new(shared: Arc<Shared>) -> Result<Self> {
-        let listen = shared.settings.listen.callers.clone();
-        let listener = TcpListener::bind(&listen)
-            .await
-            .with_context(|| format!("listen.callers: bind {listen}"))?;
-        let address = listener.local_addr()?;
-        let (stop, stopped) = watch::channel(false);
-        let accepting = tokio::spawn(accept(shared, listener, stopped));
-        Ok(Self {
-            address,
-            stop,
-            accepting,
-        })
-    }
-
-    /// Returns the address that is served.
-    pub fn address(&self) -> SocketAddr {
-        self.address
-    }
-
-    /// Stops accepting and waits until running requests have ended.
-    pub async fn finish(self, within: Duration) {
-        self.stop.send_replace(true);
-        if let Ok(connections) = self.accepting.await {
-            let _ = tokio::time::timeout(within, connections.shutdown()).await;
-        }
-    }
-}
-
-async fn accept(
-    shared: Arc<Shared>,
-    listener: TcpListener,
-    mut stopped: watch::Receiver<bool>,
-) -> GracefulShutdown {
-    let connections = GracefulShutdown::new();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.changed() => return connections,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = connect(Arc::clone(&shared), stream, connections.watcher());
-                tokio::spawn(connection);
-            }
-            Err(_) => shared.metrics.count("callers.accept_failed"),
-        }
-    }
-}
-
-async fn connect(shared: Arc<Shared>, stream: TcpStream, watcher: Watcher) {
-    // Without this a token waits for the acknowledgement of the one before it.
-    let _ = stream.set_nodelay(true);
-    let header_timeout = Duration::from_millis(shared.settings.limits.header_timeout_ms);
-    let service = service_fn(move |request| {
-        let shared = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(serve(shared, request).await) }
-    });
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(header_timeout)
-        .serve_connection(TokioIo::new(stream), service);
-    // A connection that breaks has no one left to tell.
-    let _ = watcher.watch(connection).await;
-}
-
 async fn serve(shared: Arc<Shared>, request: hyper::Request<Incoming>) -> Reply {
     shared.metrics.count("callers.requests");
     if shared.draining.load(Ordering::SeqCst) {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -24,6 +24,8 @@
 const SPARE_THREADS: usize = 64;
 /// Time between two tries to keep the ledger at shutdown.
 const KEEP_RETRY: Duration = Duration::from_millis(200);
+/// Time between two looks at the work that still runs at shutdown.
+const WORK_PERIOD: Duration = Duration::from_millis(5);
 
 /// A running process.
 pub struct Node {
@@ -108,7 +110,16 @@
         std::thread::sleep(Duration::from_millis(limits.drain_lag_ms));
         self.shared.draining.store(true, Ordering::SeqCst);
         let remaining = deadline.since(self.shared.now());
-        self.runtime.block_on(self.callers.finish(remaining));
+        let all_ended = self.runtime.block_on(self.callers.finish(remaining));
+        // A call of a service runs on when its caller has gone; its end must
+        // still be recorded.
+        while self.shared.gate.load().0 > 0 && self.shared.now() < deadline {
+            std::thread::sleep(WORK_PERIOD);
+        }
+        if !all_ended {
+            self.shared.metrics.count("callers.cut_at_shutdown");
+            log::warn!(running = self.shared.gate.load().0; "requests cut: drain_deadline_ms is over");
+        }
         self.stop.set();
         let _ = self.ledger.join();
         while !ledger::keep(&self.shared) && self.shared.now() < deadline {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -81,7 +81,7 @@
             body_bytes: 4 << 20,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
-            drain_lag_ms: 0,
+            drain_lag_ms: 5_000,
             drain_deadline_ms: 120_000,
         }
     }
@@ -107,7 +107,8 @@
 }
 
 impl Settings {
-    /// Creates settings that listen on free loopback ports.
+    /// Creates settings that listen on free loopback ports, with no balancer
+    /// before them.
     #[must_use]
     pub fn new(instance: &str, zone: &str, platform: &str) -> Self {
         Self {
@@ -115,7 +116,10 @@
             zone: zone.to_owned(),
             listen: Listen::new("127.0.0.1"),
             platform: platform.to_owned(),
-            limits: Limits::default(),
+            limits: Limits {
+                drain_lag_ms: 0,
+                ..Limits::default()
+            },
             logs: Logs::default(),
             statsd: String::new(),
         }
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Integration tests: real processes against stand-ins.
 
 mod path;
+mod shutdown;
 mod support;
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -79,10 +79,16 @@
 
     /// Starts a process and waits until it is ready.
     pub fn start(&self, instance: &str) -> Process {
+        self.start_with(instance, "drain_lag_ms: 0")
+    }
+
+    /// Starts a process under `limits`, in YAML's flow style without braces.
+    pub fn start_with(&self, instance: &str, limits: &str) -> Process {
         let ports = free_ports();
         let settings = format!(
             "instance: {instance}\nzone: espoo-a\nplatform: {}\nlisten:\n  \
-             callers: 127.0.0.1:{}\n  operators: 127.0.0.1:{}\n  peers: 127.0.0.1:{}\n",
+             callers: 127.0.0.1:{}\n  operators: 127.0.0.1:{}\n  peers: 127.0.0.1:{}\n\
+             limits: {{{limits}}}\n",
             self.platform.address(),
             ports[0],
             ports[1],
@@ -115,20 +121,27 @@
 
 impl Process {
     fn wait_until_ready(&self) {
-        let client = client();
-        let deadline = Instant::now() + READY;
+        wait_until("the process is ready", || self.is_ready());
+    }
+
+    /// Returns whether the balancer may send callers.
+    pub fn is_ready(&self) -> bool {
         let url = format!("{}/readyz", self.operators);
-        while !client
-            .get(&url)
-            .call()
-            .is_ok_and(|answer| answer.status() == 200)
-        {
-            assert!(
-                Instant::now() < deadline,
-                "the process did not become ready"
-            );
-            std::thread::sleep(Duration::from_millis(20));
-        }
+        let answer = client().get(&url).call();
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Returns a counter of the state dump.
+    pub fn counter(&self, name: &str) -> u64 {
+        let url = format!("{}/state", self.operators);
+        let mut answer = client().get(&url).call().expect("a dump");
+        let state: serde_json::Value = answer.body_mut().read_json().expect("JSON");
+        state["counters"][name].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until a counter has reached a value.
+    pub fn wait_for(&self, name: &str, value: u64) {
+        wait_until(name, || self.counter(name) >= value);
     }
 
     /// Asks for a graceful shutdown.
@@ -146,6 +159,15 @@
     }
 }
 
+/// Waits until something is so.
+pub fn wait_until(what: &str, mut is_so: impl FnMut() -> bool) {
+    let deadline = Instant::now() + READY;
+    while !is_so() {
+        assert!(Instant::now() < deadline, "never came about: {what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// Returns a client that takes every status as a value.
 pub fn client() -> Agent {
     agent(8)
