--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -88,7 +88,7 @@
             body_bytes: 4 << 20,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
-            drain_lag_ms: 0,
+            drain_lag_ms: 5_000,
             drain_deadline_ms: 120_000,
         }
     }
@@ -118,7 +118,8 @@
 }
 
 impl Settings {
-    /// Creates settings that listen on free loopback ports.
+    /// Creates settings that listen on free loopback ports, with no balancer
+    /// before them.
     #[must_use]
     pub fn new(instance: &str, zone: &str, platform: &str, peer_key: &str) -> Self {
         Self {
@@ -128,7 +129,10 @@
             platform: platform.to_owned(),
             fleet: default_fleet(),
             peer_key: peer_key.to_owned(),
-            limits: Limits::default(),
+            limits: Limits {
+                drain_lag_ms: 0,
+                ..Limits::default()
+            },
             logs: Logs::default(),
             statsd: String::new(),
         }
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod path;
 mod peers;
+mod shutdown;
 mod support;
