--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -5,7 +5,7 @@
 use slotmap::SecondaryMap;
 
 use crate::file::{self, Kind, State};
-use crate::{Merged, Names, Problem, key};
+use crate::{Merged, Names, Problem, key, limits};
 
 /// The configuration in force, ready for decisions.
 #[derive(Clone, Debug, Default)]
@@ -41,6 +41,8 @@
     pub services: BTreeSet<String>,
     /// Share of capacity relative to other organisations.
     pub weight: u32,
+    /// Requests a second that it may send through all instances together.
+    pub rate: Option<f64>,
     /// Whether an answer below the target is better than none.
     pub below_target: bool,
 }
@@ -166,6 +168,7 @@
         builder.classes();
         builder.rollouts();
         builder.organisations();
+        builder.limits();
         if builder.problems.is_empty() {
             Ok(builder.catalog)
         } else {
@@ -173,6 +176,18 @@
         }
     }
 
+    /// Returns a limit that [`crate::limits`] lists: the configured value or
+    /// its default.
+    ///
+    /// # Panics
+    ///
+    /// When no such limit is listed.
+    #[must_use]
+    pub fn limit(&self, name: &str) -> f64 {
+        let known = limits::find(name).expect("the program asks for listed limits");
+        self.limits.get(name).copied().unwrap_or(known.default)
+    }
+
     /// Returns the expected quality of `version` for `class`.
     #[must_use]
     pub fn quality(&self, version: key::Version, class: key::Class) -> f64 {
@@ -410,6 +425,9 @@
         if entry.weight == 0 {
             self.report(&path, "weight must be at least 1");
         }
+        if entry.rate.is_some_and(|rate| !(rate > 0.0 && rate <= 1e6)) {
+            self.report(&path, "rate must lie above 0 and at most 1000000");
+        }
         for digest in &entry.keys {
             let taken = self.catalog.callers.insert(digest.clone(), organisation);
             if taken.is_some_and(|other| other != organisation) {
@@ -425,11 +443,26 @@
                 allowed,
                 services: entry.services.iter().cloned().collect(),
                 weight: entry.weight,
+                rate: entry.rate,
                 below_target: entry.below_target,
             },
         );
     }
 
+    fn limits(&mut self) {
+        for (name, value) in &self.merged.file.limits {
+            let path = format!("limits/{name}");
+            match limits::find(name) {
+                None => self.report(&path, "no such limit"),
+                Some(limit) if !(limit.least..=limit.most).contains(value) => {
+                    let message = format!("must lie between {} and {}", limit.least, limit.most);
+                    self.report(&path, message);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
     fn known_version(&self, name: &str) -> Option<key::Version> {
         let key = self.names.versions.get(name)?;
         self.catalog.versions.contains_key(key).then_some(key)
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -45,6 +45,10 @@
     /// Share of capacity relative to other organisations, at least 1.
     #[serde(default = "one")]
     pub weight: u32,
+    /// Requests a second that it may send through all instances together;
+    /// unlimited when it is left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<f64>,
     /// Whether an answer below the quality target is better than none.
     #[serde(default)]
     pub below_target: bool,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod file;
 pub mod folder;
 pub mod key;
+pub mod limits;
 pub mod merge;
 mod names;
 mod problem;
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission/fifo.rs
@@ -1,13 +1,13 @@
-//! What is let in, what waits and what is turned away.
+//! The baseline: first in, first out before a fixed number of places.
+//!
+//! It serves whoever came first, also when the answer can no longer be on
+//! time; benches compare [`super::Control`] with it.
 
 use std::collections::VecDeque;
 
+use super::Ticket;
 use crate::clock::Instant;
 
-/// Identifies a request that waits.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Ticket(pub u64);
-
 /// What happens to a request that arrives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/crates/core/src/attempt.rs
+++ b/crates/core/src/attempt/mod.rs
@@ -1,8 +1,29 @@
 //! Attempts of a request at backend servers: when another one may follow.
+//!
+//! The pattern: a pool fails or slows, and everyone who waits sends again.
+//! Three attempts for each request triple the load on a pool that already
+//! fails, and keep it failing after the cause has gone. So a further attempt
+//! needs a part of the budget of its pool ([`budget`]), none is made while
+//! this instance and its peers see the pool failing ([`pools`]), and the
+//! deadline of the request bounds all of them and is never extended.
+//!
+//! Retries are made here and nowhere else: the HTTP clients make none and
+//! instances do not forward requests to each other, so attempts do not
+//! multiply between levels.
+//!
+//! A request that is not idempotent gets a further attempt only while it surely
+//! has not run, and never a hedge ([`hedge`]); [`Attempts::start`] stops the
+//! process rather than run it twice.
+
+pub mod budget;
+pub mod hedge;
+pub mod pools;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use fescuerack_config::key;
+use rand::{Rng, RngExt as _};
 
 use crate::clock::Instant;
 
@@ -95,6 +116,28 @@
         Next::Stop(self.outcome())
     }
 
+    /// Milliseconds of the longest pause before the second attempt.
+    const PAUSE_MS: u64 = 20;
+    /// Milliseconds of the longest pause at all.
+    const PAUSE_MOST_MS: u64 = 500;
+
+    /// Returns how long to wait before the next attempt: a random part of a
+    /// time that doubles, so that the requests that a failing server drops
+    /// together do not come back together, and never beyond the deadline.
+    #[must_use]
+    pub fn pause<R: Rng>(&self, now: Instant, rng: &mut R) -> Duration {
+        let doublings = self.made.saturating_sub(1).min(8);
+        let most = (Self::PAUSE_MS << doublings).min(Self::PAUSE_MOST_MS);
+        let pause = Duration::from_millis(rng.random_range(0..=most));
+        pause.min(self.deadline.since(now))
+    }
+
+    /// Returns how many attempts were made.
+    #[must_use]
+    pub fn made(&self) -> u32 {
+        self.made
+    }
+
     /// Returns what may be said when no further attempt is made.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod claim;
 pub mod clock;
 pub mod ledger;
+pub mod num;
+pub mod pacing;
 pub mod route;
 pub mod session;
 
--- /dev/null
+++ b/crates/core/src/route/ejection.rs
@@ -0,0 +1,84 @@
+//! The sweep over a pool that finds outliers.
+//!
+//! A server is compared with the median of its pool, never with a fixed time:
+//! when all are slow (a long prompt for everyone, a saturated pool), none is an
+//! outlier. A server that answers nothing at all gives no samples; the time
+//! since it last made progress counts instead, so that it is found after a few
+//! times the usual first token and not after its timeouts.
+
+use fescuerack_config::key;
+use slotmap::SecondaryMap;
+
+use super::Server;
+use super::health::Thresholds;
+use super::score::Pool;
+use crate::clock::Instant;
+use crate::num::{Mean, float, whole};
+
+/// Samples before a server's mean is compared.
+const SAMPLES: u32 = 5;
+/// Seconds by which a server must be slower beside the factor: differences of
+/// milliseconds harm nobody.
+const LEAST_S: f64 = 0.02;
+
+/// Returns whether one more server of a pool may be ejected.
+pub fn has_room(
+    thresholds: &Thresholds,
+    pool: &Pool,
+    servers: &SecondaryMap<key::Server, Server>,
+) -> bool {
+    let out = pool.live.iter();
+    let out = out
+        .filter(|key| !servers[**key].health.is_trusted())
+        .count();
+    out < whole(float(pool.live.len()) * thresholds.share)
+}
+
+/// Ejects outliers and begins probations; returns whether anything changed.
+pub fn sweep(
+    now: Instant,
+    thresholds: &Thresholds,
+    pool: &mut Pool,
+    servers: &mut SecondaryMap<key::Server, Server>,
+) -> bool {
+    let mut changed = false;
+    for key in &pool.live {
+        changed |= servers[*key].health.review(now);
+    }
+    let Some(median) = median(pool, servers) else {
+        return changed;
+    };
+    let limit = (median * thresholds.slow).max(median + LEAST_S);
+    for key in &pool.live {
+        let server = &mut servers[*key];
+        if !server.health.is_trusted() {
+            continue;
+        }
+        let stuck = server.unanswered > 0 && now.since(server.progress).as_secs_f64() > limit * 2.0;
+        let slow = server.first.samples >= SAMPLES && server.first.value > limit;
+        if !(stuck || slow) {
+            continue;
+        }
+        if has_room(thresholds, pool, servers) {
+            let server = &mut servers[*key];
+            server.health.eject(now, thresholds);
+            server.first = Mean::default();
+            changed = true;
+        }
+    }
+    changed
+}
+
+fn median(pool: &Pool, servers: &SecondaryMap<key::Server, Server>) -> Option<f64> {
+    let means = pool.live.iter().map(|key| &servers[*key].first);
+    let mut means: Vec<f64> = means
+        .filter(|mean| mean.samples >= SAMPLES)
+        .map(|mean| mean.value)
+        .collect();
+    if means.len() < 3 {
+        return None;
+    }
+    let middle = means.len() / 2;
+    let (_, median, _) = means.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
--- /dev/null
+++ b/crates/core/src/route/mod.rs
@@ -0,0 +1,517 @@
+//! Choice of the backend server that runs an attempt.
+//!
+//! [`Table`] holds what one instance knows of the backend servers. The patterns
+//! of load it answers, and what goes wrong without it:
+//!
+//! * **A slow server.** Counting only attempts in flight still gives a server
+//!   that is ten times slower its turn whenever its few attempts end, and each
+//!   of them is in the p99. Its measured slowness is part of [`score`], and
+//!   [`health`] ejects it.
+//! * **Lagging reports and a herd.** Instances that all follow the same report
+//!   all choose the same idle server. Own attempts count in full and at once;
+//!   a report only adds what *others* had there, with a weight that halves
+//!   every [`score::REPORT_HALF_S`]; and in a large pool only a few servers,
+//!   drawn at random, are compared.
+//! * **Few prefixes with most of the load.** Sending each prefix to its home
+//!   makes the prefix cache work and a popular prefix's home hot; its ring
+//!   passes on what exceeds a bounded load.
+//! * **Servers that join.** A server with nothing in flight looks best to
+//!   everyone and is flooded before its caches are warm; its share rises over
+//!   [`score::RAMP_S`]. The same ramp paces an availability zone that comes
+//!   back and the day's 260 restarts.
+//! * **Servers that leave.** The instance list lags; the server's own word and
+//!   peers' digests ([`word`]) count at once.
+//! * **A fleet of 910 servers.** Each instance sees a subset ([`subset`]), and
+//!   a decision compares a bounded number of servers, so its cost grows only
+//!   with the logarithm of the prefix ring.
+//!
+//! Plain services are chosen by the same code; they have no prefix and no
+//! tokens, so each call counts as one.
+//!
+//! [`baseline`] holds the choices that benches compare with.
+
+pub mod baseline;
+mod ejection;
+pub mod health;
+mod ring;
+pub mod score;
+pub mod subset;
+pub mod word;
+
+pub use health::Thresholds;
+pub use ring::hash;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fescuerack_config::key;
+use rand::{Rng, RngExt as _};
+use slotmap::SecondaryMap;
+
+use crate::clock::Instant;
+use crate::num::{Mean, float};
+use health::Health;
+use ring::Ring;
+use score::{Pool, Report};
+use word::Words;
+
+/// Whether a backend server takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Takes new work.
+    Live,
+    /// Finishes its work and takes no more.
+    Leaving,
+}
+
+/// A backend server as the instance list describes it.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// Identifier in the instance list.
+    pub id: String,
+    /// Fleet that it belongs to.
+    pub fleet: key::Fleet,
+    /// Availability zone.
+    pub zone: String,
+    /// Address, as `host:port`.
+    pub address: String,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+}
+
+/// A backend server and what this instance knows of it.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// Identifier in the instance list.
+    pub id: String,
+    /// Fleet that it belongs to.
+    pub fleet: key::Fleet,
+    /// Availability zone.
+    pub zone: String,
+    /// Address, as `host:port`.
+    pub address: String,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Attempts of this instance that run on it.
+    pub in_flight: u32,
+    /// Work of these attempts, in tokens.
+    pub work: u64,
+    /// Whether it is trusted with work.
+    pub health: Health,
+    /// Seconds to the first token, or to the answer of a plain service.
+    pub first: Mean,
+    near: bool,
+    joined: Option<Instant>,
+    unanswered: u32,
+    progress: Instant,
+    report: Option<Report>,
+}
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Fleets that can run it.
+    pub fleets: &'a [key::Fleet],
+    /// Servers that it must not run on.
+    pub avoid: &'a BTreeSet<key::Server>,
+    /// Its work in tokens; 1 for a call of a plain service.
+    pub work: u32,
+    /// Tokens of its prompt.
+    pub prompt: u32,
+    /// Hash of the prompt's beginning, when it is long enough to be cached.
+    pub prefix: Option<u64>,
+    /// Hash of the adapter that it needs.
+    pub adapter: Option<u64>,
+}
+
+/// How an attempt ended, as far as the choice of servers is concerned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The server did its part.
+    Well,
+    /// The server failed, broke off or refused.
+    Badly,
+    /// It says nothing about the server.
+    Void,
+}
+
+/// The backend servers that this instance knows.
+#[derive(Clone, Debug)]
+pub struct Table {
+    zone: String,
+    place: subset::Place,
+    thresholds: Thresholds,
+    servers: SecondaryMap<key::Server, Server>,
+    pools: SecondaryMap<key::Fleet, Pool>,
+    words: Words,
+    filled: bool,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
+impl Table {
+    /// Pools up to this size are compared whole: a decision stays under 1 µs
+    /// and no good server is missed by chance.
+    const SMALL: usize = 16;
+    /// Servers drawn at random in a larger pool.
+    const DRAWN: usize = 4;
+
+    /// Returns an empty table of an instance in `zone`.
+    #[must_use]
+    pub fn new(zone: &str) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            place: subset::Place::default(),
+            thresholds: Thresholds::default(),
+            servers: SecondaryMap::new(),
+            pools: SecondaryMap::new(),
+            words: Words::new(),
+            filled: false,
+        }
+    }
+
+    /// Takes over thresholds that a new configuration brings.
+    pub fn set(&mut self, thresholds: Thresholds) {
+        self.thresholds = thresholds;
+    }
+
+    /// Takes over this instance's place among all instances, from which its
+    /// subset of each fleet follows.
+    pub fn set_place(&mut self, place: subset::Place) {
+        if self.place != place {
+            self.place = place;
+            self.rebuild();
+        }
+    }
+
+    /// Takes over the instance list. Servers that it no longer shows are
+    /// forgotten once their work has ended and get none until then.
+    pub fn list(&mut self, now: Instant, listed: Vec<(key::Server, Listed)>) {
+        let shown: BTreeSet<_> = listed.iter().map(|(key, _)| *key).collect();
+        for (key, server) in listed {
+            self.observe(now, key, server);
+        }
+        for (key, server) in &mut self.servers {
+            if !shown.contains(&key) {
+                server.state = State::Leaving;
+            }
+        }
+        self.servers
+            .retain(|key, server| shown.contains(&key) || server.in_flight > 0);
+        self.filled |= !self.servers.is_empty();
+        self.rebuild();
+    }
+
+    fn observe(&mut self, now: Instant, key: key::Server, listed: Listed) {
+        let near = listed.zone == self.zone;
+        if let Some(known) = self.servers.get_mut(key) {
+            if known.state == State::Leaving && listed.state == State::Live {
+                known.joined = Some(now);
+            }
+            known.near = near;
+            known.address = listed.address;
+            known.zone = listed.zone;
+            known.fleet = listed.fleet;
+            known.state = listed.state;
+            known.slots = listed.slots;
+            return;
+        }
+        let server = Server {
+            id: listed.id,
+            fleet: listed.fleet,
+            zone: listed.zone,
+            address: listed.address,
+            state: listed.state,
+            slots: listed.slots,
+            in_flight: 0,
+            work: 0,
+            health: Health::new(),
+            first: Mean::default(),
+            near,
+            // Servers of the first list have not just joined: this instance has.
+            joined: self.filled.then_some(now),
+            unanswered: 0,
+            progress: now,
+            report: None,
+        };
+        self.servers.insert(key, server);
+    }
+
+    /// Takes over a server's own report of its load.
+    pub fn report(&mut self, now: Instant, key: key::Server, mut report: Report) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        report.own = server.work;
+        let leaving = report.leaving;
+        server.report = Some(report);
+        if leaving {
+            self.leave(now, key);
+        }
+    }
+
+    /// Takes a server's own word that it leaves: no new work from now on.
+    pub fn leave(&mut self, now: Instant, key: key::Server) {
+        if let Some(server) = self.servers.get(key)
+            && self.words.tell(now, &server.id)
+        {
+            self.rebuild();
+        }
+    }
+
+    /// Returns what to tell peers.
+    #[must_use]
+    pub fn digest(&self, now: Instant) -> word::Digest {
+        self.words.digest(now)
+    }
+
+    /// Takes over a peer's digest.
+    pub fn merge(&mut self, now: Instant, digest: &word::Digest) {
+        if self.words.merge(now, digest) {
+            self.rebuild();
+        }
+    }
+
+    /// Ejects outliers, lets ejected servers prove themselves and forgets old
+    /// words; call it a few times a second.
+    pub fn tick(&mut self, now: Instant) {
+        let forgot = self.words.forget(now);
+        let mut changed = forgot;
+        for (_, pool) in &mut self.pools {
+            changed |= ejection::sweep(now, &self.thresholds, pool, &mut self.servers);
+        }
+        if changed {
+            self.rebuild();
+        }
+    }
+
+    /// Works out which servers of each fleet may be chosen.
+    fn rebuild(&mut self) {
+        let mut fleets: BTreeMap<key::Fleet, Vec<key::Server>> = BTreeMap::new();
+        for (key, server) in &self.servers {
+            if server.state == State::Live && !self.words.is_leaving(&server.id) {
+                fleets.entry(server.fleet).or_default().push(key);
+            }
+        }
+        for (_, pool) in &mut self.pools {
+            pool.live.clear();
+            pool.usable.clear();
+        }
+        for (fleet, mut live) in fleets {
+            let servers = &self.servers;
+            subset::keep(&self.place, &mut live, |key| servers[key].id.as_str());
+            if !self.pools.contains_key(fleet) {
+                self.pools.insert(fleet, Pool::default());
+            }
+            let pool = &mut self.pools[fleet];
+            let trusted = live
+                .iter()
+                .filter(|key| !servers[**key].health.is_ejected());
+            pool.usable = trusted.copied().collect();
+            if pool.usable.is_empty() {
+                // A common cause must not empty the pool: a doubtful server is
+                // better than none.
+                pool.usable.clone_from(&live);
+            }
+            let ids = pool
+                .usable
+                .iter()
+                .map(|key| (servers[*key].id.as_str(), *key));
+            pool.ring = Ring::new(ids);
+            pool.live = live;
+        }
+    }
+
+    /// Chooses the server that an attempt goes to.
+    pub fn choose<R: Rng>(
+        &mut self,
+        now: Instant,
+        ask: &Ask<'_>,
+        rng: &mut R,
+    ) -> Option<key::Server> {
+        let mut best = Best::default();
+        for fleet in ask.fleets {
+            let Some(pool) = self.pools.get(*fleet) else {
+                continue;
+            };
+            self.compare(now, ask, pool, rng, &mut best);
+        }
+        if best.server.is_none() {
+            // Every server that was drawn is to be avoided or on probation.
+            for fleet in ask.fleets {
+                let pool = self.pools.get(*fleet);
+                for key in pool.iter().flat_map(|pool| &pool.usable) {
+                    if !ask.avoid.contains(key) {
+                        let rank = rng.random::<f64>();
+                        best.offer(*key, f64::from(self.servers[*key].in_flight), rank);
+                    }
+                }
+            }
+        }
+        best.server
+    }
+
+    fn compare<R: Rng>(
+        &self,
+        now: Instant,
+        ask: &Ask<'_>,
+        pool: &Pool,
+        rng: &mut R,
+        best: &mut Best,
+    ) {
+        let home = ask.prefix.and_then(|prefix| self.home(ask, pool, prefix));
+        let mut consider = |key: key::Server, rng: &mut R| {
+            let server = &self.servers[key];
+            if ask.avoid.contains(&key) || !server.health.takes(server.in_flight) {
+                return;
+            }
+            let cost = score::cost(now, ask, pool, server, home == Some(key));
+            best.offer(key, cost, rng.random::<f64>());
+        };
+        if pool.usable.len() <= Self::SMALL {
+            for key in &pool.usable {
+                consider(*key, rng);
+            }
+            return;
+        }
+        for _ in 0..Self::DRAWN {
+            let index = rng.random_range(0..pool.usable.len());
+            consider(pool.usable[index], rng);
+        }
+        if let Some(home) = home {
+            consider(home, rng);
+        }
+    }
+
+    /// Returns the server whose cache should hold a prefix: the first after
+    /// its place on the ring that is not loaded beyond the bound.
+    fn home(&self, ask: &Ask<'_>, pool: &Pool, prefix: u64) -> Option<key::Server> {
+        let bound = pool.bound(ask.work);
+        pool.ring.after(prefix).take(ring::TRIES).find(|key| {
+            let server = &self.servers[*key];
+            float(usize::try_from(server.work).unwrap_or(usize::MAX)) <= bound
+        })
+    }
+
+    /// Records that an attempt of `work` tokens starts on a server.
+    pub fn start(&mut self, now: Instant, key: key::Server, work: u32) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.in_flight += 1;
+        server.work += u64::from(work);
+        if server.unanswered == 0 {
+            server.progress = now;
+        }
+        server.unanswered += 1;
+        if let Some(pool) = self.pools.get_mut(server.fleet) {
+            pool.work += u64::from(work);
+        }
+    }
+
+    /// Records that the first part of an answer came, `seconds` after the
+    /// attempt started.
+    pub fn first(&mut self, now: Instant, key: key::Server, seconds: f64) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        server.unanswered = server.unanswered.saturating_sub(1);
+        server.progress = now;
+        server.first.add(seconds);
+        if let Some(pool) = self.pools.get_mut(server.fleet) {
+            pool.first.add(seconds);
+        }
+    }
+
+    /// Records that an attempt has ended on a server; `answered` says that
+    /// [`Self::first`] was told of it.
+    ///
+    /// # Panics
+    ///
+    /// When more attempts end than were started.
+    pub fn end(&mut self, now: Instant, key: key::Server, work: u32, ended: Ended, answered: bool) {
+        let Some(server) = self.servers.get_mut(key) else {
+            return;
+        };
+        assert!(server.in_flight > 0, "an attempt ended that never started");
+        server.in_flight -= 1;
+        server.work -= u64::from(work);
+        if !answered {
+            server.unanswered = server.unanswered.saturating_sub(1);
+        }
+        let fleet = server.fleet;
+        let changed = server.health.ended(now, &self.thresholds, ended);
+        if let Some(pool) = self.pools.get_mut(fleet) {
+            pool.work = pool.work.saturating_sub(u64::from(work));
+        }
+        match changed {
+            health::Change::None => {}
+            health::Change::Recovered => {
+                server.joined = Some(now);
+                server.first = Mean::default();
+                self.rebuild();
+            }
+            health::Change::Failing => {
+                if let Some(pool) = self.pools.get(fleet)
+                    && ejection::has_room(&self.thresholds, pool, &self.servers)
+                {
+                    self.servers[key].health.eject(now, &self.thresholds);
+                    self.rebuild();
+                }
+            }
+        }
+    }
+
+    /// Returns a server.
+    #[must_use]
+    pub fn get(&self, key: key::Server) -> Option<&Server> {
+        self.servers.get(key)
+    }
+
+    /// Iterates over all servers.
+    pub fn iter(&self) -> impl Iterator<Item = (key::Server, &Server)> {
+        self.servers.iter()
+    }
+
+    /// Returns the time to the first token of a fleet.
+    #[must_use]
+    pub fn first_of(&self, fleet: key::Fleet) -> Option<&Mean> {
+        self.pools.get(fleet).map(|pool| &pool.first)
+    }
+
+    /// Returns the servers of a fleet that may be chosen.
+    #[must_use]
+    pub fn usable(&self, fleet: key::Fleet) -> &[key::Server] {
+        self.pools.get(fleet).map_or(&[], |pool| &pool.usable)
+    }
+}
+
+/// The server of least cost so far; equal costs are decided at random, so that
+/// instances do not agree on the same server.
+#[derive(Default)]
+struct Best {
+    server: Option<key::Server>,
+    cost: f64,
+    rank: f64,
+}
+
+impl Best {
+    fn offer(&mut self, server: key::Server, cost: f64, rank: f64) {
+        let better = self.server.is_none() || (cost, rank) < (self.cost, self.rank);
+        if better {
+            *self = Self {
+                server: Some(server),
+                cost,
+                rank,
+            };
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/ring.rs
@@ -0,0 +1,58 @@
+//! Homes of prefixes: consistent hashing with bounded load.
+//!
+//! A prefix goes to the first server after its hash, so that all instances
+//! agree on its home with no message and a server that leaves moves only its
+//! own prefixes. Cache events come late and with gaps, so a home is where the
+//! prefix *should* be cached, by every instance's own sends.
+
+use fescuerack_config::key;
+
+/// Homes that are tried before affinity is given up. A prefix that three
+/// servers cannot carry within the bound is popular enough to be cached
+/// wherever it goes.
+pub const TRIES: usize = 3;
+/// Points of one server on the ring; they even out the homes' shares.
+const POINTS: u64 = 32;
+
+/// Servers ordered by hash.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    points: Vec<(u64, key::Server)>,
+}
+
+impl Ring {
+    /// Places servers on a ring by their identifiers.
+    pub fn new<'a>(servers: impl Iterator<Item = (&'a str, key::Server)>) -> Self {
+        let mut points = Vec::new();
+        for (id, key) in servers {
+            let seed = hash(id.as_bytes());
+            points.extend((0..POINTS).map(|point| (mix(seed ^ point), key)));
+        }
+        points.sort_unstable();
+        Self { points }
+    }
+
+    /// Iterates over servers after a hash; one may come more than once.
+    pub fn after(&self, at: u64) -> impl Iterator<Item = key::Server> {
+        let at = mix(at);
+        let first = self.points.partition_point(|(point, _)| *point < at);
+        let (before, after) = self.points.split_at(first);
+        after.iter().chain(before).map(|(_, key)| *key)
+    }
+}
+
+/// Returns a hash of bytes that is the same in every process (FNV-1a).
+#[must_use]
+pub fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+/// Spreads the bits of a hash (the finaliser of `SplitMix64`).
+#[must_use]
+pub fn mix(hash: u64) -> u64 {
+    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/crates/core/src/route/score.rs
@@ -0,0 +1,129 @@
+//! The expected cost, in seconds, of running an attempt on a server.
+//!
+//! Terms: the queue it will meet (own work in full, others' from an aged
+//! report), how much slower the server is than its pool, the way to its zone,
+//! and what has to be loaded or computed again.
+
+use fescuerack_config::key;
+
+use super::ring::Ring;
+use super::{Ask, Server};
+use crate::clock::Instant;
+use crate::num::{Mean, float};
+
+/// Seconds after which a report counts half. Reports lag by about a second;
+/// after three their content has mostly been served.
+pub const REPORT_HALF_S: f64 = 2.0;
+/// Seconds over which a server that joins gets its full share: about the time
+/// in which a prefix cache warms.
+pub const RAMP_S: f64 = 20.0;
+/// Share with which it starts.
+const RAMP_START: f64 = 0.1;
+/// One way and back to another availability zone, in seconds: twice the 0.5 to
+/// 1 ms that the platforms name.
+const ZONE_S: f64 = 0.002;
+/// Seconds to compute one token of a prompt that is not cached.
+const PREFILL_S: f64 = 0.000_1;
+/// Seconds to load an adapter that the engine does not hold.
+const ADAPTER_S: f64 = 0.3;
+/// Seconds that an engine takes for one token of work, before the pool's own
+/// measure: 58 ms over a full batch.
+const TOKEN_S: f64 = 0.058;
+/// Slowness under which servers count as equal. Means of few samples differ
+/// by this much; following them would send all work to the luckiest.
+const EQUAL: f64 = 1.5;
+/// Part above the pool's mean load that a prefix's home may have.
+const BOUND: f64 = 0.25;
+
+/// A server's own report of its load, as it was read.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// When it was read.
+    pub at: Instant,
+    /// Work that it runs and queues, in tokens.
+    pub work: u64,
+    /// Hashes of the adapters that it holds.
+    pub adapters: Vec<u64>,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Own work on it when the report was read.
+    pub own: u64,
+}
+
+/// The servers of one fleet that this instance may choose from.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    /// Live servers of the subset.
+    pub live: Vec<key::Server>,
+    /// Those that are trusted with work.
+    pub usable: Vec<key::Server>,
+    /// Own work on the pool, in tokens.
+    pub work: u64,
+    /// Seconds to the first token over all servers.
+    pub first: Mean,
+    /// Homes of prefixes.
+    pub(super) ring: Ring,
+}
+
+impl Pool {
+    /// Work up to which a server takes a prefix that is at home there.
+    pub(super) fn bound(&self, work: u32) -> f64 {
+        let mean = number(self.work + u64::from(work)) / float(self.usable.len().max(1));
+        mean * (1.0 + BOUND) + f64::from(work)
+    }
+}
+
+/// Returns the expected cost of an attempt on a server.
+pub(super) fn cost(now: Instant, ask: &Ask<'_>, pool: &Pool, server: &Server, home: bool) -> f64 {
+    let slow = slowness(pool, server);
+    let work = f64::from(ask.work);
+    let ahead = (number(server.work) + others(now, server)) / ramp(now, server);
+    // One token of work takes the batch's step; `slots` of them run at a time.
+    let queue = (ahead + work) * TOKEN_S / f64::from(server.slots.max(1));
+    let itself = (slow - 1.0) * (pool.first.value + work * TOKEN_S);
+    let zone = if server.near { 0.0 } else { ZONE_S };
+    queue * slow + itself + zone + cold(ask, server, home)
+}
+
+/// How many times slower than its pool a server is; differences that may be
+/// chance count as none.
+fn slowness(pool: &Pool, server: &Server) -> f64 {
+    if server.first.samples < 3 || pool.first.value <= 0.0 {
+        return 1.0;
+    }
+    let ratio = server.first.value / pool.first.value;
+    if ratio < EQUAL { 1.0 } else { ratio }
+}
+
+/// Work of other instances on a server.
+fn others(now: Instant, server: &Server) -> f64 {
+    server.report.as_ref().map_or(0.0, |report| {
+        let age = now.since(report.at).as_secs_f64();
+        let weight = (-age / REPORT_HALF_S).exp2();
+        weight * number(report.work.saturating_sub(report.own))
+    })
+}
+
+fn ramp(now: Instant, server: &Server) -> f64 {
+    server.joined.map_or(1.0, |joined| {
+        let passed = now.since(joined).as_secs_f64() / RAMP_S;
+        passed.clamp(RAMP_START, 1.0)
+    })
+}
+
+fn cold(ask: &Ask<'_>, server: &Server, home: bool) -> f64 {
+    let prefix = if ask.prefix.is_some() && !home {
+        f64::from(ask.prompt) * PREFILL_S
+    } else {
+        0.0
+    };
+    let held = ask.adapter.is_none_or(|adapter| {
+        let report = server.report.as_ref();
+        report.is_none_or(|report| report.adapters.contains(&adapter))
+    });
+    prefix + if held { 0.0 } else { ADAPTER_S }
+}
+
+pub(super) fn number(tokens: u64) -> f64 {
+    float(usize::try_from(tokens).unwrap_or(usize::MAX))
+}
--- /dev/null
+++ b/crates/core/src/route/subset.rs
@@ -0,0 +1,62 @@
+//! The part of a large fleet that one instance uses.
+//!
+//! The pattern: 340 instances before 910 servers. If each used all, a server
+//! would hold connections to and answer load queries of 340 instances, and an
+//! instance would know too little of each server's load to choose well. If
+//! each took servers at random, some would be in half as many subsets as
+//! others.
+//!
+//! Deterministic subsetting: instances stand in rounds; each round orders all
+//! servers by a hash of its own and deals them out, so every full round uses
+//! every server equally often. The order is by hash of the identifier, so that
+//! a server that joins or leaves shifts few others.
+//!
+//! **Size.** With `k` servers per instance a server is in `340 k / 910`
+//! subsets, give or take one for the last round. At `k = 32` that is 12 and the
+//! load differs by at most 1/12 by the dealing itself. Below 32 servers there is no subset.
+
+use fescuerack_config::key;
+
+use super::ring::{hash, mix};
+
+/// Servers of one fleet that one instance uses.
+pub const SIZE: usize = 32;
+
+/// The place of an instance among all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Position among all instances, ordered by name.
+    pub index: usize,
+    /// Servers of a fleet to use.
+    pub size: usize,
+}
+
+impl Default for Place {
+    fn default() -> Self {
+        Self {
+            index: 0,
+            size: SIZE,
+        }
+    }
+}
+
+/// Keeps the servers that the instance at `place` uses.
+pub fn keep<'a>(
+    place: &Place,
+    servers: &mut Vec<key::Server>,
+    id: impl Fn(key::Server) -> &'a str,
+) {
+    if servers.len() <= place.size {
+        return;
+    }
+    let subsets = servers.len() / place.size;
+    let round = u64::try_from(place.index / subsets).unwrap_or(0);
+    let part = place.index % subsets;
+    let seed = mix(round.wrapping_add(0x9e37_79b9_7f4a_7c15));
+    servers.sort_by_cached_key(|key| mix(hash(id(*key).as_bytes()) ^ seed));
+    // The remainder of the division is dealt out too: parts differ by one.
+    let start = servers.len() * part / subsets;
+    let end = servers.len() * (part + 1) / subsets;
+    servers.truncate(end);
+    servers.drain(..start);
+}
--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -1,15 +1,24 @@
-//! The gate before the core's admission queue: wakes those who wait.
+//! The gate before the core's admission: wakes those who wait.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
-use fescuerack_core::admission::{Queue, Ticket, Verdict};
+use fescuerack_config::Catalog;
+use fescuerack_core::admission::{
+    Ask, Control, Ended, Grant, Reason, Refusal, Summary, Thresholds, Ticket, Turn, Verdict,
+};
 use fescuerack_core::clock::Instant;
+use fescuerack_core::num;
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::oneshot;
 
 use crate::clock::Clock;
 use crate::shared::lock;
 
+type Answer = Result<Grant, Refusal>;
+
 /// Lets requests in.
 #[derive(Clone, Debug)]
 pub struct Gate {
@@ -18,8 +27,9 @@
 
 #[derive(Debug)]
 struct Inner {
-    queue: Queue,
-    waiters: BTreeMap<Ticket, oneshot::Sender<()>>,
+    control: Control,
+    rng: Pcg64Mcg,
+    waiters: BTreeMap<Ticket, oneshot::Sender<Answer>>,
 }
 
 /// A place of a running request; dropping it lets the next one in.
@@ -27,80 +37,176 @@
 pub struct Place {
     gate: Gate,
     clock: Clock,
-    waiting: Option<Ticket>,
+    held: Held,
+    meter: Meter,
+}
+
+#[derive(Debug)]
+enum Held {
+    /// Runs.
+    Grant(Grant),
+    /// Waits for its turn.
+    Turn(Ticket, oneshot::Receiver<Answer>),
+    /// Has nothing to give back.
+    Nothing,
+}
+
+/// What a running request tells of the runners; shared with the thread that
+/// reads them.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    inner: Arc<Marks>,
+}
+
+#[derive(Debug, Default)]
+struct Marks {
+    first: AtomicU64,
+    whole: AtomicBool,
+    overloaded: AtomicBool,
+}
+
+impl Meter {
+    /// Records that a part of the answer came; only the first one counts.
+    pub fn part(&self, now: Instant) {
+        let none = Ordering::SeqCst;
+        let _ = self.inner.first.compare_exchange(0, now.0, none, none);
+    }
+
+    /// Records that the answer is whole.
+    pub fn whole(&self) {
+        self.inner.whole.store(true, Ordering::SeqCst);
+    }
+
+    /// Records that a runner refused the request or ran out of its time.
+    pub fn overloaded(&self) {
+        self.inner.overloaded.store(true, Ordering::SeqCst);
+    }
+
+    fn ended(&self) -> Ended {
+        if self.inner.overloaded.load(Ordering::SeqCst) {
+            return Ended::Overloaded;
+        }
+        let first = Instant(self.inner.first.load(Ordering::SeqCst));
+        if self.inner.whole.load(Ordering::SeqCst) && first > Instant::ORIGIN {
+            return Ended::Whole { first };
+        }
+        Ended::Void
+    }
+}
+
+/// Returns the thresholds that the configuration sets for `places` places.
+pub fn thresholds(places: usize, catalog: &Catalog) -> Thresholds {
+    Thresholds {
+        places,
+        long_share: catalog.limit("admission.long-share"),
+        long_floor: catalog.limit("admission.long-floor"),
+        length: num::whole(num::float(places) * catalog.limit("admission.queue")),
+        slack: catalog.limit("admission.slack"),
+        margin: catalog.limit("admission.margin"),
+        retry_most_s: catalog.limit("admission.retry-seconds"),
+    }
 }
 
 impl Gate {
     /// Creates a gate before `places` places.
     #[must_use]
-    pub fn new(places: usize) -> Self {
+    pub fn new(places: usize, seed: u64) -> Self {
         Self {
             inner: Arc::new(Mutex::new(Inner {
-                queue: Queue::new(places),
+                control: Control::new(Thresholds::new(places)),
+                rng: Pcg64Mcg::seed_from_u64(seed),
                 waiters: BTreeMap::new(),
             })),
         }
     }
 
+    /// Takes over thresholds that a new configuration brings.
+    pub fn set(&self, thresholds: Thresholds) {
+        lock(&self.inner).control.set(thresholds);
+    }
+
     /// Waits for a place.
     ///
     /// # Errors
     ///
-    /// The time at which the caller may return.
-    pub async fn enter(&self, clock: Clock, deadline: Instant) -> Result<Place, Instant> {
-        let now = clock.now();
-        let (verdict, turn) = self.offer(now, deadline);
+    /// Why and until when the caller is turned away; nothing was run.
+    pub async fn enter(&self, clock: Clock, ask: &Ask) -> Result<Place, Refusal> {
         let mut place = Place {
             gate: self.clone(),
             clock,
-            waiting: None,
+            held: Held::Nothing,
+            meter: Meter::default(),
         };
-        match verdict {
-            Verdict::Run => Ok(place),
-            Verdict::Refuse(retry) => {
-                std::mem::forget(place);
-                Err(retry)
-            }
-            Verdict::Wait(ticket) => {
-                // From here on dropping the place gives the ticket back, also
-                // when the caller goes away while it waits.
-                place.waiting = Some(ticket);
-                match tokio::time::timeout_at(clock.tokio(deadline), turn).await {
-                    Ok(Ok(())) => {
-                        place.waiting = None;
-                        Ok(place)
-                    }
-                    Ok(Err(_)) | Err(_) => Err(clock.now()),
+        place.held = self.offer(clock.now(), ask)?;
+        while let Held::Turn(_, turn) = &mut place.held {
+            // Whoever wakes first turns away everyone whose time is over.
+            let expiry = lock(&self.inner).control.next_expiry();
+            let expiry = clock.tokio(expiry.unwrap_or(ask.deadline));
+            match tokio::time::timeout_at(expiry, turn).await {
+                Ok(Ok(Ok(grant))) => place.held = Held::Grant(grant),
+                Ok(Ok(Err(refusal))) => {
+                    place.held = Held::Nothing;
+                    return Err(refusal);
+                }
+                Ok(Err(_)) => {
+                    place.held = Held::Nothing;
+                    let reason = Reason::TooLate;
+                    let retry = clock.now();
+                    return Err(Refusal { reason, retry });
                 }
+                Err(_) => lock(&self.inner).turn(clock.now()),
             }
         }
+        Ok(place)
     }
 
-    fn offer(&self, now: Instant, deadline: Instant) -> (Verdict, oneshot::Receiver<()>) {
-        let (waker, turn) = oneshot::channel();
+    fn offer(&self, now: Instant, ask: &Ask) -> Result<Held, Refusal> {
         let mut inner = lock(&self.inner);
-        let verdict = inner.queue.offer(now, deadline);
-        if let Verdict::Wait(ticket) = verdict {
-            inner.waiters.insert(ticket, waker);
+        let Inner { control, rng, .. } = &mut *inner;
+        match control.offer(now, ask, rng) {
+            Verdict::Run(grant) => Ok(Held::Grant(grant)),
+            Verdict::Refuse(refusal) => Err(refusal),
+            Verdict::Wait(ticket) => {
+                let (waker, turn) = oneshot::channel();
+                inner.waiters.insert(ticket, waker);
+                Ok(Held::Turn(ticket, turn))
+            }
         }
-        (verdict, turn)
     }
 
     /// Returns how many requests run and how many wait.
     #[must_use]
     pub fn load(&self) -> (usize, usize) {
-        lock(&self.inner).queue.load()
+        lock(&self.inner).control.load()
+    }
+
+    /// Returns the figures of the state dump.
+    #[must_use]
+    pub fn summary(&self) -> Summary {
+        lock(&self.inner).control.summary()
+    }
+}
+
+impl Place {
+    /// Returns where to record how the request goes.
+    #[must_use]
+    pub fn meter(&self) -> Meter {
+        self.meter.clone()
     }
 }
 
 impl Inner {
-    /// Frees a place and wakes whoever takes it. A waiter that has gone passes
-    /// its turn on when its [`Place`] is dropped.
-    fn finish(&mut self, now: Instant) {
-        if let Some(ticket) = self.queue.finish(now)
-            && let Some(waker) = self.waiters.remove(&ticket)
-        {
-            let _ = waker.send(());
+    /// Tells everyone whose turn has come. A waiter that has gone gives its
+    /// grant back when its [`Place`] is dropped.
+    fn turn(&mut self, now: Instant) {
+        for turn in self.control.poll(now, &mut self.rng) {
+            let (ticket, answer) = match turn {
+                Turn::Run(ticket, grant) => (ticket, Ok(grant)),
+                Turn::Refuse(ticket, refusal) => (ticket, Err(refusal)),
+            };
+            if let Some(waker) = self.waiters.remove(&ticket) {
+                let _ = waker.send(answer);
+            }
         }
     }
 }
@@ -108,12 +214,22 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let mut inner = lock(&self.gate.inner);
-        if let Some(ticket) = self.waiting {
-            inner.waiters.remove(&ticket);
-            if inner.queue.cancel(ticket) {
-                return;
+        let now = self.clock.now();
+        match std::mem::replace(&mut self.held, Held::Nothing) {
+            Held::Nothing => return,
+            Held::Grant(grant) => inner.control.finish(now, grant, self.meter.ended()),
+            Held::Turn(ticket, mut turn) => {
+                inner.waiters.remove(&ticket);
+                if inner.control.cancel(ticket) {
+                    return;
+                }
+                // It was told its turn under this lock and did not read it.
+                match turn.try_recv() {
+                    Ok(Ok(grant)) => inner.control.finish(now, grant, Ended::Void),
+                    Ok(Err(_)) | Err(_) => return,
+                }
             }
         }
-        inner.finish(self.clock.now());
+        inner.turn(now);
     }
 }
--- a/crates/node/src/callers/attempts.rs
+++ b/crates/node/src/callers/attempts.rs
@@ -4,14 +4,18 @@
 
 use bytes::Bytes;
 use fescuerack_config::key;
-use fescuerack_core::attempt::{Attempts, End, Next, Outcome};
+use fescuerack_core::attempt::{Attempts, End, Next, Outcome, hedge};
 use fescuerack_core::clock::Instant;
+use fescuerack_core::route::Ask;
 use fescuerack_platform::Fault;
 use fescuerack_platform::engine::Event;
 use fescuerack_wire::chat::Completion;
 
+use super::prompt::Prompt;
 use super::upstream::{self, Events};
-use crate::shared::{Force, Shared};
+use crate::admission::Meter;
+use crate::running::LEAVING;
+use crate::shared::{Force, Shared, lock};
 
 /// Attempts that one request may make.
 const MOST_ATTEMPTS: u32 = 3;
@@ -52,6 +56,15 @@
     force: Arc<Force>,
     attempts: Attempts,
     work: Work,
+    prompt: Prompt,
+    meter: Meter,
+    fleet: Option<key::Fleet>,
+    hedged: bool,
+}
+
+/// An attempt whose first part has not come.
+struct Sent {
+    events: Events,
 }
 
 impl Run {
@@ -59,12 +72,22 @@
     pub fn new(shared: Arc<Shared>, force: Arc<Force>, work: Work) -> Self {
         Self {
             attempts: Attempts::new(true, work.deadline, MOST_ATTEMPTS),
+            prompt: Prompt::new(&work.body),
+            meter: Meter::default(),
+            fleet: None,
+            hedged: false,
             shared,
             force,
             work,
         }
     }
 
+    /// Tells admission how the attempts go.
+    pub fn with_meter(mut self, meter: Meter) -> Self {
+        self.meter = meter;
+        self
+    }
+
     /// Makes attempts until one has brought its first part.
     ///
     /// # Errors
@@ -72,20 +95,86 @@
     /// When none did.
     pub async fn begin(&mut self) -> Result<Begun, Failure> {
         loop {
-            let fleets = &self.force.catalog.versions[self.work.version].fleets;
-            let tried = self.attempts.tried();
-            let Some(running) = self.shared.start_attempt(fleets, tried) else {
+            if self.attempts.made() > 0 {
+                let now = self.shared.now();
+                let pause = self.attempts.pause(now, &mut *lock(&self.shared.rng));
+                tokio::time::sleep(pause).await;
+            }
+            let Some(sent) = self.send() else {
                 return Err(Failure::NoServer(self.attempts.outcome()));
             };
-            self.attempts.start(running.server);
-            let mut events = upstream::start(&self.shared, running, self.work.clone());
-            let end = match events.recv().await {
-                Some(Ok(Event::Part(first))) => return Ok(Begun { first, events }),
-                Some(Ok(Event::End)) | None => End::Unknown,
-                Some(Err(fault)) => end_of(&fault),
-            };
-            self.end(end)?;
+            match self.first(sent).await {
+                Ok(begun) => return Ok(begun),
+                Err(end) => self.end(end)?,
+            }
+        }
+    }
+
+    /// Sends an attempt to a server that was not tried.
+    fn send(&mut self) -> Option<Sent> {
+        let fleets = &self.force.catalog.versions[self.work.version].fleets;
+        let ask = Ask {
+            fleets,
+            avoid: self.attempts.tried(),
+            work: self.prompt.work,
+            prompt: self.prompt.tokens,
+            prefix: self.prompt.prefix,
+            adapter: None,
+        };
+        let running = self.shared.place_attempt(&ask)?;
+        self.attempts.start(running.server);
+        self.fleet = Some(running.fleet);
+        let work = self.work.clone();
+        let events = upstream::start(&self.shared, running, work, self.meter.clone());
+        Some(Sent { events })
+    }
+
+    /// Waits for the first part of an attempt, and of a hedge beside it once
+    /// the attempt is late; the other one is cancelled.
+    async fn first(&mut self, mut sent: Sent) -> Result<Begun, End> {
+        let Some(after) = self.hedge_after() else {
+            return sent.first().await;
+        };
+        if let Ok(first) = tokio::time::timeout(after, sent.first_part()).await {
+            return sent.begun(first);
+        }
+        let Some(mut hedge) = self.hedge() else {
+            return sent.first().await;
+        };
+        tokio::select! {
+            first = sent.first_part() => match first {
+                Ok(_) => sent.begun(first),
+                Err(_) => hedge.first().await,
+            },
+            first = hedge.first_part() => match first {
+                Ok(_) => {
+                    self.shared.metrics.count("attempts.hedge_won");
+                    hedge.begun(first)
+                }
+                Err(_) => sent.first().await,
+            },
+        }
+    }
+
+    /// After which time a hedge would pay.
+    fn hedge_after(&self) -> Option<std::time::Duration> {
+        let waiting = self.shared.gate.load().1;
+        if self.hedged || waiting > 0 || self.attempts.made() >= MOST_ATTEMPTS {
+            return None;
         }
+        let remaining = self.work.deadline.since(self.shared.now());
+        let routes = lock(&self.shared.routes);
+        hedge::after(routes.first_of(self.fleet?)?, remaining)
+    }
+
+    fn hedge(&mut self) -> Option<Sent> {
+        let now = self.shared.now();
+        if !lock(&self.shared.pools).may_hedge(now, self.fleet?) {
+            return None;
+        }
+        self.hedged = true;
+        self.shared.metrics.count("attempts.hedged");
+        self.send()
     }
 
     /// Ends an attempt of which nothing was handed on; another may follow.
@@ -96,16 +185,44 @@
     pub fn end(&mut self, end: End) -> Result<(), Failure> {
         self.shared.metrics.count("attempts.failed");
         match self.attempts.end(self.shared.now(), end, false) {
-            Next::Retry => Ok(()),
+            // What surely did not run has cost no server anything, and neither
+            // does it cost the budget.
+            Next::Retry if end == End::NotRun || self.may_retry() => Ok(()),
+            Next::Retry => Err(Failure::Failed(self.attempts.outcome())),
             Next::Stop(outcome) => Err(Failure::Failed(outcome)),
         }
     }
+
+    fn may_retry(&self) -> bool {
+        self.fleet.is_some_and(|fleet| self.shared.may_retry(fleet))
+    }
+}
+
+impl Sent {
+    async fn first_part(&mut self) -> Result<Completion, End> {
+        match self.events.recv().await {
+            Some(Ok(Event::Part(first))) => Ok(first),
+            Some(Ok(Event::End)) | None => Err(End::Unknown),
+            Some(Err(fault)) => Err(end_of(&fault)),
+        }
+    }
+
+    async fn first(mut self) -> Result<Begun, End> {
+        let first = self.first_part().await;
+        self.begun(first)
+    }
+
+    fn begun(self, first: Result<Completion, End>) -> Result<Begun, End> {
+        let events = self.events;
+        first.map(|first| Begun { first, events })
+    }
 }
 
 /// Returns how an attempt ended that met `fault`.
 pub fn end_of(fault: &Fault) -> End {
     match fault {
         Fault::NotSent(_) => End::NotRun,
+        Fault::Refused { message, .. } if message.trim() == LEAVING => End::NotRun,
         Fault::Unknown(_) | Fault::Malformed(_) => End::Unknown,
         Fault::Refused { .. } => End::Failed,
     }
--- a/crates/node/src/callers/chat.rs
+++ b/crates/node/src/callers/chat.rs
@@ -76,7 +76,8 @@
             body: body(&self.force, self.choice.version, asked),
             deadline: self.call.deadline,
         };
-        let mut run = Run::new(Arc::clone(&self.shared), Arc::clone(&self.force), work);
+        let mut run = Run::new(Arc::clone(&self.shared), Arc::clone(&self.force), work)
+            .with_meter(self.place.meter());
         loop {
             let begun = match run.begin().await {
                 Ok(begun) => begun,
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -12,6 +12,7 @@
 mod entry;
 mod intake;
 mod models;
+mod prompt;
 mod reply;
 mod service;
 mod stream;
--- a/crates/node/src/callers/reply.rs
+++ b/crates/node/src/callers/reply.rs
@@ -67,6 +67,8 @@
     pub kind: Kind,
     /// Text for people.
     pub message: String,
+    /// Seconds after which the caller may come back, when they are known.
+    pub retry_s: Option<u64>,
 }
 
 impl Refusal {
@@ -75,13 +77,24 @@
         Self {
             kind,
             message: message.into(),
+            retry_s: None,
         }
     }
+
+    /// Names the seconds after which the caller may come back.
+    pub fn with_retry(mut self, seconds: u64) -> Self {
+        self.retry_s = Some(seconds);
+        self
+    }
 }
 
 impl From<Refusal> for Reply {
     fn from(refusal: Refusal) -> Self {
-        failure(refusal.kind, &refusal.message)
+        let reply = failure(refusal.kind, &refusal.message);
+        match refusal.retry_s {
+            Some(seconds) => with_header(reply, "retry-after", &seconds.to_string()),
+            None => reply,
+        }
     }
 }
 
--- a/crates/node/src/callers/service.rs
+++ b/crates/node/src/callers/service.rs
@@ -153,7 +153,8 @@
         let mut attempts = Attempts::new(self.service.idempotent, deadline, MOST_ATTEMPTS);
         let fleets = [self.service.fleet];
         loop {
-            let Some(running) = self.shared.start_attempt(&fleets, attempts.tried()) else {
+            let started = self.shared.start_attempt(&fleets, attempts.tried());
+            let Some(mut running) = started else {
                 return Ended {
                     outcome: attempts.outcome(),
                     answer: None,
@@ -173,7 +174,15 @@
                 Err(Fault::NotSent(_) | Fault::Refused { .. }) => End::NotRun,
                 Err(Fault::Unknown(_) | Fault::Malformed(_)) => End::Unknown,
             };
-            if let Next::Stop(outcome) = attempts.end(self.shared.now(), end, false) {
+            running.called(&result);
+            let next = attempts.end(self.shared.now(), end, false);
+            let next = match next {
+                Next::Retry if end != End::NotRun && !running.may_retry() => {
+                    Next::Stop(attempts.outcome())
+                }
+                next => next,
+            };
+            if let Next::Stop(outcome) = next {
                 return Ended {
                     outcome,
                     answer: result.ok(),
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -8,7 +8,9 @@
 use tokio::sync::mpsc;
 
 use super::attempts::Work;
-use crate::shared::{Running, Shared};
+use crate::admission::Meter;
+use crate::running::Running;
+use crate::shared::Shared;
 
 /// Events that wait for a slow reader before the engine's thread waits too;
 /// bounds the memory of a stream whose caller reads slowly.
@@ -18,7 +20,7 @@
 pub type Events = mpsc::Receiver<Result<Event, Fault>>;
 
 /// Starts an attempt.
-pub fn start(shared: &Arc<Shared>, running: Running, work: Work) -> Events {
+pub fn start(shared: &Arc<Shared>, running: Running, work: Work, meter: Meter) -> Events {
     let (sender, events) = mpsc::channel(BUFFER);
     let shared = Arc::clone(shared);
     let attempt = Attempt {
@@ -29,8 +31,7 @@
     };
     let deadline = work.deadline;
     tokio::task::spawn_blocking(move || {
-        let _running = running;
-        run(&shared, &attempt, deadline, &sender);
+        run(&shared, &attempt, deadline, &sender, running, &meter);
     });
     events
 }
@@ -40,17 +41,35 @@
     attempt: &Attempt,
     deadline: Instant,
     sender: &mpsc::Sender<Result<Event, Fault>>,
+    mut running: Running,
+    meter: &Meter,
 ) {
     let remaining = deadline.since(shared.now());
     let mut stream = match engine::open(&shared.upstream, attempt, remaining) {
         Ok(stream) => stream,
         Err(fault) => {
+            running.failed(&fault);
+            note(shared, meter, deadline, &fault);
             let _ = sender.blocking_send(Err(fault));
             return;
         }
     };
     loop {
         let event = stream.next_event();
+        match &event {
+            Ok(Event::Part(_)) => {
+                running.answered();
+                meter.part(shared.now());
+            }
+            Ok(Event::End) => {
+                running.ended_well();
+                meter.whole();
+            }
+            Err(fault) => {
+                running.failed(fault);
+                note(shared, meter, deadline, fault);
+            }
+        }
         let last = !matches!(event, Ok(Event::Part(_)));
         // The receiver is dropped when the caller goes away; returning drops
         // the connection, which cancels the attempt at the engine.
@@ -59,3 +78,17 @@
         }
     }
 }
+
+/// Tells admission when a fault means that runners have too much to do.
+fn note(shared: &Shared, meter: &Meter, deadline: Instant, fault: &Fault) {
+    let refused = matches!(
+        fault,
+        Fault::Refused {
+            status: 429 | 503,
+            ..
+        }
+    );
+    if refused || shared.now() >= deadline {
+        meter.overloaded();
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stop::Stop;
-use crate::{force, ledger, servers};
+use crate::{force, ledger, loads, servers};
 
 /// Stack of one thread, in bytes. Threads that read backend servers are many
 /// and shallow.
@@ -59,6 +59,7 @@
         let stop = Stop::new();
         spawn("config", &shared, &stop, force::follow)?;
         spawn("servers", &shared, &stop, servers::follow)?;
+        spawn("loads", &shared, &stop, loads::follow)?;
         let ledger = spawn("ledger", &shared, &stop, ledger::follow)?;
         log::info!(instance = shared.settings.instance; "started");
         Ok(Self {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -62,7 +62,7 @@
 
 fn state(shared: &Shared) -> serde_json::Value {
     let force = shared.force();
-    let (running, waiting) = shared.gate.load();
+    let admission = shared.gate.summary();
     let servers: Vec<_> = lock(&shared.routes)
         .iter()
         .map(|(_, server)| {
@@ -72,6 +72,9 @@
                 "address": server.address,
                 "state": server.state,
                 "in_flight": server.in_flight,
+                "work": server.work,
+                "health": server.health,
+                "first_s": server.first.value,
             })
         })
         .collect();
@@ -82,7 +85,7 @@
         "ready": shared.is_ready(),
         "draining": shared.draining.load(Ordering::SeqCst),
         "configuration": {"revision": force.catalog.revision},
-        "admission": {"running": running, "waiting": waiting},
+        "admission": admission,
         "route": {"servers": servers},
         "ledger": {"pending": lock(&shared.book).pending()},
         "counters": shared.metrics.counters(),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -39,13 +39,27 @@
 }
 
 fn digest(shared: &Shared) -> Digest {
+    let force = shared.force();
+    let now = shared.now();
     Digest {
         protocol: PROTOCOL,
         instance: shared.settings.instance.clone(),
-        revision: shared.force().catalog.revision,
+        revision: force.catalog.revision,
+        rates: lock(&shared.rates).digest(&force.names, now),
+        pools: lock(&shared.pools).digest(&force.names, now),
+        words: lock(&shared.routes).digest(now),
     }
 }
 
+fn merge(shared: &Shared, digest: &Digest) {
+    let force = shared.force();
+    let now = shared.now();
+    let from = &digest.instance;
+    lock(&shared.rates).merge(&force.names, now, from, &digest.rates);
+    lock(&shared.pools).merge(&force.names, now, from, &digest.pools);
+    lock(&shared.routes).merge(now, &digest.words);
+}
+
 /// Asks one random peer for its digest, again and again.
 pub async fn follow(shared: Arc<Shared>) {
     loop {
@@ -54,7 +68,10 @@
             continue;
         };
         match ask(&address).await {
-            Ok(_) => shared.metrics.count("peers.digests"),
+            Ok(digest) => {
+                merge(&shared, &digest);
+                shared.metrics.count("peers.digests");
+            }
             Err(_) => shared.metrics.count("peers.failed"),
         }
     }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -1,15 +1,19 @@
 //! Follows the platform's list of instances.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use fescuerack_core::route::{self, State};
+use fescuerack_config::{Catalog, key};
+use fescuerack_core::attempt::budget;
+use fescuerack_core::num;
+use fescuerack_core::route::subset::Place;
+use fescuerack_core::route::{self, Listed, State};
 use fescuerack_platform::Directory as _;
 use fescuerack_wire::list::{Instance, Instances};
 
-use crate::shared::{Shared, lock};
+use crate::admission;
+use crate::shared::{Force, Shared, lock};
 use crate::stop::Stop;
 
 /// Time between two readings of the list.
@@ -26,6 +30,7 @@
             // empty the pools.
             Err(_) => shared.metrics.count("servers.list_failed"),
         }
+        tick(shared);
         if stop.wait(PERIOD) {
             return;
         }
@@ -34,7 +39,7 @@
 
 fn take_over(shared: &Shared, list: Instances) {
     let force = shared.force();
-    let mut listed = BTreeSet::new();
+    let mut listed = Vec::new();
     let mut peers = Vec::new();
     for instance in list.instances {
         if instance.fleet == OWN_FLEET {
@@ -47,23 +52,34 @@
                 names.fleets.intern(&instance.fleet),
             )
         });
-        let retired = force
-            .catalog
-            .fleets
-            .get(fleet)
-            .is_some_and(|fleet| fleet.retired.contains(&instance.id));
-        listed.insert(key);
-        lock(&shared.routes).observe(key, server(instance, fleet, retired));
+        listed.push((key, server(instance, fleet, &force)));
     }
-    lock(&shared.routes).retain(&listed);
+    peers.sort_by(|a, b| a.id.cmp(&b.id));
+    let place = place(shared, &force, &peers);
+    let mut routes = lock(&shared.routes);
+    routes.set_place(place);
+    routes.list(shared.now(), listed);
+    drop(routes);
     *lock(&shared.peers) = peers;
     shared.listed.store(true, Ordering::SeqCst);
 }
 
-fn server(instance: Instance, fleet: fescuerack_core::key::Fleet, retired: bool) -> route::Server {
-    route::Server {
+/// Place of this process among all: by name, so that all agree.
+fn place(shared: &Shared, force: &Force, peers: &[Instance]) -> Place {
+    let own = &shared.settings.instance;
+    let before = peers.iter().filter(|peer| peer.id < *own);
+    Place {
+        index: before.count(),
+        size: num::whole(force.catalog.limit("route.subset")),
+    }
+}
+
+fn server(instance: Instance, key: key::Fleet, force: &Force) -> Listed {
+    let fleet = force.catalog.fleets.get(key);
+    let retired = fleet.is_some_and(|fleet| fleet.retired.contains(&instance.id));
+    Listed {
         id: instance.id,
-        fleet,
+        fleet: key,
         zone: instance.zone,
         address: instance.address,
         state: if retired {
@@ -71,6 +87,35 @@
         } else {
             instance.state
         },
-        in_flight: 0,
+        slots: fleet.map_or(1, |fleet| fleet.slots),
+    }
+}
+
+/// Lets the decisions under load take note of time and configuration.
+fn tick(shared: &Shared) {
+    let force = shared.force();
+    let catalog = &force.catalog;
+    let now = shared.now();
+    let places = shared.settings.limits.concurrency;
+    shared.gate.set(admission::thresholds(places, catalog));
+    let instances = lock(&shared.peers).len().max(1);
+    lock(&shared.rates).refresh(now, instances);
+    lock(&shared.pools).set(budget::Thresholds {
+        share: catalog.limit("attempt.retry-share"),
+        saved: catalog.limit("attempt.retry-saved"),
+        failing: catalog.limit("attempt.failing"),
+    });
+    let mut routes = lock(&shared.routes);
+    routes.set(thresholds(catalog));
+    routes.tick(now);
+}
+
+fn thresholds(catalog: &Catalog) -> route::Thresholds {
+    let whole = |name| num::whole(catalog.limit(name));
+    route::Thresholds {
+        failures: u32::try_from(whole("route.failures")).unwrap_or(u32::MAX),
+        slow: catalog.limit("route.slow"),
+        share: catalog.limit("route.ejected-share"),
+        ejection_ms: u64::try_from(whole("route.ejection-ms")).unwrap_or(u64::MAX),
     }
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use anyhow::Result;
-use fescuerack_config::{Catalog, Names, key};
+use fescuerack_config::{Catalog, Names};
+use fescuerack_core::admission::rate::Rates;
+use fescuerack_core::attempt::pools::Pools;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::{ledger, route};
 use fescuerack_platform::{Agent, HttpDirectory, HttpStore, agent};
@@ -48,6 +50,10 @@
     pub gate: Gate,
     /// Backend servers.
     pub routes: Mutex<route::Table>,
+    /// Organisations' limits across instances.
+    pub rates: Mutex<Rates>,
+    /// Pools of backend servers and their retry budgets.
+    pub pools: Mutex<Pools>,
     /// Names; the only writer is [`Shared::names`].
     names: Mutex<Names>,
     /// Entries that are to be kept.
@@ -61,7 +67,8 @@
     /// Whether new requests are refused.
     pub draining: AtomicBool,
     force: RwLock<Arc<Force>>,
-    rng: Mutex<Pcg64Mcg>,
+    /// Randomness of decisions.
+    pub rng: Mutex<Pcg64Mcg>,
 }
 
 /// Locks a mutex; a panic elsewhere does not make its data unusable, because
@@ -93,8 +100,10 @@
             // a request is being written, and its outcome would be unknown: a
             // call that must not be repeated gets a connection of its own.
             once: agent(0),
-            gate: Gate::new(settings.limits.concurrency),
-            routes: Mutex::new(route::Table::new()),
+            gate: Gate::new(settings.limits.concurrency, rng.random()),
+            routes: Mutex::new(route::Table::new(&settings.zone)),
+            rates: Mutex::new(Rates::new()),
+            pools: Mutex::new(Pools::new()),
             names: Mutex::new(Names::new()),
             book: Mutex::new(ledger::Book::new()),
             peers: Mutex::new(Vec::new()),
@@ -150,24 +159,6 @@
         change(&mut lock(&self.names))
     }
 
-    /// Chooses a backend server and counts an attempt on it.
-    #[must_use]
-    pub fn start_attempt(
-        self: &Arc<Self>,
-        fleets: &[key::Fleet],
-        avoid: &std::collections::BTreeSet<key::Server>,
-    ) -> Option<Running> {
-        let mut routes = lock(&self.routes);
-        let server = routes.choose(fleets, avoid, &mut *lock(&self.rng))?;
-        routes.start(server);
-        let address = routes.get(server)?.address.clone();
-        Some(Running {
-            shared: Arc::clone(self),
-            server,
-            address,
-        })
-    }
-
     /// Returns a random identifier.
     #[must_use]
     pub fn random_id(&self) -> String {
@@ -180,18 +171,3 @@
         lock(&self.rng).next_u64()
     }
 }
-
-/// An attempt that runs on a backend server; dropping it ends the count.
-pub struct Running {
-    shared: Arc<Shared>,
-    /// The server.
-    pub server: key::Server,
-    /// Its address.
-    pub address: String,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        lock(&self.shared.routes).end(self.server);
-    }
-}
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use fescuerack_wire::chat::{self, Completion};
 use fescuerack_wire::header;
+use fescuerack_wire::load::Report;
 
 use crate::{Agent, Fault};
 
@@ -77,6 +78,26 @@
     })
 }
 
+/// Reads the load that an engine reports.
+///
+/// # Errors
+///
+/// A [`Fault`] when it gives none within `timeout`.
+pub fn load(agent: &Agent, address: &str, timeout: Duration) -> Result<Report, Fault> {
+    let mut response = agent
+        .get(format!("http://{address}/load"))
+        .config()
+        .timeout_global(Some(timeout))
+        .build()
+        .call()
+        .map_err(|error| Fault::from_client(&error))?;
+    if response.status() != 200 {
+        return Err(Fault::Malformed("no report of load".to_owned()));
+    }
+    let report = response.body_mut().read_json();
+    report.map_err(|error| Fault::Malformed(error.to_string()))
+}
+
 impl Stream {
     /// Waits for the next event.
     ///
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,13 +1,13 @@
 //! A model engine that paces its tokens.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use anyhow::Result;
 use bytes::Bytes;
 use fescuerack_wire::chat::{self, Choice, Completion, Message, Usage};
-use fescuerack_wire::header;
+use fescuerack_wire::{header, load};
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use tokio::runtime::Handle;
@@ -36,6 +36,8 @@
     finished: AtomicU64,
     cancelled: AtomicU64,
     cut_after: AtomicU64,
+    work: AtomicU64,
+    leaving: AtomicBool,
 }
 
 /// The engine's stand-in.
@@ -59,6 +61,8 @@
             finished: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             cut_after: AtomicU64::new(0),
+            work: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
         });
         let for_handler = Arc::clone(&shared);
         let handler: crate::Handler = Arc::new(move |request| {
@@ -86,6 +90,11 @@
         self.shared.cut_after.store(tokens, Ordering::SeqCst);
     }
 
+    /// Refuses new work from now on; running work finishes.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Returns how many requests it started, finished and saw cancelled.
     #[must_use]
     pub fn counts(&self) -> (u64, u64, u64) {
@@ -102,6 +111,13 @@
         if self.faults.get(Fault::Down) > 0 {
             return None;
         }
+        if request.uri().path() == "/load" {
+            return Some(self.load());
+        }
+        if self.leaving.load(Ordering::SeqCst) {
+            let attempt = read_header(&request, header::ATTEMPT).unwrap_or_default();
+            return refuse_leaving(attempt);
+        }
         let asked: chat::Request = match serde_json::from_slice(request.body()) {
             Ok(asked) => asked,
             Err(error) => return Some(answer(400, error.to_string())),
@@ -124,12 +140,26 @@
         response
     }
 
+    fn load(&self) -> hyper::Response<crate::http::Body> {
+        let running = self.started.load(Ordering::SeqCst)
+            - self.finished.load(Ordering::SeqCst)
+            - self.cancelled.load(Ordering::SeqCst);
+        let report = load::Report {
+            work: self.work.load(Ordering::SeqCst),
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            leaving: self.leaving.load(Ordering::SeqCst),
+            ..load::Report::default()
+        };
+        answer(200, serde_json::to_vec(&report).unwrap_or_default())
+    }
+
     async fn stream(&self, asked: chat::Request, mut sender: Sender<Bytes, std::io::Error>) {
         let limit = asked
             .rest
             .get("max_tokens")
             .and_then(serde_json::Value::as_u64);
         let tokens = limit.unwrap_or(DEFAULT_TOKENS);
+        let _work = Work::new(&self.work, tokens);
         let prompt = prompt_tokens(&asked);
         let cut_after = self.cut_after.load(Ordering::SeqCst);
         let mut due = Instant::now() + Duration::from_millis(self.pace.first_ms);
@@ -159,6 +189,32 @@
     }
 }
 
+/// Tokens of a request that runs; dropping it ends the count.
+struct Work<'a> {
+    all: &'a AtomicU64,
+    tokens: u64,
+}
+
+impl<'a> Work<'a> {
+    fn new(all: &'a AtomicU64, tokens: u64) -> Self {
+        all.fetch_add(tokens, Ordering::SeqCst);
+        Self { all, tokens }
+    }
+}
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        self.all.fetch_sub(self.tokens, Ordering::SeqCst);
+    }
+}
+
+fn refuse_leaving(attempt: &str) -> Response {
+    let mut refusal = answer(503, "leaving");
+    let value = hyper::header::HeaderValue::from_str(attempt).ok()?;
+    refusal.headers_mut().insert(header::ATTEMPT, value);
+    Some(refusal)
+}
+
 fn prompt_tokens(asked: &chat::Request) -> u64 {
     let text = asked.rest.get("messages").or(asked.rest.get("prompt"));
     let bytes = text.map_or(0, |text| text.to_string().len());
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod header;
 pub mod kv;
 pub mod list;
+pub mod load;
 pub mod peer;
 pub mod rating;
