--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod clock;
 pub mod ledger;
 pub mod member;
+pub mod num;
+pub mod pacing;
 pub mod route;
 pub mod session;
 
--- a/crates/core/src/member/exchange.rs
+++ b/crates/core/src/member/exchange.rs
@@ -119,6 +119,12 @@
         self.pressing = true;
     }
 
+    /// Asks for exchanges at once, because a digest holds news that should not
+    /// wait for its turn.
+    pub fn press(&mut self) {
+        self.pressing = true;
+    }
+
     /// Sets the digests that the next messages carry.
     pub fn tell(&mut self, digests: BTreeMap<String, Value>) {
         self.digests = digests;
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -14,6 +14,7 @@
 mod intake;
 mod models;
 mod port;
+mod prompt;
 mod reply;
 mod service;
 mod stream;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,6 +4,7 @@
 //! ([`fescuerack_core::member`]); this module carries the messages, seals them
 //! with the fleet's key, and hands to each slice what concerns it.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -93,35 +94,66 @@
 /// Takes over what the slices hold now; wakes the exchange when something that
 /// all should hold alike has changed.
 pub fn publish(shared: &Shared) {
-    let states = peer::slices(&shared_state(shared));
-    let digests = peer::slices(&digest(shared));
+    // Also what a slice holds of nothing is named, or a peer could not see that
+    // this process lacks what it knows.
+    let states = peer::fields(&shared_state(shared));
+    let digest = digest(shared);
     let mut member = lock(&shared.member);
     let members = member.view.size();
-    let mut changed = false;
+    // A server that leaves must get no new work within a few seconds, which a
+    // spread by the periodic exchanges alone would take up.
+    let mut changed = tell_leaving(shared, &digest);
+    if changed {
+        member.press();
+    }
     for (slice, state) in states {
         changed |= member.replica.set(&slice, state, members);
     }
-    member.tell(digests);
+    member.tell(peer::slices(&digest));
     drop(member);
     if changed {
         shared.wake.notify_one();
     }
 }
 
+/// Returns whether servers leave of which peers were not told yet.
+fn tell_leaving(shared: &Shared, digest: &Digest) -> bool {
+    let leaving: BTreeSet<String> = digest.words.leaving.keys().cloned().collect();
+    let mut told = lock(&shared.told_leaving);
+    let news = !leaving.is_subset(&told);
+    *told = leaving;
+    news
+}
+
 /// Collects what all instances should hold alike.
 fn shared_state(_shared: &Shared) -> peer::Shared {
     peer::Shared {}
 }
 
 /// Collects what the slices tell their peers.
-fn digest(_shared: &Shared) -> Digest {
-    Digest {}
+fn digest(shared: &Shared) -> Digest {
+    let force = shared.force();
+    let now = shared.now();
+    Digest {
+        rates: lock(&shared.rates).digest(&force.names, now),
+        pools: lock(&shared.pools).digest(&force.names, now),
+        words: lock(&shared.routes).digest(now),
+    }
+}
+
+fn merge(shared: &Shared, from: &str, digest: &Digest) {
+    let force = shared.force();
+    let now = shared.now();
+    lock(&shared.rates).merge(&force.names, now, from, &digest.rates);
+    lock(&shared.pools).merge(&force.names, now, from, &digest.pools);
+    lock(&shared.routes).merge(now, &digest.words);
 }
 
 /// Hands to the slices what a peer told.
 fn take_in(shared: &Shared, input: Input) {
     let _states: peer::Shared = peer::from_slices(input.states);
-    let _digest: Digest = peer::from_slices(input.digests);
+    let digest: Digest = peer::from_slices(input.digests);
+    merge(shared, &input.origin, &digest);
     publish(shared);
 }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,7 +7,10 @@
 
 use std::collections::BTreeMap;
 
+use fescuerack_core::admission::rate;
+use fescuerack_core::attempt::pools;
 use fescuerack_core::member::Message;
+use fescuerack_core::route::word;
 use hmac::{Hmac, KeyInit as _, Mac as _};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -24,15 +27,33 @@
 /// What an instance tells its peers with its messages. Each field is one
 /// slice; an instance of another version may know more or fewer.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Digest {}
+#[serde(default)]
+pub struct Digest {
+    /// Shares of organisations' limits.
+    pub rates: rate::Digest,
+    /// Pools that fail.
+    pub pools: pools::Digest,
+    /// Servers that leave.
+    pub words: word::Digest,
+}
 
 /// Soft state that every instance should hold alike. Each field is one slice.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Shared {}
 
+/// Returns each field of `all` by its name; a slice that has nothing to tell is
+/// left out.
+#[must_use]
+pub fn slices<T: Serialize + Default>(all: &T) -> BTreeMap<String, Value> {
+    let nothing = fields(&T::default());
+    let mut slices = fields(all);
+    slices.retain(|slice, state| nothing.get(slice) != Some(state));
+    slices
+}
+
 /// Returns each field of `all` by its name.
 #[must_use]
-pub fn slices<T: Serialize>(all: &T) -> BTreeMap<String, Value> {
+pub fn fields<T: Serialize>(all: &T) -> BTreeMap<String, Value> {
     match serde_json::to_value(all) {
         Ok(Value::Object(slices)) => slices.into_iter().collect(),
         Ok(_) | Err(_) => BTreeMap::new(),
