--- a/crates/core/src/cascade/learner.rs
+++ b/crates/core/src/cascade/learner.rs
@@ -9,7 +9,7 @@
 use crate::clock::Instant;
 
 /// Reports of one digest; with more classes and versions they take turns.
-const MOST_REPORTS: usize = 32;
+const MOST_REPORTS: usize = 2;
 /// Weight of a new measurement of latency or length.
 const SMOOTHING: f64 = 0.1;
 /// Output tokens that are expected before any answer of a class has ended.
--- a/crates/core/src/cascade/mod.rs
+++ b/crates/core/src/cascade/mod.rs
@@ -9,12 +9,12 @@
 //! - [`Learner`] learns from ratings, own and peers', how good each version's
 //!   answers are in each class, as a distribution with the configuration's
 //!   expectation as its prior.
-//! - [`plan`] lists the plans of a request, cheapest first: one version
+//! - [`plan()`] lists the plans of a request, cheapest first: one version
 //!   directly, or a cheap version whose answer is rated and handed on only at
 //!   or above a threshold, else a dearer one. The threshold is the lowest one
 //!   at which the lower confidence bound of the cascade's quality meets the
 //!   target, since a lower threshold escalates less and so costs less.
-//! - [`choose`] adds what must always hold: allowed versions only, none that
+//! - [`choose()`] adds what must always hold: allowed versions only, none that
 //!   is withdrawn, sessions keep theirs, and no plan whose bound misses the
 //!   target unless the organisation's configuration says so.
 //!
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -37,7 +37,7 @@
 /// Suspicions that one instance remembers.
 const MOST: usize = 4096;
 /// Suspicions that are told to a peer at a time.
-const TOLD: usize = 32;
+const TOLD: usize = 8;
 
 /// Prefix of the keys in the store.
 pub const PREFIX: &str = "poison/";
--- a/crates/core/src/rollout/board.rs
+++ b/crates/core/src/rollout/board.rs
@@ -22,7 +22,7 @@
 /// Servers of which the last failure is remembered.
 const MOST_SERVERS: usize = 4096;
 /// Reports of others that go into one digest.
-const RELAYED: usize = 24;
+const RELAYED: usize = 5;
 
 /// What an instance saw of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -435,26 +435,33 @@
         self.relay.rotate_right(relayed);
         Digest {
             informed: self.informed,
-            records: self.records.clone(),
             reports,
         }
     }
 
+    /// Returns the halts and steps that all instances should hold alike.
+    #[must_use]
+    pub fn records(&self) -> BTreeMap<String, Record> {
+        self.records.clone()
+    }
+
+    /// Takes over a record that a peer holds; returns whether a halt or a step
+    /// was news: then [`Board::configure`] must follow.
+    pub fn merge_record(&mut self, now: Instant, model: &str, record: &Record) -> bool {
+        let known = self.records.entry(model.to_owned()).or_default();
+        let news = known.merge(record);
+        self.enforce(now);
+        news
+    }
+
     /// Takes over what a peer tells; repeated, reordered and old messages
     /// change nothing.
-    /// Returns whether a halt or a step was news; then
-    /// [`Board::configure`] must follow.
-    pub fn merge(&mut self, now: Instant, digest: &Digest) -> bool {
-        let mut news = false;
-        for (model, record) in &digest.records {
-            news |= self.records.entry(model.clone()).or_default().merge(record);
-        }
+    pub fn merge(&mut self, now: Instant, digest: &Digest) {
         self.informed |= digest.informed;
         for report in &digest.reports {
             self.hear(now, report);
         }
         self.enforce(now);
-        news
     }
 
     fn hear(&mut self, now: Instant, report: &Report) {
--- a/crates/core/src/rollout/digest.rs
+++ b/crates/core/src/rollout/digest.rs
@@ -1,11 +1,8 @@
 //! What instances tell each other about roll-outs.
 
-use std::collections::BTreeMap;
-
 use serde::{Deserialize, Serialize};
 
 use super::count::Pair;
-use super::record::Record;
 use super::trial::Id;
 
 /// Counters of one incarnation in one trial.
@@ -27,8 +24,6 @@
 pub struct Digest {
     /// Whether the sender has heard of a record from the store or from others.
     pub informed: bool,
-    /// Halts and steps by model.
-    pub records: BTreeMap<String, Record>,
     /// Counters: the sender's own and some that it heard.
     pub reports: Vec<Report>,
 }
--- a/crates/core/src/rollout/mod.rs
+++ b/crates/core/src/rollout/mod.rs
@@ -3,7 +3,7 @@
 //! Operators say in the configuration which version is the candidate, at which
 //! stage the roll-out starts and under which number of their word (`word`).
 //! Every instance counts what both versions' answers were like, hears its
-//! peers' counts and tests on their sum ([`test`]). Three things follow:
+//! peers' counts and tests on their sum ([`mod@test`]). Three things follow:
 //!
 //! - **Halt**: the evidence rejects the candidate, or the budget of bad
 //!   answers is used up. The instance acts at once: the candidate is withdrawn
--- a/crates/core/src/rollout/record.rs
+++ b/crates/core/src/rollout/record.rs
@@ -69,9 +69,11 @@
 }
 
 impl Record {
-    /// Most candidates of one model that are remembered; the lowest words go
-    /// first.
-    const MOST: usize = 64;
+    /// Most candidates of one model that are remembered. The lowest words go
+    /// first: whoever names such a candidate again does so under a higher word,
+    /// which would clear its halt anyway. The bound keeps ten models' records
+    /// within a message of peers.
+    const MOST: usize = 4;
 
     /// Returns whether `candidate` is halted under the operator's `word`.
     #[must_use]
--- a/crates/core/src/session/memory.rs
+++ b/crates/core/src/session/memory.rs
@@ -7,7 +7,7 @@
 use sha2::{Digest as _, Sha256};
 
 /// Sessions that are told to a peer at a time.
-const TOLD: usize = 64;
+const TOLD: usize = 12;
 
 /// Returns the identifier of a session in memory and messages: callers' own
 /// identifiers stay out of both.
--- a/crates/core/tests/all/fleet.rs
+++ b/crates/core/tests/all/fleet.rs
@@ -67,7 +67,7 @@
     pub candidate: key::Version,
     pub server: key::Server,
     starts: u32,
-    told: Vec<Digest>,
+    told: Vec<(BTreeMap<String, Record>, Digest)>,
 }
 
 impl Fleet {
@@ -178,14 +178,20 @@
 
     /// One instance hears another.
     pub fn tell(&mut self, now: Instant, from: usize, to: usize) {
-        let mut digest = self.boards[from].digest();
+        let mut digest = (self.boards[from].records(), self.boards[from].digest());
         if !self.told.is_empty() && self.rng.random_bool(0.1) {
             let old = self.rng.random_range(0..self.told.len());
             digest = std::mem::replace(&mut self.told[old], digest);
         } else if self.told.len() < 64 {
             self.told.push(digest.clone());
         }
-        if self.boards[to].merge(now, &digest) {
+        let (records, digest) = digest;
+        let mut news = false;
+        for (model, record) in &records {
+            news |= self.boards[to].merge_record(now, model, record);
+        }
+        self.boards[to].merge(now, &digest);
+        if news {
             self.boards[to].configure(now, &self.catalog, &self.names);
         }
     }
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -1,5 +1,6 @@
-//! Tests of the decisions, one module per subject.
+//! Tests of the core's slices, without a network.
 
 mod fleet;
+mod member;
 mod replay;
 mod rollout;
--- a/crates/node/src/callers/chat.rs
+++ b/crates/node/src/callers/chat.rs
@@ -65,6 +65,7 @@
             call: &self.call,
             choice: &self.choice,
             asked: &asked,
+            meter: self.place.meter(),
         };
         let ready = match steps.run().await {
             Ok(ready) => ready,
--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -129,7 +129,7 @@
     let (Some(session), Some(token)) = (&call.session, &call.session_token) else {
         return Pins::new();
     };
-    let secret = shared.settings.session_secret.as_bytes();
+    let secret = shared.settings.peer_key.as_bytes();
     let organisation = force.names.organisations.name(call.organisation);
     token::open(secret, organisation, session, token).unwrap_or_default()
 }
@@ -188,7 +188,7 @@
         }
         Place::Start(_) | Place::Keep(_) => None,
     };
-    let secret = shared.settings.session_secret.as_bytes();
+    let secret = shared.settings.peer_key.as_bytes();
     Some(Session {
         token: token::sign(secret, organisation, session, &pins),
         moved_from,
--- a/crates/node/src/callers/steps.rs
+++ b/crates/node/src/callers/steps.rs
@@ -23,6 +23,7 @@
 use super::collect::Answer;
 use super::intake::Call;
 use super::observer::Observer;
+use crate::admission::Meter;
 use crate::shared::{Force, Shared};
 use crate::versions::ratings;
 
@@ -45,6 +46,8 @@
     pub choice: &'a Choice,
     /// What it asks.
     pub asked: &'a chat::Request,
+    /// Tells admission how the attempts go.
+    pub meter: Meter,
 }
 
 /// An answer that may be handed on.
@@ -203,6 +206,7 @@
             deadline: self.call.deadline,
         };
         Run::new(Arc::clone(self.shared), Arc::clone(self.force), work)
+            .with_meter(self.meter.clone())
     }
 }
 
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -8,7 +8,9 @@
 use tokio::sync::mpsc;
 
 use super::attempts::Work;
-use crate::shared::{Running, Shared};
+use crate::admission::Meter;
+use crate::running::Running;
+use crate::shared::Shared;
 use crate::versions::suspects;
 
 /// Events that wait for a slow reader before the engine's thread waits too;
@@ -19,7 +21,7 @@
 pub type Events = mpsc::Receiver<Result<Event, Fault>>;
 
 /// Starts an attempt.
-pub fn start(shared: &Arc<Shared>, running: Running, work: Work) -> Events {
+pub fn start(shared: &Arc<Shared>, running: Running, work: Work, meter: Meter) -> Events {
     let (sender, events) = mpsc::channel(BUFFER);
     let shared = Arc::clone(shared);
     let attempt = Attempt {
@@ -36,8 +38,9 @@
         address: running.address.clone(),
     };
     tokio::task::spawn_blocking(move || {
-        let _running = running;
-        run(&shared, &attempt, &watched, deadline, &sender);
+        run(
+            &shared, &attempt, &watched, deadline, &sender, running, &meter,
+        );
     });
     events
 }
@@ -48,6 +51,8 @@
     watched: &suspects::Attempt,
     deadline: Instant,
     sender: &mpsc::Sender<Result<Event, Fault>>,
+    mut running: Running,
+    meter: &Meter,
 ) {
     let remaining = deadline.since(shared.now());
     let mut stream = match engine::open(&shared.upstream, attempt, remaining) {
@@ -55,12 +60,28 @@
         Err(fault) => {
             // Before the request hears of it and tries again.
             suspects::ended(shared, watched, Err(&fault));
+            running.failed(&fault);
+            note(shared, meter, deadline, &fault);
             let _ = sender.blocking_send(Err(fault));
             return;
         }
     };
     loop {
         let event = stream.next_event();
+        match &event {
+            Ok(Event::Part(_)) => {
+                running.answered();
+                meter.part(shared.now());
+            }
+            Ok(Event::End) => {
+                running.ended_well();
+                meter.whole();
+            }
+            Err(fault) => {
+                running.failed(fault);
+                note(shared, meter, deadline, fault);
+            }
+        }
         let last = !matches!(event, Ok(Event::Part(_)));
         if last {
             suspects::ended(shared, watched, event.as_ref().map(|_| ()));
@@ -73,3 +94,17 @@
         }
     }
 }
+
+/// Tells admission when a fault means that runners have too much to do.
+fn note(shared: &Shared, meter: &Meter, deadline: Instant, fault: &Fault) {
+    let refused = matches!(
+        fault,
+        Fault::Refused {
+            status: 429 | 503,
+            ..
+        }
+    );
+    if refused || shared.now() >= deadline {
+        meter.overloaded();
+    }
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -63,7 +63,7 @@
 
 fn state(shared: &Shared) -> serde_json::Value {
     let force = shared.force();
-    let (running, waiting) = shared.gate.load();
+    let admission = shared.gate.summary();
     let servers: Vec<_> = lock(&shared.routes)
         .iter()
         .map(|(_, server)| {
@@ -73,6 +73,9 @@
                 "address": server.address,
                 "state": server.state,
                 "in_flight": server.in_flight,
+                "work": server.work,
+                "health": server.health,
+                "first_s": server.first.value,
             })
         })
         .collect();
@@ -83,10 +86,36 @@
         "ready": shared.is_ready(),
         "draining": shared.draining.load(Ordering::SeqCst),
         "configuration": {"revision": force.catalog.revision},
-        "admission": {"running": running, "waiting": waiting},
+        "admission": admission,
         "route": {"servers": servers},
+        "member": member(shared),
         "versions": versions::state(shared),
         "ledger": {"pending": lock(&shared.book).pending()},
         "counters": shared.metrics.counters(),
     })
 }
+
+fn member(shared: &Shared) -> serde_json::Value {
+    let now = shared.now();
+    let member = lock(&shared.member);
+    let instances: Vec<_> = member
+        .view
+        .iter()
+        .map(|(key, instance)| {
+            json!({
+                "id": instance.id,
+                "zone": instance.zone,
+                "address": instance.address,
+                "state": instance.state,
+                "listed": instance.listed,
+                "live": member.view.is_live(now, key),
+                "heard_ms_ago": instance.heard.map(|heard| now.since(heard).as_millis()),
+                "failures": instance.failures,
+            })
+        })
+        .collect();
+    json!({
+        "instances": instances,
+        "hashes": member.replica.hashes(),
+    })
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,19 +1,21 @@
 //! What the threads of a process share.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use anyhow::Result;
-use fescuerack_config::{Catalog, Names, key};
+use fescuerack_config::{Catalog, Names};
+use fescuerack_core::admission::rate::Rates;
+use fescuerack_core::attempt::pools::Pools;
 use fescuerack_core::clock::Instant;
-use fescuerack_core::{ledger, route};
+use fescuerack_core::{ledger, member, route};
 use fescuerack_platform::{Agent, HttpDirectory, HttpStore, agent};
-use fescuerack_wire::list;
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 
 use crate::admission::Gate;
-use crate::clock::Clock;
+use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::versions::Versions;
@@ -49,14 +51,22 @@
     pub gate: Gate,
     /// Backend servers.
     pub routes: Mutex<route::Table>,
+    /// Organisations' limits across instances.
+    pub rates: Mutex<Rates>,
+    /// Pools of backend servers and their retry budgets.
+    pub pools: Mutex<Pools>,
     /// Roll-outs, quality, sessions, suspects.
     pub versions: Versions,
     /// Names; the only writer is [`Shared::names`].
     names: Mutex<Names>,
     /// Entries that are to be kept.
     pub book: Mutex<ledger::Book>,
-    /// Other instances.
-    pub peers: Mutex<Vec<list::Instance>>,
+    /// Other instances and the soft state that is shared with them.
+    pub member: Mutex<member::Exchange>,
+    /// Servers of which peers were told that they leave.
+    pub told_leaving: Mutex<BTreeSet<String>>,
+    /// Wakes the exchange with other instances.
+    pub wake: tokio::sync::Notify,
     /// Whether the instance list has been read since the start.
     pub listed: AtomicBool,
     /// Whether the process has begun to shut down.
@@ -64,7 +74,8 @@
     /// Whether new requests are refused.
     pub draining: AtomicBool,
     force: RwLock<Arc<Force>>,
-    rng: Mutex<Pcg64Mcg>,
+    /// Randomness of decisions.
+    pub rng: Mutex<Pcg64Mcg>,
 }
 
 /// Locks a mutex; a panic elsewhere does not make its data unusable, because
@@ -95,12 +106,16 @@
             // a request is being written, and its outcome would be unknown: a
             // call that must not be repeated gets a connection of its own.
             once: agent(0),
-            gate: Gate::new(settings.limits.concurrency),
-            routes: Mutex::new(route::Table::new()),
+            gate: Gate::new(settings.limits.concurrency, rng.random()),
+            routes: Mutex::new(route::Table::new(&settings.zone)),
+            rates: Mutex::new(Rates::new()),
+            pools: Mutex::new(Pools::new()),
             versions: Versions::new(&incarnation, &settings.platform),
             names: Mutex::new(Names::new()),
             book: Mutex::new(ledger::Book::new()),
-            peers: Mutex::new(Vec::new()),
+            member: Mutex::new(member::Exchange::new(identity(&settings))),
+            told_leaving: Mutex::new(BTreeSet::new()),
+            wake: tokio::sync::Notify::new(),
             listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             draining: AtomicBool::new(false),
@@ -154,22 +169,9 @@
         change(&mut lock(&self.names))
     }
 
-    /// Chooses a backend server and counts an attempt on it.
-    #[must_use]
-    pub fn start_attempt(
-        self: &Arc<Self>,
-        fleets: &[key::Fleet],
-        avoid: &std::collections::BTreeSet<key::Server>,
-    ) -> Option<Running> {
-        let mut routes = lock(&self.routes);
-        let server = routes.choose(fleets, avoid, &mut *lock(&self.rng))?;
-        routes.start(server);
-        let address = routes.get(server)?.address.clone();
-        Some(Running {
-            shared: Arc::clone(self),
-            server,
-            address,
-        })
+    /// Draws on the process's randomness.
+    pub fn with_rng<R>(&self, draw: impl FnOnce(&mut Pcg64Mcg) -> R) -> R {
+        draw(&mut lock(&self.rng))
     }
 
     /// Returns a random identifier.
@@ -191,17 +193,15 @@
     }
 }
 
-/// An attempt that runs on a backend server; dropping it ends the count.
-pub struct Running {
-    shared: Arc<Shared>,
-    /// The server.
-    pub server: key::Server,
-    /// Its address.
-    pub address: String,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        lock(&self.shared.routes).end(self.server);
+fn identity(settings: &Settings) -> member::Identity {
+    member::Identity {
+        fleet: settings.fleet.clone(),
+        id: settings.instance.clone(),
+        zone: settings.zone.clone(),
+        address: String::new(),
+        // A later start has a later time, which is all that is needed: a clock
+        // that was set back makes peers pass over the new start's word until
+        // it has caught up, and costs no promise.
+        incarnation: clock::wall().0,
     }
 }
--- a/crates/node/src/versions/mod.rs
+++ b/crates/node/src/versions/mod.rs
@@ -15,7 +15,7 @@
 use fescuerack_core::poison::Suspects;
 use fescuerack_core::rollout::Board;
 use fescuerack_core::session::Memory;
-use fescuerack_core::{cascade, poison, rollout, session};
+use fescuerack_core::{cascade, rollout};
 use serde_json::json;
 
 use crate::shared::{Force, Shared, lock};
@@ -87,34 +87,32 @@
     }
 }
 
-/// What peers are told.
-pub fn digests(
-    shared: &Shared,
-    force: &Force,
-) -> (
-    rollout::Digest,
-    cascade::Digest,
-    session::Digest,
-    poison::Digest,
-) {
-    let versions = &shared.versions;
+/// Returns how many instances share what the fleet is allowed.
+#[must_use]
+pub fn instances(shared: &Shared) -> u32 {
+    let size = lock(&shared.member).view.size();
+    u32::try_from(size.max(1)).unwrap_or(u32::MAX)
+}
+
+/// Takes over the halts and steps that a peer holds.
+pub fn merge_records(shared: &Shared, records: &BTreeMap<String, rollout::Record>) {
     let now = shared.now();
-    (
-        lock(&versions.board).digest(),
-        lock(&versions.learner).digest(&force.names),
-        lock(&versions.sessions).digest(&force.names),
-        lock(&versions.suspects).digest(now),
-    )
+    let mut news = false;
+    let mut board = lock(&shared.versions.board);
+    for (model, record) in records {
+        news |= board.merge_record(now, model, record);
+    }
+    drop(board);
+    if news {
+        shared.versions.reconfigure(now, &shared.force());
+    }
 }
 
 /// Takes over what a peer tells.
 pub fn merge(shared: &Shared, force: &Force, digest: &fescuerack_wire::peer::Digest) {
     let versions = &shared.versions;
     let now = shared.now();
-    let news = lock(&versions.board).merge(now, &digest.rollouts);
-    if news {
-        versions.reconfigure(now, force);
-    }
+    lock(&versions.board).merge(now, &digest.rollouts);
     lock(&versions.learner).merge(&force.catalog, &force.names, &digest.quality);
     lock(&versions.sessions).merge(&force.names, &digest.sessions);
     lock(&versions.suspects).merge(now, &digest.suspects);
--- a/crates/node/src/versions/ratings.rs
+++ b/crates/node/src/versions/ratings.rs
@@ -87,8 +87,7 @@
 /// Returns whether an answer may be rated now.
 pub fn may_rate(shared: &Shared, force: &Force, purpose: Purpose) -> bool {
     let limit = force.catalog.limits.get(LIMIT).copied();
-    let instances = u32::try_from(lock(&shared.peers).len().max(1)).unwrap_or(1);
-    let rate = limit.unwrap_or(DEFAULT_RATE) / f64::from(instances);
+    let rate = limit.unwrap_or(DEFAULT_RATE) / f64::from(super::instances(shared));
     let now = shared.now();
     lock(&shared.versions.ratings.bucket).take(now, rate, purpose)
 }
--- a/crates/node/src/versions/rollouts.rs
+++ b/crates/node/src/versions/rollouts.rs
@@ -43,7 +43,7 @@
                 shared.metrics.count("rollouts.store_failed");
             }
         }
-        let instances = u32::try_from(lock(&shared.peers).len()).unwrap_or(u32::MAX);
+        let instances = super::instances(shared);
         let mut board = lock(&shared.versions.board);
         board.with_peers(instances);
         let acts = board.decide(now);
@@ -105,8 +105,8 @@
         Act::Step(model, candidate, step) => {
             // All instances come to this conclusion at about the same time and
             // one write is enough.
-            let instances = u64::try_from(lock(&shared.peers).len().max(1)).unwrap_or(1);
-            if !shared.random().is_multiple_of(instances) {
+            let instances = super::instances(shared);
+            if !shared.random().is_multiple_of(u64::from(instances)) {
                 return Ok(());
             }
             write(shared, model, Some((candidate, *step)))
--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -89,6 +89,9 @@
     let condemned = suspects.judge(now, fingerprint) == Verdict::Refuse;
     drop(suspects);
     shared.metrics.count("suspects.crashes");
+    // The caller may send it again at once, through any instance.
+    lock(&shared.member).press();
+    shared.wake.notify_one();
     log::warn!(server = server; "a backend server crashed under a request");
     condemned
 }
@@ -172,3 +175,9 @@
     let now = shared.now();
     lock(&shared.versions.suspects).start(now, fingerprint, server)
 }
+
+/// Returns whether a request is suspected of crashing servers.
+pub fn is_suspected(shared: &Shared, fingerprint: Fingerprint) -> bool {
+    let suspects = lock(&shared.versions.suspects);
+    suspects.judge(shared.now(), fingerprint) != Verdict::Run
+}
--- a/crates/wire/src/token.rs
+++ b/crates/wire/src/token.rs
@@ -2,7 +2,7 @@
 //!
 //! It names the versions that the session keeps and is signed, so that nobody
 //! starts a new session on a closed version by writing one. It is bound to
-//! organisation and session; a token that does not fit is as good as none.
+//! organisation and session by the key that the fleet's instances share; a token that does not fit is as good as none.
 
 use fescuerack_core::session::Pins;
 use hmac::{Hmac, KeyInit as _, Mac as _};
@@ -13,7 +13,9 @@
 
 fn mac(secret: &[u8], organisation: &str, session: &str, pins: &str) -> Hmac<Sha256> {
     let mut mac = Hmac::<Sha256>::new_from_slice(secret).expect("keys of any length are taken");
-    for part in [organisation, session, pins] {
+    // The key also seals the messages of instances: the first part keeps the
+    // two apart.
+    for part in ["session token", organisation, session, pins] {
         mac.update(part.as_bytes());
         mac.update(&[0]);
     }
