Tell every problem of the configuration at once, with file and line

Cause: a folder with three faults was told of the first of each file only, a reference error had no line, and the line of a parse error came with a picture of the text.

Each file is parsed into a tree of nodes with lines and bytes beside the typed parse. It gives every value its line, lets the entries of a refused file be parsed one by one, and lets single fields be edited in place (change, edit): roll-outs, servers and organisations change by name without losing comments. An edit is parsed again and compared with what was asked for, so a layout that is not understood gives an error and never a wrong file. Ruled out: writing the parsed file anew, which drops comments; lines from the typed parse alone (Spanned in every field), which ends at the first error.

New section operators (token digests, files, organisations, admin) and the permission check of a change.

--- /dev/null
+++ b/crates/config/src/catalog/compile/targets.rs
@@ -0,0 +1,55 @@
+//! Section `targets`.
+
+use super::super::Class;
+use super::{Builder, accepted};
+use crate::file;
+
+impl Builder<'_> {
+    pub(super) fn targets(&mut self) {
+        for (name, entry) in &self.merged.file.targets {
+            self.target(name, entry);
+        }
+    }
+
+    fn target(&mut self, name: &str, entry: &file::Target) {
+        let path = format!("targets/{name}");
+        self.share(&format!("{path}/quality"), entry.quality);
+        if entry.deadline_ms == 0 {
+            self.report(&format!("{path}/deadline_ms"), "must be at least 1");
+        }
+        if entry.first_token_ms > entry.deadline_ms {
+            self.report(
+                &format!("{path}/first_token_ms"),
+                format!("must not be over deadline_ms, {}", entry.deadline_ms),
+            );
+        }
+        if entry.models.is_empty() {
+            self.report(&format!("{path}/models"), "must name at least one model");
+        }
+        let mut models = Vec::new();
+        for (index, model) in entry.models.iter().enumerate() {
+            if let Some(key) = self.known_model(model) {
+                models.push(key);
+                continue;
+            }
+            let defined = accepted(self.merged.file.models.keys());
+            self.report(
+                &format!("{path}/models/{index}"),
+                format!("no model is named {model}; {defined}"),
+            );
+        }
+        let class = self.names.classes.intern(name);
+        self.catalog.classes.insert(
+            class,
+            Class {
+                quality: entry.quality,
+                models,
+                first_token_ms: entry.first_token_ms,
+                deadline_ms: entry.deadline_ms,
+                long: entry.long,
+                cascade: entry.cascade,
+                priority: entry.priority,
+            },
+        );
+    }
+}
--- /dev/null
+++ b/crates/config/src/change/organisation.rs
@@ -0,0 +1,48 @@
+//! Organisations.
+
+use serde_json::{Map, Value as Json};
+
+use super::{Draft, Fields, Refusal, senseless};
+
+/// Section of organisations.
+const SECTION: &str = "organisations";
+
+pub(super) fn set(draft: &mut Draft<'_>, name: &str, fields: &Fields) -> Result<(), Refusal> {
+    let values = values(fields);
+    if draft.owner(SECTION, name).is_none() {
+        let file = match &fields.file {
+            Some(file) => file.clone(),
+            None => draft.home(SECTION)?,
+        };
+        return draft.put(&file, SECTION, name, Some(&values));
+    }
+    if values.is_empty() {
+        return Err(senseless("name at least one field to change"));
+    }
+    for (field, value) in values {
+        draft.set(SECTION, name, &field, value)?;
+    }
+    Ok(())
+}
+
+pub(super) fn remove(draft: &mut Draft<'_>, name: &str) -> Result<(), Refusal> {
+    let owner = draft
+        .owner(SECTION, name)
+        .ok_or_else(|| senseless(format!("no organisation is named {name}")))?;
+    draft.put(&owner, SECTION, name, None)
+}
+
+fn values(fields: &Fields) -> Map<String, Json> {
+    let mut values = Map::new();
+    let mut add = |name: &str, value: Option<Json>| {
+        if let Some(value) = value {
+            values.insert(name.to_owned(), value);
+        }
+    };
+    add("weight", fields.weight.map(Json::from));
+    add("allow", fields.allow.clone().map(Json::from));
+    add("services", fields.services.clone().map(Json::from));
+    add("below_target", fields.below_target.map(Json::from));
+    add("keys", fields.keys.clone().map(Json::from));
+    values
+}
--- /dev/null
+++ b/crates/config/src/edit/mod.rs
@@ -0,0 +1,237 @@
+//! Changes of single fields and entries in the text of a file.
+//!
+//! A program that parsed a file and wrote it anew would drop its comments and
+//! its order, and the team that owns the file would no longer recognise it.
+//! These functions replace the lines of one field or one entry and leave all
+//! others as they are. Each result is parsed again and compared with what was
+//! asked for, so a layout that the functions do not understand gives an error
+//! and never a wrong file.
+
+mod emit;
+mod lines;
+
+use serde_json::{Map, Value as Json};
+
+use crate::tree::{Field, Node, Value};
+use lines::Lines;
+
+/// Why a text was not changed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// The text is no valid file.
+    #[error("line {0}: {1}")]
+    Malformed(usize, String),
+    /// There is no such entry.
+    #[error("there is no entry {0}")]
+    Missing(String),
+    /// The text is laid out in a way that cannot be changed safely.
+    #[error("the layout of {0} cannot be changed by a program; change the file by hand")]
+    Layout(String),
+}
+
+/// Sets one field of an entry, or removes it when `value` is `None`.
+///
+/// # Errors
+///
+/// When the entry is missing or the layout is not understood.
+pub fn set_field(
+    text: &str,
+    section: &str,
+    name: &str,
+    field: &str,
+    value: Option<&Json>,
+) -> Result<String, Refusal> {
+    let root = parse(text)?;
+    let path = format!("{section}/{name}");
+    let entry = entry(&root, section, name).ok_or_else(|| Refusal::Missing(path.clone()))?;
+    let mut wanted = match json(&entry.node) {
+        Json::Object(fields) => fields,
+        Json::Null => Map::new(),
+        _ => return Err(Refusal::Layout(path)),
+    };
+    match value {
+        Some(value) => wanted.insert(field.to_owned(), value.clone()),
+        None => wanted.remove(field),
+    };
+    let changed = change_field(text, entry, field, value)
+        .filter(|changed| holds(changed, &root, section, name, Some(&wanted)));
+    match changed {
+        Some(changed) => Ok(changed),
+        None => put_entry(text, section, name, Some(&wanted)),
+    }
+}
+
+/// Adds or replaces an entry, or removes it when `wanted` is `None`.
+///
+/// # Errors
+///
+/// When the layout is not understood.
+pub fn put_entry(
+    text: &str,
+    section: &str,
+    name: &str,
+    wanted: Option<&Map<String, Json>>,
+) -> Result<String, Refusal> {
+    let root = parse(text)?;
+    if wanted.is_none() && entry(&root, section, name).is_none() {
+        return Err(Refusal::Missing(format!("{section}/{name}")));
+    }
+    let changed = change_entry(text, &root, section, name, wanted);
+    if holds(&changed, &root, section, name, wanted) {
+        Ok(changed)
+    } else {
+        Err(Refusal::Layout(format!("{section}/{name}")))
+    }
+}
+
+fn parse(text: &str) -> Result<Node, Refusal> {
+    Node::new(text).map_err(|failure| Refusal::Malformed(failure.line, failure.message))
+}
+
+fn entry<'a>(root: &'a Node, section: &str, name: &str) -> Option<&'a Field> {
+    root.field(section)?.node.field(name)
+}
+
+/// Returns the text with one field changed, for an entry that has a line for
+/// each field.
+fn change_field(text: &str, entry: &Field, field: &str, value: Option<&Json>) -> Option<String> {
+    let fields = entry.node.fields();
+    let found = fields.iter().position(|known| known.name == field);
+    if let (Some(at), Some(value)) = (found, value) {
+        let bytes = fields[at].node.bytes.clone();
+        if !bytes.is_empty() && !value.is_array() && !value.is_object() {
+            let mut changed = text.to_owned();
+            changed.get(bytes.clone())?;
+            changed.replace_range(bytes, &emit::flow(value));
+            return Some(changed);
+        }
+    }
+    let mut lines = Lines::new(text);
+    let block = fields.first().is_some_and(|first| first.line > entry.line);
+    if !block {
+        return None;
+    }
+    let indent = lines.indent(fields[0].line);
+    let line = value.map(|value| format!("{indent}{field}: {}", emit::flow(value)));
+    let new = line.as_slice();
+    let range = if let Some(at) = found {
+        lines.block(fields[at].line)
+    } else {
+        let end = lines.block(entry.line).end;
+        end..end
+    };
+    lines.replace(range, new);
+    Some(lines.join())
+}
+
+fn change_entry(
+    text: &str,
+    root: &Node,
+    section: &str,
+    name: &str,
+    wanted: Option<&Map<String, Json>>,
+) -> String {
+    let mut lines = Lines::new(text);
+    let Some(block) = root.field(section) else {
+        let mut new = vec![format!("{section}:")];
+        new.extend(
+            wanted
+                .map(|wanted| emit::entry("  ", name, wanted))
+                .unwrap_or_default(),
+        );
+        let end = lines.end();
+        lines.replace(end..end, &new);
+        return lines.join();
+    };
+    let entries = block.node.fields();
+    let known = entries.iter().find(|entry| entry.name == name);
+    let first = entries.first().filter(|first| first.line > block.line);
+    let Some(first) = first else {
+        // The whole section stands on one line, or is empty: write it anew.
+        let mut all = match json(&block.node) {
+            Json::Object(entries) => entries,
+            _ => Map::new(),
+        };
+        match wanted {
+            Some(wanted) => all.insert(name.to_owned(), Json::Object(wanted.clone())),
+            None => all.remove(name),
+        };
+        let mut new = vec![format!("{section}:")];
+        for (name, entry) in &all {
+            let fields = entry.as_object().cloned().unwrap_or_default();
+            new.extend(emit::entry("  ", name, &fields));
+        }
+        if all.is_empty() {
+            new = vec![format!("{section}: {{}}")];
+        }
+        let range = lines.block(block.line);
+        lines.replace(range, &new);
+        return lines.join();
+    };
+    let indent = lines.indent(first.line);
+    let mut new = wanted
+        .map(|wanted| emit::entry(&indent, name, wanted))
+        .unwrap_or_default();
+    let mut range = if let Some(known) = known {
+        lines.block(known.line)
+    } else {
+        let end = lines.block(block.line).end;
+        end..end
+    };
+    if wanted.is_none() && entries.len() == 1 {
+        new = vec![format!("{section}: {{}}")];
+        range = lines.block(block.line);
+    }
+    lines.replace(range, &new);
+    lines.join()
+}
+
+/// Returns whether `changed` differs from `before` in this one entry only,
+/// and there as wanted.
+fn holds(
+    changed: &str,
+    before: &Node,
+    section: &str,
+    name: &str,
+    wanted: Option<&Map<String, Json>>,
+) -> bool {
+    let Ok(after) = Node::new(changed) else {
+        return false;
+    };
+    let mut expected = match json(before) {
+        Json::Object(sections) => sections,
+        _ => Map::new(),
+    };
+    let entries = expected
+        .entry(section)
+        .or_insert_with(|| Json::Object(Map::new()));
+    if entries.is_null() {
+        *entries = Json::Object(Map::new());
+    }
+    let Some(entries) = entries.as_object_mut() else {
+        return false;
+    };
+    match wanted {
+        Some(wanted) => entries.insert(name.to_owned(), Json::Object(wanted.clone())),
+        None => entries.remove(name),
+    };
+    json(&after) == Json::Object(expected)
+}
+
+/// Returns a node without its positions.
+fn json(node: &Node) -> Json {
+    match &node.value {
+        Value::Null => Json::Null,
+        Value::Bool(value) => Json::from(*value),
+        Value::Unsigned(value) => Json::from(*value),
+        Value::Signed(value) => Json::from(*value),
+        Value::Float(value) => Json::from(*value),
+        Value::Text(value) => Json::from(value.as_str()),
+        Value::Sequence(items) => items.iter().map(json).collect(),
+        Value::Mapping(fields) => fields
+            .iter()
+            .map(|field| (field.name.clone(), json(&field.node)))
+            .collect::<Map<_, _>>()
+            .into(),
+    }
+}
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct File {
+    /// Operators by name.
+    pub operators: BTreeMap<String, Operator>,
     /// Organisations by name.
     pub organisations: BTreeMap<String, Organisation>,
     /// Models by name.
@@ -29,6 +31,20 @@
     pub limits: BTreeMap<String, f64>,
 }
 
+/// A person or a program that uses the operators' port.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// SHA-256 digests, in hex, of its tokens.
+    pub tokens: Vec<String>,
+    /// Names of the files that it may change; `*` means all.
+    pub files: Vec<String>,
+    /// Names of the organisations that it may change; `*` means all.
+    pub organisations: Vec<String>,
+    /// Whether it may change the section `operators`.
+    pub admin: bool,
+}
+
 /// An organisation and what it may use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/config/src/folder.rs
+++ b/crates/config/src/folder.rs
@@ -55,3 +55,10 @@
 pub fn digest(content: &[u8]) -> String {
     hex::encode(Sha256::digest(content))
 }
+
+/// Returns whether `text` has the form of a digest.
+#[must_use]
+pub fn is_digest(text: &str) -> bool {
+    let hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    text.len() == 64 && text.bytes().all(hex)
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -9,14 +9,18 @@
 //! instance derives the same catalog from the same manifest.
 
 mod catalog;
+pub mod change;
+pub mod edit;
 pub mod file;
 pub mod folder;
 pub mod key;
 pub mod merge;
 mod names;
+pub mod permission;
 mod problem;
+pub mod tree;
 
-pub use catalog::{Catalog, Class, Cost, Fleet, Organisation, Rollout, Service, Version};
+pub use catalog::{Catalog, Class, Cost, Fleet, Operator, Organisation, Rollout, Service, Version};
 pub use file::File;
 pub use folder::Folder;
 pub use merge::Merged;
--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -1,15 +1,22 @@
 //! Merge of the files of a folder.
 //!
-//! Files are taken in the order of their names. An entry (an organisation, a
-//! model, and so on) may stand in one file only: two teams that write the same
-//! entry would otherwise override each other without noticing. `limits` are
-//! the exception: a later file overrides an earlier one, so that a team can
-//! tighten what the first file sets for all.
+//! Rules, in the order in which they apply:
+//!
+//! 1. Files are taken in the order of their names, by bytes: `10-a.yaml` comes
+//!    before `9-b.yaml`. Only names that end in `.yaml` count.
+//! 2. An empty file is valid and adds nothing.
+//! 3. Two files may hold the same section; their entries are joined.
+//! 4. An entry (an organisation, a model, and so on) may stand in one file
+//!    only, also when both say the same: two teams that write the same entry
+//!    would otherwise override each other without noticing.
+//! 5. `limits` are the exception: the last file that names a limit sets it, so
+//!    that a team can tighten what the first file sets for all.
+//! 6. Any problem in any file refuses the whole folder.
 
 use std::collections::BTreeMap;
 
-use crate::problem::Problem;
-use crate::{File, Folder};
+use crate::tree::{self, Failure, Node, Value};
+use crate::{File, Folder, Problem};
 
 /// The merge of a folder, with the owner of every entry.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -18,6 +25,8 @@
     pub file: File,
     /// File that holds an entry, by `section/name`.
     pub owners: BTreeMap<String, String>,
+    /// Line of every value in its owner, by `section/name/field/...`.
+    pub lines: BTreeMap<String, usize>,
 }
 
 impl Merged {
@@ -31,8 +40,8 @@
         let mut problems = Vec::new();
         for (name, content) in &folder.files {
             match parse(name, content) {
-                Ok(file) => merged.add(name, file, &mut problems),
-                Err(problem) => problems.push(problem),
+                Ok((file, root)) => merged.add(name, file, &root, &mut problems),
+                Err(found) => problems.extend(found),
             }
         }
         if problems.is_empty() {
@@ -42,9 +51,44 @@
         }
     }
 
-    fn add(&mut self, name: &str, file: File, problems: &mut Vec<Problem>) {
+    /// Returns the file and the line of the value at `path`, such as
+    /// `organisations/a/allow/0`; a value that does not stand in the text
+    /// takes the position of what surrounds it.
+    #[must_use]
+    pub fn position(&self, path: &str) -> (&str, usize) {
+        let file = self.owner(path).unwrap_or("");
+        let mut part = path;
+        loop {
+            if let Some(line) = self.lines.get(part) {
+                return (file, *line);
+            }
+            match part.rsplit_once('/') {
+                Some((above, _)) => part = above,
+                None => return (file, 0),
+            }
+        }
+    }
+
+    /// Returns the file that holds the entry of a path. The longest entry
+    /// counts: a name that wrongly holds a `/` must still be found.
+    fn owner(&self, path: &str) -> Option<&str> {
+        let mut part = path;
+        loop {
+            if let Some(file) = self.owners.get(part) {
+                return Some(file);
+            }
+            part = part.rsplit_once('/')?.0;
+        }
+    }
+
+    fn add(&mut self, name: &str, file: File, root: &Node, problems: &mut Vec<Problem>) {
+        let mut lines = BTreeMap::new();
+        root.walk("", &mut |path, line| {
+            lines.insert(path.to_owned(), line);
+        });
         let mut section = Section {
             file: name,
+            lines: &lines,
             owners: &mut self.owners,
             problems,
         };
@@ -53,18 +97,29 @@
             &mut self.file.organisations,
             file.organisations,
         );
+        section.add("operators", &mut self.file.operators, file.operators);
         section.add("models", &mut self.file.models, file.models);
         section.add("versions", &mut self.file.versions, file.versions);
         section.add("targets", &mut self.file.targets, file.targets);
         section.add("rollouts", &mut self.file.rollouts, file.rollouts);
         section.add("services", &mut self.file.services, file.services);
         section.add("backends", &mut self.file.backends, file.backends);
+        for limit in file.limits.keys() {
+            self.owners
+                .insert(format!("limits/{limit}"), name.to_owned());
+        }
         self.file.limits.extend(file.limits);
+        for (path, line) in lines {
+            if self.owner(&path) == Some(name) {
+                self.lines.insert(path, line);
+            }
+        }
     }
 }
 
 struct Section<'a> {
     file: &'a str,
+    lines: &'a BTreeMap<String, usize>,
     owners: &'a mut BTreeMap<String, String>,
     problems: &'a mut Vec<Problem>,
 }
@@ -77,7 +132,8 @@
                 let message = format!(
                     "{path} already stands in {owner}; an entry may stand in one file only"
                 );
-                self.problems.push(Problem::new(self.file, 0, message));
+                let line = self.lines.get(&path).copied().unwrap_or(0);
+                self.problems.push(Problem::new(self.file, line, message));
                 continue;
             }
             self.owners.insert(path, self.file.to_owned());
@@ -86,16 +142,22 @@
     }
 }
 
-fn parse(name: &str, content: &[u8]) -> Result<File, Problem> {
+fn parse(name: &str, content: &[u8]) -> Result<(File, Node), Vec<Problem>> {
     let text = std::str::from_utf8(content)
-        .map_err(|error| Problem::new(name, 0, format!("not UTF-8: {error}")))?;
-    if text.trim().is_empty() {
-        return Ok(File::default());
+        .map_err(|error| vec![Problem::new(name, 0, format!("not UTF-8: {error}"))])?;
+    let problem = |failure: Failure| vec![Problem::new(name, failure.line, failure.message)];
+    let root = Node::new(text).map_err(problem)?;
+    if matches!(root.value, Value::Null) {
+        return Ok((File::default(), root));
+    }
+    match serde_saphyr::from_str(text) {
+        Ok(file) => Ok((file, root)),
+        Err(error) => {
+            let problems = tree::diagnose::diagnose(name, &root);
+            if problems.is_empty() {
+                return Err(problem(Failure::from(&error)));
+            }
+            Err(problems)
+        }
     }
-    serde_saphyr::from_str(text).map_err(|error| {
-        let line = error
-            .location()
-            .map_or(0, |location| usize::try_from(location.line()).unwrap_or(0));
-        Problem::new(name, line, error.to_string())
-    })
 }
--- /dev/null
+++ b/crates/config/src/tree/mod.rs
@@ -0,0 +1,117 @@
+//! A file as a tree of nodes with their positions.
+//!
+//! The typed parse ([`crate::File`]) ends at the first error and forgets where
+//! a value stood. The tree keeps the line and the bytes of every value: it
+//! gives each problem its line, lets all errors of a file be told at once
+//! ([`diagnose`]) and lets one field be changed in the text without touching
+//! the comments around it ([`crate::edit`]).
+
+pub mod diagnose;
+mod parse;
+mod typed;
+
+pub use typed::Failure;
+
+use std::ops::Range;
+
+/// One value with its position.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    /// Line of the value, from 1.
+    pub line: usize,
+    /// Bytes of a scalar value in the text; empty where they are not known.
+    pub bytes: Range<usize>,
+    /// The value.
+    pub value: Value,
+}
+
+/// A value.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Value {
+    /// No value.
+    Null,
+    /// `true` or `false`.
+    Bool(bool),
+    /// A whole number that is not negative.
+    Unsigned(u64),
+    /// A negative whole number.
+    Signed(i64),
+    /// A number with a fraction.
+    Float(f64),
+    /// Text.
+    Text(String),
+    /// A sequence.
+    Sequence(Vec<Node>),
+    /// A mapping, in the order of the text.
+    Mapping(Vec<Field>),
+}
+
+/// One entry of a mapping.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Field {
+    /// Name.
+    pub name: String,
+    /// Line of the name.
+    pub line: usize,
+    /// Bytes of the name in the text.
+    pub bytes: Range<usize>,
+    /// Value.
+    pub node: Node,
+}
+
+impl Node {
+    /// Parses the text of one file.
+    ///
+    /// # Errors
+    ///
+    /// The line and the message of the first error of syntax.
+    pub fn new(text: &str) -> Result<Self, Failure> {
+        parse::parse(text)
+    }
+
+    /// Returns the fields of a mapping; none for any other value.
+    #[must_use]
+    pub fn fields(&self) -> &[Field] {
+        match &self.value {
+            Value::Mapping(fields) => fields,
+            _ => &[],
+        }
+    }
+
+    /// Returns one field of a mapping.
+    #[must_use]
+    pub fn field(&self, name: &str) -> Option<&Field> {
+        self.fields().iter().find(|field| field.name == name)
+    }
+
+    /// Calls `visit` with the path and the line of every value below this one.
+    ///
+    /// A path is the names from the top, joined by `/`; items of a sequence
+    /// are named by their position, from 0.
+    pub fn walk(&self, path: &str, visit: &mut impl FnMut(&str, usize)) {
+        let join = |name: &str| {
+            if path.is_empty() {
+                name.to_owned()
+            } else {
+                format!("{path}/{name}")
+            }
+        };
+        match &self.value {
+            Value::Mapping(fields) => {
+                for field in fields {
+                    let path = join(&field.name);
+                    visit(&path, field.line);
+                    field.node.walk(&path, visit);
+                }
+            }
+            Value::Sequence(items) => {
+                for (index, item) in items.iter().enumerate() {
+                    let path = join(&index.to_string());
+                    visit(&path, item.line);
+                    item.walk(&path, visit);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/tests/all/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the configuration: parse, merge, checks, edits and permissions.
+
+mod change;
+mod edit;
+mod examples;
+mod permission;
+mod problems;
+mod reference;
