--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct File {
+    /// Operators by name.
+    pub operators: BTreeMap<String, Operator>,
     /// Organisations by name.
     pub organisations: BTreeMap<String, Organisation>,
     /// Models by name.
@@ -29,6 +31,20 @@
     pub limits: BTreeMap<String, f64>,
 }
 
+/// A person or a program that uses the operators' port.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// SHA-256 digests, in hex, of its tokens.
+    pub tokens: Vec<String>,
+    /// Names of the files that it may change; `*` means all.
+    pub files: Vec<String>,
+    /// Names of the organisations that it may change; `*` means all.
+    pub organisations: Vec<String>,
+    /// Whether it may change the section `operators`.
+    pub admin: bool,
+}
+
 /// An organisation and what it may use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -145,8 +161,9 @@
     /// Whether the roll-out stays at its stage.
     #[serde(default)]
     pub paused: bool,
-    /// Number of the operators' word on this roll-out. It rises with every
-    /// change of the entry. A halt holds for the words up to the one that it
+    /// Number of the operators' word on this roll-out. It rises when a roll-out
+    /// is opened, and only then: a step or a pause by somebody who has not heard
+    /// of a halt must not clear it. A halt holds for the words up to the one it
     /// stopped; only a higher number lets the same candidate start again.
     #[serde(default)]
     pub word: u64,
