--- a/crates/core/src/cascade/choose.rs
+++ b/crates/core/src/cascade/choose.rs
@@ -5,7 +5,7 @@
 
 use super::estimate::BINS;
 use super::learner::Learner;
-use super::plan::{self, Basis, Candidate, Limits, Plan, Steps};
+use super::plan::{self, Basis, CONFIDENCE, Candidate, Limits, Plan, SURE, Steps};
 use crate::clock::Instant;
 use crate::rollout::Board;
 use crate::session::{self, Place};
@@ -138,6 +138,12 @@
         entry.is_some_and(|entry| entry.below_target)
     }
 
+    /// Returns whether this request is among the few that may try.
+    fn may_probe(&self) -> bool {
+        self.class()
+            .is_some_and(|(_, class)| self.request.dice < class.explore)
+    }
+
     fn class(&self) -> Option<(key::Class, &Class)> {
         match self.request.wanted {
             Wanted::Class(class) => Some((class, self.world.catalog.classes.get(class)?)),
@@ -215,18 +221,52 @@
         if plans.is_empty() && self.may_miss() {
             let leave = |candidate| Plan {
                 basis: Basis::Leave,
-                ..plan::direct(candidate)
+                ..plan::direct(candidate, CONFIDENCE)
             };
             plans = candidates.iter().map(leave).collect();
             plans.sort_by(|one, other| other.bound.total_cmp(&one.bound));
         }
         if plans.is_empty() {
-            return Err(Refusal::BelowTarget);
+            return self.uncertain(entry, limits, &candidates);
         }
         self.explore(entry, limits, &candidates, &mut plans);
         Ok(plans)
     }
 
+    /// Plans when no bound meets the target. The target is an expected quality:
+    /// a plan that is expected to meet it runs, or a version a little above
+    /// the target would be refused whenever its ratings happen to dip. Below
+    /// that a few requests find out whether the estimate is wrong, since a
+    /// class that is refused altogether would never be rated again.
+    fn uncertain(
+        &self,
+        class: &Class,
+        limits: Limits,
+        candidates: &[Candidate],
+    ) -> Result<Vec<Plan>, Refusal> {
+        let limits = Limits {
+            confidence: 0.0,
+            ..limits
+        };
+        let mut plans = plan::plan(candidates, limits);
+        for plan in &mut plans {
+            plan.basis = Basis::Expected;
+        }
+        if plans.is_empty() && self.may_probe() {
+            let may =
+                |candidate: &&Candidate| candidate.estimate.bound(0, 0.0, -SURE) >= class.quality;
+            let probes = candidates.iter().filter(may).map(|candidate| Plan {
+                basis: Basis::Probe,
+                ..plan::direct(candidate, 0.0)
+            });
+            plans.extend(probes.max_by(|one, other| one.bound.total_cmp(&other.bound)));
+        }
+        if plans.is_empty() {
+            return Err(Refusal::BelowTarget);
+        }
+        Ok(plans)
+    }
+
     /// Plans of a request whose session keeps `version`. Whether the version
     /// meets the target was judged when the session started; here an answer of
     /// too low a bound is rated and escalated where the class allows it.
@@ -248,7 +288,7 @@
         if plans.is_empty() {
             plans.push(Plan {
                 basis: Basis::Session,
-                ..plan::direct(&candidates[0])
+                ..plan::direct(&candidates[0], CONFIDENCE)
             });
         }
         plans.truncate(1);
@@ -280,6 +320,7 @@
             cascade: class.cascade && self.world.learner.can_rate(self.world.now),
             within_ms: f64::from(due.min(self.request.within_ms)),
             rating_ms: self.world.learner.rating_ms(),
+            confidence: CONFIDENCE,
         }
     }
 
@@ -353,7 +394,8 @@
                 );
             }
             let meets = match plan.basis {
-                Basis::Bound => plan.bound >= target,
+                Basis::Bound | Basis::Expected => plan.bound >= target,
+                Basis::Probe => self.may_probe(),
                 Basis::Leave => self.may_miss(),
                 Basis::Session => self.request.pinned == Some(plan.first()),
                 Basis::Named => self.class().is_none(),
--- a/crates/core/src/cascade/estimate.rs
+++ b/crates/core/src/cascade/estimate.rs
@@ -1,10 +1,8 @@
 //! How good the answers of one version are in one class: a distribution.
 
-use serde::Serialize;
-
 /// Number of equal intervals into which ratings from 0 to 1 are sorted.
-pub const BINS: usize = 20;
-const BINS_F: f64 = 20.0;
+pub const BINS: usize = 50;
+const BINS_F: f64 = 50.0;
 /// Standard deviation of ratings that is expected before any have come.
 const PRIOR_SPREAD: f64 = 0.08;
 /// Ratings after which an old one counts a third, so that a version that has
@@ -12,7 +10,7 @@
 const MEMORY: f64 = 600.0;
 
 /// A distribution of ratings.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Estimate {
     weights: [f64; BINS],
     sums: [f64; BINS],
--- a/crates/core/src/cascade/plan.rs
+++ b/crates/core/src/cascade/plan.rs
@@ -7,6 +7,9 @@
 /// Standard errors between an estimate and its lower bound: about 9 in 10
 /// bounds lie below the truth.
 pub const CONFIDENCE: f64 = 1.28;
+/// Standard errors above its estimate from which a version surely misses the
+/// target.
+pub const SURE: f64 = 3.0;
 
 /// A version that may answer.
 #[derive(Clone, Debug)]
@@ -33,6 +36,8 @@
     pub within_ms: f64,
     /// Milliseconds that a rating takes.
     pub rating_ms: f64,
+    /// Standard errors between estimates and bounds.
+    pub confidence: f64,
 }
 
 /// The steps of a plan.
@@ -57,6 +62,11 @@
 pub enum Basis {
     /// Its bound meets the target of the class.
     Bound,
+    /// No plan's bound meets the target; this one's expected quality does.
+    Expected,
+    /// No plan's expected quality meets the target; this one's may, and the
+    /// request is among the few that find out.
+    Probe,
     /// The organisation takes an answer below the target rather than none.
     Leave,
     /// The session keeps this version; the target was judged at its start.
@@ -93,7 +103,7 @@
 pub fn plan(candidates: &[Candidate], limits: Limits) -> Vec<Plan> {
     let mut plans: Vec<Plan> = candidates
         .iter()
-        .map(direct)
+        .map(|candidate| direct(candidate, limits.confidence))
         .filter(|plan| plan.bound >= limits.quality)
         .collect();
     if limits.cascade {
@@ -109,11 +119,11 @@
 
 /// Returns the plan that lets one version answer.
 #[must_use]
-pub fn direct(candidate: &Candidate) -> Plan {
+pub fn direct(candidate: &Candidate, confidence: f64) -> Plan {
     Plan {
         basis: Basis::Bound,
         steps: Steps::Direct(candidate.version),
-        bound: candidate.estimate.bound(0, 0.0, CONFIDENCE),
+        bound: candidate.estimate.bound(0, 0.0, confidence),
         cost: candidate.cost,
     }
 }
@@ -125,9 +135,10 @@
     if first.cost >= second.cost || held_ms > limits.within_ms {
         return None;
     }
-    let instead = second.estimate.bound(0, 0.0, CONFIDENCE);
-    let accept = (1..=BINS)
-        .find(|accept| first.estimate.bound(*accept, instead, CONFIDENCE) >= limits.quality)?;
+    let instead = second.estimate.bound(0, 0.0, limits.confidence);
+    let accept = (1..=BINS).find(|accept| {
+        first.estimate.bound(*accept, instead, limits.confidence) >= limits.quality
+    })?;
     Some(Plan {
         basis: Basis::Bound,
         steps: Steps::Cascade {
@@ -135,7 +146,7 @@
             second: second.version,
             accept: f64::from(u32::try_from(accept).ok()?) / f64::from(u32::try_from(BINS).ok()?),
         },
-        bound: first.estimate.bound(accept, instead, CONFIDENCE),
+        bound: first.estimate.bound(accept, instead, limits.confidence),
         cost: first.cost + first.estimate.below(accept) * second.cost,
     })
 }
--- a/crates/core/src/session/mod.rs
+++ b/crates/core/src/session/mod.rs
@@ -3,26 +3,25 @@
 //! The start is deterministic: a session's hash is compared with the share of
 //! the roll-out, so all instances agree with no message per request. A session
 //! that started before the share grew would be moved by the hash alone; it
-//! keeps its version by one of two means:
+//! keeps its version by a token, which is handed to the caller with the answer
+//! and comes back with the session's next request ([`Pins`], signed by
+//! `wire::token`). Any instance honours it, also one that has just started
+//! while the store is down. A caller that hands no token back gets the hash:
+//! its session moves at most once in a roll-out.
 //!
-//! - a token that is handed to the caller with the answer and comes back with
-//!   the session's next request ([`Pins`], signed by `wire::token`): any instance honours it, also one that
-//!   has just started while the store is down;
-//! - without a token, the memory ([`Memory`]) of the instances: each remembers
-//!   the sessions that it served, and tells its peers of those that the hash
-//!   alone would move.
+//! Memories of the instances were tried in its place and measured: an instance
+//! that remembers and one that does not send a session to and fro, so that it
+//! changes more often than by the hash alone.
 //!
 //! A closed version keeps its sessions. A withdrawn one (by operators, or
 //! halted by evidence) loses them: the session moves once, and the answer says
 //! so.
 
-mod memory;
 mod pins;
 
 use fescuerack_config::key;
 use sha2::{Digest as _, Sha256};
 
-pub use memory::{Digest, Entry, Memory, id};
 pub use pins::Pins;
 
 use crate::rollout::Share;
--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -3,7 +3,7 @@
 
 use fescuerack_config::key;
 use fescuerack_core::cascade::{self, Plan, Wanted, World};
-use fescuerack_core::session::{self, Pins, Place};
+use fescuerack_core::session::{Pins, Place};
 use fescuerack_wire::error::Kind;
 use fescuerack_wire::{chat, header, token};
 
@@ -67,7 +67,9 @@
     let now = shared.now();
     shared.versions.configure(now, force);
     let pins = pins(shared, force, call);
-    let pinned = pinned(shared, force, call, model, &pins);
+    let pinned = pins
+        .get(model)
+        .and_then(|name| force.names.versions.get(name));
     let within = call.deadline.since(now).as_millis();
     let request = cascade::Request {
         organisation: call.organisation,
@@ -100,7 +102,7 @@
         version: chosen.place.version(),
         class,
         priority: priority.unwrap_or(DEFAULT_PRIORITY),
-        session: keep(shared, force, call, model, pins, chosen.place),
+        session: told(shared, force, call, model, pins, chosen.place),
         plans: chosen.plans,
     })
 }
@@ -134,28 +136,8 @@
     token::open(secret, organisation, session, token).unwrap_or_default()
 }
 
-/// Returns the version that a session keeps: by its token, else by what this
-/// instance or a peer remembers.
-fn pinned(
-    shared: &Shared,
-    force: &Force,
-    call: &Call,
-    model: &str,
-    pins: &Pins,
-) -> Option<key::Version> {
-    let session = call.session.as_deref()?;
-    let by_token = pins
-        .get(model)
-        .and_then(|name| force.names.versions.get(name));
-    by_token.or_else(|| {
-        let organisation = force.names.organisations.name(call.organisation);
-        let id = session::id(organisation, model, session);
-        lock(&shared.versions.sessions).get(id)
-    })
-}
-
-/// Remembers the session's version and returns what the caller is told.
-fn keep(
+/// Returns what the caller is told of its session.
+fn told(
     shared: &Shared,
     force: &Force,
     call: &Call,
@@ -164,23 +146,6 @@
     place: Place,
 ) -> Option<Session> {
     let session = call.session.as_deref()?;
-    let version = place.version();
-    let name = force.names.versions.name(version);
-    let organisation = force.names.organisations.name(call.organisation);
-    let id = session::id(organisation, model, session);
-    // Sessions on the current version of a trial would move when its share
-    // grows; peers must know of them.
-    let on_current = force
-        .catalog
-        .rollouts
-        .get(force.catalog.versions[version].model)
-        .is_some_and(|rollout| {
-            rollout
-                .candidate
-                .is_some_and(|candidate| candidate != version)
-        });
-    lock(&shared.versions.sessions).keep(id, version, on_current);
-    pins.set(model, name);
     let moved_from = match place {
         Place::Move { from, .. } => {
             shared.metrics.count("sessions.moved");
@@ -188,7 +153,9 @@
         }
         Place::Start(_) | Place::Keep(_) => None,
     };
+    pins.set(model, force.names.versions.name(place.version()));
     let secret = shared.settings.peer_key.as_bytes();
+    let organisation = force.names.organisations.name(call.organisation);
     Some(Session {
         token: token::sign(secret, organisation, session, &pins),
         moved_from,
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -143,7 +143,6 @@
         words: lock(&shared.routes).digest(now),
         rollouts: lock(&shared.versions.board).digest(),
         quality: lock(&shared.versions.learner).digest(&force.names),
-        sessions: lock(&shared.versions.sessions).digest(&force.names),
         suspects: lock(&shared.versions.suspects).digest(now),
     }
 }
--- a/crates/node/src/versions/mod.rs
+++ b/crates/node/src/versions/mod.rs
@@ -1,4 +1,4 @@
-//! Versions as this process sees them: roll-outs, learnt quality, sessions and
+//! Versions as this process sees them: roll-outs, learnt quality and
 //! requests that crash servers, with the threads that keep them up to date.
 
 pub mod ratings;
@@ -14,23 +14,17 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::poison::Suspects;
 use fescuerack_core::rollout::Board;
-use fescuerack_core::session::Memory;
 use fescuerack_core::{cascade, rollout};
 use serde_json::json;
 
 use crate::shared::{Force, Shared, lock};
 
-/// Sessions without a token that are remembered; about 4 MB.
-const MOST_SESSIONS: usize = 40_000;
-
 /// State of the slices that decide on versions.
 pub struct Versions {
     /// Roll-outs.
     pub board: Mutex<Board>,
     /// Learnt quality.
     pub learner: Mutex<Learner>,
-    /// Sessions without a token.
-    pub sessions: Mutex<Memory>,
     /// Requests that crashed servers.
     pub suspects: Mutex<Suspects>,
     /// Answers to be rated.
@@ -45,7 +39,6 @@
         Self {
             board: Mutex::new(Board::new(incarnation)),
             learner: Mutex::new(Learner::new(incarnation)),
-            sessions: Mutex::new(Memory::new(MOST_SESSIONS)),
             suspects: Mutex::new(Suspects::new()),
             ratings: ratings::Desk::new(platform),
             configured: AtomicU64::new(0),
@@ -114,7 +107,6 @@
     let now = shared.now();
     lock(&versions.board).merge(now, &digest.rollouts);
     lock(&versions.learner).merge(&force.catalog, &force.names, &digest.quality);
-    lock(&versions.sessions).merge(&force.names, &digest.sessions);
     lock(&versions.suspects).merge(now, &digest.suspects);
 }
 
@@ -145,7 +137,6 @@
         "informed": informed,
         "rollouts": rollouts,
         "quality": quality(shared, &force),
-        "sessions": lock(&versions.sessions).len(),
         "suspects": *lock(&versions.suspects),
         "ratings": {
             "available": lock(&versions.learner).can_rate(now),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -11,7 +11,7 @@
 use fescuerack_core::attempt::pools;
 use fescuerack_core::member::Message;
 use fescuerack_core::route::word;
-use fescuerack_core::{cascade, poison, rollout, session};
+use fescuerack_core::{cascade, poison, rollout};
 use hmac::{Hmac, KeyInit as _, Mac as _};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -40,8 +40,6 @@
     pub rollouts: rollout::Digest,
     /// Ratings.
     pub quality: cascade::Digest,
-    /// Sessions that the hash alone would move.
-    pub sessions: session::Digest,
     /// Requests that crashed servers.
     pub suspects: poison::Digest,
 }
