--- a/crates/config/src/catalog.rs
+++ b/crates/config/src/catalog.rs
@@ -139,6 +139,8 @@
     pub fleet: key::Fleet,
     /// Whether a call may be repeated.
     pub idempotent: bool,
+    /// Whether a call that may not be repeated is taken without a key.
+    pub keyless: bool,
     /// Milliseconds within which the answer is due.
     pub deadline_ms: u64,
 }
@@ -304,6 +306,7 @@
                 Service {
                     fleet,
                     idempotent: service.idempotent,
+                    keyless: service.keyless,
                     deadline_ms: service.deadline_ms,
                 },
             );
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -147,6 +147,10 @@
     /// Whether a call may be repeated.
     #[serde(default)]
     pub idempotent: bool,
+    /// Whether a call that may not be repeated is taken without an
+    /// `Idempotency-Key`; a resend is then a new call.
+    #[serde(default)]
+    pub keyless: bool,
     /// Milliseconds within which the answer is due.
     #[serde(default = "deadline_ms")]
     pub deadline_ms: u64,
--- /dev/null
+++ b/crates/core/src/ledger/book.rs
@@ -0,0 +1,299 @@
+//! Entries on their way to the store.
+//!
+//! Pattern of load: thousands of answers a second against a store that takes
+//! a few hundred writes from the whole fleet. Entries gather while a write is
+//! under way and go together in the next one (group commit), so the number of
+//! writes follows the store's pace and not the callers'.
+//!
+//! One segment is under way at a time. Its content never changes: its write
+//! may have taken effect, and a second content under the same key would be
+//! lost.
+//!
+//! Memory is bounded. In an outage so long that the bound is met, the oldest
+//! entries that were never sent anywhere are folded into one sum per
+//! organisation and version. The bill stays exact; only the lines of single
+//! requests are gone. Refusing requests instead would turn an outage of the
+//! store into one of the product; dropping entries would leave them unbilled.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::{Entry, Segment};
+
+/// Position of an entry; it is kept once [`Book::kept_until`] is above it.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct Ticket(pub u64);
+
+/// Bounds of a book.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Bytes of one segment; well under the store's largest value, since JSON
+    /// takes more room than memory.
+    pub segment_bytes: usize,
+    /// Bytes of all entries that are not kept yet.
+    pub total_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            segment_bytes: 400 << 10,
+            // A quarter of the 32 MB that control may take: about 35,000
+            // entries, or 40 minutes at the peak of 15 requests a second.
+            total_bytes: 8 << 20,
+        }
+    }
+}
+
+/// Gathers entries until they are kept in the store.
+#[derive(Clone, Debug)]
+pub struct Book {
+    limits: Limits,
+    /// Name of this start of the process; part of the identity of sums.
+    writer: String,
+    open: VecDeque<(Ticket, Entry)>,
+    open_bytes: usize,
+    sent: Option<Sent>,
+    sums: BTreeMap<(String, String), Entry>,
+    folds: u64,
+    next_sequence: u64,
+    next_ticket: Ticket,
+    kept_until: Ticket,
+    copied_until: Ticket,
+    added: u64,
+    kept: u64,
+}
+
+/// A segment that is under way.
+#[derive(Clone, Debug)]
+struct Sent {
+    segment: Segment,
+    /// Tickets of the last entries of the segment; sums, which come first,
+    /// have none.
+    tickets: Vec<Ticket>,
+    /// First ticket after the segment.
+    after: Ticket,
+}
+
+impl Book {
+    /// Returns an empty book of one start of a process.
+    #[must_use]
+    pub fn new(writer: &str, limits: Limits) -> Self {
+        Self {
+            limits,
+            writer: writer.to_owned(),
+            open: VecDeque::new(),
+            open_bytes: 0,
+            sent: None,
+            sums: BTreeMap::new(),
+            folds: 0,
+            next_sequence: 0,
+            next_ticket: Ticket(0),
+            kept_until: Ticket(0),
+            copied_until: Ticket(0),
+            added: 0,
+            kept: 0,
+        }
+    }
+
+    /// Adds an entry.
+    pub fn add(&mut self, entry: Entry) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket.0 += 1;
+        self.added += entry.requests;
+        self.open_bytes += entry.size();
+        self.open.push_back((ticket, entry));
+        while self.open_bytes > self.limits.total_bytes && self.fold() {}
+        ticket
+    }
+
+    /// Folds the oldest open entry into the sum of its organisation and
+    /// version; returns whether there was one.
+    ///
+    /// Entries that another instance may write too (claims, and those that a
+    /// peer has a copy of) are told by their identity and stay: a sum could
+    /// not be recognised as their double. Both are bounded: claims need the
+    /// store, so in an outage they do not grow, and a peer's shelf is small.
+    fn fold(&mut self) -> bool {
+        let copied_until = self.copied_until;
+        let foldable = |(ticket, entry): &(Ticket, Entry)| {
+            *ticket >= copied_until && !entry.request.starts_with("claim-")
+        };
+        let Some(index) = self.open.iter().position(foldable) else {
+            return false;
+        };
+        let Some((_, entry)) = self.open.remove(index) else {
+            return false;
+        };
+        self.open_bytes -= entry.size();
+        let key = (entry.organisation.clone(), entry.version.clone());
+        if let Some(sum) = self.sums.get_mut(&key) {
+            sum.input_tokens += entry.input_tokens;
+            sum.output_tokens += entry.output_tokens;
+            sum.cost += entry.cost;
+            sum.requests += entry.requests;
+            sum.at = sum.at.max(entry.at);
+            return true;
+        }
+        let sum = Entry {
+            request: format!("sum-{}-{}", self.writer, self.folds),
+            label: String::new(),
+            ..entry
+        };
+        self.folds += 1;
+        self.sums.insert(key, sum);
+        true
+    }
+
+    /// Returns the segment to write: the one that is under way, or the next.
+    pub fn segment(&mut self) -> Option<&Segment> {
+        if self.sent.is_none() {
+            self.seal();
+        }
+        self.sent.as_ref().map(|sent| &sent.segment)
+    }
+
+    fn seal(&mut self) {
+        let mut entries: Vec<_> = std::mem::take(&mut self.sums).into_values().collect();
+        let mut bytes: usize = entries.iter().map(Entry::size).sum();
+        let mut tickets = Vec::new();
+        while let Some((ticket, entry)) = self.open.pop_front() {
+            let size = entry.size();
+            if !entries.is_empty() && bytes + size > self.limits.segment_bytes {
+                self.open.push_front((ticket, entry));
+                break;
+            }
+            bytes += size;
+            self.open_bytes -= size;
+            tickets.push(ticket);
+            entries.push(entry);
+        }
+        if entries.is_empty() {
+            return;
+        }
+        let after = self
+            .open
+            .front()
+            .map_or(self.next_ticket, |(ticket, _)| *ticket);
+        let segment = Segment {
+            sequence: self.next_sequence,
+            entries,
+        };
+        self.next_sequence += 1;
+        self.sent = Some(Sent {
+            segment,
+            tickets,
+            after,
+        });
+    }
+
+    /// Forgets the segment that was under way: the store has it.
+    ///
+    /// # Panics
+    ///
+    /// When another segment is under way: entries would be lost.
+    pub fn kept(&mut self, sequence: u64) {
+        let Some(Sent { segment, after, .. }) = self.sent.take() else {
+            return;
+        };
+        assert_eq!(segment.sequence, sequence, "another segment is under way");
+        self.kept += segment
+            .entries
+            .iter()
+            .map(|entry| entry.requests)
+            .sum::<u64>();
+        self.kept_until = after;
+        assert_eq!(
+            self.added,
+            self.kept + self.pending(),
+            "an entry was lost or doubled"
+        );
+    }
+
+    /// Returns the first ticket that is not kept.
+    #[must_use]
+    pub fn kept_until(&self) -> Ticket {
+        self.kept_until
+    }
+
+    /// Returns the entries, with their tickets, that neither the store nor a
+    /// peer has yet.
+    #[must_use]
+    pub fn alone(&self) -> Vec<(Ticket, Entry)> {
+        let sent = self.sent.iter().flat_map(|sent| {
+            let sums = sent.segment.entries.len() - sent.tickets.len();
+            let entries = sent.segment.entries.iter().skip(sums).cloned();
+            sent.tickets.iter().copied().zip(entries)
+        });
+        let all = sent.chain(self.open.iter().cloned());
+        all.filter(|(ticket, _)| *ticket >= self.copied_until)
+            .collect()
+    }
+
+    /// Remembers that a peer holds every entry before `until`.
+    pub fn copied(&mut self, until: Ticket) {
+        self.copied_until = self.copied_until.max(until);
+    }
+
+    /// Returns the first ticket that only this process knows.
+    #[must_use]
+    pub fn safe_until(&self) -> Ticket {
+        self.kept_until.max(self.copied_until)
+    }
+
+    /// Returns whether peers hold copies that the store does not have yet.
+    #[must_use]
+    pub fn has_copies_out(&self) -> bool {
+        self.copied_until > self.kept_until
+    }
+
+    /// Returns every entry that is not kept, for a peer to keep.
+    #[must_use]
+    pub fn entries(&self) -> Vec<Entry> {
+        self.all().cloned().collect()
+    }
+
+    fn all(&self) -> impl Iterator<Item = &Entry> {
+        let sent = self.sent.iter().flat_map(|sent| &sent.segment.entries);
+        let open = self.open.iter().map(|(_, entry)| entry);
+        sent.chain(self.sums.values()).chain(open)
+    }
+
+    /// Empties the book after a peer has taken [`Book::entries`].
+    pub fn hand_off(&mut self) {
+        self.kept += self.pending();
+        self.sent = None;
+        self.sums.clear();
+        self.open.clear();
+        self.open_bytes = 0;
+        self.kept_until = self.next_ticket;
+    }
+
+    /// Returns how many requests are not kept yet.
+    #[must_use]
+    pub fn pending(&self) -> u64 {
+        self.all().map(|entry| entry.requests).sum()
+    }
+
+    /// Returns whether everything is kept.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.sent.is_none() && self.open.is_empty() && self.sums.is_empty()
+    }
+
+    /// Returns how many sums were begun because the bound was met.
+    #[must_use]
+    pub fn folds(&self) -> u64 {
+        self.folds
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod cascade;
 pub mod claim;
 pub mod clock;
+pub mod force;
 pub mod ledger;
 pub mod route;
 pub mod session;
+pub mod store;
 
 pub use fescuerack_config::key;
--- a/crates/node/src/callers/bill.rs
+++ b/crates/node/src/callers/bill.rs
@@ -4,15 +4,17 @@
 
 use fescuerack_config::key;
 use fescuerack_core::ledger::Entry;
+use fescuerack_platform::manifest;
 use fescuerack_wire::chat::Usage;
 
 use super::intake::Call;
-use crate::shared::{Force, Shared, lock};
+use crate::shared::{Force, Shared};
 
 /// Bills an answered completion; returns its cost in micro-euro.
 ///
-/// Called before the answer's end leaves for the caller.
-pub fn completion(
+/// Called before the answer's end leaves for the caller, which waits a few
+/// milliseconds until the entry is safe.
+pub async fn completion(
     shared: &Arc<Shared>,
     force: &Force,
     call: &Call,
@@ -20,41 +22,39 @@
     usage: Usage,
 ) -> u64 {
     let cost = cost(force, version, usage);
-    keep(
-        shared,
-        Entry {
-            request: call.request.clone(),
-            organisation: force
-                .names
-                .organisations
-                .name(call.organisation)
-                .to_string(),
-            version: force.names.versions.name(version).to_string(),
-            input_tokens: usage.prompt_tokens,
-            output_tokens: usage.completion_tokens,
-            cost,
-        },
-    );
+    let entry = Entry {
+        request: shared.random_id(),
+        version: force.names.versions.name(version).to_string(),
+        input_tokens: usage.prompt_tokens,
+        output_tokens: usage.completion_tokens,
+        cost,
+        ..entry(force, call)
+    };
+    keep(shared, entry).await;
     cost
 }
 
-/// Bills an answered call of a plain service.
-pub fn call(shared: &Arc<Shared>, force: &Force, call: &Call, service: &str) {
-    keep(
-        shared,
-        Entry {
-            request: call.request.clone(),
-            organisation: force
-                .names
-                .organisations
-                .name(call.organisation)
-                .to_string(),
-            version: service.to_owned(),
-            input_tokens: 0,
-            output_tokens: 0,
-            cost: 0,
-        },
-    );
+/// Bills an answered call of a plain service under the identity `bill`.
+pub async fn call(shared: &Arc<Shared>, force: &Force, call: &Call, service: &str, bill: String) {
+    let entry = Entry {
+        request: bill,
+        version: service.to_owned(),
+        ..entry(force, call)
+    };
+    keep(shared, entry).await;
+}
+
+/// Returns an entry that lacks what was used. Its identity is never the
+/// caller's: two callers may choose the same one.
+fn entry(force: &Force, call: &Call) -> Entry {
+    let organisation = force.names.organisations.name(call.organisation);
+    Entry {
+        organisation: organisation.to_string(),
+        label: call.request.clone(),
+        at: manifest::seconds(),
+        requests: 1,
+        ..Entry::default()
+    }
 }
 
 /// Returns the cost of an answer in micro-euro.
@@ -63,7 +63,13 @@
     cost.of(usage.prompt_tokens, usage.completion_tokens)
 }
 
-fn keep(shared: &Arc<Shared>, entry: Entry) {
-    lock(&shared.book).add(entry);
+async fn keep(shared: &Arc<Shared>, entry: Entry) {
+    let start = shared.now();
+    let ticket = shared.ledger.add(entry);
+    if !shared.ledger.safe(ticket).await {
+        shared.metrics.count("ledger.unsafe");
+    }
+    let waited = shared.now().since(start);
+    shared.metrics.time("ledger.wait", waited);
     shared.metrics.count("callers.done");
 }
--- a/crates/node/src/callers/chat.rs
+++ b/crates/node/src/callers/chat.rs
@@ -88,7 +88,7 @@
                 return self.stream(begun);
             }
             match Answer::read(begun).await {
-                Ok(answer) => return self.whole(&answer),
+                Ok(answer) => return self.whole(&answer).await,
                 Err(end) => {
                     if let Err(failure) = run.end(end) {
                         return self.fail(failure);
@@ -109,7 +109,7 @@
         labels.on(stream.start(begun, self.place))
     }
 
-    fn whole(&self, answer: &Answer) -> Reply {
+    async fn whole(&self, answer: &Answer) -> Reply {
         let Self {
             shared,
             force,
@@ -117,7 +117,7 @@
             choice,
             ..
         } = self;
-        let cost = bill::completion(shared, force, call, choice.version, answer.usage);
+        let cost = bill::completion(shared, force, call, choice.version, answer.usage).await;
         let labels = self.labels();
         let reply = json(&answer.completion(&labels.request, &labels.version));
         let reply = with_header(reply, header::OUTCOME, "done");
--- a/crates/node/src/callers/service.rs
+++ b/crates/node/src/callers/service.rs
@@ -2,10 +2,9 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
 use fescuerack_config::{Service, folder};
-use fescuerack_core::attempt::{Attempts, End, Next, Outcome};
-use fescuerack_core::claim::{State, Verdict};
+use fescuerack_core::attempt::{Attempts, End, Next, Outcome as Run};
+use fescuerack_core::claim::{self, Name, Outcome, State, Verdict};
 use fescuerack_platform::Fault;
 use fescuerack_platform::service::{self, Answer};
 use fescuerack_wire::error::Kind;
@@ -14,14 +13,15 @@
 use super::intake::Call;
 use super::reply::{Reply, failure, failure_with, whole, with_header};
 use super::{bill, entry};
-use crate::claims::{self, Claim, Name};
+use crate::claims;
 use crate::shared::{Force, Shared};
 
 /// Attempts that one call may make; more than one only while it surely has
 /// not run, or when it is idempotent.
 const MOST_ATTEMPTS: u32 = 3;
-/// Milliseconds for which recording an answer is tried.
-const RECORD_MS: u64 = 5_000;
+/// What a caller is told whose call must not be repeated and has no key.
+const NEEDS_KEY: &str = "calls of this service must not be repeated: send an Idempotency-Key \
+    that stays the same when you send the call again; not run";
 
 /// A call of a service.
 struct Job {
@@ -35,7 +35,7 @@
 
 /// How a call ended.
 struct Ended {
-    outcome: Outcome,
+    outcome: Run,
     answer: Option<Answer>,
 }
 
@@ -84,7 +84,7 @@
         failure_with(
             Kind::OutcomeUnknown,
             "the call ended abnormally",
-            Outcome::Unknown,
+            Run::Unknown,
         )
     };
     run.await.unwrap_or_else(|_| unknown())
@@ -97,11 +97,23 @@
                 let name = self.claim_name(key);
                 self.run_claimed(&name)
             }
-            _ => self.reply(self.attempt()),
+            None if self.needs_key() => failure(Kind::InvalidRequest, NEEDS_KEY),
+            _ => {
+                let bill = self.shared.random_id();
+                self.reply(self.attempt(), bill)
+            }
         };
         with_header(reply, header::REQUEST, &self.call.request)
     }
 
+    /// Returns whether the call is refused without an `Idempotency-Key`. A
+    /// resend could not be told from a second booking, so "at most once" could
+    /// not be kept. Reads are taken: by their method they change nothing.
+    fn needs_key(&self) -> bool {
+        let is_read = matches!(self.call.method.as_str(), "GET" | "HEAD" | "OPTIONS");
+        !self.service.idempotent && !self.service.keyless && !is_read
+    }
+
     fn claim_name(&self, key: &str) -> Name {
         let organisation = self.force.names.organisations.name(self.call.organisation);
         let request = [
@@ -123,31 +135,23 @@
 
     fn run_claimed(&self, name: &Name) -> Reply {
         match claims::claim(&self.shared, name, self.call.deadline) {
-            claims::Outcome::Claimed(claim) => {
-                let ended = self.attempt();
-                self.record(&claim, &ended);
-                self.reply(ended)
-            }
-            claims::Outcome::Taken(verdict) => taken(verdict),
-            claims::Outcome::Out => {
-                failure(Kind::Unavailable, "the claim could not be kept; not run")
+            Outcome::Claimed(claim) => {
+                let ended = if claims::may_send(&self.shared, &claim) {
+                    self.attempt()
+                } else {
+                    Ended::not_run()
+                };
+                claims::record(&self.shared, &claim, ended.state());
+                self.reply(ended, claim.record.bill())
             }
+            Outcome::Taken(verdict) => self.taken(verdict),
+            Outcome::Out { .. } => failure(
+                Kind::Unavailable,
+                "the claim could not be kept in the store; not run",
+            ),
         }
     }
 
-    fn record(&self, claim: &Claim, ended: &Ended) {
-        let state = match (ended.outcome, &ended.answer) {
-            (Outcome::Done, Some(answer)) => State::Done {
-                status: answer.status,
-                body: answer.body.clone(),
-            },
-            (Outcome::NotRun, _) => State::NotRun,
-            _ => State::Unknown,
-        };
-        let deadline = self.shared.now().plus_millis(RECORD_MS);
-        claims::record(&self.shared, claim, state, deadline);
-    }
-
     fn attempt(&self) -> Ended {
         let deadline = self.call.deadline;
         let mut attempts = Attempts::new(self.service.idempotent, deadline, MOST_ATTEMPTS);
@@ -194,49 +198,78 @@
         }
     }
 
-    fn reply(&self, ended: Ended) -> Reply {
+    fn reply(&self, ended: Ended, bill: String) -> Reply {
         match (ended.outcome, ended.answer) {
-            (Outcome::Done, Some(answer)) => {
-                bill::call(&self.shared, &self.force, &self.call, &self.name);
-                done(answer.status, answer.body)
-            }
-            (Outcome::NotRun, _) => failure(
+            (Run::Done, Some(answer)) => self.done(recorded(answer), bill),
+            (Run::NotRun, _) => failure(
                 Kind::Unavailable,
                 "no backend server took the call; not run",
             ),
             _ => unknown(),
         }
     }
-}
 
-fn done(status: u16, body: Bytes) -> Reply {
-    with_header(
-        whole(status, "application/json", body),
-        header::OUTCOME,
-        "done",
-    )
-}
+    /// Hands an answer on and bills it. A recorded answer is billed again
+    /// under the same identity: the instance that ran the call may have been
+    /// killed before its entry was kept, and a reader drops doubles.
+    fn done(&self, answer: claim::Answer, bill: String) -> Reply {
+        let billing = bill::call(&self.shared, &self.force, &self.call, &self.name, bill);
+        self.shared.runtime.block_on(billing);
+        let reply = whole(answer.status, "application/json", answer.body);
+        let reply = match answer.content_type {
+            Some(kind) => with_header(reply, "content-type", &kind),
+            None => reply,
+        };
+        with_header(reply, header::OUTCOME, "done")
+    }
 
-fn unknown() -> Reply {
-    let message = "the call was sent and its end is not known; it is not repeated";
-    failure_with(Kind::OutcomeUnknown, message, Outcome::Unknown)
+    fn taken(&self, verdict: Verdict) -> Reply {
+        match verdict {
+            Verdict::Replay(answer, bill) => {
+                with_header(self.done(answer, bill), header::REPLAYED, "true")
+            }
+            Verdict::StillRunning => {
+                let message = "a request with this idempotency key still runs";
+                let reply = failure_with(Kind::Conflict, message, Run::Unknown);
+                with_header(reply, "retry-after", "1")
+            }
+            Verdict::Unknown => unknown(),
+            Verdict::Mismatch => failure(
+                Kind::Conflict,
+                "the idempotency key was used with another request; not run",
+            ),
+            Verdict::Reclaim => failure(Kind::Unavailable, "the claim was given up; not run"),
+        }
+    }
 }
 
-fn taken(verdict: Verdict) -> Reply {
-    match verdict {
-        Verdict::Replay { status, body } => {
-            with_header(done(status, body), header::REPLAYED, "true")
+impl Ended {
+    fn not_run() -> Self {
+        Self {
+            outcome: Run::NotRun,
+            answer: None,
         }
-        Verdict::StillRunning => failure_with(
-            Kind::Conflict,
-            "a request with this idempotency key still runs",
-            Outcome::Unknown,
-        ),
-        Verdict::Unknown => unknown(),
-        Verdict::Mismatch => failure(
-            Kind::Conflict,
-            "the idempotency key was used with another request; not run",
-        ),
-        Verdict::Reclaim => failure(Kind::Unavailable, "the claim was given up; not run"),
     }
+
+    /// Returns what is recorded of a claimed call.
+    fn state(&self) -> State {
+        match (self.outcome, &self.answer) {
+            (Run::Done, Some(answer)) => State::Done(recorded(answer.clone())),
+            (Run::NotRun, _) => State::NotRun,
+            _ => State::Unknown,
+        }
+    }
+}
+
+fn recorded(answer: Answer) -> claim::Answer {
+    claim::Answer {
+        status: answer.status,
+        content_type: answer.content_type,
+        body: answer.body,
+    }
+}
+
+fn unknown() -> Reply {
+    let message = "the call was sent and its end is not known; it is not repeated";
+    failure_with(Kind::OutcomeUnknown, message, Run::Unknown)
 }
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -72,7 +72,7 @@
                         call,
                         ..
                     } = &self;
-                    bill::completion(shared, force, call, self.version, usage);
+                    bill::completion(shared, force, call, self.version, usage).await;
                     let _ = sender.send_data(line(chat::DONE)).await;
                     return;
                 }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,7 +1,5 @@
 //! The process's clocks.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use fescuerack_core::clock::Instant;
 
 /// A monotonic clock that starts with the process.
@@ -32,10 +30,3 @@
         tokio::time::Instant::from_std(at)
     }
 }
-
-/// Returns wall-clock time, for records that other instances read.
-#[must_use]
-pub fn wall() -> Instant {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    Instant::ORIGIN + since.unwrap_or_default()
-}
--- a/crates/node/src/force.rs
+++ b/crates/node/src/force.rs
@@ -1,34 +1,123 @@
-//! Follows the manifest in the store and puts each accepted configuration in
-//! force.
+//! Follows the manifest and puts each accepted configuration in force.
+//!
+//! Every instance waits at the store for a change and reads the manifest after
+//! each wait, so a missed event costs one wait and not the change. While the
+//! store is out, peers give their verified copy: to an instance that has just
+//! started, and to one that hears of a newer revision. See
+//! `docs/design/configuration.md` for the ways that were weighed.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, anyhow};
+use bytes::Bytes;
 use fescuerack_config::{Catalog, Folder, Merged};
+use fescuerack_core::force::{Follower, Manifest, Seen, Snapshot};
+use fescuerack_core::store::Backoff;
+use fescuerack_platform::drive::Timer as _;
 use fescuerack_platform::{Store as _, manifest};
+use serde_json::json;
 
-use crate::shared::{Force, Shared};
+use crate::peers;
+use crate::shared::{Force, Shared, lock};
 use crate::stop::Stop;
 
-/// Time for which one watch waits at the store.
-const WATCH: Duration = Duration::from_secs(10);
-/// Time between two tries while the store is out.
-const RETRY: Duration = Duration::from_millis(500);
+/// Time for which one watch waits at the store. With the read that follows it
+/// bounds what a missed event costs.
+const WATCH: Duration = Duration::from_secs(3);
+/// Reads per second that the fleet may spend when all read after a change.
+const AFTER_CHANGE: u64 = 900;
+/// Reads of one instance after a change: the wait, the manifest, one file.
+const READS: u64 = 3;
+
+/// Peers that are asked for their copy.
+const PEERS_ASKED: usize = 5;
+
+/// Where the configuration in force came from.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Source {
+    /// Nowhere yet.
+    #[default]
+    None,
+    /// The store.
+    Store,
+    /// A peer, since the store was out.
+    Peer(String),
+}
+
+/// State of the configuration in one process.
+#[derive(Debug, Default)]
+pub struct Desk {
+    inner: Mutex<Inner>,
+    heard: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    follower: Follower,
+    manifest: Manifest,
+    folder: Folder,
+    source: Source,
+    problem: Option<String>,
+    store_out: bool,
+}
+
+impl Desk {
+    /// Takes note of the revision at a peer.
+    pub fn hear(&self, revision: u64) {
+        self.heard.fetch_max(revision, Ordering::SeqCst);
+    }
+
+    /// Returns the copy that peers are given; none without a configuration.
+    pub fn copy(&self) -> Option<Snapshot> {
+        let inner = lock(&self.inner);
+        if inner.manifest.revision == 0 {
+            return None;
+        }
+        let text = |content: &Bytes| String::from_utf8_lossy(content).into_owned();
+        let files = inner.folder.files.iter();
+        Some(Snapshot {
+            manifest: inner.manifest.clone(),
+            files: files
+                .map(|(name, content)| (name.clone(), text(content)))
+                .collect(),
+        })
+    }
+
+    /// Returns the state for the dump.
+    pub fn state(&self) -> serde_json::Value {
+        let inner = lock(&self.inner);
+        json!({
+            "revision": inner.follower.revision(),
+            "source": inner.source,
+            "refused": inner.follower.refused(),
+            "problem": inner.problem,
+            "store_out": inner.store_out,
+            "heard": self.heard.load(Ordering::SeqCst),
+        })
+    }
+}
 
 /// Follows the manifest until `stop` is set.
 pub fn follow(shared: &Arc<Shared>, stop: &Stop) {
     let mut seen = 0;
+    let mut backoff = Backoff::new(shared.random());
     loop {
-        let result = step(shared, seen);
-        match result {
-            Ok(version) => seen = version,
-            Err(_) => shared.metrics.count("force.store_failed"),
-        }
-        let pause = if result.is_ok() {
+        share(shared);
+        let result = look(shared, stop, seen);
+        note_store(shared, result.is_err());
+        let pause = if let Ok(version) = result {
+            seen = version;
+            backoff.reset();
             Duration::ZERO
         } else {
-            RETRY
+            shared.metrics.count("force.store_failed");
+            ask_peers(shared);
+            let now = shared.wall.now();
+            backoff.next(now).since(now)
         };
         if stop.wait(pause) {
             return;
@@ -36,20 +125,91 @@
     }
 }
 
-fn step(shared: &Shared, seen: u64) -> Result<u64> {
-    let latest = shared.store.watch(manifest::KEY, seen, WATCH)?;
+/// Keeps to this instance's share of the store's rate.
+fn share(shared: &Shared) {
+    let nodes = lock(&shared.peers).len().max(1);
+    shared.store.share(u32::try_from(nodes).unwrap_or(u32::MAX));
+}
+
+fn note_store(shared: &Shared, out: bool) {
+    let mut inner = lock(&shared.configuration.inner);
+    if inner.store_out == out {
+        return;
+    }
+    inner.store_out = out;
+    if out {
+        log::warn!("the configuration store gives no answer");
+    } else {
+        log::info!("the configuration store answers again");
+    }
+}
+
+/// Waits for a change after version `seen` of the manifest and puts it in
+/// force; returns the version of the manifest that was read. That version, and
+/// not the one of the event, is waited on next: after an old read the same
+/// event must come again.
+fn look(shared: &Shared, stop: &Stop, seen: u64) -> Result<u64> {
+    if seen > 0 {
+        let latest = shared.store.watch(manifest::KEY, seen, WATCH)?;
+        if latest > seen && stop.wait(spread(shared)) {
+            return Ok(seen);
+        }
+    }
     let Some((version, manifest)) = manifest::read(&shared.store)? else {
-        return Ok(latest);
+        let _ = stop.wait(Duration::from_millis(200));
+        return Ok(0);
     };
-    if manifest.revision > shared.force().catalog.revision {
-        let folder = manifest::fetch(&shared.store, &manifest)?;
-        let force = compile(shared, manifest.revision, &folder)?;
-        if shared.put_in_force(force) {
-            shared.metrics.count("force.changed");
-            log::info!(revision = manifest.revision; "configuration in force");
-        }
+    let decision = lock(&shared.configuration.inner).follower.see(&manifest);
+    if decision == Seen::Fetch {
+        let have = lock(&shared.configuration.inner).folder.clone();
+        let folder = manifest::fetch_with(&shared.store, &manifest, &have)?;
+        put(shared, manifest, folder, &Source::Store);
+    }
+    Ok(version.max(seen))
+}
+
+/// Returns a random pause that spreads the fleet's reads after a change.
+fn spread(shared: &Shared) -> Duration {
+    let nodes = lock(&shared.peers).len() as u64;
+    let width_ms = nodes * READS * 1000 / AFTER_CHANGE;
+    Duration::from_millis(shared.random() % (width_ms + 1))
+}
+
+/// Puts a verified configuration in force, or refuses it whole; the old one
+/// then stays.
+fn put(shared: &Shared, manifest: Manifest, folder: Folder, source: &Source) {
+    let revision = manifest.revision;
+    let force = match compile(shared, revision, &folder) {
+        Ok(force) => force,
+        Err(problem) => return refuse(shared, revision, &problem),
+    };
+    let mut inner = lock(&shared.configuration.inner);
+    if inner.follower.see(&manifest) == Seen::Old {
+        return;
     }
-    Ok(version.max(latest))
+    inner.follower.put(revision);
+    let was_put = shared.put_in_force(force);
+    assert!(
+        was_put,
+        "the follower and the configuration in force differ"
+    );
+    inner.manifest = manifest;
+    inner.folder = folder;
+    inner.source = source.clone();
+    inner.problem = None;
+    drop(inner);
+    shared.metrics.count("force.changed");
+    let source = format!("{source:?}");
+    log::info!(revision, source; "configuration in force");
+}
+
+fn refuse(shared: &Shared, revision: u64, problem: &anyhow::Error) {
+    shared.metrics.count("force.refused");
+    let problem = format!("{problem:#}");
+    log::error!(revision, problem; "configuration refused; the old one stays");
+    let mut inner = lock(&shared.configuration.inner);
+    inner.follower.refuse(revision);
+    inner.problem = Some(problem);
 }
 
 fn compile(shared: &Shared, revision: u64, folder: &Folder) -> Result<Force> {
@@ -66,3 +226,49 @@
         })
     })
 }
+
+/// Takes the highest verified revision from peers, when this instance has
+/// none or has heard of a newer one.
+fn ask_peers(shared: &Arc<Shared>) {
+    let revision = lock(&shared.configuration.inner).follower.revision();
+    let heard = shared.configuration.heard.load(Ordering::SeqCst);
+    if revision > 0 && heard <= revision {
+        return;
+    }
+    let mut best: Option<(String, Snapshot)> = None;
+    for address in peers::some(shared, PEERS_ASKED) {
+        let call = peers::call::<Option<Snapshot>>(shared, &address, "configuration", &());
+        let Ok(Some(copy)) = shared.runtime.block_on(call) else {
+            shared.metrics.count("force.peer_failed");
+            continue;
+        };
+        let newest = best
+            .as_ref()
+            .map_or(revision, |(_, best)| best.manifest.revision);
+        if copy.manifest.revision > newest && verified(&copy).is_ok() {
+            best = Some((address, copy));
+        }
+    }
+    let Some((address, copy)) = best else {
+        return;
+    };
+    let seen = lock(&shared.configuration.inner)
+        .follower
+        .see(&copy.manifest);
+    if seen == Seen::Fetch {
+        let folder = folder(&copy.files);
+        put(shared, copy.manifest, folder, &Source::Peer(address));
+    }
+}
+
+fn folder(files: &BTreeMap<String, String>) -> Folder {
+    let mut folder = Folder::new();
+    for (name, content) in files {
+        folder = folder.with_file(name, content.clone());
+    }
+    folder
+}
+
+fn verified(copy: &Snapshot) -> Result<()> {
+    manifest::verify(&copy.manifest, &folder(&copy.files))
+}
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -1,37 +1,258 @@
-//! Keeps the ledger's segments in the store.
+//! Keeps the ledger: in the store, and beside it with a peer.
+//!
+//! An answer's end waits until its entry is safe: kept in the store, or copied
+//! to a peer when the store cannot keep it in time, for [`WAIT`] at most. The
+//! first token waits for nothing. See `docs/design/ledger.md` for the ways that
+//! were weighed and their figures.
 
-use std::sync::Arc;
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
+use fescuerack_core::ledger::{Book, Entry, Hold, Limits, Segment, Shelf, Ticket};
+use fescuerack_platform::drive::Timer as _;
 use fescuerack_platform::ledger::{self, Writer};
+use tokio::sync::{Notify, watch};
 
+use crate::peers;
 use crate::shared::{Shared, lock};
 use crate::stop::Stop;
 
-/// Time for which entries are gathered.
-const PERIOD: Duration = Duration::from_millis(200);
+/// Longest time that an answer's end waits for its entry.
+const WAIT: Duration = Duration::from_millis(4);
+/// Time that the store has before entries are copied to a peer.
+const STORE_FIRST: Duration = Duration::from_millis(2);
+/// Time between two looks when nothing happens, and between two words to the
+/// peer that holds copies.
+const IDLE: Duration = Duration::from_secs(1);
+/// Time between two tries while the store is out.
+const RETRY: Duration = Duration::from_millis(200);
 
-/// Keeps segments until `stop` is set.
+/// State of the ledger in one process.
+#[derive(Debug)]
+pub struct Desk {
+    book: Mutex<Book>,
+    added: Condvar,
+    copy: Notify,
+    safe: watch::Sender<Ticket>,
+    shelf: Mutex<Shelf>,
+    /// Address of the peer that holds our copies.
+    keeper: Mutex<Option<String>>,
+}
+
+impl Desk {
+    /// Creates an empty ledger of one start of a process.
+    pub fn new(incarnation: &str) -> Self {
+        Self {
+            book: Mutex::new(Book::new(incarnation, Limits::default())),
+            added: Condvar::new(),
+            copy: Notify::new(),
+            safe: watch::Sender::new(Ticket::default()),
+            shelf: Mutex::new(Shelf::new()),
+            keeper: Mutex::new(None),
+        }
+    }
+
+    /// Adds an entry; it will be kept.
+    pub fn add(&self, entry: Entry) -> Ticket {
+        let ticket = lock(&self.book).add(entry);
+        self.added.notify_one();
+        self.copy.notify_one();
+        ticket
+    }
+
+    /// Waits until an entry is safe, or for [`WAIT`]; returns whether it is.
+    pub async fn safe(&self, ticket: Ticket) -> bool {
+        let mut safe = self.safe.subscribe();
+        let waiting = safe.wait_for(|until| *until > ticket);
+        matches!(tokio::time::timeout(WAIT, waiting).await, Ok(Ok(_)))
+    }
+
+    fn tell(&self) {
+        let until = lock(&self.book).safe_until();
+        self.safe.send_if_modified(|safe| {
+            let rises = until > *safe;
+            *safe = until.max(*safe);
+            rises
+        });
+    }
+
+    /// Returns the state for the dump.
+    pub fn state(&self) -> serde_json::Value {
+        let book = lock(&self.book);
+        serde_json::json!({
+            "pending": book.pending(),
+            "folds": book.folds(),
+            "copies_out": book.has_copies_out(),
+            "copies_held": lock(&self.shelf).len(),
+        })
+    }
+
+    /// Holds copies of a peer's entries; returns whether it did.
+    pub fn hold(&self, shared: &Shared, asked: Hold) -> bool {
+        let now = shared.wall.now();
+        let is_held = lock(&self.shelf).hold(now, asked);
+        if !is_held {
+            shared.metrics.count("ledger.shelf_full");
+        }
+        is_held
+    }
+
+    /// Takes over the entries of a peer that ends.
+    pub fn adopt(&self, entries: Vec<Entry>) {
+        for entry in entries {
+            lock(&self.book).add(entry);
+        }
+        self.added.notify_one();
+    }
+
+    fn wait(&self, wait: Duration) {
+        let book = lock(&self.book);
+        let waited = self
+            .added
+            .wait_timeout_while(book, wait, |book| book.is_empty());
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+/// Keeps entries in the store until `stop` is set.
 pub fn follow(shared: &Arc<Shared>, stop: &Stop) {
-    while !stop.wait(PERIOD) {
-        keep(shared);
+    while !stop.wait(Duration::ZERO) {
+        shared.ledger.wait(IDLE);
+        take_orphans(shared);
+        if !keep(shared) && stop.wait(RETRY) {
+            return;
+        }
+    }
+}
+
+fn take_orphans(shared: &Shared) {
+    let orphans = lock(&shared.ledger.shelf).orphans(shared.wall.now());
+    if !orphans.is_empty() {
+        let count = orphans.len();
+        log::warn!(count; "keeping the ledger entries of a silent peer");
+        shared.metrics.count("ledger.orphans");
+        shared.ledger.adopt(orphans);
     }
 }
 
-/// Writes every segment that the store does not hold yet; returns whether
-/// nothing is left.
+/// Writes what the store does not hold yet; returns whether nothing is left.
 pub fn keep(shared: &Shared) -> bool {
-    let segments = lock(&shared.book).seal();
-    let writer = Writer {
-        instance: shared.settings.instance.clone(),
-        incarnation: shared.incarnation.clone(),
-    };
-    for segment in segments {
-        if ledger::write(&shared.store, &writer, &segment).is_err() {
+    while let Some(segment) = next(shared) {
+        if ledger::write(&shared.ledger_store, &shared.writer(), &segment).is_err() {
             shared.metrics.count("ledger.store_failed");
             return false;
         }
-        lock(&shared.book).kept(segment.sequence);
+        lock(&shared.ledger.book).kept(segment.sequence);
+        shared.ledger.tell();
     }
     true
 }
+
+fn next(shared: &Shared) -> Option<Segment> {
+    lock(&shared.ledger.book).segment().cloned()
+}
+
+/// Copies entries that the store could not keep in time to a peer.
+pub async fn copy(shared: Arc<Shared>) {
+    let desk = &shared.ledger;
+    loop {
+        let waited = tokio::time::timeout(IDLE, desk.copy.notified()).await;
+        if waited.is_ok() {
+            tokio::time::sleep(STORE_FIRST).await;
+        }
+        let (alone, kept_until, out) = {
+            let book = lock(&desk.book);
+            (book.alone(), book.kept_until(), book.has_copies_out())
+        };
+        let alone: Vec<_> = alone
+            .into_iter()
+            .filter(|(ticket, _)| *ticket >= kept_until)
+            .collect();
+        let has_keeper = lock(&desk.keeper).is_some();
+        if alone.is_empty() && !out && !has_keeper {
+            continue;
+        }
+        send(&shared, kept_until, alone).await;
+    }
+}
+
+async fn send(shared: &Arc<Shared>, kept_until: Ticket, copies: Vec<(Ticket, Entry)>) {
+    let desk = &shared.ledger;
+    let keeper = lock(&desk.keeper).clone();
+    let Some(address) = keeper.or_else(|| peers::keeper(shared)) else {
+        return;
+    };
+    let until = copies.last().map(|(ticket, _)| Ticket(ticket.0 + 1));
+    let last_word = copies.is_empty() && !lock(&desk.book).has_copies_out();
+    let hold = Hold {
+        owner: shared.owner(),
+        kept_until,
+        copies,
+    };
+    let call = peers::call::<bool>(shared, &address, "ledger_hold", &hold);
+    if !matches!(call.await, Ok(true)) {
+        shared.metrics.count("ledger.copy_failed");
+        // Another one next time; this one writes what it holds after a while,
+        // and a reader drops the doubles.
+        *lock(&desk.keeper) = None;
+        return;
+    }
+    *lock(&desk.keeper) = (!last_word).then_some(address);
+    if let Some(until) = until {
+        lock(&desk.book).copied(until);
+        desk.tell();
+        shared.metrics.count("ledger.copied");
+    }
+}
+
+/// Ends the ledger of a process that ends: what the store does not take goes
+/// to a peer, and what no peer takes goes to the log as a last resort.
+pub fn finish(shared: &Arc<Shared>, deadline: fescuerack_core::clock::Instant) {
+    let held = lock(&shared.ledger.shelf).all();
+    shared.ledger.adopt(held);
+    while !keep(shared) {
+        if hand_off(shared) {
+            return;
+        }
+        if shared.now() >= deadline {
+            return leave(shared);
+        }
+        std::thread::sleep(RETRY);
+    }
+}
+
+fn hand_off(shared: &Arc<Shared>) -> bool {
+    let entries = lock(&shared.ledger.book).entries();
+    let Some(address) = peers::keeper(shared) else {
+        return false;
+    };
+    let call = peers::call::<bool>(shared, &address, "ledger_adopt", &entries);
+    let taken = shared.runtime.block_on(call).unwrap_or(false);
+    if taken {
+        lock(&shared.ledger.book).hand_off();
+        shared.metrics.count("ledger.handed_off");
+        log::info!(count = entries.len(); "handed the ledger to a peer");
+    }
+    taken
+}
+
+fn leave(shared: &Shared) {
+    for entry in lock(&shared.ledger.book).entries() {
+        let entry = serde_json::to_string(&entry).unwrap_or_default();
+        log::error!(entry; "a ledger entry is kept nowhere else");
+    }
+}
+
+impl Shared {
+    /// Returns who writes this process's segments.
+    pub fn writer(&self) -> Writer {
+        Writer {
+            instance: self.settings.instance.clone(),
+            incarnation: self.incarnation.clone(),
+        }
+    }
+
+    fn owner(&self) -> String {
+        format!("{}/{}", self.settings.instance, self.incarnation)
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,15 +15,13 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stop::Stop;
-use crate::{force, ledger, servers};
+use crate::{claims, force, ledger, servers};
 
 /// Stack of one thread, in bytes. Threads that read backend servers are many
 /// and shallow.
 const STACK: usize = 512 << 10;
 /// Threads beside those that read backend servers.
 const SPARE_THREADS: usize = 64;
-/// Time between two tries to keep the ledger at shutdown.
-const KEEP_RETRY: Duration = Duration::from_millis(200);
 
 /// A running process.
 pub struct Node {
@@ -50,15 +48,17 @@
             .enable_all()
             .build()
             .context("start the runtime")?;
-        let shared = Arc::new(Shared::new(settings)?);
+        let shared = Arc::new(Shared::new(settings, runtime.handle().clone())?);
         let callers = runtime.block_on(callers::Port::new(Arc::clone(&shared)))?;
         let operators = operators::Port::new(&shared)?;
         let (peers, peers_handle) = runtime.block_on(peers::serve(Arc::clone(&shared)))?;
         runtime.spawn(peers_handle.stopped());
         runtime.spawn(peers::follow(Arc::clone(&shared)));
+        runtime.spawn(ledger::copy(Arc::clone(&shared)));
         let stop = Stop::new();
         spawn("config", &shared, &stop, force::follow)?;
         spawn("servers", &shared, &stop, servers::follow)?;
+        spawn("claims", &shared, &stop, claims::follow)?;
         let ledger = spawn("ledger", &shared, &stop, ledger::follow)?;
         log::info!(instance = shared.settings.instance; "started");
         Ok(Self {
@@ -111,9 +111,8 @@
         self.runtime.block_on(self.callers.finish(remaining));
         self.stop.set();
         let _ = self.ledger.join();
-        while !ledger::keep(&self.shared) && self.shared.now() < deadline {
-            std::thread::sleep(KEEP_RETRY);
-        }
+        while self.shared.now() < deadline && !claims::work(&self.shared, Duration::ZERO) {}
+        ledger::finish(&self.shared, deadline);
         self.operators.stop();
         self.runtime.shutdown_background();
         log::info!("stopped");
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -61,7 +61,6 @@
 }
 
 fn state(shared: &Shared) -> serde_json::Value {
-    let force = shared.force();
     let (running, waiting) = shared.gate.load();
     let servers: Vec<_> = lock(&shared.routes)
         .iter()
@@ -81,10 +80,12 @@
         "incarnation": shared.incarnation,
         "ready": shared.is_ready(),
         "draining": shared.draining.load(Ordering::SeqCst),
-        "configuration": {"revision": force.catalog.revision},
+        "configuration": shared.configuration.state(),
         "admission": {"running": running, "waiting": waiting},
         "route": {"servers": servers},
-        "ledger": {"pending": lock(&shared.book).pending()},
+        "claims": {"backlog": shared.claims.backlog()},
+        "ledger": shared.ledger.state(),
+        "store": shared.store.calls(),
         "counters": shared.metrics.counters(),
     })
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -6,16 +6,19 @@
 use anyhow::Result;
 use fescuerack_config::{Catalog, Names, key};
 use fescuerack_core::clock::Instant;
-use fescuerack_core::{ledger, route};
+use fescuerack_core::route;
+use fescuerack_platform::drive::Wall;
 use fescuerack_platform::{Agent, HttpDirectory, HttpStore, agent};
 use fescuerack_wire::list;
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
+use tokio::runtime::Handle;
 
 use crate::admission::Gate;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::{claims, force, ledger};
 
 /// The configuration in force, with the names of its keys.
 #[derive(Clone, Debug, Default)]
@@ -34,10 +37,16 @@
     pub incarnation: String,
     /// Clock.
     pub clock: Clock,
+    /// Clock whose times other instances read; it never goes back.
+    pub wall: Wall,
+    /// Runs async work for threads.
+    pub runtime: Handle,
     /// Counters.
     pub metrics: Metrics,
     /// Key-value service.
     pub store: HttpStore,
+    /// The same, with the ledger's share of the rate.
+    pub ledger_store: HttpStore,
     /// Instance list.
     pub directory: HttpDirectory,
     /// Connections to backend servers.
@@ -51,7 +60,11 @@
     /// Names; the only writer is [`Shared::names`].
     names: Mutex<Names>,
     /// Entries that are to be kept.
-    pub book: Mutex<ledger::Book>,
+    pub ledger: ledger::Desk,
+    /// Claims of non-idempotent requests.
+    pub claims: claims::Desk,
+    /// Where the configuration in force comes from.
+    pub configuration: force::Desk,
     /// Other instances.
     pub peers: Mutex<Vec<list::Instance>>,
     /// Whether the instance list has been read since the start.
@@ -79,14 +92,21 @@
     /// # Errors
     ///
     /// When the metrics' address is malformed.
-    pub fn new(settings: Settings) -> Result<Self> {
+    pub fn new(settings: Settings, runtime: Handle) -> Result<Self> {
         let mut rng = Pcg64Mcg::from_rng(&mut rand::rng());
         let incarnation = format!("{:016x}", rng.random::<u64>());
+        let store = HttpStore::new(&settings.platform);
         Ok(Self {
+            ledger: ledger::Desk::new(&incarnation),
+            claims: claims::Desk::default(),
+            configuration: force::Desk::default(),
             incarnation,
             clock: Clock::new(),
+            wall: Wall::new(),
+            runtime,
             metrics: Metrics::new(&settings.statsd)?,
-            store: HttpStore::new(&settings.platform),
+            ledger_store: store.for_ledger(),
+            store,
             directory: HttpDirectory::new(&settings.platform),
             upstream: agent(Self::IDLE),
             // A connection that was idle may be closed by the other side while
@@ -96,7 +116,6 @@
             gate: Gate::new(settings.limits.concurrency),
             routes: Mutex::new(route::Table::new()),
             names: Mutex::new(Names::new()),
-            book: Mutex::new(ledger::Book::new()),
             peers: Mutex::new(Vec::new()),
             listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
--- /dev/null
+++ b/crates/platform/src/drive.rs
@@ -0,0 +1,91 @@
+//! Drives the core's protocols over a [`Store`].
+
+use fescuerack_core::clock::Instant;
+use fescuerack_core::store::{Call, Machine, Reply, Step};
+
+use crate::{Fault, Store, Swap};
+
+/// Time as the protocols see it: the wall clock at the start of the process
+/// plus what has passed since, so that it never goes back.
+pub trait Timer {
+    /// Returns the time.
+    fn now(&self) -> Instant;
+
+    /// Sleeps until `until`.
+    fn sleep(&self, until: Instant);
+}
+
+/// The process's own clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Wall {
+    started: std::time::Instant,
+    origin: Instant,
+}
+
+impl Wall {
+    /// Starts the clock.
+    #[must_use]
+    pub fn new() -> Self {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Self {
+            started: std::time::Instant::now(),
+            origin: Instant::ORIGIN + since.unwrap_or_default(),
+        }
+    }
+}
+
+impl Default for Wall {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Timer for Wall {
+    fn now(&self) -> Instant {
+        self.origin + self.started.elapsed()
+    }
+
+    fn sleep(&self, until: Instant) {
+        std::thread::sleep(until.since(self.now()));
+    }
+}
+
+/// Makes one call.
+pub fn call(store: &dyn Store, call: Call) -> Reply {
+    match call {
+        Call::Get { key } => store
+            .get(&key)
+            .map_or_else(|fault| failed(&fault), Reply::Value),
+        Call::Swap {
+            key,
+            expected,
+            value,
+            lease,
+        } => match store.swap(&key, expected, value, lease) {
+            Ok(Swap::Swapped(version)) => Reply::Swapped(version),
+            Ok(Swap::Conflict(version)) => Reply::Conflict(version),
+            Err(fault) => failed(&fault),
+        },
+    }
+}
+
+fn failed(fault: &Fault) -> Reply {
+    match fault {
+        Fault::NotSent(_) | Fault::Refused { .. } => Reply::Refused,
+        Fault::Unknown(_) | Fault::Malformed(_) => Reply::Lost,
+    }
+}
+
+/// Runs a protocol to its end.
+pub fn run<M: Machine>(store: &dyn Store, timer: &dyn Timer, machine: &mut M) -> M::Output {
+    loop {
+        match machine.step(timer.now()) {
+            Step::Done(output) => return output,
+            Step::Wait(until) => timer.sleep(until),
+            Step::Call(next) => {
+                let reply = call(store, next);
+                machine.take(timer.now(), reply);
+            }
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,10 +6,12 @@
 //! failures say whether the call may have taken effect ([`Fault`]).
 
 mod directory;
+pub mod drive;
 pub mod engine;
 mod fault;
 mod http;
 pub mod ledger;
+mod limit;
 pub mod manifest;
 mod rating;
 pub mod service;
@@ -18,5 +20,6 @@
 pub use directory::{Directory, HttpDirectory};
 pub use fault::Fault;
 pub use http::{Agent, agent};
+pub use limit::Calls;
 pub use rating::{HttpRating, Rating};
 pub use store::{HttpStore, Store, Swap, Value};
--- a/crates/platform/src/manifest.rs
+++ b/crates/platform/src/manifest.rs
@@ -2,34 +2,28 @@
 //! that names them.
 //!
 //! The manifest is swapped in one key, so all files of a change come into
-//! force together or not at all.
+//! force together or not at all. The protocol is [`fescuerack_core::force`];
+//! this module runs it over a [`Store`].
+//!
+//! An operator's tool reads the manifest ([`read`]), works out what it would
+//! change ([`Plan`]), shows it, and puts it in force ([`apply`]). The manifest
+//! that the plan was made on goes with the wish: a file that somebody else has
+//! changed since then is a conflict.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use anyhow::{Context as _, Result, bail};
-use bytes::Bytes;
 use fescuerack_config::{Folder, folder};
-use serde::{Deserialize, Serialize};
-
-use crate::{Store, Swap};
-
-/// Key of the manifest.
-pub const KEY: &str = "config/manifest";
-
-/// Which files are in force.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Manifest {
-    /// Rises by one with every accepted change.
-    pub revision: u64,
-    /// Digest of each file's content.
-    pub files: BTreeMap<String, String>,
-    /// Who made the change.
-    pub author: String,
-}
+use fescuerack_core::force::{Apply, CHUNK, CHUNKS, Chunk, blob_key, chunk_key};
 
-fn blob_key(digest: &str) -> String {
-    format!("config/file/{digest}")
-}
+pub use fescuerack_core::force::{Applied, Change, File, KEY, Manifest, Wish};
+
+use crate::drive::{self, Timer as _, Wall};
+use crate::{Store, Value};
+
+/// Time within which a change is put in force or given up.
+const DEADLINE: Duration = Duration::from_secs(10);
 
 /// Reads the manifest; `None` when none has ever been accepted.
 ///
@@ -40,52 +34,199 @@
     let Some(value) = store.get(KEY).context("read the manifest")? else {
         return Ok(None);
     };
-    let manifest = serde_json::from_slice(&value.bytes).context("parse the manifest")?;
+    let manifest = parse(&value).context("parse the manifest")?;
     Ok(Some((value.version, manifest)))
 }
 
+fn parse<T: serde::de::DeserializeOwned>(value: &Value) -> Result<T> {
+    Ok(serde_json::from_slice(&value.bytes)?)
+}
+
 /// Reads the files that a manifest names and verifies their digests.
 ///
 /// # Errors
 ///
 /// When a file is missing or its content does not match its digest.
 pub fn fetch(store: &dyn Store, manifest: &Manifest) -> Result<Folder> {
+    fetch_with(store, manifest, &Folder::new())
+}
+
+/// Like [`fetch`], but reads only files that `have` does not hold.
+///
+/// # Errors
+///
+/// When a file is missing or its content does not match its digest.
+pub fn fetch_with(store: &dyn Store, manifest: &Manifest, have: &Folder) -> Result<Folder> {
     let mut result = Folder::new();
-    for (name, digest) in &manifest.files {
+    for (name, file) in &manifest.files {
+        let held = have.files.get(name);
+        if let Some(content) = held.filter(|content| folder::digest(content) == file.digest) {
+            result = result.with_file(name, content.clone());
+            continue;
+        }
         let value = store
-            .get(&blob_key(digest))
+            .get(&blob_key(&file.digest))
             .with_context(|| format!("read file {name}"))?
             .with_context(|| format!("file {name} is missing in the store"))?;
-        if folder::digest(&value.bytes) != *digest {
-            bail!("file {name} does not match its digest");
-        }
         result = result.with_file(name, value.bytes);
     }
+    verify(manifest, &result)?;
     Ok(result)
 }
 
+/// Verifies that a folder is exactly what a manifest names.
+///
+/// # Errors
+///
+/// When a file is missing, left over, or does not match its digest.
+pub fn verify(manifest: &Manifest, files: &Folder) -> Result<()> {
+    for (name, file) in &manifest.files {
+        let content = files.files.get(name);
+        let content = content.with_context(|| format!("file {name} is missing"))?;
+        if folder::digest(content) != file.digest {
+            bail!("file {name} does not match its digest");
+        }
+    }
+    if files.files.len() != manifest.files.len() {
+        bail!("files are left over that the manifest does not name");
+    }
+    Ok(())
+}
+
+/// What a folder would change in a manifest.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// Files that would be new.
+    pub added: Vec<String>,
+    /// Files whose content would change.
+    pub changed: Vec<String>,
+    /// Files that would go.
+    pub removed: Vec<String>,
+}
+
+impl Plan {
+    /// Compares a folder with the manifest in force. Files that the folder
+    /// does not have go only when `remove` is set: a team that owns one file
+    /// brings only that one.
+    #[must_use]
+    pub fn new(manifest: &Manifest, files: &Folder, remove: bool) -> Self {
+        let mut plan = Self::default();
+        for (name, content) in &files.files {
+            match manifest.files.get(name) {
+                None => plan.added.push(name.clone()),
+                Some(file) if file.digest != folder::digest(content) => {
+                    plan.changed.push(name.clone());
+                }
+                Some(_) => {}
+            }
+        }
+        if remove {
+            let gone = manifest.files.keys();
+            let gone = gone.filter(|name| !files.files.contains_key(*name));
+            plan.removed = gone.cloned().collect();
+        }
+        plan
+    }
+
+    /// Returns whether nothing would change.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.added.is_empty() && self.changed.is_empty() && self.removed.is_empty()
+    }
+
+    /// Returns the wish that the plan stands for; author, reason and request
+    /// are left to be filled in.
+    #[must_use]
+    pub fn wish(&self, seen: Manifest, files: &Folder) -> Wish {
+        let put = self.added.iter().chain(&self.changed);
+        let put = put.map(|name| (name.clone(), files.files.get(name).cloned()));
+        let removed = self.removed.iter().map(|name| (name.clone(), None));
+        Wish {
+            seen,
+            files: put.chain(removed).collect(),
+            at: seconds(),
+            ..Wish::default()
+        }
+    }
+}
+
+/// Returns wall-clock time in seconds since 1970.
+#[must_use]
+pub fn seconds() -> u64 {
+    Wall::new().now().0 / 1_000_000
+}
+
+/// Puts a wish in force. The same request may be sent again after
+/// [`Applied::Unknown`].
+pub fn apply(store: &dyn Store, wish: Wish) -> Applied {
+    let timer = Wall::new();
+    let seed = timer.now().0;
+    let mut machine = Apply::new(wish, timer.now() + DEADLINE, seed);
+    drive::run(store, &timer, &mut machine)
+}
+
+/// Reads the last changes, the newest first, at most `most` of them.
+///
+/// # Errors
+///
+/// When the store gives no answer.
+pub fn history(store: &dyn Store, most: usize) -> Result<Vec<Change>> {
+    let Some((_, manifest)) = read(store)? else {
+        return Ok(Vec::new());
+    };
+    let mut changes = vec![manifest.change.clone()];
+    let newest = manifest.revision / CHUNK;
+    let oldest = newest.saturating_sub(CHUNKS - 1);
+    for round in (oldest..=newest).rev() {
+        if changes.len() >= most {
+            break;
+        }
+        let Some(value) = store.get(&chunk_key(round * CHUNK))? else {
+            continue;
+        };
+        let chunk: Chunk = parse(&value).context("parse the history")?;
+        let older = chunk.changes.into_iter().rev();
+        let in_round = older.filter(|change| change.revision / CHUNK == round);
+        changes.extend(in_round.filter(|change| change.revision < manifest.revision));
+    }
+    changes.truncate(most);
+    Ok(changes)
+}
+
 /// Puts a whole folder in force and returns its revision.
 ///
 /// # Errors
 ///
-/// When the store gives no answer or another operator was faster.
+/// When the change is refused, conflicts, or the store gives no answer.
 pub fn publish(store: &dyn Store, files: &Folder, author: &str) -> Result<u64> {
-    let (version, before) = read(store)?.unwrap_or_default();
-    let mut manifest = Manifest {
-        revision: before.revision + 1,
-        files: BTreeMap::new(),
+    let (_, seen) = read(store)?.unwrap_or_default();
+    let plan = Plan::new(&seen, files, true);
+    let wish = Wish {
         author: author.to_owned(),
+        request: format!("publish-{author}-{}", Wall::new().now().0),
+        ..plan.wish(seen, files)
     };
-    for (name, content) in &files.files {
-        let digest = folder::digest(content);
-        store
-            .swap(&blob_key(&digest), 0, content.clone(), None)
-            .with_context(|| format!("write file {name}"))?;
-        manifest.files.insert(name.clone(), digest);
-    }
-    let bytes = Bytes::from(serde_json::to_vec(&manifest)?);
-    match store.swap(KEY, version, bytes, None)? {
-        Swap::Swapped(_) => Ok(manifest.revision),
-        Swap::Conflict(_) => bail!("another operator changed the configuration meanwhile"),
+    match apply(store, wish) {
+        Applied::Accepted { revision } | Applied::Unchanged { revision } => Ok(revision),
+        Applied::Conflict { file, theirs } => {
+            let by = theirs.map_or_else(String::new, |file| format!(" by {}", file.author));
+            bail!("{file} was changed{by} meanwhile")
+        }
+        Applied::Refused(problems) => {
+            let problems: Vec<_> = problems.iter().map(ToString::to_string).collect();
+            bail!("{}", problems.join("\n"))
+        }
+        Applied::Broken(what) => bail!("{what}"),
+        Applied::Unknown => bail!("no answer from the store; the change may be in force"),
+        Applied::Out => bail!("no answer from the store; nothing was changed"),
     }
 }
+
+/// Returns the digests of a manifest by file name.
+#[must_use]
+pub fn digests(manifest: &Manifest) -> BTreeMap<String, String> {
+    let files = manifest.files.iter();
+    files
+        .map(|(name, file)| (name.clone(), file.digest.clone()))
+        .collect()
+}
--- a/crates/platform/src/service.rs
+++ b/crates/platform/src/service.rs
@@ -31,6 +31,8 @@
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
+    /// Content type, when the service named one.
+    pub content_type: Option<String>,
     /// Body.
     pub body: Bytes,
 }
@@ -75,6 +77,9 @@
             "answer to another attempt, or to none".to_owned(),
         ));
     }
+    let content_type = response.headers().get("content-type");
+    let content_type = content_type.and_then(|value| value.to_str().ok());
+    let content_type = content_type.map(str::to_owned);
     let not_started = response.headers().contains_key(NOT_STARTED);
     let body = response
         .body_mut()
@@ -86,6 +91,7 @@
     }
     Ok(Answer {
         status,
+        content_type,
         body: Bytes::from(body),
     })
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -1,20 +1,16 @@
 //! The platform's key-value service.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescuerack_core::store::{LARGEST_VALUE, Lane};
 use fescuerack_wire::{header, kv};
 
-use crate::{Agent, Fault, agent};
+use crate::limit::Limit;
+use crate::{Agent, Calls, Fault, agent};
 
-/// A value with its version.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Value {
-    /// Version, to be named in the next swap.
-    pub version: u64,
-    /// Content.
-    pub bytes: Bytes,
-}
+pub use fescuerack_core::store::Value;
 
 /// Result of a compare-and-swap that was surely decided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,27 +76,84 @@
     fn renew(&self, lease: u64) -> Result<kv::Lease, Fault>;
 }
 
-/// The key-value service over HTTP.
+/// The key-value service over HTTP. Clones share connections and rate.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
     agent: Agent,
     url: String,
+    limit: Arc<Limit>,
+    writes: Lane,
 }
 
+type Response = ureq::http::Response<ureq::Body>;
+
 impl HttpStore {
-    const TIMEOUT: Duration = Duration::from_secs(2);
+    /// Idle connections that are kept.
+    const IDLE: usize = 16;
 
-    /// Creates a client of the platform at `address`, as `host:port`.
+    /// Creates a client of the platform at `address`, as `host:port`. Its rate
+    /// is unlimited until [`HttpStore::share`] says how many share it.
     #[must_use]
     pub fn new(address: &str) -> Self {
         Self {
-            agent: agent(8),
+            agent: agent(Self::IDLE),
             url: format!("http://{address}"),
+            limit: Arc::new(Limit::new()),
+            writes: Lane::Write,
         }
     }
-}
 
-type Response = ureq::http::Response<ureq::Body>;
+    /// Returns a client whose writes are the ledger's.
+    #[must_use]
+    pub fn for_ledger(&self) -> Self {
+        Self {
+            writes: Lane::Ledger,
+            ..self.clone()
+        }
+    }
+
+    /// Keeps to the share of one of `nodes` live instances.
+    pub fn share(&self, nodes: u32) {
+        self.limit.share(nodes);
+    }
+
+    /// Returns the calls that were made.
+    #[must_use]
+    pub fn calls(&self) -> Calls {
+        self.limit.calls()
+    }
+
+    /// Makes a call within the rate and the time that the service needs.
+    fn call(
+        &self,
+        lane: Lane,
+        wait: Duration,
+        make: impl FnOnce(Duration) -> Result<Response, ureq::Error>,
+    ) -> Result<Response, Fault> {
+        self.limit.enter(lane)?;
+        let start = std::time::Instant::now();
+        let result = make(self.limit.timeout() + wait);
+        let took = start.elapsed().saturating_sub(wait);
+        self.limit.learn(took, result.is_ok());
+        result.map_err(|error| Fault::from_client(&error))
+    }
+
+    fn read(&self, path: &str, wait: Duration) -> Result<Response, Fault> {
+        let url = format!("{}{path}", self.url);
+        self.call(Lane::Read, wait, |timeout| {
+            let request = self.agent.get(url).config();
+            request.timeout_global(Some(timeout)).build().call()
+        })
+    }
+
+    fn lease(&self, path: &str) -> Result<kv::Lease, Fault> {
+        let url = format!("{}{path}", self.url);
+        json(self.call(Lane::Read, Duration::ZERO, |timeout| {
+            let request = self.agent.post(url).config();
+            request.timeout_global(Some(timeout)).build().send_empty()
+        })?)
+    }
+}
 
 fn version(response: &Response) -> Result<u64, Fault> {
     response
@@ -112,10 +165,13 @@
 }
 
 fn refused(mut response: Response) -> Fault {
-    Fault::Refused {
-        status: response.status().as_u16(),
-        message: response.body_mut().read_to_string().unwrap_or_default(),
+    let status = response.status().as_u16();
+    let message = response.body_mut().read_to_string().unwrap_or_default();
+    if status >= 500 {
+        // A failure inside the service says nothing about the write.
+        return Fault::Unknown(format!("status {status}: {message}"));
     }
+    Fault::Refused { status, message }
 }
 
 fn json<T: serde::de::DeserializeOwned>(mut response: Response) -> Result<T, Fault> {
@@ -130,14 +186,7 @@
 
 impl Store for HttpStore {
     fn get(&self, key: &str) -> Result<Option<Value>, Fault> {
-        let mut response = self
-            .agent
-            .get(format!("{}/v1/kv/{key}", self.url))
-            .config()
-            .timeout_global(Some(Self::TIMEOUT))
-            .build()
-            .call()
-            .map_err(|error| Fault::from_client(&error))?;
+        let mut response = self.read(&format!("/v1/kv/{key}"), Duration::ZERO)?;
         match response.status().as_u16() {
             200 => {
                 let version = version(&response)?;
@@ -162,18 +211,22 @@
         value: Bytes,
         lease: Option<u64>,
     ) -> Result<Swap, Fault> {
+        if value.len() > LARGEST_VALUE {
+            let message = format!("{key}: {} bytes, over {LARGEST_VALUE}", value.len());
+            return Err(Fault::Refused {
+                status: 413,
+                message,
+            });
+        }
         let lease = lease.map_or_else(String::new, |lease| format!("&lease={lease}"));
-        let response = self
-            .agent
-            .put(format!(
-                "{}/v1/kv/{key}?version={expected}{lease}",
-                self.url
-            ))
-            .config()
-            .timeout_global(Some(Self::TIMEOUT))
-            .build()
-            .send(&value[..])
-            .map_err(|error| Fault::from_client(&error))?;
+        let url = format!("{}/v1/kv/{key}?version={expected}{lease}", self.url);
+        let response = self.call(self.writes, Duration::ZERO, |timeout| {
+            let request = self.agent.put(url).config();
+            request
+                .timeout_global(Some(timeout))
+                .build()
+                .send(&value[..])
+        })?;
         match response.status().as_u16() {
             200 => Ok(Swap::Swapped(version(&response)?)),
             409 => Ok(Swap::Conflict(version(&response)?)),
@@ -182,57 +235,21 @@
     }
 
     fn keys(&self, prefix: &str) -> Result<kv::Keys, Fault> {
-        let response = self
-            .agent
-            .get(format!("{}/v1/keys?prefix={prefix}", self.url))
-            .config()
-            .timeout_global(Some(Self::TIMEOUT))
-            .build()
-            .call()
-            .map_err(|error| Fault::from_client(&error))?;
-        json(response)
+        json(self.read(&format!("/v1/keys?prefix={prefix}"), Duration::ZERO)?)
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<u64, Fault> {
         let wait_ms = wait.as_millis();
-        let url = format!(
-            "{}/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}",
-            self.url
-        );
-        let response = self
-            .agent
-            .get(url)
-            .config()
-            .timeout_global(Some(wait + Self::TIMEOUT))
-            .build()
-            .call()
-            .map_err(|error| Fault::from_client(&error))?;
-        let keys: kv::Keys = json(response)?;
+        let path = format!("/v1/watch?prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let keys: kv::Keys = json(self.read(&path, wait)?)?;
         Ok(keys.version)
     }
 
     fn grant(&self, ttl: Duration) -> Result<kv::Lease, Fault> {
-        let url = format!("{}/v1/leases?ttl_ms={}", self.url, ttl.as_millis());
-        let response = self
-            .agent
-            .post(url)
-            .config()
-            .timeout_global(Some(Self::TIMEOUT))
-            .build()
-            .send_empty()
-            .map_err(|error| Fault::from_client(&error))?;
-        json(response)
+        self.lease(&format!("/v1/leases?ttl_ms={}", ttl.as_millis()))
     }
 
     fn renew(&self, lease: u64) -> Result<kv::Lease, Fault> {
-        let response = self
-            .agent
-            .post(format!("{}/v1/leases/{lease}", self.url))
-            .config()
-            .timeout_global(Some(Self::TIMEOUT))
-            .build()
-            .send_empty()
-            .map_err(|error| Fault::from_client(&error))?;
-        json(response)
+        self.lease(&format!("/v1/leases/{lease}"))
     }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -11,14 +11,24 @@
     LoseAnswers,
     /// Answers wait this many milliseconds.
     SlowMs,
+    /// Every n-th read shows the value before the last write.
+    OldReads,
+    /// Watch events come this many milliseconds late.
+    LateWatchMs,
+    /// Watch events do not come at all.
+    MissWatch,
+    /// Calls over this number in one second are refused with status 429.
+    Rate,
+}
+
+impl Fault {
+    const COUNT: usize = 7;
 }
 
 /// The faults of one stand-in; a value of 0 switches a fault off.
 #[derive(Debug, Default)]
 pub struct Faults {
-    down: AtomicU64,
-    lose_answers: AtomicU64,
-    slow_ms: AtomicU64,
+    cells: [AtomicU64; Fault::COUNT],
 }
 
 impl Faults {
@@ -29,11 +39,7 @@
     }
 
     fn cell(&self, fault: Fault) -> &AtomicU64 {
-        match fault {
-            Fault::Down => &self.down,
-            Fault::LoseAnswers => &self.lose_answers,
-            Fault::SlowMs => &self.slow_ms,
-        }
+        &self.cells[fault as usize]
     }
 
     /// Switches a fault.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! Tests and `fescuerack demo` use them; they are no simulator: each answers
 //! at the interface and knows nothing of the others.
 
+mod chaos;
 mod engine;
 mod fault;
 mod http;
@@ -11,9 +12,10 @@
 mod service;
 mod store;
 
+pub use chaos::{Chaos, Odds};
 pub use engine::{Engine, Pace};
 pub use fault::{Fault, Faults};
 pub use http::{Body, Handler, Request, Response, Server};
 pub use platform::Platform;
 pub use service::Service;
-pub use store::Store;
+pub use store::{Refusal, Store};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,6 +2,7 @@
 //! behind one address.
 
 use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::http::{answer, json, number, parameter};
-use crate::store::LARGEST_VALUE;
+use crate::store::Refusal;
 use crate::{Fault, Faults, Request, Response, Server, Store};
 
 /// Milliseconds between two looks of a waiting watch.
@@ -26,6 +27,9 @@
     quality: Mutex<BTreeMap<String, f64>>,
     store_faults: Faults,
     rating_faults: Faults,
+    reads: AtomicU64,
+    /// The present second and the calls in it.
+    second: Mutex<(u64, u64)>,
     started: std::time::Instant,
 }
 
@@ -52,6 +56,8 @@
             quality: Mutex::new(BTreeMap::new()),
             store_faults: Faults::new(),
             rating_faults: Faults::new(),
+            reads: AtomicU64::new(0),
+            second: Mutex::new((0, 0)),
             started: std::time::Instant::now(),
         });
         let for_handler = Arc::clone(&shared);
@@ -144,6 +150,9 @@
 
     async fn store(&self, request: &Request, path: &str) -> Response {
         wait(&self.store_faults).await?;
+        if self.is_over_rate() {
+            return Some(answer(429, "over the rate"));
+        }
         let response = if path == "/v1/watch" {
             self.watch(request).await
         } else {
@@ -153,14 +162,31 @@
         (!lost).then_some(response)
     }
 
+    fn is_over_rate(&self) -> bool {
+        let rate = self.store_faults.get(Fault::Rate);
+        let now = self.started.elapsed().as_secs();
+        let mut second = lock(&self.second);
+        if second.0 != now {
+            *second = (now, 0);
+        }
+        second.1 += 1;
+        rate > 0 && second.1 > rate
+    }
+
     async fn watch(&self, request: &Request) -> hyper::Response<crate::Body> {
         let prefix = parameter(request, "prefix").unwrap_or_default();
         let after = number(request, "after");
         let deadline = self.now().plus_millis(number(request, "wait_ms"));
         loop {
             let keys = lock(&self.store).keys(prefix, after);
+            let missed = self.store_faults.get(Fault::MissWatch) > 0;
+            if !keys.items.is_empty() && !missed {
+                let late = self.store_faults.get(Fault::LateWatchMs);
+                sleep(Duration::from_millis(late)).await;
+                return json(&keys);
+            }
             let down = self.store_faults.get(Fault::Down) > 0;
-            if !keys.items.is_empty() || self.now() >= deadline || down {
+            if self.now() >= deadline || down {
                 return json(&keys);
             }
             sleep(Duration::from_millis(WATCH_STEP_MS)).await;
@@ -175,7 +201,7 @@
             return if request.method() == hyper::Method::PUT {
                 put(&mut store, request, key)
             } else {
-                get(&store, key)
+                self.get(&store, key)
             };
         }
         match path {
@@ -187,6 +213,20 @@
             _ => renew(&mut store, now, path),
         }
     }
+
+    fn get(&self, store: &Store, key: &str) -> hyper::Response<crate::Body> {
+        let each = self.store_faults.get(Fault::OldReads);
+        let reads = self.reads.fetch_add(1, Ordering::Relaxed) + 1;
+        let value = if each > 0 && reads.is_multiple_of(each) {
+            store.get_old(key)
+        } else {
+            store.get(key)
+        };
+        match value {
+            Some(value) => with_version(answer(200, value.bytes), value.version),
+            None => answer(404, "no such key"),
+        }
+    }
 }
 
 /// Waits as the faults say; `None` when the service is down.
@@ -208,22 +248,16 @@
     response
 }
 
-fn get(store: &Store, key: &str) -> hyper::Response<crate::Body> {
-    match store.get(key) {
-        Some((version, value)) => with_version(answer(200, value), version),
-        None => answer(404, "no such key"),
-    }
-}
-
 fn put(store: &mut Store, request: &Request, key: &str) -> hyper::Response<crate::Body> {
-    if request.body().len() > LARGEST_VALUE {
-        return answer(413, "a value holds at most a megabyte");
-    }
     let lease = parameter(request, "lease").and_then(|lease| lease.parse().ok());
     let value = request.body().clone();
     match store.swap(key, number(request, "version"), value, lease) {
         Ok(version) => with_version(answer(200, ""), version),
-        Err(version) => with_version(answer(409, "another version stands"), version),
+        Err(Refusal::Conflict(version)) => {
+            with_version(answer(409, "another version stands"), version)
+        }
+        Err(Refusal::TooLarge) => answer(413, "a value holds at most a megabyte"),
+        Err(Refusal::NoLease) => answer(412, "no such lease"),
     }
 }
 
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -1,21 +1,34 @@
 //! The key-value service: compare-and-swap, leases, watches.
+//!
+//! The state only; [`crate::Platform`] gives it a network and
+//! [`crate::Chaos`] gives it seeded faults in one process.
 
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
+use fescuerack_core::store::{LARGEST_VALUE, Value};
 use fescuerack_wire::kv;
 
-/// Values up to this size are taken.
-pub(crate) const LARGEST_VALUE: usize = 1 << 20;
-
 #[derive(Clone, Debug)]
 struct Entry {
-    version: u64,
-    value: Bytes,
+    value: Value,
+    /// What an old read still shows.
+    before: Option<Value>,
     lease: Option<u64>,
 }
 
+/// Why a swap wrote nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// Another version stands.
+    Conflict(u64),
+    /// The value is too large.
+    TooLarge,
+    /// The lease has lapsed or never was.
+    NoLease,
+}
+
 /// The state of the service, without its network.
 #[derive(Clone, Debug, Default)]
 pub struct Store {
@@ -38,34 +51,60 @@
         self.version
     }
 
+    /// Returns how many keys it holds.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether it holds nothing.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Reads a value.
     #[must_use]
-    pub fn get(&self, key: &str) -> Option<(u64, Bytes)> {
-        let entry = self.entries.get(key)?;
-        Some((entry.version, entry.value.clone()))
+    pub fn get(&self, key: &str) -> Option<Value> {
+        self.entries.get(key).map(|entry| entry.value.clone())
+    }
+
+    /// Reads the value before the last write, as a replica that lags does.
+    #[must_use]
+    pub fn get_old(&self, key: &str) -> Option<Value> {
+        self.entries.get(key)?.before.clone()
     }
 
     /// Writes a value if its version is `expected`.
     ///
     /// # Errors
     ///
-    /// The version that stands.
+    /// Why nothing was written.
     pub fn swap(
         &mut self,
         key: &str,
         expected: u64,
-        value: Bytes,
+        bytes: Bytes,
         lease: Option<u64>,
-    ) -> Result<u64, u64> {
-        let current = self.entries.get(key).map_or(0, |entry| entry.version);
-        let lapsed = lease.is_some_and(|lease| !self.leases.contains_key(&lease));
-        if current != expected || lapsed {
-            return Err(current);
+    ) -> Result<u64, Refusal> {
+        if bytes.len() > LARGEST_VALUE {
+            return Err(Refusal::TooLarge);
+        }
+        if lease.is_some_and(|lease| !self.leases.contains_key(&lease)) {
+            return Err(Refusal::NoLease);
+        }
+        let standing = self.get(key);
+        let current = standing.as_ref().map_or(0, |value| value.version);
+        if current != expected {
+            return Err(Refusal::Conflict(current));
         }
         self.version += 1;
         let entry = Entry {
-            version: self.version,
-            value,
+            value: Value {
+                version: self.version,
+                bytes,
+            },
+            before: standing,
             lease,
         };
         self.entries.insert(key.to_owned(), entry);
@@ -79,10 +118,10 @@
             .entries
             .range(prefix.to_owned()..)
             .take_while(|(key, _)| key.starts_with(prefix))
-            .filter(|(_, entry)| entry.version > after)
+            .filter(|(_, entry)| entry.value.version > after)
             .map(|(key, entry)| kv::Item {
                 key: key.clone(),
-                version: entry.version,
+                version: entry.value.version,
             })
             .collect();
         kv::Keys {
