--- a/crates/core/src/force/mod.rs
+++ b/crates/core/src/force/mod.rs
@@ -93,13 +93,3 @@
     /// Identifier of this request; the same one may be sent again.
     pub request: String,
 }
-
-/// A manifest with its files, as one instance hands it to another.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Snapshot {
-    /// The manifest in force at the sender.
-    pub manifest: Manifest,
-    /// Content of each file; files are UTF-8, or they would not have been
-    /// accepted.
-    pub files: BTreeMap<String, String>,
-}
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -42,6 +42,8 @@
     pub segment_bytes: usize,
     /// Bytes of all entries that are not kept yet.
     pub total_bytes: usize,
+    /// Bytes of entries that are not kept yet and were offered to a peer.
+    pub offered_bytes: usize,
 }
 
 impl Default for Limits {
@@ -51,6 +53,7 @@
             // A quarter of the 32 MB that control may take: about 35,000
             // entries, or 40 minutes at the peak of 15 requests a second.
             total_bytes: 8 << 20,
+            offered_bytes: 1 << 20,
         }
     }
 }
@@ -61,7 +64,7 @@
     limits: Limits,
     /// Name of this start of the process; part of the identity of sums.
     writer: String,
-    open: VecDeque<(Ticket, Entry)>,
+    open: VecDeque<Open>,
     open_bytes: usize,
     sent: Option<Sent>,
     sums: BTreeMap<(String, String), Entry>,
@@ -69,11 +72,21 @@
     next_sequence: u64,
     next_ticket: Ticket,
     kept_until: Ticket,
+    offered_until: Ticket,
     copied_until: Ticket,
     added: u64,
     kept: u64,
 }
 
+/// An entry that is in no segment yet.
+#[derive(Clone, Debug)]
+struct Open {
+    ticket: Ticket,
+    entry: Entry,
+    /// Whether no other instance can ever write it.
+    ours: bool,
+}
+
 /// A segment that is under way.
 #[derive(Clone, Debug)]
 struct Sent {
@@ -100,19 +113,40 @@
             next_sequence: 0,
             next_ticket: Ticket(0),
             kept_until: Ticket(0),
+            offered_until: Ticket(0),
             copied_until: Ticket(0),
             added: 0,
             kept: 0,
         }
     }
 
-    /// Adds an entry.
+    /// Adds an entry that only this process can write.
     pub fn add(&mut self, entry: Entry) -> Ticket {
+        self.push(entry, true)
+    }
+
+    /// Adds an entry that another instance may write too: of a claim, or taken
+    /// over from a peer.
+    pub fn adopt(&mut self, entry: Entry) -> Ticket {
+        self.push(entry, false)
+    }
+
+    /// Returns whether there is room to take entries over from a peer.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.open_bytes < self.limits.total_bytes / 2
+    }
+
+    fn push(&mut self, entry: Entry, ours: bool) -> Ticket {
         let ticket = self.next_ticket;
         self.next_ticket.0 += 1;
         self.added += entry.requests;
         self.open_bytes += entry.size();
-        self.open.push_back((ticket, entry));
+        self.open.push_back(Open {
+            ticket,
+            entry,
+            ours,
+        });
         while self.open_bytes > self.limits.total_bytes && self.fold() {}
         ticket
     }
@@ -120,19 +154,19 @@
     /// Folds the oldest open entry into the sum of its organisation and
     /// version; returns whether there was one.
     ///
-    /// Entries that another instance may write too (claims, and those that a
-    /// peer has a copy of) are told by their identity and stay: a sum could
-    /// not be recognised as their double. Both are bounded: claims need the
-    /// store, so in an outage they do not grow, and a peer's shelf is small.
+    /// Entries that another instance may write too are told by their identity
+    /// and stay: a sum could not be recognised as their double. That holds for
+    /// entries of claims, for those of a peer, and for those that were offered
+    /// to a peer, whether or not it answered. All are bounded: claims need the
+    /// store, so in an outage they do not grow; a peer's are taken while there
+    /// is room; few are offered at a time.
     fn fold(&mut self) -> bool {
-        let copied_until = self.copied_until;
-        let foldable = |(ticket, entry): &(Ticket, Entry)| {
-            *ticket >= copied_until && !entry.request.starts_with("claim-")
-        };
+        let offered_until = self.offered_until;
+        let foldable = |open: &Open| open.ours && open.ticket >= offered_until;
         let Some(index) = self.open.iter().position(foldable) else {
             return false;
         };
-        let Some((_, entry)) = self.open.remove(index) else {
+        let Some(Open { entry, .. }) = self.open.remove(index) else {
             return false;
         };
         self.open_bytes -= entry.size();
@@ -167,16 +201,16 @@
         let mut entries: Vec<_> = std::mem::take(&mut self.sums).into_values().collect();
         let mut bytes: usize = entries.iter().map(Entry::size).sum();
         let mut tickets = Vec::new();
-        while let Some((ticket, entry)) = self.open.pop_front() {
-            let size = entry.size();
+        while let Some(open) = self.open.pop_front() {
+            let size = open.entry.size();
             if !entries.is_empty() && bytes + size > self.limits.segment_bytes {
-                self.open.push_front((ticket, entry));
+                self.open.push_front(open);
                 break;
             }
             bytes += size;
             self.open_bytes -= size;
-            tickets.push(ticket);
-            entries.push(entry);
+            tickets.push(open.ticket);
+            entries.push(open.entry);
         }
         if entries.is_empty() {
             return;
@@ -184,7 +218,7 @@
         let after = self
             .open
             .front()
-            .map_or(self.next_ticket, |(ticket, _)| *ticket);
+            .map_or(self.next_ticket, |open| open.ticket);
         let segment = Segment {
             sequence: self.next_sequence,
             entries,
@@ -226,18 +260,43 @@
         self.kept_until
     }
 
-    /// Returns the entries, with their tickets, that neither the store nor a
-    /// peer has yet.
-    #[must_use]
-    pub fn alone(&self) -> Vec<(Ticket, Entry)> {
+    /// Returns entries that neither the store nor a peer has yet, with their
+    /// tickets, for a peer to hold; no more than `bytes` of them, and none
+    /// while [`Limits::offered_bytes`] are out.
+    pub fn offer(&mut self, bytes: usize) -> Vec<(Ticket, Entry)> {
+        if !self.sums.is_empty() {
+            // A sum holds earlier tickets, which would count as copied.
+            return Vec::new();
+        }
+        let mut out = 0;
+        let mut offered = Vec::new();
+        let mut size = 0;
+        for (ticket, entry) in self.ticketed() {
+            out += entry.size();
+            if ticket < self.copied_until {
+                continue;
+            }
+            size += entry.size();
+            let is_over = size > bytes && !offered.is_empty();
+            if is_over || out > self.limits.offered_bytes {
+                break;
+            }
+            offered.push((ticket, entry.clone()));
+        }
+        if let Some((ticket, _)) = offered.last() {
+            self.offered_until = self.offered_until.max(Ticket(ticket.0 + 1));
+        }
+        offered
+    }
+
+    fn ticketed(&self) -> impl Iterator<Item = (Ticket, &Entry)> {
         let sent = self.sent.iter().flat_map(|sent| {
             let sums = sent.segment.entries.len() - sent.tickets.len();
-            let entries = sent.segment.entries.iter().skip(sums).cloned();
+            let entries = sent.segment.entries.iter().skip(sums);
             sent.tickets.iter().copied().zip(entries)
         });
-        let all = sent.chain(self.open.iter().cloned());
-        all.filter(|(ticket, _)| *ticket >= self.copied_until)
-            .collect()
+        let open = self.open.iter().map(|open| (open.ticket, &open.entry));
+        sent.chain(open)
     }
 
     /// Remembers that a peer holds every entry before `until`.
@@ -265,7 +324,7 @@
 
     fn all(&self) -> impl Iterator<Item = &Entry> {
         let sent = self.sent.iter().flat_map(|sent| &sent.segment.entries);
-        let open = self.open.iter().map(|(_, entry)| entry);
+        let open = self.open.iter().map(|open| &open.entry);
         sent.chain(self.sums.values()).chain(open)
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod clock;
 pub mod force;
 pub mod ledger;
+pub mod member;
 pub mod route;
 pub mod session;
 pub mod store;
--- a/crates/node/src/callers/bill.rs
+++ b/crates/node/src/callers/bill.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fescuerack_config::key;
-use fescuerack_core::ledger::Entry;
+use fescuerack_core::ledger::{Entry, Ticket};
 use fescuerack_platform::manifest;
 use fescuerack_wire::chat::Usage;
 
@@ -30,7 +30,8 @@
         cost,
         ..entry(force, call)
     };
-    keep(shared, entry).await;
+    let ticket = shared.ledger.add(entry);
+    keep(shared, ticket).await;
     cost
 }
 
@@ -41,7 +42,8 @@
         version: service.to_owned(),
         ..entry(force, call)
     };
-    keep(shared, entry).await;
+    let ticket = shared.ledger.add_claimed(entry);
+    keep(shared, ticket).await;
 }
 
 /// Returns an entry that lacks what was used. Its identity is never the
@@ -63,9 +65,8 @@
     cost.of(usage.prompt_tokens, usage.completion_tokens)
 }
 
-async fn keep(shared: &Arc<Shared>, entry: Entry) {
+async fn keep(shared: &Arc<Shared>, ticket: Ticket) {
     let start = shared.now();
-    let ticket = shared.ledger.add(entry);
     if !shared.ledger.safe(ticket).await {
         shared.metrics.count("ledger.unsafe");
     }
--- a/crates/node/src/force.rs
+++ b/crates/node/src/force.rs
@@ -6,21 +6,19 @@
 //! started, and to one that hears of a newer revision. See
 //! `docs/design/configuration.md` for the ways that were weighed.
 
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, anyhow};
-use bytes::Bytes;
 use fescuerack_config::{Catalog, Folder, Merged};
-use fescuerack_core::force::{Follower, Manifest, Seen, Snapshot};
+use fescuerack_core::force::{Follower, Manifest, Seen};
 use fescuerack_core::store::Backoff;
 use fescuerack_platform::drive::Timer as _;
 use fescuerack_platform::{Store as _, manifest};
 use serde_json::json;
 
-use crate::peers;
+use crate::aid::{self, Ask};
 use crate::shared::{Force, Shared, lock};
 use crate::stop::Stop;
 
@@ -71,20 +69,20 @@
         self.heard.fetch_max(revision, Ordering::SeqCst);
     }
 
-    /// Returns the copy that peers are given; none without a configuration.
-    pub fn copy(&self) -> Option<Snapshot> {
+    /// Returns the manifest in force; none without a configuration.
+    pub fn manifest(&self) -> Option<Manifest> {
         let inner = lock(&self.inner);
-        if inner.manifest.revision == 0 {
-            return None;
-        }
-        let text = |content: &Bytes| String::from_utf8_lossy(content).into_owned();
-        let files = inner.folder.files.iter();
-        Some(Snapshot {
-            manifest: inner.manifest.clone(),
-            files: files
-                .map(|(name, content)| (name.clone(), text(content)))
-                .collect(),
-        })
+        (inner.manifest.revision > 0).then(|| inner.manifest.clone())
+    }
+
+    /// Returns the content of a file in force; files are UTF-8, or they would
+    /// not have been accepted.
+    pub fn file(&self, digest: &str) -> Option<String> {
+        let inner = lock(&self.inner);
+        let mut files = inner.manifest.files.iter();
+        let (name, _) = files.find(|(_, file)| file.digest == digest)?;
+        let content = inner.folder.files.get(name)?;
+        std::str::from_utf8(content).ok().map(str::to_owned)
     }
 
     /// Returns the state for the dump.
@@ -127,8 +125,7 @@
 
 /// Keeps to this instance's share of the store's rate.
 fn share(shared: &Shared) {
-    let nodes = lock(&shared.peers).len().max(1);
-    shared.store.share(u32::try_from(nodes).unwrap_or(u32::MAX));
+    shared.store.share(aid::fleet(shared));
 }
 
 fn note_store(shared: &Shared, out: bool) {
@@ -170,7 +167,7 @@
 
 /// Returns a random pause that spreads the fleet's reads after a change.
 fn spread(shared: &Shared) -> Duration {
-    let nodes = lock(&shared.peers).len() as u64;
+    let nodes = u64::from(aid::fleet(shared));
     let width_ms = nodes * READS * 1000 / AFTER_CHANGE;
     Duration::from_millis(shared.random() % (width_ms + 1))
 }
@@ -235,40 +232,37 @@
     if revision > 0 && heard <= revision {
         return;
     }
-    let mut best: Option<(String, Snapshot)> = None;
-    for address in peers::some(shared, PEERS_ASKED) {
-        let call = peers::call::<Option<Snapshot>>(shared, &address, "configuration", &());
-        let Ok(Some(copy)) = shared.runtime.block_on(call) else {
-            shared.metrics.count("force.peer_failed");
-            continue;
-        };
-        let newest = best
-            .as_ref()
-            .map_or(revision, |(_, best)| best.manifest.revision);
-        if copy.manifest.revision > newest && verified(&copy).is_ok() {
-            best = Some((address, copy));
+    let mut offers = Vec::new();
+    for address in aid::some(shared, PEERS_ASKED) {
+        let asking = aid::ask::<Option<Manifest>>(shared, &address, &Ask::Manifest);
+        match shared.runtime.block_on(asking) {
+            Ok(Some(manifest)) => offers.push((manifest, address)),
+            Ok(None) => {}
+            Err(_) => shared.metrics.count("force.peer_failed"),
         }
     }
-    let Some((address, copy)) = best else {
-        return;
-    };
-    let seen = lock(&shared.configuration.inner)
-        .follower
-        .see(&copy.manifest);
-    if seen == Seen::Fetch {
-        let folder = folder(&copy.files);
-        put(shared, copy.manifest, folder, &Source::Peer(address));
+    offers.sort_by_key(|(manifest, _)| std::cmp::Reverse(manifest.revision));
+    for (manifest, address) in offers {
+        let seen = lock(&shared.configuration.inner).follower.see(&manifest);
+        if seen != Seen::Fetch {
+            continue;
+        }
+        if let Ok(folder) = fetch_from(shared, &address, &manifest) {
+            return put(shared, manifest, folder, &Source::Peer(address));
+        }
+        shared.metrics.count("force.peer_failed");
     }
 }
 
-fn folder(files: &BTreeMap<String, String>) -> Folder {
+/// Fetches the files of a manifest from a peer and verifies them.
+fn fetch_from(shared: &Shared, address: &str, manifest: &Manifest) -> Result<Folder> {
     let mut folder = Folder::new();
-    for (name, content) in files {
-        folder = folder.with_file(name, content.clone());
+    for (name, file) in &manifest.files {
+        let content = shared
+            .runtime
+            .block_on(aid::file(shared, address, &file.digest))?;
+        folder = folder.with_file(name, content);
     }
-    folder
-}
-
-fn verified(copy: &Snapshot) -> Result<()> {
-    manifest::verify(&copy.manifest, &folder(&copy.files))
+    manifest::verify(manifest, &folder)?;
+    Ok(folder)
 }
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -13,7 +13,7 @@
 use fescuerack_platform::ledger::{self, Writer};
 use tokio::sync::{Notify, watch};
 
-use crate::peers;
+use crate::aid::{self, Ask, LARGEST_BATCH};
 use crate::shared::{Shared, lock};
 use crate::stop::Stop;
 
@@ -55,9 +55,20 @@
     /// Adds an entry; it will be kept.
     pub fn add(&self, entry: Entry) -> Ticket {
         let ticket = lock(&self.book).add(entry);
+        self.wake();
+        ticket
+    }
+
+    /// Adds an entry that another instance may add too: that of a claim.
+    pub fn add_claimed(&self, entry: Entry) -> Ticket {
+        let ticket = lock(&self.book).adopt(entry);
+        self.wake();
+        ticket
+    }
+
+    fn wake(&self) {
         self.added.notify_one();
         self.copy.notify_one();
-        ticket
     }
 
     /// Waits until an entry is safe, or for [`WAIT`]; returns whether it is.
@@ -97,12 +108,17 @@
         is_held
     }
 
-    /// Takes over the entries of a peer that ends.
-    pub fn adopt(&self, entries: Vec<Entry>) {
+    /// Takes over the entries of a peer that ends; returns whether it did.
+    pub fn adopt(&self, entries: Vec<Entry>) -> bool {
+        let mut book = lock(&self.book);
+        if !book.has_room() {
+            return false;
+        }
         for entry in entries {
-            lock(&self.book).add(entry);
+            book.adopt(entry);
         }
         self.added.notify_one();
+        true
     }
 
     fn wait(&self, wait: Duration) {
@@ -127,11 +143,15 @@
 
 fn take_orphans(shared: &Shared) {
     let orphans = lock(&shared.ledger.shelf).orphans(shared.wall.now());
-    if !orphans.is_empty() {
-        let count = orphans.len();
-        log::warn!(count; "keeping the ledger entries of a silent peer");
-        shared.metrics.count("ledger.orphans");
-        shared.ledger.adopt(orphans);
+    if orphans.is_empty() {
+        return;
+    }
+    let count = orphans.len();
+    log::warn!(count; "keeping the ledger entries of a silent peer");
+    shared.metrics.count("ledger.orphans");
+    let mut book = lock(&shared.ledger.book);
+    for entry in orphans {
+        book.adopt(entry);
     }
 }
 
@@ -160,56 +180,61 @@
         if waited.is_ok() {
             tokio::time::sleep(STORE_FIRST).await;
         }
-        let (alone, kept_until, out) = {
-            let book = lock(&desk.book);
-            (book.alone(), book.kept_until(), book.has_copies_out())
-        };
-        let alone: Vec<_> = alone
-            .into_iter()
-            .filter(|(ticket, _)| *ticket >= kept_until)
-            .collect();
-        let has_keeper = lock(&desk.keeper).is_some();
-        if alone.is_empty() && !out && !has_keeper {
-            continue;
+        let mut more = true;
+        while more {
+            more = send(&shared).await;
         }
-        send(&shared, kept_until, alone).await;
     }
 }
 
-async fn send(shared: &Arc<Shared>, kept_until: Ticket, copies: Vec<(Ticket, Entry)>) {
+/// Sends a batch of copies, or a word about what is kept, to the peer that
+/// holds ours; returns whether there is more.
+async fn send(shared: &Arc<Shared>) -> bool {
     let desk = &shared.ledger;
+    let (copies, kept_until) = {
+        let mut book = lock(&desk.book);
+        (book.offer(LARGEST_BATCH), book.kept_until())
+    };
     let keeper = lock(&desk.keeper).clone();
-    let Some(address) = keeper.or_else(|| peers::keeper(shared)) else {
-        return;
+    if copies.is_empty() && keeper.is_none() {
+        return false;
+    }
+    let Some(address) = keeper.or_else(|| aid::keeper(shared)) else {
+        return false;
     };
     let until = copies.last().map(|(ticket, _)| Ticket(ticket.0 + 1));
-    let last_word = copies.is_empty() && !lock(&desk.book).has_copies_out();
-    let hold = Hold {
+    let hold = Ask::Hold(Hold {
         owner: shared.owner(),
         kept_until,
         copies,
-    };
-    let call = peers::call::<bool>(shared, &address, "ledger_hold", &hold);
-    if !matches!(call.await, Ok(true)) {
+    });
+    let is_held = matches!(aid::ask::<bool>(shared, &address, &hold).await, Ok(true));
+    if !is_held {
         shared.metrics.count("ledger.copy_failed");
         // Another one next time; this one writes what it holds after a while,
         // and a reader drops the doubles.
         *lock(&desk.keeper) = None;
-        return;
-    }
-    *lock(&desk.keeper) = (!last_word).then_some(address);
-    if let Some(until) = until {
-        lock(&desk.book).copied(until);
-        desk.tell();
-        shared.metrics.count("ledger.copied");
+        return false;
     }
+    let Some(until) = until else {
+        let done = !lock(&desk.book).has_copies_out();
+        *lock(&desk.keeper) = (!done).then_some(address);
+        return false;
+    };
+    *lock(&desk.keeper) = Some(address);
+    lock(&desk.book).copied(until);
+    desk.tell();
+    shared.metrics.count("ledger.copied");
+    true
 }
 
 /// Ends the ledger of a process that ends: what the store does not take goes
 /// to a peer, and what no peer takes goes to the log as a last resort.
 pub fn finish(shared: &Arc<Shared>, deadline: fescuerack_core::clock::Instant) {
     let held = lock(&shared.ledger.shelf).all();
-    shared.ledger.adopt(held);
+    for entry in held {
+        lock(&shared.ledger.book).adopt(entry);
+    }
     while !keep(shared) {
         if hand_off(shared) {
             return;
@@ -223,17 +248,36 @@
 
 fn hand_off(shared: &Arc<Shared>) -> bool {
     let entries = lock(&shared.ledger.book).entries();
-    let Some(address) = peers::keeper(shared) else {
+    let count = entries.len();
+    let Some(address) = aid::keeper(shared) else {
         return false;
     };
-    let call = peers::call::<bool>(shared, &address, "ledger_adopt", &entries);
-    let taken = shared.runtime.block_on(call).unwrap_or(false);
-    if taken {
-        lock(&shared.ledger.book).hand_off();
-        shared.metrics.count("ledger.handed_off");
-        log::info!(count = entries.len(); "handed the ledger to a peer");
+    for batch in batches(entries) {
+        let adopting = Ask::Adopt(batch);
+        let call = aid::ask::<bool>(shared, &address, &adopting);
+        if !shared.runtime.block_on(call).unwrap_or(false) {
+            // What it has taken is told by its identity if it is written twice.
+            return false;
+        }
+    }
+    lock(&shared.ledger.book).hand_off();
+    shared.metrics.count("ledger.handed_off");
+    log::info!(count; "handed the ledger to a peer");
+    true
+}
+
+fn batches(entries: Vec<Entry>) -> Vec<Vec<Entry>> {
+    let mut batches = vec![Vec::new()];
+    let mut size = 0;
+    for entry in entries {
+        size += entry.size();
+        if size > LARGEST_BATCH {
+            size = entry.size();
+            batches.push(Vec::new());
+        }
+        batches.last_mut().expect("never empty").push(entry);
     }
-    taken
+    batches
 }
 
 fn leave(shared: &Shared) {
