--- a/crates/config/src/catalog/compile/backends.rs
+++ b/crates/config/src/catalog/compile/backends.rs
@@ -84,6 +84,7 @@
             Service {
                 fleet,
                 idempotent: entry.idempotent,
+                keyless: entry.keyless,
                 deadline_ms: entry.deadline_ms,
             },
         );
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,6 +19,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{RpcModule, rpc_params};
 
+use crate::aid;
 use crate::clock;
 use crate::shared::{Shared, lock};
 
@@ -38,7 +39,7 @@
     let listen = shared.settings.listen.peers.clone();
     let config = jsonrpsee::server::ServerConfig::builder()
         .max_request_body_size(LARGEST)
-        .max_response_body_size(LARGEST)
+        .max_response_body_size(aid::LARGEST_ANSWER)
         .build();
     let server = ServerBuilder::with_config(config)
         .build(&listen)
@@ -54,6 +55,7 @@
             ErrorObjectOwned::owned(REFUSED, reason, None::<()>)
         })
     })?;
+    aid::register(&mut module)?;
     Ok((address, server.start(module)))
 }
 
@@ -151,6 +153,7 @@
 
 /// Hands to the slices what a peer told.
 fn take_in(shared: &Shared, input: Input) {
+    shared.configuration.hear(input.revision);
     let _states: peer::Shared = peer::from_slices(input.states);
     let digest: Digest = peer::from_slices(input.digests);
     merge(shared, &input.origin, &digest);
@@ -166,7 +169,8 @@
 
 fn answer(shared: &Shared, sealed: &Sealed) -> Result<Sealed, String> {
     let key = shared.settings.peer_key.as_bytes();
-    let request = peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
+    let request: member::Message =
+        peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
     let about = (request.origin.clone(), request.sequence);
     let hashes = request.hashes.clone();
     let time = time(shared);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -9,7 +9,6 @@
 
 use fescuerack_core::admission::rate;
 use fescuerack_core::attempt::pools;
-use fescuerack_core::member::Message;
 use fescuerack_core::route::word;
 use hmac::{Hmac, KeyInit as _, Mac as _};
 use serde::de::DeserializeOwned;
@@ -106,7 +105,7 @@
 ///
 /// Never: a message has only fields that JSON can hold.
 #[must_use]
-pub fn seal(key: &[u8], message: &Message) -> Sealed {
+pub fn seal(key: &[u8], message: &impl Serialize) -> Sealed {
     let body = to_raw_value(message).expect("a message has only plain fields");
     let seal = mac(key, body.get()).finalize().into_bytes();
     Sealed {
@@ -120,7 +119,7 @@
 /// # Errors
 ///
 /// When its seal is wrong or it is malformed.
-pub fn open(key: &[u8], sealed: &Sealed) -> Result<Message, Refusal> {
+pub fn open<T: DeserializeOwned>(key: &[u8], sealed: &Sealed) -> Result<T, Refusal> {
     let seal = hex::decode(&sealed.seal).map_err(|_| Refusal::Seal)?;
     mac(key, sealed.body.get())
         .verify_slice(&seal)
