--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -11,6 +11,7 @@
 use crate::admission::Meter;
 use crate::running::Running;
 use crate::shared::Shared;
+use crate::versions::suspects;
 
 /// Events that wait for a slow reader before the engine's thread waits too;
 /// bounds the memory of a stream whose caller reads slowly.
@@ -30,8 +31,16 @@
         body: work.body,
     };
     let deadline = work.deadline;
+    let watched = suspects::Attempt {
+        version: work.version,
+        fingerprint: work.fingerprint,
+        server: running.server,
+        address: running.address.clone(),
+    };
     tokio::task::spawn_blocking(move || {
-        run(&shared, &attempt, deadline, &sender, running, &meter);
+        run(
+            &shared, &attempt, &watched, deadline, &sender, running, &meter,
+        );
     });
     events
 }
@@ -39,6 +48,7 @@
 fn run(
     shared: &Shared,
     attempt: &Attempt,
+    watched: &suspects::Attempt,
     deadline: Instant,
     sender: &mpsc::Sender<Result<Event, Fault>>,
     mut running: Running,
@@ -48,6 +58,8 @@
     let mut stream = match engine::open(&shared.upstream, attempt, remaining) {
         Ok(stream) => stream,
         Err(fault) => {
+            // Before the request hears of it and tries again.
+            suspects::ended(shared, watched, Err(&fault));
             running.failed(&fault);
             note(shared, meter, deadline, &fault);
             let _ = sender.blocking_send(Err(fault));
@@ -71,9 +83,13 @@
             }
         }
         let last = !matches!(event, Ok(Event::Part(_)));
+        if last {
+            suspects::ended(shared, watched, event.as_ref().map(|_| ()));
+        }
         // The receiver is dropped when the caller goes away; returning drops
         // the connection, which cancels the attempt at the engine.
         if sender.blocking_send(event).is_err() || last {
+            suspects::left(shared, watched);
             return;
         }
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stop::Stop;
-use crate::{claims, force, ledger, loads, servers};
+use crate::{claims, force, ledger, loads, servers, versions};
 
 /// Stack of one thread, in bytes. Threads that read backend servers are many
 /// and shallow.
@@ -62,6 +62,8 @@
         spawn("servers", &shared, &stop, servers::follow)?;
         spawn("loads", &shared, &stop, loads::follow)?;
         spawn("claims", &shared, &stop, claims::follow)?;
+        spawn("rollouts", &shared, &stop, versions::rollouts::follow)?;
+        spawn("ratings", &shared, &stop, versions::ratings::follow)?;
         let ledger = spawn("ledger", &shared, &stop, ledger::follow)?;
         log::info!(instance = shared.settings.instance; "started");
         Ok(Self {
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// A running operators' port.
 pub struct Port {
@@ -90,6 +91,7 @@
         "claims": {"backlog": shared.claims.backlog()},
         "ledger": shared.ledger.state(),
         "store": shared.store.calls(),
+        "versions": versions::state(shared),
         "counters": shared.metrics.counters(),
     })
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::aid;
 use crate::clock;
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// Time within which a peer must answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
@@ -128,8 +129,10 @@
 }
 
 /// Collects what all instances should hold alike.
-fn shared_state(_shared: &Shared) -> peer::Shared {
-    peer::Shared {}
+fn shared_state(shared: &Shared) -> peer::Shared {
+    peer::Shared {
+        rollouts: lock(&shared.versions.board).records(),
+    }
 }
 
 /// Collects what the slices tell their peers.
@@ -140,6 +143,10 @@
         rates: lock(&shared.rates).digest(&force.names, now),
         pools: lock(&shared.pools).digest(&force.names, now),
         words: lock(&shared.routes).digest(now),
+        rollouts: lock(&shared.versions.board).digest(),
+        quality: lock(&shared.versions.learner).digest(&force.names),
+        sessions: lock(&shared.versions.sessions).digest(&force.names),
+        suspects: lock(&shared.versions.suspects).digest(now),
     }
 }
 
@@ -149,12 +156,14 @@
     lock(&shared.rates).merge(&force.names, now, from, &digest.rates);
     lock(&shared.pools).merge(&force.names, now, from, &digest.pools);
     lock(&shared.routes).merge(now, &digest.words);
+    versions::merge(shared, &force, digest);
 }
 
 /// Hands to the slices what a peer told.
 fn take_in(shared: &Shared, input: Input) {
     shared.configuration.hear(input.revision);
-    let _states: peer::Shared = peer::from_slices(input.states);
+    let states: peer::Shared = peer::from_slices(input.states);
+    versions::merge_records(shared, &states.rollouts);
     let digest: Digest = peer::from_slices(input.digests);
     merge(shared, &input.origin, &digest);
     publish(shared);
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod load;
 pub mod peer;
 pub mod rating;
+pub mod token;
