--- a/crates/config/src/catalog/mod.rs
+++ b/crates/config/src/catalog/mod.rs
@@ -120,6 +120,10 @@
     pub long: bool,
     /// Whether a cheap answer may be escalated.
     pub cascade: bool,
+    /// Rating under which an answer counts as bad.
+    pub bad_quality: f64,
+    /// Share of requests that may try a version of uncertain quality.
+    pub explore: f64,
     /// Priority; a lower number goes first.
     pub priority: u8,
     /// Rating under which an answer counts as bad.
--- a/crates/node/src/callers/observer.rs
+++ b/crates/node/src/callers/observer.rs
@@ -54,9 +54,7 @@
         if versions.is_candidate(model, self.version) {
             return ratings::may_rate(&self.shared, &self.force, Purpose::Candidate);
         }
-        let limits = &self.force.catalog.limits;
-        let share = limits.get(ratings::SAMPLE_LIMIT).copied();
-        self.shared.dice() < share.unwrap_or(ratings::DEFAULT_SAMPLE)
+        self.shared.dice() < self.force.catalog.limit(ratings::SHARE)
             && ratings::may_rate(&self.shared, &self.force, Purpose::Sample)
     }
 
