--- a/crates/core/src/claim/recording.rs
+++ b/crates/core/src/claim/recording.rs
@@ -5,13 +5,19 @@
 //! an earlier try of ours took effect and its answer was lost. While the store
 //! is out the record stays running and counts as unknown after its deadline,
 //! which is true.
+//!
+//! A claim that was given up without an answer from the store is settled as
+//! not run ([`Recording::with_lost`]), so that the sender may try again. Its
+//! swap may still be under way. Settling therefore never waits to see it: it
+//! writes "not run" over whatever that swap expects, after which it can only
+//! meet a conflict.
 
 use bytes::Bytes;
 
 use super::codec::{self, encode};
 use super::{Claim, Name, Record, State};
 use crate::clock::Instant;
-use crate::store::{Backoff, Call, Machine, Reply, Step};
+use crate::store::{Backoff, Call, Machine, Reply, Step, Value};
 
 /// The protocol; its output says whether the end is surely recorded.
 #[derive(Clone, Debug)]
@@ -19,8 +25,11 @@
     key: String,
     lease: Option<u64>,
     record: Record,
-    /// Version of the running claim; none while it has to be read back.
+    /// Version that the record's swap expects; none while it has to be read.
     version: Option<u64>,
+    /// Whether the claim is being settled, and not known to stand.
+    settles: bool,
+    at_least: u64,
     parts: Vec<Bytes>,
     written: usize,
     done: bool,
@@ -39,6 +48,8 @@
             lease: claim.lease,
             parts: codec::parts(&record),
             version: Some(claim.version),
+            settles: false,
+            at_least: 0,
             written: 0,
             done: false,
             deadline,
@@ -62,7 +73,10 @@
             key: name.key,
             lease,
             parts: Vec::new(),
-            version: None,
+            // The conflict names the version that stands, if one does.
+            version: Some(0),
+            settles: true,
+            at_least: 0,
             written: 0,
             done: false,
             deadline,
@@ -75,6 +89,33 @@
     fn pause(&mut self, now: Instant) {
         self.wait = Some(self.backoff.next(now));
     }
+
+    /// Looks at the record while settling: where ours may stand or yet arrive,
+    /// it is written over; where it cannot, nothing is left to do.
+    fn settle(&mut self, now: Instant, value: Option<&Value>) {
+        let version = value.map_or(0, |value| value.version);
+        if version < self.at_least {
+            return self.pause(now);
+        }
+        let found = value.and_then(|value| codec::decode(&value.bytes));
+        let is_over = match (value, found) {
+            (None, _) => false,
+            (Some(_), None) => true,
+            (Some(_), Some(found)) => {
+                let ours = found.record.nonce == self.record.nonce;
+                match found.record.state {
+                    State::NotRun => ours,
+                    State::Running => !ours,
+                    State::Done(_) | State::Unknown => true,
+                }
+            }
+        };
+        if is_over {
+            self.done = true;
+        } else {
+            self.version = Some(version);
+        }
+    }
 }
 
 impl Machine for Recording {
@@ -111,6 +152,10 @@
 
     fn take(&mut self, now: Instant, reply: Reply) {
         match reply {
+            Reply::Conflict(version) if self.settles => {
+                self.at_least = version;
+                self.version = None;
+            }
             Reply::Swapped(_) | Reply::Conflict(_) => {
                 if self.written < self.parts.len() {
                     self.written += 1;
@@ -118,24 +163,7 @@
                     self.done = true;
                 }
             }
-            Reply::Value(value) => {
-                let found = value.and_then(|value| {
-                    let decoded = codec::decode(&value.bytes)?;
-                    Some((value.version, decoded.record))
-                });
-                match found {
-                    // Absent: the swap may yet arrive, or the read is old.
-                    None => self.pause(now),
-                    Some((version, found)) => {
-                        let ours = found.nonce == self.record.nonce;
-                        if ours && found.state == State::Running {
-                            self.version = Some(version);
-                        } else {
-                            self.done = true;
-                        }
-                    }
-                }
-            }
+            Reply::Value(value) => self.settle(now, value.as_ref()),
             Reply::Refused | Reply::Lost => self.pause(now),
         }
     }
--- /dev/null
+++ b/crates/standin/tests/all/claim.rs
@@ -0,0 +1,324 @@
+//! Claims: no schedule of lost, late and old answers, kills, pauses and
+//! resends runs a request twice or makes "not run" a lie.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use fescuerack_core::claim::{Answer, Claim, Claiming, Name, Outcome, Recording, State, Verdict};
+use fescuerack_core::clock::Instant;
+use fescuerack_core::store::{Machine as _, Step};
+use fescuerack_standin::{Chaos, Odds};
+
+use crate::run::{Dice, schedules};
+
+/// Keys that are in use at a time; the window moves on, so that every schedule
+/// sees many first runs.
+const KEYS: usize = 4;
+/// Steps after which the window moves by one key.
+const MOVE: u64 = 25;
+const SENDERS: usize = 6;
+
+/// One sender's request on some instance, between two of its steps.
+enum Phase {
+    Claiming(Claiming),
+    /// Checked its deadline; may be paused here, and is killed here.
+    Claimed(Claim),
+    Recording(Recording),
+}
+
+struct Sender {
+    key: usize,
+    nonce: u64,
+    started: u64,
+    /// Whether its recorded end is final, unlike "not run".
+    ran: bool,
+    phase: Phase,
+    paused_until: Instant,
+}
+
+struct World {
+    dice: Dice,
+    store: Chaos,
+    now: Instant,
+    senders: Vec<Sender>,
+    backlog: Vec<(usize, Recording)>,
+    /// Answers of the service, per key: its own count of runs.
+    runs: BTreeMap<usize, Vec<Bytes>>,
+    /// Step at which the answer under a key was surely recorded.
+    recorded: BTreeMap<usize, u64>,
+    /// Whether a key may stay unknown for good: an instance was killed or a
+    /// backlog given up while it held the key.
+    stuck: BTreeMap<usize, bool>,
+    steps: u64,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+fn name(key: usize, body: usize) -> Name {
+    Name {
+        key: format!("claim/{key}"),
+        digest: format!("body-{key}-{body}"),
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            dice: Dice::new(seed),
+            store: Chaos::new(seed ^ 0xc1a1, Odds::HARD),
+            now: Instant::from_millis(1),
+            senders: Vec::new(),
+            backlog: Vec::new(),
+            runs: BTreeMap::new(),
+            recorded: BTreeMap::new(),
+            stuck: BTreeMap::new(),
+            steps: 0,
+            counts: BTreeMap::new(),
+        }
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counts.entry(what).or_default() += 1;
+    }
+
+    fn first_key(&self) -> usize {
+        usize::try_from(self.steps / MOVE).expect("few steps")
+    }
+
+    fn step(&mut self) {
+        self.steps += 1;
+        self.now = self.now.plus_millis(self.dice.below(12) as u64);
+        if self.dice.chance(0.002) {
+            self.store.down = !self.store.down;
+            self.count("outages");
+        }
+        if self.senders.len() < SENDERS && self.dice.chance(0.3) {
+            self.send();
+        }
+        if !self.backlog.is_empty() && self.dice.chance(0.2) {
+            self.settle();
+        }
+        if self.senders.is_empty() {
+            return;
+        }
+        let index = self.dice.below(self.senders.len());
+        if self.dice.chance(0.01) {
+            // Killed: nothing of it is left.
+            let killed = self.senders.swap_remove(index);
+            self.stuck.insert(killed.key, true);
+            return self.count("kills");
+        }
+        if self.dice.chance(0.01) {
+            let until = self.now.plus_millis(self.dice.below(3_000) as u64);
+            self.senders[index].paused_until = until;
+            return self.count("pauses");
+        }
+        if self.senders[index].paused_until <= self.now {
+            self.advance(index);
+        }
+    }
+
+    fn send(&mut self) {
+        let key = self.first_key() + self.dice.below(KEYS);
+        let body = usize::from(self.dice.chance(0.05));
+        let nonce = self.dice.number();
+        let deadline = self.now.plus_millis(200 + self.dice.below(800) as u64);
+        self.senders.push(Sender {
+            key,
+            nonce,
+            started: self.steps,
+            ran: false,
+            phase: Phase::Claiming(Claiming::new(name(key, body), nonce, deadline, None)),
+            paused_until: self.now,
+        });
+        self.count("senders");
+    }
+
+    fn settle(&mut self) {
+        let (key, mut machine) = self.backlog.swap_remove(0);
+        match machine.step(self.now) {
+            Step::Call(call) => {
+                let reply = self.store.call(call);
+                machine.take(self.now, reply);
+                self.backlog.push((key, machine));
+            }
+            Step::Wait(_) => self.backlog.push((key, machine)),
+            Step::Done(recorded) => {
+                if !recorded {
+                    self.stuck.insert(key, true);
+                }
+            }
+        }
+    }
+
+    fn advance(&mut self, index: usize) {
+        let Sender {
+            key, nonce, phase, ..
+        } = &mut self.senders[index];
+        let (key, nonce) = (*key, *nonce);
+        match phase {
+            Phase::Claiming(machine) => match machine.step(self.now) {
+                Step::Wait(_) => {}
+                Step::Call(call) => {
+                    let reply = self.store.call(call);
+                    machine.take(self.now, reply);
+                }
+                Step::Done(Outcome::Claimed(claim)) => {
+                    self.senders[index].phase = Phase::Claimed(claim);
+                }
+                Step::Done(Outcome::Taken(verdict)) => {
+                    let sender = self.senders.swap_remove(index);
+                    self.told(key, sender.started, verdict);
+                }
+                Step::Done(Outcome::Out { perhaps_held }) => {
+                    self.senders.swap_remove(index);
+                    self.count("not run: store out");
+                    if perhaps_held {
+                        let until = self.now.plus_millis(60_000);
+                        let machine = Recording::with_lost(name(key, 0), nonce, None, until);
+                        self.backlog.push((key, machine));
+                    }
+                }
+            },
+            Phase::Claimed(claim) => {
+                let claim = claim.clone();
+                self.run(index, &claim);
+            }
+            Phase::Recording(machine) => match machine.step(self.now) {
+                Step::Wait(_) => {}
+                Step::Call(call) => {
+                    let reply = self.store.call(call);
+                    machine.take(self.now, reply);
+                }
+                Step::Done(recorded) => {
+                    if recorded && self.senders[index].ran {
+                        self.recorded.insert(key, self.steps);
+                    } else {
+                        self.stuck.insert(key, true);
+                    }
+                    self.senders.swap_remove(index);
+                }
+            },
+        }
+    }
+
+    /// Sends the request to the service, whose own count must never be two.
+    fn run(&mut self, index: usize, claim: &Claim) {
+        let key = self.senders[index].key;
+        let state = if self.now >= claim.record.deadline || self.dice.chance(0.2) {
+            self.count("not run: no server");
+            State::NotRun
+        } else {
+            let answer = Bytes::from(format!("{:016x}", self.dice.number()));
+            let runs = self.runs.entry(key).or_default();
+            runs.push(answer.clone());
+            assert!(runs.len() < 2, "a request ran twice under key {key}");
+            self.senders[index].ran = true;
+            self.count("runs");
+            if self.dice.chance(0.2) {
+                State::Unknown
+            } else {
+                State::Done(Answer {
+                    status: 200,
+                    content_type: None,
+                    body: answer,
+                })
+            }
+        };
+        let until = self.now.plus_millis(5_000);
+        self.senders[index].phase = Phase::Recording(Recording::new(claim, state, until));
+    }
+
+    fn told(&mut self, key: usize, started: u64, verdict: Verdict) {
+        let has_end = self.recorded.get(&key).is_some_and(|step| *step < started);
+        let no_word = matches!(verdict, Verdict::StillRunning);
+        assert!(
+            !has_end || !no_word,
+            "key {key} has ended and is said to run"
+        );
+        match verdict {
+            Verdict::Replay(answer, bill) => {
+                let run = self.runs.get(&key).and_then(|runs| runs.first());
+                assert_eq!(run, Some(&answer.body), "another answer was replayed");
+                assert!(!bill.is_empty());
+                self.count("replays");
+            }
+            Verdict::Mismatch => self.count("mismatches"),
+            Verdict::StillRunning => self.count("still running"),
+            Verdict::Unknown => self.count("unknown"),
+            Verdict::Reclaim => panic!("a claim that may be taken over was refused"),
+        }
+    }
+
+    /// Ends all faults and work; then each key has a final word: the recorded
+    /// answer if there is one, and a key that nobody ran and nobody was killed
+    /// over can still be run.
+    fn finish(&mut self) {
+        self.store.down = false;
+        self.store.odds = Odds::default();
+        for _ in 0..100_000 {
+            if self.senders.is_empty() && self.backlog.is_empty() {
+                break;
+            }
+            self.now = self.now.plus_millis(7);
+            self.store.arrive();
+            if !self.backlog.is_empty() {
+                self.settle();
+            }
+            if !self.senders.is_empty() {
+                let index = self.dice.below(self.senders.len());
+                self.advance(index);
+            }
+        }
+        for _ in 0..64 {
+            self.store.arrive();
+        }
+        self.now = self.now.plus_millis(100_000);
+        for key in 0..self.first_key() + KEYS {
+            let outcome = self.ask(key);
+            let ran = self.runs.contains_key(&key);
+            let stuck = self.stuck.contains_key(&key);
+            match outcome {
+                Outcome::Taken(Verdict::Replay(answer, _)) => {
+                    assert_eq!(self.runs[&key], [answer.body]);
+                }
+                Outcome::Taken(Verdict::Unknown) => {
+                    assert!(ran || stuck, "key {key} is unknown for no reason");
+                }
+                Outcome::Taken(Verdict::Mismatch) => {}
+                Outcome::Claimed(_) => assert!(!ran, "key {key} could run a second time"),
+                other => panic!("key {key} has no final word: {other:?}"),
+            }
+        }
+    }
+
+    fn ask(&mut self, key: usize) -> Outcome {
+        let deadline = self.now.plus_millis(10_000);
+        let mut machine = Claiming::new(name(key, 0), self.dice.number(), deadline, None);
+        loop {
+            match machine.step(self.now) {
+                Step::Done(outcome) => return outcome,
+                Step::Wait(until) => self.now = until,
+                Step::Call(call) => {
+                    let reply = self.store.call(call);
+                    machine.take(self.now, reply);
+                }
+            }
+        }
+    }
+}
+
+// A coordinator's booking is lost on the way back and sent again, through
+// other instances, while the store loses answers, shows old values and goes
+// down, and instances are killed and paused between any two steps. The sitter
+// would be booked twice; the service's own count must stay at one.
+#[test]
+fn claim_faults_run_once() {
+    schedules("claim", |seed, steps| {
+        let mut world = World::new(seed);
+        for _ in 0..steps {
+            world.step();
+        }
+        world.finish();
+        world.counts.into_iter().collect()
+    });
+}
