--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct File {
+    /// Operators by name.
+    pub operators: BTreeMap<String, Operator>,
     /// Organisations by name.
     pub organisations: BTreeMap<String, Organisation>,
     /// Models by name.
@@ -29,6 +31,20 @@
     pub limits: BTreeMap<String, f64>,
 }
 
+/// A person or a program that uses the operators' port.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// SHA-256 digests, in hex, of its tokens.
+    pub tokens: Vec<String>,
+    /// Names of the files that it may change; `*` means all.
+    pub files: Vec<String>,
+    /// Names of the organisations that it may change; `*` means all.
+    pub organisations: Vec<String>,
+    /// Whether it may change the section `operators`.
+    pub admin: bool,
+}
+
 /// An organisation and what it may use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +61,10 @@
     /// Share of capacity relative to other organisations, at least 1.
     #[serde(default = "one")]
     pub weight: u32,
+    /// Requests a second that it may send through all instances together;
+    /// unlimited when it is left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rate: Option<f64>,
     /// Whether an answer below the quality target is better than none.
     #[serde(default)]
     pub below_target: bool,
@@ -110,6 +130,14 @@
     /// Whether a cheap answer may be rated and escalated before it is handed on.
     #[serde(default)]
     pub cascade: bool,
+    /// Rating under which an answer counts as bad, 0 to 1; three quarters of
+    /// `quality` if absent.
+    #[serde(default)]
+    pub bad_quality: Option<f64>,
+    /// Share of requests, 0 to 0.2, that may try a version whose quality is
+    /// not known well enough, where trying it cannot hand on an unrated answer.
+    #[serde(default = "explore")]
+    pub explore: f64,
     /// Priority; a lower number goes first.
     #[serde(default = "priority")]
     pub priority: u8,
@@ -130,9 +158,14 @@
     /// Position in `stages`.
     #[serde(default)]
     pub stage: usize,
-    /// Whether the roll-out may advance.
+    /// Whether the roll-out stays at its stage.
     #[serde(default)]
     pub paused: bool,
+    /// Number of the operators' word on this roll-out. It rises with every
+    /// change of the entry. A halt holds for the words up to the one that it
+    /// stopped; only a higher number lets the same candidate start again.
+    #[serde(default)]
+    pub word: u64,
     /// Bad answers that may reach callers before the roll-out halts.
     #[serde(default = "exposure")]
     pub exposure: u32,
@@ -213,6 +246,10 @@
     vec![0.01, 0.05, 0.2, 0.5, 1.0]
 }
 
+fn explore() -> f64 {
+    0.02
+}
+
 fn exposure() -> u32 {
     20
 }
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -13,9 +13,12 @@
 mod entry;
 mod intake;
 mod models;
+mod observer;
 mod port;
+mod prompt;
 mod reply;
 mod service;
+mod steps;
 mod stream;
 mod upstream;
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,14 +18,17 @@
 pub mod commands;
 mod force;
 mod ledger;
+mod loads;
 mod metrics;
 mod node;
 mod operators;
 mod peers;
+mod running;
 mod servers;
 mod settings;
 mod shared;
 mod stop;
+mod versions;
 
 pub use node::Node;
 pub use settings::{Limits, Listen, Logs, Settings};
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// A running operators' port.
 pub struct Port {
@@ -61,7 +62,7 @@
 }
 
 fn state(shared: &Shared) -> serde_json::Value {
-    let (running, waiting) = shared.gate.load();
+    let admission = shared.gate.summary();
     let servers: Vec<_> = lock(&shared.routes)
         .iter()
         .map(|(_, server)| {
@@ -71,6 +72,9 @@
                 "address": server.address,
                 "state": server.state,
                 "in_flight": server.in_flight,
+                "work": server.work,
+                "health": server.health,
+                "first_s": server.first.value,
             })
         })
         .collect();
@@ -81,12 +85,13 @@
         "ready": shared.is_ready(),
         "draining": shared.draining.load(Ordering::SeqCst),
         "configuration": shared.configuration.state(),
-        "admission": {"running": running, "waiting": waiting},
+        "admission": admission,
         "route": {"servers": servers},
         "member": member(shared),
         "claims": {"backlog": shared.claims.backlog()},
         "ledger": shared.ledger.state(),
         "store": shared.store.calls(),
+        "versions": versions::state(shared),
         "counters": shared.metrics.counters(),
     })
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,10 +1,13 @@
 //! What the threads of a process share.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use anyhow::Result;
-use fescuerack_config::{Catalog, Names, key};
+use fescuerack_config::{Catalog, Names};
+use fescuerack_core::admission::rate::Rates;
+use fescuerack_core::attempt::pools::Pools;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::{member, route};
 use fescuerack_platform::drive::Wall;
@@ -17,6 +20,7 @@
 use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::versions::Versions;
 use crate::{claims, force, ledger};
 
 /// The configuration in force, with the names of its keys.
@@ -56,6 +60,12 @@
     pub gate: Gate,
     /// Backend servers.
     pub routes: Mutex<route::Table>,
+    /// Organisations' limits across instances.
+    pub rates: Mutex<Rates>,
+    /// Pools of backend servers and their retry budgets.
+    pub pools: Mutex<Pools>,
+    /// Roll-outs, quality, sessions, suspects.
+    pub versions: Versions,
     /// Names; the only writer is [`Shared::names`].
     names: Mutex<Names>,
     /// Entries that are to be kept.
@@ -66,6 +76,8 @@
     pub configuration: force::Desk,
     /// Other instances and the soft state that is shared with them.
     pub member: Mutex<member::Exchange>,
+    /// Servers of which peers were told that they leave.
+    pub told_leaving: Mutex<BTreeSet<String>>,
     /// Wakes the exchange with other instances.
     pub wake: tokio::sync::Notify,
     /// Whether the instance list has been read since the start.
@@ -75,7 +87,8 @@
     /// Whether new requests are refused.
     pub draining: AtomicBool,
     force: RwLock<Arc<Force>>,
-    rng: Mutex<Pcg64Mcg>,
+    /// Randomness of decisions.
+    pub rng: Mutex<Pcg64Mcg>,
 }
 
 /// Locks a mutex; a panic elsewhere does not make its data unusable, because
@@ -98,6 +111,7 @@
         let incarnation = format!("{:016x}", rng.random::<u64>());
         let store = HttpStore::new(&settings.platform);
         Ok(Self {
+            versions: Versions::new(&incarnation, &settings.platform),
             ledger: ledger::Desk::new(&incarnation),
             claims: claims::Desk::default(),
             configuration: force::Desk::default(),
@@ -114,10 +128,13 @@
             // a request is being written, and its outcome would be unknown: a
             // call that must not be repeated gets a connection of its own.
             once: agent(0),
-            gate: Gate::new(settings.limits.concurrency),
-            routes: Mutex::new(route::Table::new()),
+            gate: Gate::new(settings.limits.concurrency, rng.random()),
+            routes: Mutex::new(route::Table::new(&settings.zone)),
+            rates: Mutex::new(Rates::new()),
+            pools: Mutex::new(Pools::new()),
             names: Mutex::new(Names::new()),
             member: Mutex::new(member::Exchange::new(identity(&settings))),
+            told_leaving: Mutex::new(BTreeSet::new()),
             wake: tokio::sync::Notify::new(),
             listed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
@@ -171,24 +188,6 @@
         change(&mut lock(&self.names))
     }
 
-    /// Chooses a backend server and counts an attempt on it.
-    #[must_use]
-    pub fn start_attempt(
-        self: &Arc<Self>,
-        fleets: &[key::Fleet],
-        avoid: &std::collections::BTreeSet<key::Server>,
-    ) -> Option<Running> {
-        let mut routes = lock(&self.routes);
-        let server = routes.choose(fleets, avoid, &mut *lock(&self.rng))?;
-        routes.start(server);
-        let address = routes.get(server)?.address.clone();
-        Some(Running {
-            shared: Arc::clone(self),
-            server,
-            address,
-        })
-    }
-
     /// Draws on the process's randomness.
     pub fn with_rng<R>(&self, draw: impl FnOnce(&mut Pcg64Mcg) -> R) -> R {
         draw(&mut lock(&self.rng))
@@ -200,6 +199,12 @@
         format!("{:016x}{:016x}", self.random(), self.random())
     }
 
+    /// Returns a random number from 0 to 1.
+    #[must_use]
+    pub fn dice(&self) -> f64 {
+        lock(&self.rng).random()
+    }
+
     /// Returns a random number.
     #[must_use]
     pub fn random(&self) -> u64 {
@@ -219,18 +224,3 @@
         incarnation: clock::wall().0,
     }
 }
-
-/// An attempt that runs on a backend server; dropping it ends the count.
-pub struct Running {
-    shared: Arc<Shared>,
-    /// The server.
-    pub server: key::Server,
-    /// Its address.
-    pub address: String,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        lock(&self.shared.routes).end(self.server);
-    }
-}
