--- a/crates/config/src/catalog/mod.rs
+++ b/crates/config/src/catalog/mod.rs
@@ -126,10 +126,6 @@
     pub explore: f64,
     /// Priority; a lower number goes first.
     pub priority: u8,
-    /// Rating under which an answer counts as bad.
-    pub bad_quality: f64,
-    /// Share of requests that may try a version of uncertain quality.
-    pub explore: f64,
 }
 
 /// A roll-out.
