Administration API, the command line's verbs, and pages that are run

Cause: operators could check a folder and dump a process; nothing could be changed, nobody was asked who they are, and /state answered everybody.

The operators' port asks for an operator's token (kept as a digest) on all but /healthz and /readyz; settings may open reads (operators.open_reads), changes never. The recorded identifier holds author and digest of the proposal, so one request changes once and cannot stand for two proposals. Ruled out: actions without the seen digests (two operators who step at once would step twice); revisions of peers over the operators' port (needs every address and a forwarded token): they are asked by a sealed exchange. With the store down the instance shows its own copy and says so; changes end as surely not made, or as unknown.

The command line gets plan, apply, show, history, rollout, server, organisation, ledger, top, digest, completions, JSON output and exit codes by cause; the demo prints an operator's token and writes shell variables. docs/openapi.yaml is compared with real answers, the commands of README and of four operations pages are run against the demo, docs/CONFIGURATION.md lists the limits and is compared with them. Node tests read /state with open reads.

--- /dev/null
+++ b/crates/cli/src/change.rs
@@ -0,0 +1,174 @@
+//! Changing the configuration and waiting until it is in force.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use anyhow::Result;
+use clap::Args;
+use fescuerack_config::change::Action;
+use fescuerack_wire::admin::{Accepted, Instance, Kind, Proposal};
+use serde::Serialize;
+
+use crate::access::{Access, Reach};
+use crate::exit::Failed;
+use crate::print::{self, Output};
+
+/// Time between two looks at what instances have in force.
+const LOOK: Duration = Duration::from_millis(200);
+/// Tries to learn the outcome of a change whose answer was lost.
+const TRIES: u32 = 3;
+
+/// What is recorded with a change, and how long to wait for it.
+#[derive(Clone, Debug, Args)]
+pub struct Record {
+    /// Why the change is made; kept in the history.
+    #[arg(long, value_name = "TEXT")]
+    why: String,
+    /// Identifier of the request; give the same one to send a request again
+    /// whose outcome is not known.
+    #[arg(long, value_name = "ID")]
+    request: Option<String>,
+    /// Seconds within which the change must be in force everywhere; 0 does not
+    /// wait.
+    #[arg(long, value_name = "SECONDS", default_value_t = 10)]
+    within: u64,
+}
+
+/// What is printed of a change.
+#[derive(Debug, Serialize)]
+struct Outcome {
+    #[serde(flatten)]
+    accepted: Accepted,
+    request: String,
+    instances: Vec<Instance>,
+    in_force_everywhere: bool,
+}
+
+/// Makes a change by name.
+///
+/// # Errors
+///
+/// Why it was not accepted, or that it is not in force everywhere.
+pub fn act(access: &Access, output: Output, record: &Record, action: Action) -> Result<()> {
+    let reach = access.reach()?;
+    let proposal = reach.proposal(action)?;
+    submit(&reach, output, record, proposal)
+}
+
+/// Puts a proposal in force and waits.
+///
+/// # Errors
+///
+/// Why it was not accepted, or that it is not in force everywhere.
+pub fn submit(
+    reach: &Reach,
+    output: Output,
+    record: &Record,
+    mut proposal: Proposal,
+) -> Result<()> {
+    proposal.why.clone_from(&record.why);
+    proposal.request = record.request.clone().unwrap_or_else(new_request);
+    let accepted = send(reach, &proposal)?;
+    if output == Output::Table {
+        let state = if accepted.unchanged {
+            "nothing to change; in force is"
+        } else {
+            "accepted as"
+        };
+        println!("{state} revision {}", accepted.revision);
+        print!("{}", print::effects(&accepted.effects));
+    }
+    let instances = wait(reach, output, record.within, accepted.revision);
+    let behind: Vec<_> = instances
+        .iter()
+        .filter(|instance| is_behind(instance, accepted.revision))
+        .map(|instance| instance.instance.clone())
+        .collect();
+    let outcome = Outcome {
+        in_force_everywhere: !instances.is_empty() && behind.is_empty(),
+        request: proposal.request,
+        instances,
+        accepted,
+    };
+    if output == Output::Json {
+        println!("{}", serde_json::to_string_pretty(&outcome)?);
+    }
+    if record.within > 0 && !behind.is_empty() {
+        let message = format!(
+            "revision {} is accepted, but not yet in force on {} after {} s; instances take it by \
+             themselves as soon as they reach the store or a peer",
+            outcome.accepted.revision,
+            behind.join(", "),
+            record.within
+        );
+        return Err(Failed::behind(message).into());
+    }
+    Ok(())
+}
+
+/// Sends a proposal; one whose outcome is not known is sent again, which its
+/// identifier makes harmless.
+fn send(reach: &Reach, proposal: &Proposal) -> Result<Accepted> {
+    let mut tries = 1;
+    loop {
+        let error = match reach.submit(proposal) {
+            Ok(accepted) => return Ok(accepted),
+            Err(error) => error,
+        };
+        let failed = error.downcast_ref::<Failed>();
+        let unknown = failed.is_some_and(|failed| failed.kind == Some(Kind::OutcomeUnknown));
+        if !unknown || tries == TRIES {
+            let hint = format!("request {}", proposal.request);
+            return Err(if unknown { error.context(hint) } else { error });
+        }
+        tries += 1;
+    }
+}
+
+fn is_behind(instance: &Instance, revision: u64) -> bool {
+    !instance.leaving && instance.revision.is_none_or(|known| known < revision)
+}
+
+/// Waits until every instance has a revision in force; returns what they had
+/// in the end. Empty when nobody could be asked.
+fn wait(reach: &Reach, output: Output, within: u64, revision: u64) -> Vec<Instance> {
+    if within == 0 {
+        return Vec::new();
+    }
+    let started = Instant::now();
+    let deadline = started + Duration::from_secs(within);
+    let mut shown = usize::MAX;
+    loop {
+        let instances = match reach.instances() {
+            Ok(instances) => instances.instances,
+            Err(error) => {
+                eprintln!("cannot tell where it is in force: {error:#}");
+                return Vec::new();
+            }
+        };
+        let behind = instances
+            .iter()
+            .filter(|instance| is_behind(instance, revision))
+            .count();
+        let all = instances.len();
+        if output == Output::Table && behind != shown {
+            let elapsed = started.elapsed().as_secs_f64();
+            println!(
+                "in force on {} of {all} instances after {elapsed:.1} s",
+                all - behind
+            );
+            shown = behind;
+        }
+        if behind == 0 || Instant::now() >= deadline {
+            return instances;
+        }
+        std::thread::sleep(LOOK);
+    }
+}
+
+/// Returns an identifier that no other request of this operator has: the time
+/// and the process.
+fn new_request() -> String {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let nanos = since.map_or(0, |since| since.as_nanos());
+    format!("{nanos:x}-{:x}", std::process::id())
+}
--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -24,6 +24,10 @@
     /// IP number to listen on.
     #[arg(long, value_name = "ADDR", default_value = "127.0.0.1")]
     listen: String,
+    /// File to write shell variables to: addresses, an operator's token and a
+    /// caller's key of the demo.
+    #[arg(long, value_name = "FILE")]
+    env: Option<PathBuf>,
     /// Sends one request of each kind, prints a table and exits.
     #[arg(long)]
     once: bool,
@@ -47,6 +51,10 @@
         let result = if self.once {
             once::run(scene.ready())
         } else {
+            if let Some(path) = &self.env {
+                std::fs::write(path, scene.ready().variables())
+                    .with_context(|| format!("write {}", path.display()))?;
+            }
             println!("{}", serde_json::to_string(scene.ready())?);
             std::io::stdout().flush()?;
             signals.forever().next();
--- a/crates/cli/src/commands/dump.rs
+++ b/crates/cli/src/commands/dump.rs
@@ -1,15 +1,17 @@
 //! `fescuerack dump`.
 
-use anyhow::{Context as _, Result, ensure};
+use anyhow::Result;
 use clap::Args;
-use fescuerack_platform::agent;
 
-/// Prints the whole state of a process as JSON.
+use crate::access::{Access, states};
+use crate::exit::Failed;
+
+/// Prints the whole state of the named processes as JSON: one document, or a
+/// list when several are named.
 #[derive(Debug, Args)]
 pub struct Dump {
-    /// Operators' port of the process, as `host:port`.
-    #[arg(long, value_name = "ADDRESS")]
-    node: String,
+    #[command(flatten)]
+    access: Access,
 }
 
 impl Dump {
@@ -17,20 +19,27 @@
     ///
     /// # Errors
     ///
-    /// When the process gives no answer.
+    /// When a process gives no answer.
     pub fn execute(self) -> Result<()> {
-        let mut response = agent(1)
-            .get(format!("http://{}/state", self.node))
-            .call()
-            .with_context(|| format!("ask {}", self.node))?;
-        ensure!(
-            response.status() == 200,
-            "{} answered {}",
-            self.node,
-            response.status()
-        );
-        let state: serde_json::Value = response.body_mut().read_json()?;
-        println!("{}", serde_json::to_string_pretty(&state)?);
-        Ok(())
+        let mut found = Vec::new();
+        let mut failure = None;
+        for (address, state) in states(&self.access)? {
+            match state {
+                Ok(state) => found.push(state),
+                Err(error) => {
+                    eprintln!("{address}: {error:#}");
+                    failure = Some(error);
+                }
+            }
+        }
+        match found.as_slice() {
+            [] if failure.is_none() => {
+                return Err(Failed::usage("name an instance by --node").into());
+            }
+            [] => {}
+            [one] => println!("{}", serde_json::to_string_pretty(one)?),
+            all => println!("{}", serde_json::to_string_pretty(all)?),
+        }
+        failure.map_or(Ok(()), Err)
     }
 }
--- /dev/null
+++ b/crates/cli/src/commands/top.rs
@@ -0,0 +1,198 @@
+//! `fescuerack top`.
+
+use std::collections::BTreeMap;
+use std::io::IsTerminal as _;
+use std::time::{Duration, Instant};
+
+use anyhow::{Result, anyhow};
+use clap::Args;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::access::{Access, states};
+use crate::exit::Failed;
+use crate::print::{self, Output};
+
+/// Clears the screen and goes to its first line.
+const CLEAR: &str = "\x1b[2J\x1b[H";
+/// Counters that are shown at most.
+const MOST_COUNTERS: usize = 24;
+
+/// Shows load, refusals and revisions of the named instances, again and again.
+#[derive(Debug, Args)]
+pub struct Top {
+    /// Seconds between two looks.
+    #[arg(long, value_name = "SECONDS", default_value_t = 1)]
+    period: u64,
+    /// Looks before it ends; without end if absent.
+    #[arg(long, value_name = "N")]
+    rounds: Option<u64>,
+    #[command(flatten)]
+    access: Access,
+}
+
+/// What one look found.
+#[derive(Debug, Serialize)]
+struct Look {
+    instances: Vec<Row>,
+    /// Counters of all instances that changed since the last look, a second.
+    rates: BTreeMap<String, f64>,
+}
+
+/// One instance.
+#[derive(Debug, Serialize)]
+struct Row {
+    address: String,
+    instance: String,
+    zone: String,
+    revision: u64,
+    ready: bool,
+    running: u64,
+    waiting: u64,
+    pending_bills: u64,
+    error: Option<String>,
+}
+
+impl Top {
+    /// Prints looks until it is ended.
+    ///
+    /// # Errors
+    ///
+    /// When no instance is named, or none gives an answer at the first look.
+    pub fn execute(self, output: Output) -> Result<()> {
+        if self.access.addresses().is_empty() {
+            return Err(Failed::usage("name instances by --node").into());
+        }
+        let mut before: Option<(Instant, BTreeMap<String, u64>)> = None;
+        let mut round = 0;
+        loop {
+            let seen = states(&self.access)?;
+            let now = Instant::now();
+            if round == 0 {
+                check(&seen)?;
+            }
+            let counters = sum(&seen);
+            let rates = before.map_or_else(BTreeMap::new, |(then, old)| {
+                rates(&old, &counters, now.duration_since(then))
+            });
+            let instances = seen.into_iter().map(|(address, state)| row(address, state));
+            let look = Look {
+                instances: instances.collect(),
+                rates,
+            };
+            show(output, &look)?;
+            before = Some((now, counters));
+            round += 1;
+            if self.rounds.is_some_and(|rounds| round >= rounds) {
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_secs(self.period.max(1)));
+        }
+    }
+}
+
+/// Fails like the first instance when none gives an answer.
+fn check(seen: &[(String, Result<Value>)]) -> Result<()> {
+    let mut failures = seen.iter().filter_map(|(_, state)| state.as_ref().err());
+    match failures.next() {
+        Some(first) if failures.count() + 1 == seen.len() => {
+            let failed = first.downcast_ref::<Failed>().cloned();
+            Err(failed.map_or_else(|| anyhow!("{first:#}"), Into::into))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn show(output: Output, look: &Look) -> Result<()> {
+    match output {
+        // One document a line, so that a program can read look after look.
+        Output::Json => println!("{}", serde_json::to_string(look)?),
+        Output::Table => {
+            if std::io::stdout().is_terminal() {
+                print!("{CLEAR}");
+            }
+            println!("{}", words(look));
+        }
+    }
+    Ok(())
+}
+
+fn sum(seen: &[(String, Result<Value>)]) -> BTreeMap<String, u64> {
+    let mut counters = BTreeMap::new();
+    for state in seen.iter().filter_map(|(_, state)| state.as_ref().ok()) {
+        for (name, value) in state["counters"].as_object().into_iter().flatten() {
+            *counters.entry(name.clone()).or_insert(0) += value.as_u64().unwrap_or(0);
+        }
+    }
+    counters
+}
+
+fn rates(
+    old: &BTreeMap<String, u64>,
+    new: &BTreeMap<String, u64>,
+    elapsed: Duration,
+) -> BTreeMap<String, f64> {
+    let seconds = elapsed.as_secs_f64().max(f64::EPSILON);
+    let changed = new.iter().filter_map(|(name, value)| {
+        // An instance that was restarted counts from 0 again.
+        let grown = value.saturating_sub(old.get(name).copied().unwrap_or(0));
+        let grown = u32::try_from(grown).unwrap_or(u32::MAX);
+        (grown > 0).then(|| (name.clone(), f64::from(grown) / seconds))
+    });
+    changed.collect()
+}
+
+fn row(address: String, state: Result<Value>) -> Row {
+    let (state, error) = match state {
+        Ok(state) => (state, None),
+        Err(error) => (Value::Null, Some(format!("{error:#}"))),
+    };
+    let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
+    let number = |value: &Value| value.as_u64().unwrap_or(0);
+    Row {
+        address,
+        instance: text(&state["instance"]),
+        zone: text(&state["zone"]),
+        revision: number(&state["configuration"]["revision"]),
+        ready: state["ready"].as_bool().unwrap_or(false),
+        running: number(&state["admission"]["running"]),
+        waiting: number(&state["admission"]["waiting"]),
+        pending_bills: number(&state["ledger"]["pending"]),
+        error,
+    }
+}
+
+fn words(look: &Look) -> String {
+    let rows = look.instances.iter().map(|row| {
+        let state = match (&row.error, row.ready) {
+            (Some(_), _) => "no answer",
+            (None, true) => "ready",
+            (None, false) => "not ready",
+        };
+        [
+            row.address.clone(),
+            row.instance.clone(),
+            row.zone.clone(),
+            state.to_owned(),
+            row.revision.to_string(),
+            row.running.to_string(),
+            row.waiting.to_string(),
+            row.pending_bills.to_string(),
+        ]
+    });
+    let header = [
+        "address", "instance", "zone", "state", "revision", "running", "waiting", "to bill",
+    ];
+    let mut text = print::table(header, rows.collect());
+    let mut rates: Vec<_> = look.rates.iter().collect();
+    rates.sort_by(|a, b| b.1.total_cmp(a.1));
+    let rows = rates.into_iter().take(MOST_COUNTERS);
+    let rows: Vec<_> = rows
+        .map(|(name, rate)| [name.clone(), format!("{rate:.1}")])
+        .collect();
+    if !rows.is_empty() {
+        text.push('\n');
+        text.push_str(&print::table(["counter", "a second"], rows));
+    }
+    text
+}
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -43,6 +43,10 @@
     pub callers: Vec<String>,
     /// Addresses for operators.
     pub operators: Vec<String>,
+    /// Token of an operator who may change everything.
+    pub operator_token: Option<String>,
+    /// Address of the platform's store.
+    pub store: String,
     /// Key of each organisation.
     pub keys: BTreeMap<String, String>,
     /// Names for the field `model`.
@@ -54,6 +58,24 @@
     pub widest: Option<String>,
 }
 
+impl Ready {
+    /// Returns shell variables with which the commands of the pages can be
+    /// copied as they stand.
+    pub fn variables(&self) -> String {
+        let nodes = self.operators.iter();
+        let nodes: Vec<_> = nodes.map(|url| url.trim_start_matches("http://")).collect();
+        let callers = self.callers.first().map_or("", String::as_str);
+        let token = self.operator_token.as_deref().unwrap_or("");
+        let key = self.widest.as_deref().unwrap_or("");
+        format!(
+            "export CALLERS={callers}\nexport KEY={key}\nexport FESCUERACK_NODE={}\n\
+             export FESCUERACK_TOKEN={token}\nexport STORE={}\n",
+            nodes.join(","),
+            self.store
+        )
+    }
+}
+
 /// Everything that runs.
 pub struct Scene {
     runtime: Runtime,
@@ -87,6 +109,8 @@
             ready: Ready {
                 callers: Vec::new(),
                 operators: Vec::new(),
+                operator_token: operator_token(&merged),
+                store: platform.address(),
                 keys: keys(&merged),
                 models: models(&merged),
                 services: services(&merged),
@@ -221,6 +245,17 @@
     keys
 }
 
+/// Returns the token that the digest of the examples' administrator was made
+/// from.
+fn operator_token(merged: &Merged) -> Option<String> {
+    let operators = merged.file.operators.iter();
+    operators
+        .filter(|(_, operator)| operator.admin)
+        .map(|(name, operator)| (format!("demo-operator-{name}"), operator))
+        .find(|(token, operator)| operator.tokens.contains(&folder::digest(token.as_bytes())))
+        .map(|(token, _)| token)
+}
+
 fn widest(merged: &Merged) -> Option<String> {
     let keys = keys(merged);
     let organisations = merged.file.organisations.iter();
--- /dev/null
+++ b/crates/cli/src/exit.rs
@@ -0,0 +1,130 @@
+//! Exit codes, so that scripts need not read texts.
+//!
+//! | code | meaning |
+//! | --- | --- |
+//! | 0 | done |
+//! | 1 | failed for another reason |
+//! | 2 | wrong usage |
+//! | 3 | refused: problems in the files, or the action makes no sense; nothing was changed |
+//! | 4 | conflict with another operator; nothing was changed |
+//! | 5 | not permitted: no token, a wrong one, or outside its scope |
+//! | 6 | no instance or no store answers; nothing was changed |
+//! | 7 | the outcome is not known: send the same request again |
+//! | 8 | accepted, but not in force everywhere within the time given |
+
+use std::fmt;
+use std::process::ExitCode;
+
+use fescuerack_config::Problem;
+use fescuerack_wire::admin::{Error, Kind};
+
+/// Exit codes as `--help` prints them.
+pub const HELP: &str = "\
+Exit codes:
+  0  done
+  1  failed for another reason
+  2  wrong usage
+  3  refused: problems in the files, or the action makes no sense; nothing was changed
+  4  conflict with another operator; nothing was changed
+  5  not permitted: no token, a wrong one, or outside its scope
+  6  no instance or no store answers; nothing was changed
+  7  the outcome is not known: send the same request again
+  8  accepted, but not in force everywhere within the time given";
+
+const FAILED: u8 = 1;
+const USAGE: u8 = 2;
+const REFUSED: u8 = 3;
+const CONFLICT: u8 = 4;
+const FORBIDDEN: u8 = 5;
+const UNREACHABLE: u8 = 6;
+const UNKNOWN: u8 = 7;
+const BEHIND: u8 = 8;
+
+/// A failure with its exit code.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failed {
+    /// Exit code.
+    pub code: u8,
+    /// Kind, when an instance or the store gave it.
+    pub kind: Option<Kind>,
+    /// Text for people.
+    pub message: String,
+    /// Problems with their positions.
+    pub problems: Vec<Problem>,
+}
+
+impl Failed {
+    fn new(code: u8, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            kind: None,
+            message: message.into(),
+            problems: Vec::new(),
+        }
+    }
+
+    /// Wrong usage.
+    pub fn usage(message: impl Into<String>) -> Self {
+        Self::new(USAGE, message)
+    }
+
+    /// Nobody answers.
+    pub fn unreachable(message: impl Into<String>) -> Self {
+        Self::new(UNREACHABLE, message)
+    }
+
+    /// A request left, and nobody said what came of it.
+    pub fn unknown(message: impl Into<String>) -> Self {
+        Self::new(UNKNOWN, message)
+    }
+
+    /// Accepted, but not in force everywhere.
+    pub fn behind(message: impl Into<String>) -> Self {
+        Self::new(BEHIND, message)
+    }
+
+    /// Problems in files.
+    pub fn problems(problems: Vec<Problem>) -> Self {
+        let message = format!("{} problems", problems.len());
+        Self {
+            problems,
+            ..Self::new(REFUSED, message)
+        }
+    }
+}
+
+impl From<Error> for Failed {
+    fn from(error: Error) -> Self {
+        let code = match error.kind {
+            Kind::InvalidRequest | Kind::NotFound => FAILED,
+            Kind::TooLarge | Kind::Refused => REFUSED,
+            Kind::Unauthorized | Kind::Forbidden => FORBIDDEN,
+            Kind::Conflict => CONFLICT,
+            Kind::StoreOut => UNREACHABLE,
+            Kind::OutcomeUnknown => UNKNOWN,
+        };
+        Self {
+            code,
+            kind: Some(error.kind),
+            message: error.message,
+            problems: error.problems,
+        }
+    }
+}
+
+impl fmt::Display for Failed {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for problem in &self.problems {
+            writeln!(formatter, "{problem}")?;
+        }
+        formatter.write_str(&self.message)
+    }
+}
+
+impl std::error::Error for Failed {}
+
+/// Returns the exit code of an error.
+pub fn code(error: &anyhow::Error) -> ExitCode {
+    let failed = error.downcast_ref::<Failed>();
+    ExitCode::from(failed.map_or(FAILED, |failed| failed.code))
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,15 @@
 //! `fescuerack`: the operators' command line.
+//!
+//! Each subcommand is one file of `commands`. They reach the configuration
+//! through [`access`], change it through [`change`], print through [`mod@print`],
+//! and end with one of the codes of [`exit`].
 
+mod access;
+mod change;
 mod commands;
 mod demo;
+mod exit;
+mod print;
 
 use std::process::ExitCode;
 
@@ -12,7 +20,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fescuerack: {error:#}");
-            ExitCode::FAILURE
+            exit::code(&error)
         }
     }
 }
--- /dev/null
+++ b/crates/cli/src/print.rs
@@ -0,0 +1,95 @@
+//! Output: tables for people, JSON for programs.
+
+use std::fmt::Write as _;
+
+use anyhow::Result;
+use clap::ValueEnum;
+use comfy_table::Table;
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use fescuerack_config::difference::{Effect, Kind};
+use serde::Serialize;
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
+pub enum Output {
+    /// Tables and sentences.
+    #[default]
+    Table,
+    /// One JSON document.
+    Json,
+}
+
+impl Output {
+    /// Prints a value as JSON, or what `table` makes of it.
+    ///
+    /// # Errors
+    ///
+    /// When the value cannot be written as JSON.
+    pub fn print<T: Serialize>(self, value: &T, table: impl FnOnce(&T) -> String) -> Result<()> {
+        let text = match self {
+            Self::Json => serde_json::to_string_pretty(value)?,
+            Self::Table => table(value),
+        };
+        println!("{}", text.trim_end());
+        Ok(())
+    }
+}
+
+/// Returns a table.
+pub fn table<const N: usize>(header: [&str; N], rows: Vec<[String; N]>) -> String {
+    let mut table = Table::new();
+    table.load_style(UTF8_HORIZONTAL_ONLY);
+    table.set_header(header);
+    for row in rows {
+        table.add_row(row);
+    }
+    table.to_string()
+}
+
+/// Returns the effects of a change, one on a line.
+pub fn effects(effects: &[Effect]) -> String {
+    let mut text = String::new();
+    for effect in effects {
+        let sign = match effect.kind {
+            Kind::Loses => "-",
+            Kind::Moves => ">",
+            Kind::Gains => "+",
+            Kind::Changes => "~",
+        };
+        writeln!(text, "  {sign} {effect}").expect("text grows");
+    }
+    text
+}
+
+/// Returns seconds since 1970 as a date and time in UTC.
+pub fn time(seconds: u64) -> String {
+    const DAY: u64 = 86_400;
+    let (days, rest) = (seconds / DAY, seconds % DAY);
+    let (year, month, day) = date(days);
+    let (hour, minute, second) = (rest / 3600, rest / 60 % 60, rest % 60);
+    format!("{year:04}-{month:02}-{day:02} {hour:02}:{minute:02}:{second:02}Z")
+}
+
+/// Returns year, month and day of a number of days since 1970.
+fn date(mut days: u64) -> (u64, u64, u64) {
+    let mut year = 1970;
+    loop {
+        let leap = year % 4 == 0 && (year % 100 != 0 || year % 400 == 0);
+        let length = if leap { 366 } else { 365 };
+        if days < length {
+            let february = if leap { 29 } else { 28 };
+            let months = [31, february, 31, 30, 31, 30, 31, 31, 30, 31, 30, 31];
+            let mut month = 1;
+            for length in months {
+                if days < length {
+                    break;
+                }
+                days -= length;
+                month += 1;
+            }
+            return (year, month, days + 1);
+        }
+        days -= length;
+        year += 1;
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the command line: the real binary against real instances.
+
+mod api;
+mod pages;
+mod support;
+mod verbs;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod catalog;
 pub mod change;
+pub mod difference;
 pub mod edit;
 pub mod file;
 pub mod folder;
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 /// One problem in one file; `Display` prints `file:line: message`.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Problem {
     /// Name of the file.
     pub file: String,
--- a/crates/config/tests/all/main.rs
+++ b/crates/config/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the configuration: parse, merge, checks, edits and permissions.
 
 mod change;
+mod difference;
 mod edit;
 mod examples;
 mod permission;
--- a/crates/config/tests/all/reference.rs
+++ b/crates/config/tests/all/reference.rs
@@ -3,8 +3,8 @@
 
 use std::collections::BTreeMap;
 
-use fescuerack_config::file;
 use fescuerack_config::tree::diagnose::SECTIONS;
+use fescuerack_config::{file, limits};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -98,3 +98,22 @@
         assert!(PAGE.contains(&format!("\n## {section}\n")), "{section}");
     }
 }
+
+#[test]
+fn page_lists_every_limit() {
+    let (_, text) = PAGE.split_once("\n## limits\n").expect("a heading");
+    let rows: Vec<_> = text
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
+    let expected: Vec<_> = limits::LIMITS
+        .iter()
+        .map(|limit| {
+            format!(
+                "| `{}` | {} | {} | {} | {} |",
+                limit.name, limit.least, limit.most, limit.default, limit.note
+            )
+        })
+        .collect();
+    assert_eq!(rows, expected);
+}
--- a/crates/core/src/member/exchange.rs
+++ b/crates/core/src/member/exchange.rs
@@ -150,6 +150,12 @@
         Some((partner, message))
     }
 
+    /// Returns a message that begins an exchange with a peer of the caller's
+    /// choice, for an operator who asks what every instance has in force.
+    pub fn begin_with(&mut self, time: Time, revision: u64) -> Message {
+        self.message(time, revision)
+    }
+
     /// Takes a request in.
     ///
     /// # Errors
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -52,7 +52,7 @@
             .context("start the runtime")?;
         let shared = Arc::new(Shared::new(settings, runtime.handle().clone())?);
         let callers = runtime.block_on(callers::Port::new(Arc::clone(&shared)))?;
-        let operators = operators::Port::new(&shared)?;
+        let operators = operators::Port::new(&shared, runtime.handle())?;
         let (peers, peers_handle) = runtime.block_on(peers::serve(Arc::clone(&shared)))?;
         runtime.spawn(peers_handle.stopped());
         runtime.spawn(peers::follow(Arc::clone(&shared)));
--- /dev/null
+++ b/crates/node/src/operators/instances.rs
@@ -0,0 +1,54 @@
+//! The process in short, and what its peers have in force.
+
+use std::sync::atomic::Ordering;
+
+use fescuerack_core::member::State;
+use fescuerack_wire::admin::{Instance, Instances, Status};
+
+use super::Context;
+use crate::peers;
+use crate::shared::{Shared, lock};
+
+/// Returns the process in short.
+pub fn status(shared: &Shared) -> Status {
+    Status {
+        instance: shared.settings.instance.clone(),
+        zone: shared.settings.zone.clone(),
+        incarnation: shared.incarnation.clone(),
+        ready: shared.is_ready(),
+        draining: shared.draining.load(Ordering::SeqCst),
+        revision: shared.force().catalog.revision,
+    }
+}
+
+/// Asks every listed instance which revision it has in force.
+pub fn all(context: &Context) -> Instances {
+    let shared = &context.shared;
+    let known: Vec<_> = {
+        let member = lock(&shared.member);
+        member.view.iter().map(|(_, peer)| peer.clone()).collect()
+    };
+    let addresses: Vec<_> = known.iter().map(|peer| peer.address.clone()).collect();
+    let revisions = context
+        .runtime
+        .block_on(peers::revisions(shared, &addresses));
+    let mut instances: Vec<_> = known
+        .into_iter()
+        .zip(revisions)
+        .map(|(peer, revision)| Instance {
+            instance: peer.id,
+            zone: peer.zone,
+            revision,
+            leaving: peer.state == State::Leaving,
+        })
+        .collect();
+    let status = status(shared);
+    instances.push(Instance {
+        instance: status.instance,
+        zone: status.zone,
+        revision: Some(status.revision),
+        leaving: !status.ready,
+    });
+    instances.sort_by(|a, b| a.instance.cmp(&b.instance));
+    Instances { instances }
+}
--- /dev/null
+++ b/crates/node/src/operators/reply.rs
@@ -0,0 +1,22 @@
+//! Answers of the administration API.
+
+use fescuerack_wire::admin::{Error, Failure, Kind};
+use rouille::Response;
+use serde::Serialize;
+
+/// Returns an answer in JSON.
+pub fn json<T: Serialize>(body: &T) -> Response {
+    Response::json(body).with_no_cache()
+}
+
+/// Returns an error with its status.
+pub fn failure(error: &Error) -> Response {
+    let body = Failure {
+        error: error.clone(),
+    };
+    let response = json(&body).with_status_code(error.kind.status());
+    if error.kind == Kind::Unauthorized {
+        return response.with_additional_header("WWW-Authenticate", "Bearer");
+    }
+    response
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators/state.rs
@@ -1,66 +1,16 @@
-//! The operators' port: health, readiness and the dump of the process's state.
+//! `GET /state`: the dump of the process's state.
+//!
+//! It holds names, numbers and states; no key, no token and no text of a
+//! caller, so that it can be pasted into a report.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use anyhow::{Result, anyhow};
-use rouille::{Request, Response};
 use serde_json::json;
 
 use crate::shared::{Shared, lock};
 
-/// A running operators' port.
-pub struct Port {
-    /// Address that is served.
-    pub address: std::net::SocketAddr,
-    thread: std::thread::JoinHandle<()>,
-    stop: std::sync::mpsc::Sender<()>,
-}
-
-impl Port {
-    /// Starts serving.
-    ///
-    /// # Errors
-    ///
-    /// When the address cannot be bound.
-    pub fn new(shared: &Arc<Shared>) -> Result<Self> {
-        let listen = shared.settings.listen.operators.clone();
-        let for_handler = Arc::clone(shared);
-        let server = rouille::Server::new(&listen, move |request| serve(&for_handler, request))
-            .map_err(|error| anyhow!("listen.operators: bind {listen}: {error}"))?;
-        let address = server.server_addr();
-        let (thread, stop) = server.stoppable();
-        Ok(Self {
-            address,
-            thread,
-            stop,
-        })
-    }
-
-    /// Stops serving.
-    pub fn stop(self) {
-        // The receiver is gone only when the thread has already ended.
-        let _ = self.stop.send(());
-        let _ = self.thread.join();
-    }
-}
-
-fn serve(shared: &Shared, request: &Request) -> Response {
-    match (request.method(), request.url().as_str()) {
-        ("GET", "/healthz") => Response::text("ok"),
-        ("GET", "/readyz") => {
-            if shared.is_ready() {
-                Response::text("ready")
-            } else {
-                Response::text("not ready").with_status_code(503)
-            }
-        }
-        ("GET", "/state") => Response::json(&state(shared)),
-        _ => Response::text("no such path").with_status_code(404),
-    }
-}
-
-fn state(shared: &Shared) -> serde_json::Value {
+/// Returns the state of the process.
+pub fn dump(shared: &Shared) -> serde_json::Value {
     let admission = shared.gate.summary();
     let servers: Vec<_> = lock(&shared.routes)
         .iter()
--- /dev/null
+++ b/crates/node/src/operators/token.rs
@@ -0,0 +1,53 @@
+//! Who asks: operators' tokens.
+//!
+//! The configuration holds digests only, so that neither its files nor the
+//! store nor a dump gives a token away. The digest of what is presented is
+//! looked up, never the text, so the time of the look-up tells nothing of a
+//! token. A token that was taken from the configuration is refused on every
+//! instance as soon as that configuration is in force there.
+
+use std::sync::Arc;
+
+use fescuerack_config::{Operator, folder};
+use fescuerack_wire::admin::{Error, Kind};
+use rouille::Request;
+
+use crate::shared::Shared;
+
+/// Returns the operator who sent a request.
+///
+/// # Errors
+///
+/// When no token of an operator is presented.
+pub fn operator(shared: &Shared, request: &Request) -> Result<Arc<Operator>, Error> {
+    let refuse = |message: &str| {
+        shared.metrics.count("operators.refused");
+        Err(Error::new(Kind::Unauthorized, message))
+    };
+    let presented = request.header("authorization");
+    let Some(presented) = presented.and_then(|value| value.strip_prefix("Bearer ")) else {
+        return refuse("present an operator's token as Authorization: Bearer");
+    };
+    let force = shared.force();
+    let digest = folder::digest(presented.as_bytes());
+    match force.catalog.operators.get(&digest) {
+        Some(operator) => Ok(Arc::clone(operator)),
+        None if force.catalog.operators.is_empty() => refuse(
+            "no operator is configured here; the first configuration goes to the store itself \
+             (fescuerack apply --store)",
+        ),
+        None => refuse("the token belongs to no operator"),
+    }
+}
+
+/// Checks that whoever sent a request may read.
+///
+/// # Errors
+///
+/// When no token is presented and the settings do not open reads.
+pub fn reader(shared: &Shared, request: &Request) -> Result<(), Error> {
+    if shared.settings.operators.open_reads {
+        return Ok(());
+    }
+    operator(shared, request).map(|_| ())
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -27,6 +27,8 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest message that is taken, in bytes.
 const LARGEST: u32 = 64 << 10;
+/// Peers that an operator's question asks at a time.
+const ASKED_AT_ONCE: usize = 32;
 /// JSON-RPC error code of a message that is refused.
 const REFUSED: i32 = -32_001;
 
@@ -226,3 +228,33 @@
         .await?;
     Ok(peer::open(key, &sealed)?)
 }
+
+/// Asks each peer for the revision that it has in force; `None` for one that
+/// gives no answer. At most [`ASKED_AT_ONCE`] are asked at a time, so that an
+/// operator's question is no burst.
+pub async fn revisions(shared: &Arc<Shared>, addresses: &[String]) -> Vec<Option<u64>> {
+    let mut revisions = vec![None; addresses.len()];
+    for (round, some) in addresses.chunks(ASKED_AT_ONCE).enumerate() {
+        let mut asked = tokio::task::JoinSet::new();
+        for (index, address) in some.iter().cloned().enumerate() {
+            let shared = Arc::clone(shared);
+            asked.spawn(async move { (index, revision(&shared, &address).await) });
+        }
+        while let Some(answer) = asked.join_next().await {
+            if let Ok((index, found)) = answer {
+                revisions[round * ASKED_AT_ONCE + index] = found;
+            }
+        }
+    }
+    revisions
+}
+
+async fn revision(shared: &Shared, address: &str) -> Option<u64> {
+    let own = shared.force().catalog.revision;
+    let message = lock(&shared.member).begin_with(time(shared), own);
+    let sequence = message.sequence;
+    let answer = ask(shared, address, &message).await.ok()?;
+    let revision = answer.revision;
+    receive_answer(shared, sequence, answer);
+    Some(revision)
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -24,6 +24,9 @@
     /// Key that all instances of the fleet share; messages without its seal
     /// are refused.
     pub peer_key: String,
+    /// Operators' port.
+    #[serde(default)]
+    pub operators: Operators,
     /// Limits.
     #[serde(default)]
     pub limits: Limits,
@@ -94,6 +97,15 @@
     }
 }
 
+/// How the operators' port treats those who ask.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operators {
+    /// Whether state, status and configuration are read without a token, for
+    /// networks that only operators reach. Changes always need one.
+    pub open_reads: bool,
+}
+
 /// How the process logs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -133,6 +145,7 @@
                 drain_lag_ms: 0,
                 ..Limits::default()
             },
+            operators: Operators::default(),
             logs: Logs::default(),
             statsd: String::new(),
         }
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -90,7 +90,7 @@
         let settings = format!(
             "instance: {instance}\nzone: espoo-a\npeer_key: a key for the tests\nplatform: {}\nlisten:\n  \
              callers: 127.0.0.1:{}\n  operators: 127.0.0.1:{}\n  peers: 127.0.0.1:{}\n\
-             limits: {{{limits}}}\n",
+             operators: {{open_reads: true}}\nlimits: {{{limits}}}\n",
             self.platform.address(),
             ports[0],
             ports[1],
--- /dev/null
+++ b/crates/platform/src/admin/mod.rs
@@ -0,0 +1,105 @@
+//! Reading and changing what the store holds for operators.
+//!
+//! The administration API and the command line's way around it (`--store`, for
+//! the first configuration and for when no instance answers) are the same
+//! functions, so there is one way into force: draft, check, permission,
+//! compare-and-swap ([`crate::manifest`]).
+
+mod draft;
+mod submit;
+
+pub use draft::Draft;
+pub use submit::submit;
+
+use fescuerack_wire::admin::{
+    Change, Configuration, Error, File, History, Kind, Ledger, Source, Sum,
+};
+
+use crate::{Store, ledger, manifest};
+
+fn out(error: &anyhow::Error) -> Error {
+    let message = format!("the store gives no answer; nothing was changed ({error:#})");
+    Error::new(Kind::StoreOut, message)
+}
+
+/// Reads the latest configuration that was accepted.
+///
+/// # Errors
+///
+/// When the store gives no answer or holds no configuration.
+pub fn configuration(store: &dyn Store) -> Result<Configuration, Error> {
+    let read = manifest::read(store).map_err(|error| out(&error))?;
+    let Some((_, manifest)) = read else {
+        return Ok(Configuration::default());
+    };
+    let folder = manifest::fetch(store, &manifest).map_err(|error| out(&error))?;
+    let files = manifest.files.into_iter().map(|(name, file)| {
+        let content = folder.files.get(&name).cloned().unwrap_or_default();
+        let file = File {
+            digest: file.digest,
+            author: file.author,
+            revision: file.revision,
+            text: String::from_utf8_lossy(&content).into_owned(),
+        };
+        (name, file)
+    });
+    Ok(Configuration {
+        source: Source::Store,
+        revision: manifest.revision,
+        files: files.collect(),
+    })
+}
+
+/// Reads the last changes, the newest first.
+///
+/// # Errors
+///
+/// When the store gives no answer.
+pub fn history(store: &dyn Store, most: usize) -> Result<History, Error> {
+    let changes = manifest::history(store, most).map_err(|error| out(&error))?;
+    let changes = changes.into_iter().map(|change| {
+        let (put, removed): (Vec<_>, Vec<_>) = change
+            .files
+            .into_iter()
+            .partition(|(_, digest)| digest.is_some());
+        let names = |files: Vec<(String, _)>| files.into_iter().map(|(name, _)| name).collect();
+        Change {
+            revision: change.revision,
+            author: change.author,
+            why: change.reason,
+            at: change.at,
+            request: change.request,
+            put: names(put),
+            removed: names(removed),
+        }
+    });
+    Ok(History {
+        changes: changes.collect(),
+    })
+}
+
+/// Reads the ledger's totals.
+///
+/// # Errors
+///
+/// When the store gives no answer.
+pub fn totals(store: &dyn Store) -> Result<Ledger, Error> {
+    let totals = ledger::totals(store).map_err(|error| out(&error))?;
+    let mut sums = Vec::new();
+    for (organisation, versions) in &totals.sums {
+        for (version, sum) in versions {
+            sums.push(Sum {
+                organisation: organisation.clone(),
+                version: version.clone(),
+                requests: sum.requests,
+                input_tokens: sum.input_tokens,
+                output_tokens: sum.output_tokens,
+                cost: sum.cost,
+            });
+        }
+    }
+    Ok(Ledger {
+        sums,
+        doubles: totals.doubles,
+    })
+}
--- a/crates/platform/src/fault.rs
+++ b/crates/platform/src/fault.rs
@@ -30,7 +30,8 @@
     /// Only failures that come before the first byte is written count as not
     /// sent. A time-out or a broken connection after that is unknown: the
     /// other side may have done the work and its answer may be lost.
-    pub(crate) fn from_client(error: &ureq::Error) -> Self {
+    #[must_use]
+    pub fn from_client(error: &ureq::Error) -> Self {
         use ureq::Timeout;
         match error {
             ureq::Error::HostNotFound
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! can put something small in its place. Every call has a deadline and its
 //! failures say whether the call may have taken effect ([`Fault`]).
 
+pub mod admin;
 mod directory;
 pub mod drive;
 pub mod engine;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,8 +1,10 @@
 //! Messages of fescuerack: towards callers ([`chat`], [`error`], [`header`]),
-//! towards the platform ([`kv`], [`list`], [`rating`]) and backend servers.
+//! towards operators ([`admin`]), the platform ([`kv`], [`list`], [`rating`]) and
+//! backend servers.
 //!
 //! Codecs come from serde; this crate only gives the shapes and their names.
 
+pub mod admin;
 pub mod chat;
 pub mod error;
 pub mod header;
