--- a/crates/config/src/catalog/compile/rollouts.rs
+++ b/crates/config/src/catalog/compile/rollouts.rs
@@ -41,6 +41,7 @@
                 stages: entry.stages.clone(),
                 stage: entry.stage,
                 paused: entry.paused,
+                word: entry.word,
                 exposure: entry.exposure,
             },
         );
--- a/crates/config/src/catalog/compile/targets.rs
+++ b/crates/config/src/catalog/compile/targets.rs
@@ -4,6 +4,12 @@
 use super::{Builder, accepted};
 use crate::file;
 
+/// Share of the target below which an answer counts as bad, unless the entry
+/// says otherwise.
+const BAD_SHARE: f64 = 0.75;
+/// Largest share of requests that may try a version of uncertain quality.
+const MOST_EXPLORE: f64 = 0.2;
+
 impl Builder<'_> {
     pub(super) fn targets(&mut self) {
         for (name, entry) in &self.merged.file.targets {
@@ -14,6 +20,12 @@
     fn target(&mut self, name: &str, entry: &file::Target) {
         let path = format!("targets/{name}");
         self.share(&format!("{path}/quality"), entry.quality);
+        let bad_quality = entry.bad_quality.unwrap_or(entry.quality * BAD_SHARE);
+        self.share(&format!("{path}/bad_quality"), bad_quality);
+        if !(0.0..=MOST_EXPLORE).contains(&entry.explore) {
+            let message = format!("{} must lie between 0 and {MOST_EXPLORE}", entry.explore);
+            self.report(&format!("{path}/explore"), message);
+        }
         if entry.deadline_ms == 0 {
             self.report(&format!("{path}/deadline_ms"), "must be at least 1");
         }
@@ -49,6 +61,8 @@
                 long: entry.long,
                 cascade: entry.cascade,
                 priority: entry.priority,
+                bad_quality,
+                explore: entry.explore,
             },
         );
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod member;
 pub mod num;
 pub mod pacing;
+pub mod poison;
+pub mod rollout;
 pub mod route;
 pub mod session;
 pub mod store;
--- a/crates/node/src/callers/attempts.rs
+++ b/crates/node/src/callers/attempts.rs
@@ -6,6 +6,7 @@
 use fescuerack_config::key;
 use fescuerack_core::attempt::{Attempts, End, Next, Outcome, hedge};
 use fescuerack_core::clock::Instant;
+use fescuerack_core::poison::Fingerprint;
 use fescuerack_core::route::Ask;
 use fescuerack_platform::Fault;
 use fescuerack_platform::engine::Event;
@@ -16,6 +17,7 @@
 use crate::admission::Meter;
 use crate::running::LEAVING;
 use crate::shared::{Force, Shared, lock};
+use crate::versions::suspects;
 
 /// Attempts that one request may make.
 const MOST_ATTEMPTS: u32 = 3;
@@ -27,6 +29,8 @@
     pub version: key::Version,
     /// Priority at the engine.
     pub priority: u8,
+    /// What the request is known by if its server crashes.
+    pub fingerprint: Fingerprint,
     /// Body for the engine.
     pub body: Bytes,
     /// When the answer is due.
@@ -48,6 +52,8 @@
     NoServer(Outcome),
     /// Every attempt failed.
     Failed(Outcome),
+    /// Servers crashed under it; it does not run again.
+    Crashes(Outcome),
 }
 
 /// The attempts of one completion.
@@ -95,6 +101,9 @@
     /// When none did.
     pub async fn begin(&mut self) -> Result<Begun, Failure> {
         loop {
+            if !suspects::admit(&self.shared, self.work.fingerprint).await {
+                return Err(Failure::Crashes(self.attempts.outcome()));
+            }
             if self.attempts.made() > 0 {
                 let now = self.shared.now();
                 let pause = self.attempts.pause(now, &mut *lock(&self.shared.rng));
@@ -113,15 +122,20 @@
     /// Sends an attempt to a server that was not tried.
     fn send(&mut self) -> Option<Sent> {
         let fleets = &self.force.catalog.versions[self.work.version].fleets;
+        let fingerprint = self.work.fingerprint;
+        let avoid = suspects::avoid(&self.shared, fingerprint, self.attempts.tried());
         let ask = Ask {
             fleets,
-            avoid: self.attempts.tried(),
+            avoid: &avoid,
             work: self.prompt.work,
             prompt: self.prompt.tokens,
             prefix: self.prompt.prefix,
             adapter: None,
         };
         let running = self.shared.place_attempt(&ask)?;
+        if !suspects::start(&self.shared, fingerprint, running.server) {
+            return None;
+        }
         self.attempts.start(running.server);
         self.fleet = Some(running.fleet);
         let work = self.work.clone();
@@ -159,7 +173,9 @@
     /// After which time a hedge would pay.
     fn hedge_after(&self) -> Option<std::time::Duration> {
         let waiting = self.shared.gate.load().1;
-        if self.hedged || waiting > 0 || self.attempts.made() >= MOST_ATTEMPTS {
+        // A suspect runs on one server at a time.
+        let suspected = suspects::is_suspected(&self.shared, self.work.fingerprint);
+        if self.hedged || suspected || waiting > 0 || self.attempts.made() >= MOST_ATTEMPTS {
             return None;
         }
         let remaining = self.work.deadline.since(self.shared.now());
--- a/crates/node/src/callers/bill.rs
+++ b/crates/node/src/callers/bill.rs
@@ -10,7 +10,30 @@
 use super::intake::Call;
 use crate::shared::{Force, Shared};
 
-/// Bills an answered completion; returns its cost in micro-euro.
+/// What the steps of one request used; one entry bills them all.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    input_tokens: u64,
+    output_tokens: u64,
+    cost: u64,
+}
+
+impl Spent {
+    /// Adds a step.
+    pub fn add(&mut self, force: &Force, version: key::Version, usage: Usage) {
+        self.input_tokens += usage.prompt_tokens;
+        self.output_tokens += usage.completion_tokens;
+        self.cost += cost(force, version, usage);
+    }
+
+    /// Returns the cost of all steps in micro-euro.
+    pub fn cost(self) -> u64 {
+        self.cost
+    }
+}
+
+/// Bills an answered completion with what its earlier steps spent; returns the
+/// cost of all in micro-euro.
 ///
 /// Called before the answer's end leaves for the caller, which waits a few
 /// milliseconds until the entry is safe.
@@ -20,19 +43,20 @@
     call: &Call,
     version: key::Version,
     usage: Usage,
+    mut spent: Spent,
 ) -> u64 {
-    let cost = cost(force, version, usage);
+    spent.add(force, version, usage);
     let entry = Entry {
         request: shared.random_id(),
         version: force.names.versions.name(version).to_string(),
-        input_tokens: usage.prompt_tokens,
-        output_tokens: usage.completion_tokens,
-        cost,
+        input_tokens: spent.input_tokens,
+        output_tokens: spent.output_tokens,
+        cost: spent.cost,
         ..entry(force, call)
     };
     let ticket = shared.ledger.add(entry);
     keep(shared, ticket).await;
-    cost
+    spent.cost
 }
 
 /// Bills an answered call of a plain service under the identity `bill`.
@@ -60,7 +84,7 @@
 }
 
 /// Returns the cost of an answer in micro-euro.
-pub fn cost(force: &Force, version: key::Version, usage: Usage) -> u64 {
+fn cost(force: &Force, version: key::Version, usage: Usage) -> u64 {
     let cost = force.catalog.versions[version].cost;
     cost.of(usage.prompt_tokens, usage.completion_tokens)
 }
--- a/crates/node/src/operators/state.rs
+++ b/crates/node/src/operators/state.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// Returns the state of the process.
 pub fn dump(shared: &Shared) -> serde_json::Value {
@@ -40,6 +41,7 @@
         "claims": {"backlog": shared.claims.backlog()},
         "ledger": shared.ledger.state(),
         "store": shared.store.calls(),
+        "versions": versions::state(shared),
         "counters": shared.metrics.counters(),
     })
 }
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -20,6 +20,7 @@
 use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::versions::Versions;
 use crate::{claims, force, ledger};
 
 /// The configuration in force, with the names of its keys.
@@ -63,6 +64,8 @@
     pub rates: Mutex<Rates>,
     /// Pools of backend servers and their retry budgets.
     pub pools: Mutex<Pools>,
+    /// Roll-outs, quality, sessions, suspects.
+    pub versions: Versions,
     /// Names; the only writer is [`Shared::names`].
     names: Mutex<Names>,
     /// Entries that are to be kept.
@@ -108,6 +111,7 @@
         let incarnation = format!("{:016x}", rng.random::<u64>());
         let store = HttpStore::new(&settings.platform);
         Ok(Self {
+            versions: Versions::new(&incarnation, &settings.platform),
             ledger: ledger::Desk::new(&incarnation),
             claims: claims::Desk::default(),
             configuration: force::Desk::default(),
@@ -195,6 +199,12 @@
         format!("{:016x}{:016x}", self.random(), self.random())
     }
 
+    /// Returns a random number from 0 to 1.
+    #[must_use]
+    pub fn dice(&self) -> f64 {
+        lock(&self.rng).random()
+    }
+
     /// Returns a random number.
     #[must_use]
     pub fn random(&self) -> u64 {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod load;
 pub mod peer;
 pub mod rating;
+pub mod token;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -10,6 +10,7 @@
 use fescuerack_core::admission::rate;
 use fescuerack_core::attempt::pools;
 use fescuerack_core::route::word;
+use fescuerack_core::{cascade, poison, rollout, session};
 use hmac::{Hmac, KeyInit as _, Mac as _};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -34,11 +35,23 @@
     pub pools: pools::Digest,
     /// Servers that leave.
     pub words: word::Digest,
+    /// Counts of roll-outs.
+    pub rollouts: rollout::Digest,
+    /// Ratings.
+    pub quality: cascade::Digest,
+    /// Sessions that the hash alone would move.
+    pub sessions: session::Digest,
+    /// Requests that crashed servers.
+    pub suspects: poison::Digest,
 }
 
 /// Soft state that every instance should hold alike. Each field is one slice.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Shared {}
+pub struct Shared {
+    /// Halts and steps of roll-outs, by model.
+    #[serde(default)]
+    pub rollouts: BTreeMap<String, rollout::Record>,
+}
 
 /// Returns each field of `all` by its name; a slice that has nothing to tell is
 /// left out.
