Resume cut streams, drop crossed answers, cancel what no one reads

Cause: a stream cut by its engine was lost although engines can resume; a caller that went away was noticed only at the next token, since the reading thread was blocked; a body whose task vanished ended cleanly; a typed error before a cut was lost with the connection's buffer; a caller that stopped reading held place, thread and buffers for ever; parts lost tool_calls and other fields, and several choices ran together.

Now an attempt is resumed at its engine from the event after the last, only while each resumption brings something new. Crossed answers (echoed header, or event ids attempt/position) are dropped, counted (upstream.crossed), and their connection is closed; whole answers' connections are reused, which they were not. A streamed body ends whole only if its end was said. Writes without progress for write_timeout_ms end the connection. /v1/completions has its own shape.

--- a/crates/cli/src/demo/once.rs
+++ b/crates/cli/src/demo/once.rs
@@ -141,6 +141,7 @@
         let mut body = json!({
             "model": self.model,
             "stream": stream,
+            "stream_options": {"include_usage": true},
             "messages": [{"role": "user", "content": "Who can sit tonight from six to nine?"}],
         });
         if let Some(tokens) = tokens {
--- a/crates/node/src/callers/attempts.rs
+++ b/crates/node/src/callers/attempts.rs
@@ -21,6 +21,8 @@
 pub struct Work {
     /// Version that answers.
     pub version: key::Version,
+    /// Path at the engine.
+    pub path: &'static str,
     /// Priority at the engine.
     pub priority: u8,
     /// Body for the engine.
--- a/crates/node/src/callers/chat.rs
+++ b/crates/node/src/callers/chat.rs
@@ -14,6 +14,7 @@
 use super::collect::Answer;
 use super::intake::Call;
 use super::reply::{Reply, failure, failure_with, json, with_header};
+use super::shape::{Shape, ask_for_usage, wants_usage};
 use super::stream::Stream;
 use super::{bill, entry};
 use crate::admission::Place;
@@ -26,6 +27,7 @@
     start: Instant,
     call: Call,
     choice: Choice,
+    shape: Shape,
     place: Place,
 }
 
@@ -35,6 +37,10 @@
         Ok(asked) => asked,
         Err(error) => return failure(Kind::InvalidRequest, &format!("body: {error}")),
     };
+    let shape = Shape::new(&call.path);
+    if let Err(refusal) = shape.check(&asked) {
+        return refusal.into();
+    }
     let start = shared.now();
     let force = shared.force();
     let choice = match choice::choose(&shared, &force, &call, &asked.model) {
@@ -51,14 +57,17 @@
         start,
         call,
         choice,
+        shape,
         place,
     };
     job.run(asked).await
 }
 
-/// Returns the body for the engine: always a stream, so that an attempt can be
-/// cancelled and its first token is seen as soon as it exists.
-fn body(force: &Force, version: key::Version, asked: chat::Request) -> Bytes {
+/// Returns the body for the engine: always a stream with its usage, so that an
+/// attempt can be cancelled, its first token is seen as soon as it exists, and
+/// it can be billed.
+fn body(force: &Force, version: key::Version, mut asked: chat::Request) -> Bytes {
+    ask_for_usage(&mut asked.rest);
     let request = chat::Request {
         model: force.names.versions.name(version).to_string(),
         stream: true,
@@ -70,7 +79,9 @@
 impl Job {
     async fn run(self, asked: chat::Request) -> Reply {
         let stream = asked.stream;
+        let with_usage = wants_usage(&asked);
         let work = Work {
+            path: self.shape.path(),
             version: self.choice.version,
             priority: self.choice.priority,
             body: body(&self.force, self.choice.version, asked),
@@ -85,9 +96,9 @@
             let waited = self.shared.now().since(self.start);
             self.shared.metrics.time("callers.first_token", waited);
             if stream {
-                return self.stream(begun);
+                return self.stream(begun, with_usage);
             }
-            match Answer::read(begun).await {
+            match Answer::read(&self.shared, begun).await {
                 Ok(answer) => return self.whole(&answer),
                 Err(end) => {
                     if let Err(failure) = run.end(end) {
@@ -98,13 +109,14 @@
         }
     }
 
-    fn stream(self, begun: Begun) -> Reply {
+    fn stream(self, begun: Begun, with_usage: bool) -> Reply {
         let labels = self.labels();
         let stream = Stream {
             shared: self.shared,
             force: self.force,
             call: self.call,
             version: self.choice.version,
+            with_usage,
         };
         labels.on(stream.start(begun, self.place))
     }
@@ -119,7 +131,7 @@
         } = self;
         let cost = bill::completion(shared, force, call, choice.version, answer.usage);
         let labels = self.labels();
-        let reply = json(&answer.completion(&labels.request, &labels.version));
+        let reply = json(&answer.completion(self.shape, &labels.request, &labels.version));
         let reply = with_header(reply, header::OUTCOME, "done");
         labels.on(with_header(reply, header::COST, &cost.to_string()))
     }
--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -36,6 +36,7 @@
 use super::port::Phase;
 use super::reply::{Reply, error_body, outcome_name};
 use super::serve;
+use super::stall::Socket;
 use crate::shared::Shared;
 
 /// Time for which the rest of a closed connection is read and dropped: some
@@ -63,12 +64,13 @@
         let told = Arc::clone(&told);
         service_fn(move |request| answer(Arc::clone(&shared), Arc::clone(&told), request))
     };
+    let socket = Socket::new(Arc::clone(&shared), stream);
     let mut connection = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
         .max_buf_size(HEAD_BYTES)
         .max_headers(HEADERS)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut closing = false;
     let result = tokio::select! {
         result = poll_fn(|context| connection.poll_without_shutdown(context)) => result,
@@ -78,7 +80,7 @@
             poll_fn(|context| connection.poll_without_shutdown(context)).await
         }
     };
-    let stream = connection.into_parts().io.into_inner();
+    let stream = connection.into_parts().io.into_inner().into_inner();
     let last = match result {
         Ok(()) if closing && !told.load(Ordering::SeqCst) => Some(Kind::Unavailable),
         Ok(()) => None,
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -11,11 +11,14 @@
 mod collect;
 mod connection;
 mod entry;
+mod flow;
 mod intake;
 mod models;
 mod port;
 mod reply;
 mod service;
+mod shape;
+mod stall;
 mod stream;
 mod upstream;
 
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -1,10 +1,22 @@
 //! One attempt at a model engine, on a thread of the bounded set.
+//!
+//! The thread hands events to the request through a short channel. Two
+//! failures are met here, because the request need not know of them:
+//!
+//! - **A stream cut by its engine** is resumed there, from the event after the
+//!   last, as long as each resumption brings something new. Only when that
+//!   fails does the request see the fault.
+//! - **A request that gives the attempt up**, as a rule because its caller has
+//!   gone, cancels it at the engine. The thread itself may be waiting for a
+//!   token for a long time, so the call is made from another one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
 use fescuerack_platform::Fault;
-use fescuerack_platform::engine::{self, Attempt, Event};
+use fescuerack_platform::engine::{self, Attempt, Event, Failure};
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 use super::attempts::Work;
@@ -14,48 +26,169 @@
 /// bounds the memory of a stream whose caller reads slowly.
 const BUFFER: usize = 16;
 
-/// Events of one attempt; dropping it cancels the attempt.
-pub type Events = mpsc::Receiver<Result<Event, Fault>>;
+/// Pauses after cancel calls that found nothing to cancel: the way to an engine
+/// takes a millisecond or so, and much longer only when connecting is slow.
+const CANCEL_PAUSES: [Duration; 3] = [
+    Duration::from_millis(10),
+    Duration::from_millis(50),
+    Duration::from_millis(250),
+];
+
+/// Events of one attempt; dropping it before their end cancels the attempt.
+pub struct Events {
+    receiver: mpsc::Receiver<Result<Event, Fault>>,
+    running: Option<Cancel>,
+}
+
+/// What it takes to cancel an attempt.
+struct Cancel {
+    shared: Arc<Shared>,
+    runtime: Handle,
+    attempt: Attempt,
+}
 
 /// Starts an attempt.
 pub fn start(shared: &Arc<Shared>, running: Running, work: Work) -> Events {
-    let (sender, events) = mpsc::channel(BUFFER);
-    let shared = Arc::clone(shared);
+    let (sender, receiver) = mpsc::channel(BUFFER);
     let attempt = Attempt {
         address: running.address.clone(),
+        path: work.path,
         id: shared.random_id(),
         priority: work.priority,
         body: work.body,
     };
-    let deadline = work.deadline;
+    let mut reading = Reading {
+        shared: Arc::clone(shared),
+        attempt: attempt.clone(),
+        deadline: work.deadline,
+        sender,
+    };
     tokio::task::spawn_blocking(move || {
         let _running = running;
-        run(&shared, &attempt, deadline, &sender);
+        reading.run();
     });
-    events
+    Events {
+        receiver,
+        running: Some(Cancel {
+            shared: Arc::clone(shared),
+            runtime: Handle::current(),
+            attempt,
+        }),
+    }
+}
+
+impl Events {
+    /// Waits for the next event; `None` after the last.
+    pub async fn recv(&mut self) -> Option<Result<Event, Fault>> {
+        let event = self.receiver.recv().await;
+        let over = match &event {
+            Some(Ok(Event::End) | Err(Fault::NotSent(_) | Fault::Refused { .. })) | None => true,
+            // After the deadline or a crossed answer the engine may still be
+            // at work.
+            Some(Ok(Event::Part(_)) | Err(Fault::Unknown(_) | Fault::Malformed(_))) => false,
+        };
+        if over {
+            self.running = None;
+        }
+        event
+    }
+}
+
+impl Drop for Events {
+    fn drop(&mut self) {
+        if let Some(cancel) = self.running.take() {
+            cancel.shared.metrics.count("upstream.cancelled");
+            let runtime = cancel.runtime.clone();
+            runtime.spawn_blocking(move || cancel.send());
+        }
+    }
 }
 
-fn run(
-    shared: &Shared,
-    attempt: &Attempt,
+impl Cancel {
+    fn send(self) {
+        for pause in CANCEL_PAUSES {
+            match engine::cancel(&self.shared.upstream, &self.attempt) {
+                Ok(true) => return,
+                // The call may have overtaken the attempt on its way.
+                Ok(false) => std::thread::sleep(pause),
+                // An engine that cannot be told notices the closed connection
+                // when it writes the next token.
+                Err(_) => break,
+            }
+        }
+        self.shared.metrics.count("upstream.cancel_failed");
+    }
+}
+
+/// The reading of one attempt.
+struct Reading {
+    shared: Arc<Shared>,
+    attempt: Attempt,
     deadline: Instant,
-    sender: &mpsc::Sender<Result<Event, Fault>>,
-) {
-    let remaining = deadline.since(shared.now());
-    let mut stream = match engine::open(&shared.upstream, attempt, remaining) {
-        Ok(stream) => stream,
-        Err(fault) => {
-            let _ = sender.blocking_send(Err(fault));
-            return;
+    sender: mpsc::Sender<Result<Event, Fault>>,
+}
+
+impl Reading {
+    fn run(&mut self) {
+        let remaining = self.deadline.since(self.shared.now());
+        let opened = engine::open(&self.shared.upstream, &self.attempt, remaining);
+        let mut stream = match opened {
+            Ok(stream) => stream,
+            Err(failure) => return self.fail(failure),
+        };
+        let mut resumed_at = None;
+        loop {
+            match stream.next_event() {
+                // The request has given the attempt up; dropping the stream
+                // closes its connection.
+                Ok(event) if self.sender.is_closed() => return drop(event),
+                Ok(Event::End) => {
+                    let _ = self.sender.blocking_send(Ok(Event::End));
+                    return stream.finish();
+                }
+                Ok(part) => {
+                    let _ = self.sender.blocking_send(Ok(part));
+                }
+                Err(Failure::Cut(cause)) => {
+                    let position = stream.position();
+                    let progressed = resumed_at.replace(position) != Some(position);
+                    match self.resume(position, progressed) {
+                        Some(resumed) => stream = resumed,
+                        None => return self.fail(Failure::Cut(cause)),
+                    }
+                }
+                Err(failure) => return self.fail(failure),
+            }
         }
-    };
-    loop {
-        let event = stream.next_event();
-        let last = !matches!(event, Ok(Event::Part(_)));
-        // The receiver is dropped when the caller goes away; returning drops
-        // the connection, which cancels the attempt at the engine.
-        if sender.blocking_send(event).is_err() || last {
-            return;
+    }
+
+    /// Resumes a stream that was cut; only after progress, so that an engine
+    /// that accepts and cuts at once does not hold the thread in a loop.
+    fn resume(&self, position: u64, progressed: bool) -> Option<engine::Stream> {
+        let remaining = self.deadline.since(self.shared.now());
+        if !progressed || remaining.is_zero() || self.sender.is_closed() {
+            return None;
+        }
+        self.shared.metrics.count("upstream.cut");
+        let resumed = engine::resume(&self.shared.upstream, &self.attempt, position, remaining);
+        match resumed {
+            Ok(stream) => {
+                self.shared.metrics.count("upstream.resumed");
+                Some(stream)
+            }
+            Err(failure) => {
+                if failure == Failure::Crossed {
+                    self.shared.metrics.count("upstream.crossed");
+                }
+                None
+            }
+        }
+    }
+
+    fn fail(&self, failure: Failure) {
+        if failure == Failure::Crossed {
+            self.shared.metrics.count("upstream.crossed");
         }
+        let _ = self.sender.blocking_send(Err(failure.into()));
     }
 }
--- a/crates/node/src/commands/run.rs
+++ b/crates/node/src/commands/run.rs
@@ -1,10 +1,12 @@
 //! `fescuerackd run`.
 
+use std::io::Write as _;
 use std::path::PathBuf;
 
 use anyhow::{Context as _, Result};
 use clap::Args;
 use flexi_logger::Logger;
+use serde_json::json;
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -29,12 +31,25 @@
         let _logger = start_logger(&settings.logs)?;
         let mut signals = Signals::new([SIGTERM, SIGINT]).context("register signals")?;
         let node = Node::new(settings)?;
+        print_addresses(&node)?;
         signals.forever().next();
         node.shutdown();
         Ok(())
     }
 }
 
+/// Prints the addresses in use, which a settings file with port 0 leaves open.
+fn print_addresses(node: &Node) -> Result<()> {
+    let addresses = json!({
+        "callers": node.callers(),
+        "operators": node.operators(),
+        "peers": node.peers(),
+    });
+    let mut stdout = std::io::stdout();
+    writeln!(stdout, "{addresses}").context("print the addresses")?;
+    stdout.flush().context("print the addresses")
+}
+
 fn start_logger(logs: &Logs) -> Result<flexi_logger::LoggerHandle> {
     let logger = Logger::try_with_str(&logs.level)
         .with_context(|| format!("logs.level: `{}` is no level", logs.level))?
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -67,6 +67,8 @@
     pub header_timeout_ms: u64,
     /// Milliseconds within which the body of a request must arrive.
     pub body_timeout_ms: u64,
+    /// Milliseconds for which a caller may leave an answer unread.
+    pub write_timeout_ms: u64,
     /// Milliseconds for which new work is taken after readiness is withdrawn.
     pub drain_lag_ms: u64,
     /// Milliseconds within which running requests end before the process does.
@@ -81,6 +83,7 @@
             body_bytes: 4 << 20,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
+            write_timeout_ms: 30_000,
             drain_lag_ms: 5_000,
             drain_deadline_ms: 120_000,
         }
--- /dev/null
+++ b/crates/node/tests/all/engine.rs
@@ -0,0 +1,92 @@
+//! The engine's client against the engine's stand-in.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fescuerack_platform::engine::{self, Attempt, Event, Failure};
+use fescuerack_platform::{Agent, agent};
+use fescuerack_standin::{Engine, Pace};
+use tokio::runtime::Runtime;
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+const PACE: Pace = Pace {
+    first_ms: 1,
+    token_ms: 1,
+};
+
+fn attempt(engine: &Engine, id: &str) -> Attempt {
+    Attempt {
+        address: engine.address(),
+        path: "/v1/chat/completions",
+        id: id.to_owned(),
+        priority: 1,
+        body: Bytes::from_static(br#"{"model": "m@1", "stream": true, "max_tokens": 5}"#),
+    }
+}
+
+/// Reads to the end or the first failure; appends the texts.
+fn read(stream: &mut engine::Stream, text: &mut String) -> Result<(), Failure> {
+    loop {
+        match stream.next_event()? {
+            Event::Part(part) => {
+                let delta = part.choices.into_iter().next().and_then(|one| one.delta);
+                text.push_str(&delta.unwrap_or_default().content);
+            }
+            Event::End => return Ok(()),
+        }
+    }
+}
+
+fn read_whole(agent: &Agent, attempt: &Attempt) {
+    let mut stream = engine::open(agent, attempt, TIMEOUT).expect("an answer");
+    let mut text = String::new();
+    read(&mut stream, &mut text).expect("a whole answer");
+    assert_eq!(text, "w0 w1 w2 w3 w4 ");
+    stream.finish();
+}
+
+// Two callers' answers are swapped on their way back. Each would read a reply
+// that was meant for someone else, and so would whoever uses the connection
+// next: the answer is dropped, and the connection with it.
+#[test]
+fn crossed_answer_closes_its_connection() {
+    let runtime = Runtime::new().expect("a runtime");
+    let engine = Engine::new(runtime.handle(), "127.0.0.1:0", PACE).expect("an engine");
+    let agent = agent(4);
+    read_whole(&agent, &attempt(&engine, "one"));
+    read_whole(&agent, &attempt(&engine, "two"));
+    assert_eq!(
+        engine.connections(),
+        1,
+        "a whole answer's connection is kept"
+    );
+    engine.cross(1);
+    let crossed = engine::open(&agent, &attempt(&engine, "three"), TIMEOUT);
+    assert_eq!(crossed.err(), Some(Failure::Crossed));
+    read_whole(&agent, &attempt(&engine, "four"));
+    assert_eq!(
+        engine.connections(),
+        2,
+        "a crossed answer's connection is not"
+    );
+}
+
+#[test]
+fn resume_goes_on_after_the_cut() {
+    let runtime = Runtime::new().expect("a runtime");
+    let engine = Engine::new(runtime.handle(), "127.0.0.1:0", PACE).expect("an engine");
+    engine.cut_after(2);
+    let agent = agent(4);
+    let attempt = attempt(&engine, "one");
+    let mut stream = engine::open(&agent, &attempt, TIMEOUT).expect("an answer");
+    let mut text = String::new();
+    let cut = read(&mut stream, &mut text);
+    assert!(matches!(cut, Err(Failure::Cut(_))), "{cut:?}");
+    // A cut may lose what was on its way: the engine sent two events.
+    let position = stream.position();
+    assert!(position <= 2, "{position}");
+    engine.cut_after(0);
+    let mut rest = engine::resume(&agent, &attempt, position, TIMEOUT).expect("the rest");
+    read(&mut rest, &mut text).expect("a whole answer");
+    assert_eq!(text, "w0 w1 w2 w3 w4 ");
+}
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests: real processes against stand-ins.
 
+mod engine;
 mod path;
 mod shutdown;
+mod stream;
 mod support;
--- /dev/null
+++ b/crates/node/tests/all/stream.rs
@@ -0,0 +1,230 @@
+//! Streams that are cut, crossed, left or read slowly.
+
+use std::io::{BufRead as _, BufReader, Read as _, Write as _};
+use std::net::TcpStream;
+
+use fescuerack_platform::{HttpStore, ledger};
+use fescuerack_wire::chat;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+use crate::support::{KEY, Process, World, client, wait_until};
+
+/// What a caller read of a streamed answer.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Read {
+    text: String,
+    error: Option<String>,
+    done: bool,
+    cut: bool,
+}
+
+fn body(stream: bool, tokens: u64) -> Value {
+    json!({"model": "auto:chat-reply", "stream": stream, "max_tokens": tokens, "messages": []})
+}
+
+fn post(process: &Process, body: &Value) -> ureq::http::Response<ureq::Body> {
+    client()
+        .post(format!("{}/v1/chat/completions", process.callers))
+        .header("authorization", format!("Bearer {KEY}"))
+        .send_json(body)
+        .expect("an answer")
+}
+
+fn read(process: &Process, tokens: u64) -> Read {
+    let response = post(process, &body(true, tokens));
+    let mut read = Read::default();
+    for line in BufReader::new(response.into_body().into_reader()).lines() {
+        let Ok(line) = line else {
+            read.cut = true;
+            return read;
+        };
+        let Some(data) = line.strip_prefix("data: ") else {
+            continue;
+        };
+        if data == chat::DONE {
+            read.done = true;
+            continue;
+        }
+        let part: Value = serde_json::from_str(data).expect("JSON");
+        if let Some(kind) = part["error"]["type"].as_str() {
+            read.error = Some(kind.to_owned());
+        }
+        let text = part["choices"][0]["delta"]["content"].as_str();
+        read.text.push_str(text.unwrap_or_default());
+    }
+    read
+}
+
+fn words(count: u64) -> String {
+    let words: Vec<_> = (0..count).map(|word| format!("w{word} ")).collect();
+    words.concat()
+}
+
+fn billed(world: &World) -> usize {
+    let store = HttpStore::new(&world.platform.address());
+    ledger::read(&store).expect("the ledger is readable").len()
+}
+
+// A parent reads a reply while the connection to the engine breaks again and
+// again. The engine still has the answer, so the parent reads all of it, each
+// word once.
+#[rstest]
+#[case::streamed(true)]
+#[case::whole(false)]
+fn cut_stream_is_resumed(#[case] streamed: bool) {
+    let world = World::new();
+    let process = world.start("entry-0");
+    world.engines.iter().for_each(|engine| engine.cut_after(3));
+    if streamed {
+        let read = read(&process, 8);
+        assert!(read.done && !read.cut, "{read:?}");
+        assert_eq!(read.text, words(8));
+    } else {
+        let mut response = post(&process, &body(false, 8));
+        let answer: chat::Completion = response.body_mut().read_json().expect("JSON");
+        let message = answer.choices[0].message.as_ref().expect("a message");
+        assert_eq!(message.content, words(8));
+    }
+    assert!(process.counter("upstream.resumed") >= 2);
+    let started: u64 = world.engines.iter().map(|engine| engine.counts().0).sum();
+    assert_eq!(started, 1, "resumed, not run again");
+}
+
+// The engine has forgotten the attempt. A parent who has read half a sentence
+// must not read another answer's other half, nor take half a sentence for the
+// whole: the stream ends with an error and a broken connection.
+#[test]
+fn cut_stream_without_resume_ends_in_error() {
+    let world = World::new();
+    let process = world.start("entry-0");
+    for engine in &world.engines {
+        engine.cut_after(3);
+        engine.forget(true);
+    }
+    let read = read(&process, 8);
+    assert!(words(8).starts_with(&read.text), "{read:?}");
+    assert_eq!(read.error.as_deref(), Some("upstream_failed"));
+    assert!(read.cut && !read.done, "{read:?}");
+    assert_eq!(process.counter("callers.cut"), 1);
+}
+
+// One engine cuts every answer and forgets them; a coordinator waits for a
+// whole summary, of which nothing has been handed on. It is run again
+// elsewhere, and billed once.
+#[test]
+fn cut_whole_answer_runs_elsewhere() {
+    let world = World::new();
+    let mut process = world.start("entry-0");
+    world.engines[0].cut_after(3);
+    world.engines[0].forget(true);
+    for _ in 0..6 {
+        let mut response = post(&process, &body(false, 8));
+        assert_eq!(response.status(), 200);
+        let answer: chat::Completion = response.body_mut().read_json().expect("JSON");
+        let message = answer.choices[0].message.as_ref().expect("a message");
+        assert_eq!(message.content, words(8));
+    }
+    process.terminate();
+    assert!(process.child.wait().expect("an exit").success());
+    assert_eq!(billed(&world), 6);
+}
+
+// Two engines' answers arrive crossed: each belongs to another request. A
+// parent must never read someone else's reply.
+#[test]
+fn crossed_answer_is_dropped_and_run_elsewhere() {
+    let world = World::new();
+    let process = world.start("entry-0");
+    world.engines[0].cross(1);
+    world.engines[1].cross(1);
+    wait_until("both crossed answers are counted", || {
+        let read = read(&process, 4);
+        assert!(read.done && read.text == words(4), "{read:?}");
+        process.counter("upstream.crossed") == 2
+    });
+}
+
+// A parent closes the app while a long answer is thought about: no token has
+// come yet, or none comes for long. The engine must hear of it at once, not
+// when it writes the next token.
+#[rstest]
+#[case::before_first_token(0)]
+#[case::between_tokens(1)]
+fn caller_gone_cancels_at_the_engine(#[case] read_tokens: usize) {
+    let mut world = World::new();
+    world.replace_engines(if read_tokens == 0 { 60_000 } else { 1 }, 60_000);
+    let process = world.start("entry-0");
+    let mut stream = send(&process, true);
+    if read_tokens > 0 {
+        let mut lines = BufReader::new(stream.try_clone().expect("a socket")).lines();
+        let token = lines.find(|line| line.as_ref().is_ok_and(|line| line.contains("data: ")));
+        assert!(token.is_some(), "a token comes");
+    } else {
+        wait_until("the engine has started", || started(&world) == 1);
+    }
+    let _ = stream.flush();
+    drop(stream);
+    wait_until("the engine has cancelled", || {
+        world
+            .engines
+            .iter()
+            .map(|engine| engine.counts().2)
+            .sum::<u64>()
+            == 1
+    });
+    wait_until("the place is free", || {
+        process.state()["admission"]["running"] == 0
+    });
+}
+
+fn started(world: &World) -> u64 {
+    world.engines.iter().map(|engine| engine.counts().0).sum()
+}
+
+fn send(process: &Process, stream: bool) -> TcpStream {
+    send_tokens(process, stream, 8)
+}
+
+fn send_tokens(process: &Process, stream: bool, tokens: u64) -> TcpStream {
+    let address = process.callers.trim_start_matches("http://");
+    let mut socket = TcpStream::connect(address).expect("a connection");
+    let body = body(stream, tokens).to_string();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\n\r\n",
+        body.len()
+    );
+    socket.write_all((head + &body).as_bytes()).expect("sent");
+    socket
+}
+
+// A phone in a tunnel stops reading in the middle of a very long answer. It
+// must not hold memory without bound, nor a place for ever, and others must
+// be answered meanwhile.
+#[test]
+fn slow_reader_is_bounded_and_given_up() {
+    const TOKENS: u64 = 200_000;
+    let mut world = World::new();
+    world.replace_engines(0, 0);
+    let process = world.start_with("entry-0", "drain_lag_ms: 0, write_timeout_ms: 1500");
+    let before = process.resident_kb();
+    let mut slow = send_tokens(&process, true, TOKENS);
+    wait_until("the stream runs", || {
+        process.state()["admission"]["running"] == 1
+    });
+    let quick = read(&process, 4);
+    assert!(quick.done);
+    process.wait_for("callers.slow_reader", 1);
+    // The answer has more than 20 MB; what waits of it is bounded.
+    let grown = process.resident_kb().saturating_sub(before);
+    println!("grew by {grown} KB");
+    assert!(grown < 16 << 10, "grew by {grown} KB");
+    wait_until("the place is free", || {
+        process.state()["admission"]["running"] == 0
+    });
+    let mut rest = Vec::new();
+    // A reset or a body without its last chunk: no clean end either way.
+    let read = slow.read_to_end(&mut rest);
+    assert!(read.is_err() || !rest.ends_with(b"0\r\n\r\n"));
+}
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -1,7 +1,6 @@
 //! Starts stand-ins and `fescuerackd` processes on loopback.
 
-use std::io::Write as _;
-use std::net::TcpListener;
+use std::io::{BufRead as _, BufReader, Write as _};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -53,12 +52,7 @@
             engines: Vec::new(),
             services: Vec::new(),
         };
-        for index in 0..3 {
-            let engine = Engine::new(world.runtime.handle(), "127.0.0.1:0", pace);
-            let engine = engine.expect("an engine starts");
-            world.list(&format!("engine-{index}"), "kaisla-llm", engine.address());
-            world.engines.push(engine);
-        }
+        world.start_engines(pace);
         let delay = Duration::from_millis(5);
         let service = Service::new(world.runtime.handle(), "127.0.0.1:0", delay);
         let service = service.expect("a service starts");
@@ -67,6 +61,21 @@
         world
     }
 
+    /// Replaces the engines by engines of another pace.
+    pub fn replace_engines(&mut self, first_ms: u64, token_ms: u64) {
+        self.engines.clear();
+        self.start_engines(Pace { first_ms, token_ms });
+    }
+
+    fn start_engines(&mut self, pace: Pace) {
+        for index in 0..3 {
+            let engine = Engine::new(self.runtime.handle(), "127.0.0.1:0", pace);
+            let engine = engine.expect("an engine starts");
+            self.list(&format!("engine-{index}"), "kaisla-llm", engine.address());
+            self.engines.push(engine);
+        }
+    }
+
     fn list(&self, id: &str, fleet: &str, address: String) {
         self.platform.list(Instance {
             id: id.to_owned(),
@@ -84,29 +93,27 @@
 
     /// Starts a process under `limits`, in YAML's flow style without braces.
     pub fn start_with(&self, instance: &str, limits: &str) -> Process {
-        let ports = free_ports();
         let settings = format!(
             "instance: {instance}\nzone: espoo-a\nplatform: {}\nlisten:\n  \
-             callers: 127.0.0.1:{}\n  operators: 127.0.0.1:{}\n  peers: 127.0.0.1:{}\n\
+             callers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n  peers: 127.0.0.1:0\n\
              limits: {{{limits}}}\n",
             self.platform.address(),
-            ports[0],
-            ports[1],
-            ports[2]
         );
         let mut file = tempfile::NamedTempFile::new().expect("a temporary file");
         file.write_all(settings.as_bytes())
             .expect("settings are written");
-        let child = Command::new(env!("CARGO_BIN_EXE_fescuerackd"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_fescuerackd"))
             .args(["run", "--settings"])
             .arg(file.path())
+            .stdout(Stdio::piped())
             .stderr(Stdio::null())
             .spawn()
             .expect("the process starts");
+        let addresses = read_addresses(&mut child);
         let process = Process {
             child,
-            callers: format!("http://127.0.0.1:{}", ports[0]),
-            operators: format!("http://127.0.0.1:{}", ports[1]),
+            callers: addresses("callers"),
+            operators: addresses("operators"),
             _settings: file,
         };
         process.wait_until_ready();
@@ -114,9 +121,14 @@
     }
 }
 
-fn free_ports() -> [u16; 3] {
-    let listeners = [0; 3].map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("an address").port())
+/// Reads the line with which a process tells its addresses. They are chosen by
+/// the process: a port that a test found free may be another's by then.
+fn read_addresses(child: &mut Child) -> impl Fn(&str) -> String + use<> {
+    let stdout = child.stdout.take().expect("its output is piped");
+    let mut line = String::new();
+    BufReader::new(stdout).read_line(&mut line).expect("a line");
+    let addresses: serde_json::Value = serde_json::from_str(&line).expect("JSON");
+    move |name| format!("http://{}", addresses[name].as_str().expect("an address"))
 }
 
 impl Process {
@@ -131,12 +143,25 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
-    /// Returns a counter of the state dump.
-    pub fn counter(&self, name: &str) -> u64 {
+    /// Returns the state dump.
+    pub fn state(&self) -> serde_json::Value {
         let url = format!("{}/state", self.operators);
         let mut answer = client().get(&url).call().expect("a dump");
-        let state: serde_json::Value = answer.body_mut().read_json().expect("JSON");
-        state["counters"][name].as_u64().unwrap_or(0)
+        answer.body_mut().read_json().expect("JSON")
+    }
+
+    /// Returns a counter of the state dump.
+    pub fn counter(&self, name: &str) -> u64 {
+        self.state()["counters"][name].as_u64().unwrap_or(0)
+    }
+
+    /// Returns the resident memory of the process, in KB.
+    pub fn resident_kb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("a running process");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let mut words = line.expect("a resident size").split_whitespace();
+        words.find_map(|word| word.parse().ok()).expect("a number")
     }
 
     /// Waits until a counter has reached a value.
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,23 +1,26 @@
-//! A model engine that paces its tokens.
+//! A model engine that paces its tokens, resumes and cancels its streams.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::Result;
 use bytes::Bytes;
-use fescuerack_wire::chat::{self, Choice, Completion, Message, Usage};
+use fescuerack_wire::chat;
 use fescuerack_wire::header;
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use tokio::runtime::Handle;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::http::{answer, header as read_header};
+use crate::answer::Answer;
+use crate::http::{answer, header as read_header, number};
 use crate::{Fault, Faults, Request, Response, Server};
 
-/// Tokens of an answer whose request names no limit.
-const DEFAULT_TOKENS: u64 = 24;
+/// Attempts that can be resumed; the oldest is forgotten first.
+const REMEMBERED: usize = 4096;
 
 /// How fast an engine is.
 #[derive(Clone, Copy, Debug)]
@@ -28,14 +31,32 @@
     pub token_ms: u64,
 }
 
+/// One attempt, remembered so that it can be resumed or cancelled.
+#[derive(Clone, Debug)]
+struct Attempt {
+    id: String,
+    answer: Arc<Answer>,
+    finished: Arc<AtomicBool>,
+    cancelled: watch::Sender<bool>,
+}
+
+#[derive(Debug, Default)]
+struct Attempts {
+    by_id: BTreeMap<String, Attempt>,
+    order: VecDeque<String>,
+}
+
 #[derive(Debug)]
 struct Shared {
     pace: Pace,
     faults: Faults,
+    attempts: Mutex<Attempts>,
     started: AtomicU64,
     finished: AtomicU64,
     cancelled: AtomicU64,
     cut_after: AtomicU64,
+    cross: AtomicU64,
+    forgetful: AtomicBool,
 }
 
 /// The engine's stand-in.
@@ -55,10 +76,13 @@
         let shared = Arc::new(Shared {
             pace,
             faults: Faults::new(),
+            attempts: Mutex::default(),
             started: AtomicU64::new(0),
             finished: AtomicU64::new(0),
             cancelled: AtomicU64::new(0),
             cut_after: AtomicU64::new(0),
+            cross: AtomicU64::new(0),
+            forgetful: AtomicBool::new(false),
         });
         let for_handler = Arc::clone(&shared);
         let handler: crate::Handler = Arc::new(move |request| {
@@ -81,9 +105,19 @@
         &self.shared.faults
     }
 
-    /// Cuts every stream after this many tokens; 0 cuts none.
-    pub fn cut_after(&self, tokens: u64) {
-        self.shared.cut_after.store(tokens, Ordering::SeqCst);
+    /// Cuts every connection after this many events; 0 cuts none.
+    pub fn cut_after(&self, events: u64) {
+        self.shared.cut_after.store(events, Ordering::SeqCst);
+    }
+
+    /// Makes the next `answers` answers echo another attempt's identifier.
+    pub fn cross(&self, answers: u64) {
+        self.shared.cross.store(answers, Ordering::SeqCst);
+    }
+
+    /// Sets whether the engine forgets attempts, so that none can be resumed.
+    pub fn forget(&self, forgetful: bool) {
+        self.shared.forgetful.store(forgetful, Ordering::SeqCst);
     }
 
     /// Returns how many requests it started, finished and saw cancelled.
@@ -95,6 +129,12 @@
             self.shared.cancelled.load(Ordering::SeqCst),
         )
     }
+
+    /// Returns how many connections were made to it.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.server.connections()
+    }
 }
 
 impl Shared {
@@ -102,90 +142,136 @@
         if self.faults.get(Fault::Down) > 0 {
             return None;
         }
+        let path = request.uri().path();
+        match path.strip_prefix("/v1/attempts/") {
+            Some(rest) => match rest.split_once('/') {
+                Some((id, "resume")) => self.resume(id, number(&request, "from")),
+                Some((id, "cancel")) => Some(self.cancel(id)),
+                _ => Some(answer(404, "no such path")),
+            },
+            None => self.start(&request).await,
+        }
+    }
+
+    async fn start(self: &Arc<Self>, request: &Request) -> Response {
         let asked: chat::Request = match serde_json::from_slice(request.body()) {
             Ok(asked) => asked,
             Err(error) => return Some(answer(400, error.to_string())),
         };
+        let attempt = Attempt {
+            id: read_header(request, header::ATTEMPT)
+                .unwrap_or_default()
+                .to_owned(),
+            answer: Arc::new(Answer::new(request.uri().path(), &asked)),
+            finished: Arc::default(),
+            cancelled: watch::Sender::new(false),
+        };
+        self.remember(attempt.clone());
         self.started.fetch_add(1, Ordering::SeqCst);
         let slow_ms = self.faults.get(Fault::SlowMs);
         sleep(Duration::from_millis(slow_ms)).await;
         if self.faults.get(Fault::LoseAnswers) > 0 {
             return None;
         }
-        let attempt = read_header(&request, header::ATTEMPT).unwrap_or_default();
+        self.stream(attempt, 0)
+    }
+
+    fn resume(self: &Arc<Self>, id: &str, from: u64) -> Response {
+        let attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        let attempt = attempts.by_id.get(id).cloned();
+        drop(attempts);
+        let forgetful = self.forgetful.load(Ordering::SeqCst);
+        match attempt.filter(|_| !forgetful) {
+            Some(attempt) => self.stream(attempt, from),
+            None => Some(with_attempt(answer(404, "no such attempt"), id)),
+        }
+    }
+
+    fn cancel(&self, id: &str) -> hyper::Response<crate::Body> {
+        let mut attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        match attempts.by_id.remove(id) {
+            Some(attempt) => {
+                if !attempt.finished.load(Ordering::SeqCst) {
+                    self.cancelled.fetch_add(1, Ordering::SeqCst);
+                }
+                attempt.cancelled.send_replace(true);
+                answer(200, "cancelled")
+            }
+            None => answer(404, "no such attempt"),
+        }
+    }
+
+    fn remember(&self, attempt: Attempt) {
+        let mut attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
+        attempts.order.push_back(attempt.id.clone());
+        attempts.by_id.insert(attempt.id.clone(), attempt);
+        if attempts.order.len() > REMEMBERED
+            && let Some(oldest) = attempts.order.pop_front()
+        {
+            attempts.by_id.remove(&oldest);
+        }
+    }
+
+    fn stream(self: &Arc<Self>, attempt: Attempt, from: u64) -> Response {
         let (sender, body) = Channel::new(4);
+        let crossing = self
+            .cross
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+                left.checked_sub(1)
+            });
+        let echoed = match crossing {
+            Ok(_) => "another-attempt",
+            Err(_) => &attempt.id,
+        };
         let response = hyper::Response::builder()
             .header("content-type", "text/event-stream")
-            .header(header::ATTEMPT, attempt)
             .body(body.boxed())
-            .ok();
+            .ok()?;
+        let response = with_attempt(response, echoed);
         let shared = Arc::clone(self);
-        tokio::spawn(async move { shared.stream(asked, sender).await });
-        response
+        tokio::spawn(async move { shared.send(&attempt, from, sender).await });
+        Some(response)
     }
 
-    async fn stream(&self, asked: chat::Request, mut sender: Sender<Bytes, std::io::Error>) {
-        let limit = asked
-            .rest
-            .get("max_tokens")
-            .and_then(serde_json::Value::as_u64);
-        let tokens = limit.unwrap_or(DEFAULT_TOKENS);
-        let prompt = prompt_tokens(&asked);
+    async fn send(&self, attempt: &Attempt, from: u64, mut sender: Sender<Bytes, std::io::Error>) {
+        let mut cancelled = attempt.cancelled.subscribe();
         let cut_after = self.cut_after.load(Ordering::SeqCst);
         let mut due = Instant::now() + Duration::from_millis(self.pace.first_ms);
-        for token in 0..tokens {
-            sleep_until(due).await;
-            due += Duration::from_millis(self.pace.token_ms);
-            if cut_after > 0 && token >= cut_after {
+        for position in from..attempt.answer.events() {
+            if attempt.answer.is_token(position) {
+                tokio::select! {
+                    () = sleep_until(due) => {}
+                    _ = cancelled.wait_for(|cancelled| *cancelled) => {
+                        sender.abort(std::io::Error::other("cancelled"));
+                        return;
+                    }
+                }
+                due += Duration::from_millis(self.pace.token_ms);
+            }
+            if cut_after > 0 && position - from >= cut_after {
                 sender.abort(std::io::Error::other("cut"));
                 return;
             }
-            let part = part(&asked.model, Some(format!("w{token} ")), None);
-            if sender.send_data(event(&part)).await.is_err() {
-                self.cancelled.fetch_add(1, Ordering::SeqCst);
+            let event = attempt.answer.event(&attempt.id, position);
+            // A caller that has gone may come back to resume.
+            if sender.send_data(event).await.is_err() {
                 return;
             }
         }
-        let usage = Usage {
-            prompt_tokens: prompt,
-            completion_tokens: tokens,
-            total_tokens: prompt + tokens,
-        };
-        let last = part(&asked.model, None, Some(usage));
-        let _ = sender.send_data(event(&last)).await;
         let done = Bytes::from(format!("data: {}\n\n", chat::DONE));
-        let _ = sender.send_data(done).await;
-        self.finished.fetch_add(1, Ordering::SeqCst);
+        if sender.send_data(done).await.is_ok() {
+            attempt.finished.store(true, Ordering::SeqCst);
+            self.finished.fetch_add(1, Ordering::SeqCst);
+        }
     }
 }
 
-fn prompt_tokens(asked: &chat::Request) -> u64 {
-    let text = asked.rest.get("messages").or(asked.rest.get("prompt"));
-    let bytes = text.map_or(0, |text| text.to_string().len());
-    u64::try_from(bytes / 4).unwrap_or(0)
-}
-
-fn part(model: &str, content: Option<String>, usage: Option<Usage>) -> Completion {
-    let finish_reason = content.is_none().then(|| "stop".to_owned());
-    Completion {
-        id: String::new(),
-        object: "chat.completion.chunk".to_owned(),
-        model: model.to_owned(),
-        choices: vec![Choice {
-            index: 0,
-            message: None,
-            delta: Some(Message {
-                role: None,
-                content: content.unwrap_or_default(),
-            }),
-            finish_reason,
-        }],
-        usage,
-        cost_micro_euro: None,
+fn with_attempt(
+    mut response: hyper::Response<crate::Body>,
+    id: &str,
+) -> hyper::Response<crate::Body> {
+    if let Ok(value) = id.parse() {
+        response.headers_mut().insert(header::ATTEMPT, value);
     }
-}
-
-fn event(part: &Completion) -> Bytes {
-    let json = serde_json::to_string(part).unwrap_or_default();
-    Bytes::from(format!("data: {json}\n\n"))
+    response
 }
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
@@ -30,6 +31,7 @@
 pub struct Server {
     address: SocketAddr,
     stop: watch::Sender<bool>,
+    connections: Arc<AtomicU64>,
 }
 
 impl Server {
@@ -45,8 +47,13 @@
         let (stop, stopped) = watch::channel(false);
         let _guard = runtime.enter();
         let listener = tokio::net::TcpListener::from_std(listener)?;
-        runtime.spawn(accept(listener, handler, stopped));
-        Ok(Self { address, stop })
+        let connections = Arc::new(AtomicU64::new(0));
+        runtime.spawn(accept(listener, handler, stopped, Arc::clone(&connections)));
+        Ok(Self {
+            address,
+            stop,
+            connections,
+        })
     }
 
     /// Returns the address that is served.
@@ -54,6 +61,12 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Returns how many connections were made.
+    #[must_use]
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::SeqCst)
+    }
 }
 
 impl Drop for Server {
@@ -66,6 +79,7 @@
     listener: tokio::net::TcpListener,
     handler: Handler,
     mut stopped: watch::Receiver<bool>,
+    connections: Arc<AtomicU64>,
 ) {
     loop {
         let stream = tokio::select! {
@@ -73,6 +87,7 @@
             _ = stopped.changed() => return,
         };
         let Ok((stream, _)) = stream else { continue };
+        connections.fetch_add(1, Ordering::SeqCst);
         let handler = Arc::clone(&handler);
         let mut stopped = stopped.clone();
         tokio::spawn(async move {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! Tests and `fescuerack demo` use them; they are no simulator: each answers
 //! at the interface and knows nothing of the others.
 
+mod answer;
 mod engine;
 mod fault;
 mod http;
--- a/crates/wire/src/chat.rs
+++ b/crates/wire/src/chat.rs
@@ -1,6 +1,6 @@
 //! Chat completions in the shape that is usual among model APIs.
 
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::{Map, Value};
 
 /// A request for a completion. Fields that the router does not need are kept
@@ -28,43 +28,56 @@
     pub total_tokens: u64,
 }
 
-/// The text of one choice, whole or a part of a stream.
+/// The text of one choice, whole or a part of a stream. Fields that the router
+/// does not need, such as `tool_calls`, are kept and passed on.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
     /// Role of the speaker.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub role: Option<String>,
-    /// Text.
-    #[serde(default)]
+    /// Text; empty where an engine sends `null`.
+    #[serde(default, deserialize_with = "null_as_empty")]
     pub content: String,
+    /// Everything else.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
 }
 
 /// One choice of an answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Choice {
     /// Position among the choices.
     pub index: u32,
-    /// Whole text, in an answer that is not streamed.
+    /// Whole text, in an answer to `/v1/chat/completions` that is not streamed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub message: Option<Message>,
-    /// Part of the text, in a stream.
+    /// Part of the text, in a stream of `/v1/chat/completions`.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub delta: Option<Message>,
+    /// Text or a part of it, in answers to `/v1/completions`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub text: Option<String>,
     /// Why the text ended.
     #[serde(default)]
     pub finish_reason: Option<String>,
+    /// Everything else.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
 }
 
 /// An answer or one event of a stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Completion {
     /// Identifier of the request.
+    #[serde(default)]
     pub id: String,
-    /// `chat.completion` or `chat.completion.chunk`.
+    /// `chat.completion`, `chat.completion.chunk` or `text_completion`.
+    #[serde(default)]
     pub object: String,
     /// Version that answered.
+    #[serde(default)]
     pub model: String,
-    /// Choices.
+    /// Choices; none in the event that carries the usage.
     pub choices: Vec<Choice>,
     /// Tokens used; present at the end.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -73,6 +86,13 @@
     /// left long before.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cost_micro_euro: Option<u64>,
+    /// Everything else.
+    #[serde(flatten)]
+    pub rest: Map<String, Value>,
+}
+
+fn null_as_empty<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
+    Ok(Option::deserialize(deserializer)?.unwrap_or_default())
 }
 
 /// Last event of a stream that ended whole.
