--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,9 @@
 pub mod claim;
 pub mod clock;
 pub mod ledger;
+pub mod member;
+pub mod num;
+pub mod pacing;
 pub mod route;
 pub mod session;
 
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -15,6 +15,7 @@
 mod intake;
 mod models;
 mod port;
+mod prompt;
 mod reply;
 mod service;
 mod shape;
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -20,7 +20,9 @@
 use tokio::sync::mpsc;
 
 use super::attempts::Work;
-use crate::shared::{Running, Shared};
+use crate::admission::Meter;
+use crate::running::Running;
+use crate::shared::Shared;
 
 /// Events that wait for a slow reader before the engine's thread waits too;
 /// bounds the memory of a stream whose caller reads slowly.
@@ -48,7 +50,7 @@
 }
 
 /// Starts an attempt.
-pub fn start(shared: &Arc<Shared>, running: Running, work: Work) -> Events {
+pub fn start(shared: &Arc<Shared>, running: Running, work: Work, meter: Meter) -> Events {
     let (sender, receiver) = mpsc::channel(BUFFER);
     let attempt = Attempt {
         address: running.address.clone(),
@@ -62,11 +64,10 @@
         attempt: attempt.clone(),
         deadline: work.deadline,
         sender,
+        running,
+        meter,
     };
-    tokio::task::spawn_blocking(move || {
-        let _running = running;
-        reading.run();
-    });
+    tokio::task::spawn_blocking(move || reading.run());
     Events {
         receiver,
         running: Some(Cancel {
@@ -126,6 +127,8 @@
     attempt: Attempt,
     deadline: Instant,
     sender: mpsc::Sender<Result<Event, Fault>>,
+    running: Running,
+    meter: Meter,
 }
 
 impl Reading {
@@ -143,10 +146,14 @@
                 // closes its connection.
                 Ok(event) if self.sender.is_closed() => return drop(event),
                 Ok(Event::End) => {
+                    self.running.ended_well();
+                    self.meter.whole();
                     let _ = self.sender.blocking_send(Ok(Event::End));
                     return stream.finish();
                 }
                 Ok(part) => {
+                    self.running.answered();
+                    self.meter.part(self.shared.now());
                     let _ = self.sender.blocking_send(Ok(part));
                 }
                 Err(Failure::Cut(cause)) => {
@@ -185,10 +192,28 @@
         }
     }
 
-    fn fail(&self, failure: Failure) {
+    fn fail(&mut self, failure: Failure) {
         if failure == Failure::Crossed {
             self.shared.metrics.count("upstream.crossed");
         }
-        let _ = self.sender.blocking_send(Err(failure.into()));
+        let fault = failure.into();
+        self.running.failed(&fault);
+        self.note(&fault);
+        let _ = self.sender.blocking_send(Err(fault));
+    }
+
+    /// Tells admission of a runner that refuses, or that has used up the time
+    /// of the request.
+    fn note(&self, fault: &Fault) {
+        let refused = matches!(
+            fault,
+            Fault::Refused {
+                status: 429 | 503,
+                ..
+            }
+        );
+        if refused || self.shared.now() >= self.deadline {
+            self.meter.overloaded();
+        }
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stop::Stop;
-use crate::{force, ledger, servers};
+use crate::{force, ledger, loads, servers};
 
 /// Stack of one thread, in bytes. Threads that read backend servers are many
 /// and shallow.
@@ -61,6 +61,7 @@
         let stop = Stop::new();
         spawn("config", &shared, &stop, force::follow)?;
         spawn("servers", &shared, &stop, servers::follow)?;
+        spawn("loads", &shared, &stop, loads::follow)?;
         let ledger = spawn("ledger", &shared, &stop, ledger::follow)?;
         log::info!(instance = shared.settings.instance; "started");
         Ok(Self {
@@ -107,6 +108,8 @@
         let deadline = self.shared.now().plus_millis(limits.drain_deadline_ms);
         self.shared.leaving.store(true, Ordering::SeqCst);
         log::info!("shutting down");
+        crate::shared::lock(&self.shared.member).leave();
+        self.shared.wake.notify_one();
         std::thread::sleep(Duration::from_millis(limits.drain_lag_ms));
         self.shared.draining.store(true, Ordering::SeqCst);
         let remaining = deadline.since(self.shared.now());
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod path;
+mod peers;
 mod shutdown;
 mod stream;
 mod support;
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -30,6 +30,8 @@
     pub child: Child,
     pub callers: String,
     pub operators: String,
+    pub instance: String,
+    pub peers: String,
     _settings: tempfile::NamedTempFile,
 }
 
@@ -94,7 +96,7 @@
     /// Starts a process under `limits`, in YAML's flow style without braces.
     pub fn start_with(&self, instance: &str, limits: &str) -> Process {
         let settings = format!(
-            "instance: {instance}\nzone: espoo-a\nplatform: {}\nlisten:\n  \
+            "instance: {instance}\nzone: espoo-a\npeer_key: a key for the tests\nplatform: {}\nlisten:\n  \
              callers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n  peers: 127.0.0.1:0\n\
              limits: {{{limits}}}\n",
             self.platform.address(),
@@ -114,6 +116,8 @@
             child,
             callers: addresses("callers"),
             operators: addresses("operators"),
+            instance: instance.to_owned(),
+            peers: addresses("peers").trim_start_matches("http://").to_owned(),
             _settings: file,
         };
         process.wait_until_ready();
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -8,7 +8,7 @@
 use anyhow::Result;
 use bytes::Bytes;
 use fescuerack_wire::chat;
-use fescuerack_wire::header;
+use fescuerack_wire::{header, load};
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use tokio::runtime::Handle;
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::answer::Answer;
-use crate::http::{answer, header as read_header, number};
+use crate::http::{answer, header as read_header, json, number};
 use crate::{Fault, Faults, Request, Response, Server};
 
 /// Attempts that can be resumed; the oldest is forgotten first.
@@ -57,6 +57,9 @@
     cut_after: AtomicU64,
     cross: AtomicU64,
     forgetful: AtomicBool,
+    leaving: AtomicBool,
+    running: AtomicU64,
+    work: AtomicU64,
 }
 
 /// The engine's stand-in.
@@ -83,6 +86,9 @@
             cut_after: AtomicU64::new(0),
             cross: AtomicU64::new(0),
             forgetful: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            running: AtomicU64::new(0),
+            work: AtomicU64::new(0),
         });
         let for_handler = Arc::clone(&shared);
         let handler: crate::Handler = Arc::new(move |request| {
@@ -120,6 +126,11 @@
         self.shared.forgetful.store(forgetful, Ordering::SeqCst);
     }
 
+    /// Refuses new work from now on; running work finishes.
+    pub fn leave(&self) {
+        self.shared.leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Returns how many requests it started, finished and saw cancelled.
     #[must_use]
     pub fn counts(&self) -> (u64, u64, u64) {
@@ -143,12 +154,19 @@
             return None;
         }
         let path = request.uri().path();
+        if path == "/load" {
+            return Some(self.load());
+        }
         match path.strip_prefix("/v1/attempts/") {
             Some(rest) => match rest.split_once('/') {
                 Some((id, "resume")) => self.resume(id, number(&request, "from")),
                 Some((id, "cancel")) => Some(self.cancel(id)),
                 _ => Some(answer(404, "no such path")),
             },
+            None if self.leaving.load(Ordering::SeqCst) => {
+                let id = read_header(&request, header::ATTEMPT).unwrap_or_default();
+                Some(with_attempt(answer(503, "leaving"), id))
+            }
             None => self.start(&request).await,
         }
     }
@@ -201,6 +219,16 @@
         }
     }
 
+    fn load(&self) -> hyper::Response<crate::Body> {
+        let running = self.running.load(Ordering::SeqCst);
+        json(&load::Report {
+            work: self.work.load(Ordering::SeqCst),
+            running: u32::try_from(running).unwrap_or(u32::MAX),
+            leaving: self.leaving.load(Ordering::SeqCst),
+            ..load::Report::default()
+        })
+    }
+
     fn remember(&self, attempt: Attempt) {
         let mut attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
         attempts.order.push_back(attempt.id.clone());
@@ -234,6 +262,7 @@
     }
 
     async fn send(&self, attempt: &Attempt, from: u64, mut sender: Sender<Bytes, std::io::Error>) {
+        let _work = Work::new(self, attempt.answer.events().saturating_sub(from));
         let mut cancelled = attempt.cancelled.subscribe();
         let cut_after = self.cut_after.load(Ordering::SeqCst);
         let mut due = Instant::now() + Duration::from_millis(self.pace.first_ms);
@@ -266,6 +295,27 @@
     }
 }
 
+/// Tokens of a request that runs; dropping it ends the count.
+struct Work<'a> {
+    shared: &'a Shared,
+    tokens: u64,
+}
+
+impl<'a> Work<'a> {
+    fn new(shared: &'a Shared, tokens: u64) -> Self {
+        shared.running.fetch_add(1, Ordering::SeqCst);
+        shared.work.fetch_add(tokens, Ordering::SeqCst);
+        Self { shared, tokens }
+    }
+}
+
+impl Drop for Work<'_> {
+    fn drop(&mut self) {
+        self.shared.running.fetch_sub(1, Ordering::SeqCst);
+        self.shared.work.fetch_sub(self.tokens, Ordering::SeqCst);
+    }
+}
+
 fn with_attempt(
     mut response: hyper::Response<crate::Body>,
     id: &str,
