Answer bad input with typed errors before anything runs

Cause: deadlines beyond all overflowed (x-deadline-ms of 2^64-1 panicked in debug builds), names of any length went into keys and records, a body was read before its path was known, errors were not counted by kind, and the usual null for an unset 'stream' was refused.

Ruled out: half_close on the connection, which would answer callers that close their sending half after a whole request, but hides that a caller has gone before its first token.

--- a/crates/node/src/callers/intake.rs
+++ b/crates/node/src/callers/intake.rs
@@ -8,14 +8,19 @@
 use fescuerack_wire::error::Kind;
 use fescuerack_wire::header;
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::HeaderMap;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request};
+use hyper::http::request::Parts;
 
 use super::reply::Refusal;
 use crate::shared::Shared;
 
 /// Milliseconds that a request may take when its caller names no deadline.
 const DEFAULT_DEADLINE_MS: u64 = 120_000;
+/// Milliseconds that a request may take at most: no answer takes a day.
+const MOST_DEADLINE_MS: u64 = 86_400_000;
+/// Longest request, session or idempotency key, in bytes.
+const LONGEST_NAME: usize = 256;
 
 /// A request that has been read whole.
 pub struct Call {
@@ -41,44 +46,81 @@
     pub body: Bytes,
 }
 
-/// Reads a request.
+/// What the headers of a request say.
+pub struct Head {
+    organisation: key::Organisation,
+    request: String,
+    session: Option<String>,
+    deadline: Instant,
+    idempotency_key: Option<String>,
+    content_type: Option<String>,
+}
+
+impl Call {
+    /// Puts together a request that has been read.
+    pub fn new(head: Head, parts: &Parts, body: Bytes) -> Self {
+        Self {
+            method: parts.method.to_string(),
+            path: parts.uri.path().to_owned(),
+            query: parts.uri.query().map(str::to_owned),
+            organisation: head.organisation,
+            request: head.request,
+            session: head.session,
+            deadline: head.deadline,
+            idempotency_key: head.idempotency_key,
+            content_type: head.content_type,
+            body,
+        }
+    }
+}
+
+/// Reads the headers of a request; its body is not read unless they are right.
 ///
 /// # Errors
 ///
 /// The typed error to answer with; nothing was run.
-pub async fn read(shared: &Shared, request: Request<Incoming>) -> Result<Call, Refusal> {
-    let (parts, body) = request.into_parts();
+pub fn head(shared: &Shared, parts: &Parts) -> Result<Head, Refusal> {
     let headers = &parts.headers;
     let organisation = authorise(shared, headers)?;
-    let deadline_ms = match text(headers, header::DEADLINE)? {
-        None => DEFAULT_DEADLINE_MS,
-        Some(value) => match value.parse() {
-            Ok(0) | Err(_) => {
-                let message = "x-deadline-ms must be a whole number of milliseconds above 0";
-                return Err(Refusal::new(Kind::InvalidRequest, message));
-            }
-            Ok(millis) => millis,
-        },
-    };
-    let deadline = shared.now().plus_millis(deadline_ms);
-    let request = match text(headers, header::REQUEST)? {
-        Some(value) if !value.is_empty() => value.to_owned(),
-        _ => shared.random_id(),
-    };
-    Ok(Call {
-        method: parts.method.to_string(),
-        path: parts.uri.path().to_owned(),
-        query: parts.uri.query().map(str::to_owned),
+    let deadline = shared.now().plus_millis(deadline_ms(headers)?);
+    let request = name(headers, header::REQUEST)?;
+    Ok(Head {
         organisation,
-        request,
-        session: text(headers, header::SESSION)?.map(str::to_owned),
+        request: request.unwrap_or_else(|| shared.random_id()),
+        session: name(headers, header::SESSION)?,
         deadline,
-        idempotency_key: text(headers, header::IDEMPOTENCY)?.map(str::to_owned),
+        idempotency_key: name(headers, header::IDEMPOTENCY)?,
         content_type: text(headers, "content-type")?.map(str::to_owned),
-        body: read_body(shared, body).await?,
     })
 }
 
+fn deadline_ms(headers: &HeaderMap) -> Result<u64, Refusal> {
+    let Some(value) = text(headers, header::DEADLINE)? else {
+        return Ok(DEFAULT_DEADLINE_MS);
+    };
+    let millis = value.parse().ok();
+    millis
+        .filter(|millis| (1..=MOST_DEADLINE_MS).contains(millis))
+        .ok_or_else(|| {
+            let message = format!(
+                "{}: must be a whole number of milliseconds from 1 to {MOST_DEADLINE_MS}",
+                header::DEADLINE
+            );
+            Refusal::new(Kind::InvalidRequest, message)
+        })
+}
+
+/// Returns a header that names something; names go into keys of the store and
+/// into records, so their length is limited. An empty one names nothing.
+fn name(headers: &HeaderMap, header: &str) -> Result<Option<String>, Refusal> {
+    let value = text(headers, header)?.filter(|value| !value.is_empty());
+    if value.is_some_and(|value| value.len() > LONGEST_NAME) {
+        let message = format!("header {header} is over {LONGEST_NAME} bytes");
+        return Err(Refusal::new(Kind::InvalidRequest, message));
+    }
+    Ok(value.map(str::to_owned))
+}
+
 fn authorise(shared: &Shared, headers: &HeaderMap) -> Result<key::Organisation, Refusal> {
     let presented = text(headers, "authorization")?
         .and_then(|value| value.strip_prefix("Bearer "))
@@ -108,7 +150,12 @@
     })
 }
 
-async fn read_body(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
+/// Reads a body within the limits.
+///
+/// # Errors
+///
+/// The typed error to answer with; nothing was run.
+pub async fn body(shared: &Shared, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = &shared.settings.limits;
     let within = Duration::from_millis(limits.body_timeout_ms);
     let limited = Limited::new(body, limits.body_bytes).collect();
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -17,6 +17,7 @@
 mod port;
 mod prompt;
 mod reply;
+mod route;
 mod service;
 mod shape;
 mod stall;
@@ -26,32 +27,74 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use fescuerack_core::attempt::Outcome;
 use fescuerack_wire::error::Kind;
+use hyper::Method;
 use hyper::body::Incoming;
 
 use crate::shared::Shared;
+use intake::Call;
 pub use port::Port;
-use reply::{Reply, failure};
+use reply::{Refusal, Refused, Reply, whole, with_header};
+use route::Route;
 
+/// Answers a request and counts the answer if it is a typed error.
 async fn serve(shared: Arc<Shared>, request: hyper::Request<Incoming>) -> Reply {
     shared.metrics.count("callers.requests");
+    let reply = answer(&shared, request).await;
+    let reply = reply.unwrap_or_else(Reply::from);
+    if let Some(refused) = reply.extensions().get::<Refused>() {
+        shared.metrics.count(refused.counter());
+        if refused.outcome == Outcome::NotRun {
+            shared.metrics.count("callers.refused");
+        }
+    }
+    reply
+}
+
+async fn answer(shared: &Arc<Shared>, request: hyper::Request<Incoming>) -> Result<Reply, Refusal> {
     if shared.draining.load(Ordering::SeqCst) {
-        return failure(Kind::Unavailable, "this instance is shutting down; not run");
+        let message = "this instance is shutting down; not run";
+        return Err(Refusal::new(Kind::Unavailable, message));
     }
     if !shared.is_able() {
-        return failure(Kind::Unavailable, "this instance is starting; not run");
+        let message = "this instance is starting; not run";
+        return Err(Refusal::new(Kind::Unavailable, message));
+    }
+    let (parts, body) = request.into_parts();
+    let route = Route::new(parts.uri.path());
+    if parts.method == Method::OPTIONS && route != Some(Route::Service) {
+        return Ok(options(route));
     }
-    let call = match intake::read(&shared, request).await {
-        Ok(call) => call,
-        Err(refusal) => return refusal.into(),
+    let head = intake::head(shared, &parts)?;
+    let Some(route) = route else {
+        return Err(Refusal::new(Kind::NotFound, "no such path"));
     };
-    let path = call.path.clone();
-    match (call.method.as_str(), path.as_str()) {
-        ("POST", "/v1/chat/completions" | "/v1/completions") => chat::answer(shared, call).await,
-        ("GET", "/v1/models") => models::answer(&shared, &call),
-        _ => match path.strip_prefix("/v1/services/") {
-            Some(rest) => service::answer(shared, call, rest).await,
-            None => failure(Kind::NotFound, "no such path"),
-        },
+    if !route.takes(&parts.method) {
+        let message = format!("this path takes {}", route.methods());
+        let reply = Reply::from(Refusal::new(Kind::MethodNotAllowed, message));
+        return Ok(with_header(reply, "allow", route.methods()));
     }
+    let body = intake::body(shared, body).await?;
+    let call = Call::new(head, &parts, body);
+    let shared = Arc::clone(shared);
+    Ok(match route {
+        Route::Completion => chat::answer(shared, call).await,
+        Route::Models => models::answer(&shared, &call),
+        Route::Service => {
+            let path = call.path.clone();
+            let rest = path.trim_start_matches(route::SERVICES);
+            service::answer(shared, call, rest).await
+        }
+    })
+}
+
+/// Answers which methods a path takes; it needs no key, for the paths are no
+/// secret.
+fn options(route: Option<Route>) -> Reply {
+    let Some(route) = route else {
+        return Refusal::new(Kind::NotFound, "no such path").into();
+    };
+    let reply = whole(204, "text/plain", "");
+    with_header(reply, "allow", route.methods())
 }
--- a/crates/node/src/callers/reply.rs
+++ b/crates/node/src/callers/reply.rs
@@ -98,6 +98,37 @@
     }
 }
 
+/// What a typed error tells; kept beside the answer so that it is counted in
+/// one place.
+#[derive(Clone, Copy, Debug)]
+pub struct Refused {
+    /// What went wrong.
+    pub kind: Kind,
+    /// What is known of the request.
+    pub outcome: Outcome,
+}
+
+impl Refused {
+    /// Returns the counter of its kind.
+    pub const fn counter(self) -> &'static str {
+        match self.kind {
+            Kind::InvalidRequest => "errors.invalid_request",
+            Kind::Unauthorized => "errors.unauthorized",
+            Kind::Forbidden => "errors.forbidden",
+            Kind::NotFound => "errors.not_found",
+            Kind::MethodNotAllowed => "errors.method_not_allowed",
+            Kind::Conflict => "errors.conflict",
+            Kind::TooLarge => "errors.too_large",
+            Kind::SlowSender => "errors.slow_sender",
+            Kind::Overloaded => "errors.overloaded",
+            Kind::Unavailable => "errors.unavailable",
+            Kind::OutcomeUnknown => "errors.outcome_unknown",
+            Kind::DeadlineExceeded => "errors.deadline_exceeded",
+            Kind::UpstreamFailed => "errors.upstream_failed",
+        }
+    }
+}
+
 /// Returns a typed error for a request of which nothing was run.
 pub fn failure(kind: Kind, message: &str) -> Reply {
     failure_with(kind, message, Outcome::NotRun)
@@ -106,7 +137,8 @@
 /// Returns a typed error.
 pub fn failure_with(kind: Kind, message: &str, outcome: Outcome) -> Reply {
     let body = error_body(kind, message, outcome);
-    let reply = whole(kind.status(), "application/json", body);
+    let mut reply = whole(kind.status(), "application/json", body);
+    reply.extensions_mut().insert(Refused { kind, outcome });
     let reply = with_header(reply, header::OUTCOME, outcome_name(outcome));
     if matches!(kind, Kind::Overloaded | Kind::Unavailable) {
         return with_header(reply, "retry-after", "1");
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -4,8 +4,8 @@
 //! failures are met here, because the request need not know of them:
 //!
 //! - **A stream cut by its engine** is resumed there, from the event after the
-//!   last, as long as each resumption brings something new. Only when that
-//!   fails does the request see the fault.
+//!   last. Only when that fails, or has brought nothing new a few times in a
+//!   row, does the request see the fault.
 //! - **A request that gives the attempt up**, as a rule because its caller has
 //!   gone, cancels it at the engine. The thread itself may be waiting for a
 //!   token for a long time, so the call is made from another one.
@@ -28,6 +28,10 @@
 /// bounds the memory of a stream whose caller reads slowly.
 const BUFFER: usize = 16;
 
+/// Resumptions in a row that may bring nothing new: a cut can lose what was on
+/// its way, but an engine that only ever cuts must not hold the thread.
+const FRUITLESS: u32 = 2;
+
 /// Pauses after cancel calls that found nothing to cancel: the way to an engine
 /// takes a millisecond or so, and much longer only when connecting is slow.
 const CANCEL_PAUSES: [Duration; 3] = [
@@ -139,7 +143,7 @@
             Ok(stream) => stream,
             Err(failure) => return self.fail(failure),
         };
-        let mut resumed_at = None;
+        let (mut resumed_at, mut fruitless) = (0, 0);
         loop {
             match stream.next_event() {
                 // The request has given the attempt up; dropping the stream
@@ -158,8 +162,13 @@
                 }
                 Err(Failure::Cut(cause)) => {
                     let position = stream.position();
-                    let progressed = resumed_at.replace(position) != Some(position);
-                    match self.resume(position, progressed) {
+                    fruitless = if position > resumed_at {
+                        0
+                    } else {
+                        fruitless + 1
+                    };
+                    resumed_at = position;
+                    match self.resume(position, fruitless) {
                         Some(resumed) => stream = resumed,
                         None => return self.fail(Failure::Cut(cause)),
                     }
@@ -169,11 +178,10 @@
         }
     }
 
-    /// Resumes a stream that was cut; only after progress, so that an engine
-    /// that accepts and cuts at once does not hold the thread in a loop.
-    fn resume(&self, position: u64, progressed: bool) -> Option<engine::Stream> {
+    /// Resumes a stream that was cut.
+    fn resume(&self, position: u64, fruitless: u32) -> Option<engine::Stream> {
         let remaining = self.deadline.since(self.shared.now());
-        if !progressed || remaining.is_zero() || self.sender.is_closed() {
+        if fruitless > FRUITLESS || remaining.is_zero() || self.sender.is_closed() {
             return None;
         }
         self.shared.metrics.count("upstream.cut");
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests: real processes against stand-ins.
 
 mod engine;
+mod input;
 mod path;
 mod peers;
 mod shutdown;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -22,6 +22,9 @@
 /// Attempts that can be resumed; the oldest is forgotten first.
 const REMEMBERED: usize = 4096;
 
+/// Pause between the last event and a cut.
+const BEFORE_CUT: Duration = Duration::from_millis(2);
+
 /// How fast an engine is.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -278,6 +281,8 @@
                 due += Duration::from_millis(self.pace.token_ms);
             }
             if cut_after > 0 && position - from >= cut_after {
+                // What was sent before a cut has mostly arrived.
+                sleep(BEFORE_CUT).await;
                 sender.abort(std::io::Error::other("cut"));
                 return;
             }
--- a/crates/wire/src/chat.rs
+++ b/crates/wire/src/chat.rs
@@ -9,8 +9,8 @@
 pub struct Request {
     /// A model, a `model@version`, or `auto:<class>`.
     pub model: String,
-    /// Whether the answer is streamed.
-    #[serde(default)]
+    /// Whether the answer is streamed; `null` is taken as `false`.
+    #[serde(default, deserialize_with = "null_as_default")]
     pub stream: bool,
     /// Everything else, `messages` or `prompt` among it.
     #[serde(flatten)]
@@ -36,7 +36,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub role: Option<String>,
     /// Text; empty where an engine sends `null`.
-    #[serde(default, deserialize_with = "null_as_empty")]
+    #[serde(default, deserialize_with = "null_as_default")]
     pub content: String,
     /// Everything else.
     #[serde(flatten)]
@@ -91,7 +91,11 @@
     pub rest: Map<String, Value>,
 }
 
-fn null_as_empty<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
+fn null_as_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Default + Deserialize<'de>,
+{
     Ok(Option::deserialize(deserializer)?.unwrap_or_default())
 }
 
--- a/crates/wire/src/error.rs
+++ b/crates/wire/src/error.rs
@@ -14,6 +14,8 @@
     Forbidden,
     /// No such path.
     NotFound,
+    /// The path has no such method.
+    MethodNotAllowed,
     /// The idempotency key was used with another body, or still runs.
     Conflict,
     /// The body or a header is too large.
@@ -41,6 +43,7 @@
             Self::Unauthorized => 401,
             Self::Forbidden => 403,
             Self::NotFound => 404,
+            Self::MethodNotAllowed => 405,
             Self::SlowSender => 408,
             Self::Conflict => 409,
             Self::TooLarge => 413,
