--- a/crates/config/src/catalog/mod.rs
+++ b/crates/config/src/catalog/mod.rs
@@ -122,6 +122,10 @@
     pub cascade: bool,
     /// Priority; a lower number goes first.
     pub priority: u8,
+    /// Rating under which an answer counts as bad.
+    pub bad_quality: f64,
+    /// Share of requests that may try a version of uncertain quality.
+    pub explore: f64,
 }
 
 /// A roll-out.
@@ -135,8 +139,10 @@
     pub stages: Vec<f64>,
     /// Position in `stages`.
     pub stage: usize,
-    /// Whether it may advance.
+    /// Whether it stays at its stage.
     pub paused: bool,
+    /// Number of the operators' word; a higher one clears a halt.
+    pub word: u64,
     /// Bad answers that may reach callers.
     pub exposure: u32,
 }
@@ -163,6 +169,8 @@
     pub fleet: key::Fleet,
     /// Whether a call may be repeated.
     pub idempotent: bool,
+    /// Whether a call that may not be repeated is taken without a key.
+    pub keyless: bool,
     /// Milliseconds within which the answer is due.
     pub deadline_ms: u64,
 }
--- a/crates/node/src/callers/collect.rs
+++ b/crates/node/src/callers/collect.rs
@@ -8,7 +8,7 @@
 use serde_json::{Map, Value};
 
 use super::attempts::{Begun, end_of};
-use super::shape::{Meter, Shape};
+use super::shape::{Shape, Tally};
 use crate::shared::Shared;
 
 /// Fields of a part that stand for themselves in every part; texts of all
@@ -31,15 +31,15 @@
     /// # Errors
     ///
     /// How the attempt ended when the answer is not whole.
-    pub async fn read(shared: &Shared, begun: Begun) -> Result<Self, End> {
+    pub async fn read(shared: &Shared, body: &[u8], begun: Begun) -> Result<Self, End> {
         let mut answer = Self::default();
-        let mut meter = Meter::new();
+        let mut tally = Tally::new();
         let mut events = begun.events;
         let mut next = Some(Ok(Event::Part(begun.first)));
         loop {
             match next {
                 Some(Ok(Event::Part(part))) => {
-                    meter.read(&part);
+                    tally.read(&part);
                     answer.add(part);
                 }
                 Some(Ok(Event::End)) => break,
@@ -48,7 +48,7 @@
             }
             next = events.recv().await;
         }
-        answer.usage = meter.usage(shared);
+        answer.usage = tally.usage(shared, body);
         answer.text = answer.first_text();
         Ok(answer)
     }
@@ -81,6 +81,21 @@
         text.unwrap_or_default()
     }
 
+    /// Returns the parts of the answer as a stream that holds it in one piece.
+    pub fn parts(&self, shape: Shape) -> Vec<Completion> {
+        let mut whole = self.completion(shape, "", "");
+        shape.part_object().clone_into(&mut whole.object);
+        for choice in &mut whole.choices {
+            choice.delta = choice.message.take();
+        }
+        let last = Completion {
+            choices: Vec::new(),
+            ..whole.clone()
+        };
+        whole.usage = None;
+        vec![whole, last]
+    }
+
     /// Returns the answer in the shape that callers expect.
     pub fn completion(&self, shape: Shape, request: &str, version: &str) -> Completion {
         Completion {
--- a/crates/node/src/callers/intake.rs
+++ b/crates/node/src/callers/intake.rs
@@ -36,6 +36,8 @@
     pub request: String,
     /// Session that it belongs to.
     pub session: Option<String>,
+    /// Token of its session, as an earlier answer handed it out.
+    pub session_token: Option<String>,
     /// When its answer is due.
     pub deadline: Instant,
     /// Key under which it runs at most once.
@@ -51,6 +53,7 @@
     organisation: key::Organisation,
     request: String,
     session: Option<String>,
+    session_token: Option<String>,
     deadline: Instant,
     idempotency_key: Option<String>,
     content_type: Option<String>,
@@ -66,6 +69,7 @@
             organisation: head.organisation,
             request: head.request,
             session: head.session,
+            session_token: head.session_token,
             deadline: head.deadline,
             idempotency_key: head.idempotency_key,
             content_type: head.content_type,
@@ -88,6 +92,7 @@
         organisation,
         request: request.unwrap_or_else(|| shared.random_id()),
         session: name(headers, header::SESSION)?,
+        session_token: text(headers, header::SESSION_TOKEN)?.map(str::to_owned),
         deadline,
         idempotency_key: name(headers, header::IDEMPOTENCY)?,
         content_type: text(headers, "content-type")?.map(str::to_owned),
--- a/crates/node/src/callers/mod.rs
+++ b/crates/node/src/callers/mod.rs
@@ -14,6 +14,7 @@
 mod flow;
 mod intake;
 mod models;
+mod observer;
 mod port;
 mod prompt;
 mod reply;
@@ -21,6 +22,7 @@
 mod service;
 mod shape;
 mod stall;
+mod steps;
 mod stream;
 mod upstream;
 
--- a/crates/node/src/callers/shape.rs
+++ b/crates/node/src/callers/shape.rs
@@ -4,6 +4,7 @@
 use fescuerack_wire::error::Kind;
 use serde_json::{Value, json};
 
+use super::prompt::Prompt;
 use super::reply::Refusal;
 use crate::shared::Shared;
 
@@ -41,6 +42,14 @@
         }
     }
 
+    /// Returns the name of a part of a stream.
+    pub const fn part_object(self) -> &'static str {
+        match self {
+            Self::Chat => "chat.completion.chunk",
+            Self::Text => "text_completion",
+        }
+    }
+
     /// Checks the fields that decide what is run; the engine checks the rest.
     ///
     /// # Errors
@@ -73,13 +82,6 @@
     }
 }
 
-/// Returns whether the caller wants the usage at the end of a stream.
-pub fn wants_usage(asked: &Request) -> bool {
-    let options = asked.rest.get("stream_options");
-    let wanted = options.and_then(|options| options.get("include_usage"));
-    wanted.and_then(Value::as_bool).unwrap_or(false)
-}
-
 /// Asks for the usage, which billing needs, whatever the caller asked for.
 pub fn ask_for_usage(rest: &mut serde_json::Map<String, Value>) {
     match rest
@@ -95,14 +97,38 @@
     }
 }
 
+/// Form in which a caller wants its answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Form {
+    /// Shape.
+    pub shape: Shape,
+    /// Whether it is streamed.
+    pub is_streamed: bool,
+    /// Whether a stream tells the usage at its end.
+    pub with_usage: bool,
+}
+
+impl Form {
+    /// Reads what a request at `path` asks for.
+    pub fn new(path: &str, asked: &Request) -> Self {
+        let options = asked.rest.get("stream_options");
+        let wanted = options.and_then(|options| options.get("include_usage"));
+        Self {
+            shape: Shape::new(path),
+            is_streamed: asked.stream,
+            with_usage: wanted.and_then(Value::as_bool).unwrap_or(false),
+        }
+    }
+}
+
 /// Counts what an answer used.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Meter {
+pub struct Tally {
     told: Option<Usage>,
     parts: u64,
 }
 
-impl Meter {
+impl Tally {
     /// Starts counting.
     pub fn new() -> Self {
         Self::default()
@@ -114,15 +140,22 @@
         self.parts += u64::from(!part.choices.is_empty());
     }
 
-    /// Returns what the engine told, or else what can be counted here: an
-    /// answer without usage must not go unbilled.
-    pub fn usage(&self, shared: &Shared) -> Usage {
+    /// Returns the usage, if anything came.
+    pub fn some(&self, shared: &Shared, body: &[u8]) -> Option<Usage> {
+        (self.parts > 0).then(|| self.usage(shared, body))
+    }
+
+    /// Returns what the engine told, or else an estimate from the parts that
+    /// came and the request's length: an answer whose end did not come, because
+    /// its caller had read enough, must not go unbilled.
+    pub fn usage(&self, shared: &Shared, body: &[u8]) -> Usage {
         self.told.unwrap_or_else(|| {
-            shared.metrics.count("callers.usage_missing");
+            shared.metrics.count("callers.usage_estimated");
+            let prompt_tokens = u64::from(Prompt::new(body).tokens);
             Usage {
-                prompt_tokens: 0,
+                prompt_tokens,
                 completion_tokens: self.parts,
-                total_tokens: self.parts,
+                total_tokens: prompt_tokens + self.parts,
             }
         })
     }
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -23,6 +23,7 @@
 use crate::admission::Meter;
 use crate::running::Running;
 use crate::shared::Shared;
+use crate::versions::suspects;
 
 /// Events that wait for a slow reader before the engine's thread waits too;
 /// bounds the memory of a stream whose caller reads slowly.
@@ -43,7 +44,7 @@
 /// Events of one attempt; dropping it before their end cancels the attempt.
 pub struct Events {
     receiver: mpsc::Receiver<Result<Event, Fault>>,
-    running: Option<Cancel>,
+    running: Option<Box<Cancel>>,
 }
 
 /// What it takes to cancel an attempt.
@@ -63,6 +64,12 @@
         priority: work.priority,
         body: work.body,
     };
+    let watched = suspects::Attempt {
+        version: work.version,
+        fingerprint: work.fingerprint,
+        server: running.server,
+        address: running.address.clone(),
+    };
     let mut reading = Reading {
         shared: Arc::clone(shared),
         attempt: attempt.clone(),
@@ -70,15 +77,16 @@
         sender,
         running,
         meter,
+        watched,
     };
     tokio::task::spawn_blocking(move || reading.run());
     Events {
         receiver,
-        running: Some(Cancel {
+        running: Some(Box::new(Cancel {
             shared: Arc::clone(shared),
             runtime: Handle::current(),
             attempt,
-        }),
+        })),
     }
 }
 
@@ -133,6 +141,7 @@
     sender: mpsc::Sender<Result<Event, Fault>>,
     running: Running,
     meter: Meter,
+    watched: suspects::Attempt,
 }
 
 impl Reading {
@@ -147,9 +156,13 @@
         loop {
             match stream.next_event() {
                 // The request has given the attempt up; dropping the stream
-                // closes its connection.
-                Ok(event) if self.sender.is_closed() => return drop(event),
+                // closes its connection. However it ended by then, that says
+                // nothing of the version.
+                _ if self.sender.is_closed() => {
+                    return suspects::left(&self.shared, &self.watched);
+                }
                 Ok(Event::End) => {
+                    suspects::ended(&self.shared, &self.watched, Ok(()));
                     self.running.ended_well();
                     self.meter.whole();
                     let _ = self.sender.blocking_send(Ok(Event::End));
@@ -201,10 +214,15 @@
     }
 
     fn fail(&mut self, failure: Failure) {
+        if self.sender.is_closed() {
+            return suspects::left(&self.shared, &self.watched);
+        }
         if failure == Failure::Crossed {
             self.shared.metrics.count("upstream.crossed");
         }
         let fault = failure.into();
+        // Before the request hears of it and tries again.
+        suspects::ended(&self.shared, &self.watched, Err(&fault));
         self.running.failed(&fault);
         self.note(&fault);
         let _ = self.sender.blocking_send(Err(fault));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! start.
 
 mod admission;
+mod aid;
 mod callers;
 mod claims;
 mod clock;
@@ -27,6 +28,7 @@
 mod settings;
 mod shared;
 mod stop;
+mod versions;
 
 pub use node::Node;
 pub use settings::{Limits, Listen, Logs, Settings};
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// A running operators' port.
 pub struct Port {
@@ -61,7 +62,6 @@
 }
 
 fn state(shared: &Shared) -> serde_json::Value {
-    let force = shared.force();
     let admission = shared.gate.summary();
     let servers: Vec<_> = lock(&shared.routes)
         .iter()
@@ -84,11 +84,14 @@
         "incarnation": shared.incarnation,
         "ready": shared.is_ready(),
         "draining": shared.draining.load(Ordering::SeqCst),
-        "configuration": {"revision": force.catalog.revision},
+        "configuration": shared.configuration.state(),
         "admission": admission,
         "route": {"servers": servers},
         "member": member(shared),
-        "ledger": {"pending": lock(&shared.book).pending()},
+        "claims": {"backlog": shared.claims.backlog()},
+        "ledger": shared.ledger.state(),
+        "store": shared.store.calls(),
+        "versions": versions::state(shared),
         "counters": shared.metrics.counters(),
     })
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,8 +19,10 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{RpcModule, rpc_params};
 
+use crate::aid;
 use crate::clock;
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// Time within which a peer must answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
@@ -38,7 +40,7 @@
     let listen = shared.settings.listen.peers.clone();
     let config = jsonrpsee::server::ServerConfig::builder()
         .max_request_body_size(LARGEST)
-        .max_response_body_size(LARGEST)
+        .max_response_body_size(aid::LARGEST_ANSWER)
         .build();
     let server = ServerBuilder::with_config(config)
         .build(&listen)
@@ -54,6 +56,7 @@
             ErrorObjectOwned::owned(REFUSED, reason, None::<()>)
         })
     })?;
+    aid::register(&mut module)?;
     Ok((address, server.start(module)))
 }
 
@@ -126,8 +129,10 @@
 }
 
 /// Collects what all instances should hold alike.
-fn shared_state(_shared: &Shared) -> peer::Shared {
-    peer::Shared {}
+fn shared_state(shared: &Shared) -> peer::Shared {
+    peer::Shared {
+        rollouts: lock(&shared.versions.board).records(),
+    }
 }
 
 /// Collects what the slices tell their peers.
@@ -138,6 +143,10 @@
         rates: lock(&shared.rates).digest(&force.names, now),
         pools: lock(&shared.pools).digest(&force.names, now),
         words: lock(&shared.routes).digest(now),
+        rollouts: lock(&shared.versions.board).digest(),
+        quality: lock(&shared.versions.learner).digest(&force.names),
+        sessions: lock(&shared.versions.sessions).digest(&force.names),
+        suspects: lock(&shared.versions.suspects).digest(now),
     }
 }
 
@@ -147,11 +156,14 @@
     lock(&shared.rates).merge(&force.names, now, from, &digest.rates);
     lock(&shared.pools).merge(&force.names, now, from, &digest.pools);
     lock(&shared.routes).merge(now, &digest.words);
+    versions::merge(shared, &force, digest);
 }
 
 /// Hands to the slices what a peer told.
 fn take_in(shared: &Shared, input: Input) {
-    let _states: peer::Shared = peer::from_slices(input.states);
+    shared.configuration.hear(input.revision);
+    let states: peer::Shared = peer::from_slices(input.states);
+    versions::merge_records(shared, &states.rollouts);
     let digest: Digest = peer::from_slices(input.digests);
     merge(shared, &input.origin, &digest);
     publish(shared);
@@ -166,7 +178,8 @@
 
 fn answer(shared: &Shared, sealed: &Sealed) -> Result<Sealed, String> {
     let key = shared.settings.peer_key.as_bytes();
-    let request = peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
+    let request: member::Message =
+        peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
     let about = (request.origin.clone(), request.sequence);
     let hashes = request.hashes.clone();
     let time = time(shared);
