--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -9,20 +9,18 @@
 use fescuerack_wire::chat::{self, Completion, Usage};
 use fescuerack_wire::error::Kind;
 use http_body_util::BodyExt as _;
-use http_body_util::channel::{Channel, Sender};
 
 use super::attempts::Begun;
 use super::bill::{self, Spent};
+use super::collect::Answer;
+use super::flow::{Flow, Gone, Sender};
 use super::intake::Call;
 use super::observer::Observer;
 use super::reply::{Reply, error_body, whole};
-use super::upstream::Events;
+use super::shape::{Form, Tally};
 use crate::admission::Place;
 use crate::shared::{Force, Shared};
 
-/// Parts of a stream that wait for a slow reader.
-const BUFFER: usize = 16;
-
 /// A stream on its way to the caller.
 pub struct Stream {
     /// State of the process.
@@ -33,6 +31,8 @@
     pub call: Call,
     /// Version that answers.
     pub version: key::Version,
+    /// Form in which the caller wants it.
+    pub form: Form,
     /// What earlier steps used.
     pub spent: Spent,
 }
@@ -41,74 +41,122 @@
     /// Starts handing on and returns the answer's head; `place` is held until
     /// the stream ends.
     pub fn start(self, begun: Begun, observer: Observer, place: Place) -> Reply {
-        let (sender, body) = Channel::new(BUFFER);
+        let (sender, body) = Flow::new();
         let mut reply = whole(200, "text/event-stream", Bytes::new());
         *reply.body_mut() = body.boxed();
         tokio::spawn(async move {
-            self.pump(begun.first, begun.events, observer, sender).await;
+            self.pump(begun, observer, sender).await;
             drop(place);
         });
         reply
     }
 
-    async fn pump(
-        self,
-        first: Completion,
-        mut events: Events,
-        mut observer: Observer,
-        mut sender: Sender<Bytes, std::io::Error>,
-    ) {
-        let mut usage = Usage::default();
-        let mut next = Some(Ok(Event::Part(first)));
+    async fn pump(&self, begun: Begun, mut observer: Observer, sender: Sender) {
+        let mut tally = Tally::new();
+        let mut events = begun.events;
+        let mut next = Some(Ok(Event::Part(begun.first)));
         loop {
             match next {
                 Some(Ok(Event::Part(part))) => {
-                    usage = part.usage.unwrap_or(usage);
+                    tally.read(&part);
                     observer.read(&part);
-                    if sender.send_data(self.line(part)).await.is_err() {
-                        self.shared.metrics.count("callers.gone");
-                        return;
+                    if self.hand_on(part, &sender).await.is_err() {
+                        return self.gone(&tally).await;
                     }
                 }
-                Some(Ok(Event::End)) => {
-                    let Self {
-                        shared,
-                        force,
-                        call,
-                        ..
-                    } = &self;
-                    bill::completion(shared, force, call, self.version, usage, self.spent).await;
-                    observer.ended(usage);
-                    let _ = sender.send_data(line(chat::DONE)).await;
-                    return;
-                }
-                Some(Err(_)) | None => return self.cut(sender).await,
+                Some(Ok(Event::End)) => return self.finish(&tally, observer, sender).await,
+                Some(Err(_)) | None => return self.cut(&sender).await,
             }
-            next = events.recv().await;
+            // Dropping the events cancels the attempt at the engine, also
+            // while no token comes for long.
+            next = tokio::select! {
+                next = events.recv() => next,
+                () = sender.gone() => {
+                    drop(events);
+                    return self.gone(&tally).await;
+                }
+            };
         }
     }
 
-    fn line(&self, mut part: Completion) -> Bytes {
-        if let Some(usage) = part.usage {
+    /// Hands a part on. The usage is asked of every engine, and told only to
+    /// those who want it.
+    async fn hand_on(&self, mut part: Completion, sender: &Sender) -> Result<(), Gone> {
+        if let Some(usage) = part.usage.filter(|_| self.form.with_usage) {
             let mut spent = self.spent;
             spent.add(&self.force, self.version, usage);
             part.cost_micro_euro = Some(spent.cost());
+        } else if part.choices.is_empty() {
+            return Ok(());
+        } else {
+            part.usage = None;
         }
         part.id.clone_from(&self.call.request);
-        line(&serde_json::to_string(&part).unwrap_or_default())
+        part.model = self.force.names.versions.name(self.version).to_string();
+        sender.send(event(&part)).await
+    }
+
+    async fn finish(&self, tally: &Tally, observer: Observer, sender: Sender) {
+        let usage = tally.usage(&self.shared, &self.call.body);
+        self.bill(usage).await;
+        observer.ended(usage);
+        if sender.finish(line(chat::DONE)).await.is_err() {
+            self.shared.metrics.count("callers.gone");
+        }
+    }
+
+    /// Ends a stream that no one reads: what came of it is billed, or else
+    /// closing the connection before the end would be a way not to pay.
+    async fn gone(&self, tally: &Tally) {
+        self.shared.metrics.count("callers.gone");
+        if let Some(usage) = tally.some(&self.shared, &self.call.body) {
+            self.bill(usage).await;
+        }
+    }
+
+    async fn bill(&self, usage: Usage) {
+        let Self {
+            shared,
+            force,
+            call,
+            ..
+        } = self;
+        bill::completion(shared, force, call, self.version, usage, self.spent).await;
     }
 
     /// Ends a stream whose answer is not whole: with a typed error, then by
     /// cutting the connection, so that it cannot be taken for a whole one.
-    async fn cut(&self, mut sender: Sender<Bytes, std::io::Error>) {
+    async fn cut(&self, sender: &Sender) {
         self.shared.metrics.count("callers.cut");
-        let message = "the backend server cut the stream";
-        let body = error_body(Kind::UpstreamFailed, message, Outcome::Unknown);
-        let _ = sender
-            .send_data(line(&String::from_utf8_lossy(&body)))
-            .await;
-        sender.abort(std::io::Error::other(message));
+        let (kind, message) = if self.shared.now() >= self.call.deadline {
+            (Kind::DeadlineExceeded, "the deadline passed")
+        } else {
+            (Kind::UpstreamFailed, "the backend server cut the stream")
+        };
+        let body = error_body(kind, message, Outcome::Unknown);
+        let _ = sender.send(line(&String::from_utf8_lossy(&body))).await;
+    }
+}
+
+/// Returns an answer that was held back until it was whole, as a stream.
+pub fn held(answer: &Answer, form: Form, request: &str, version: &str, cost: u64) -> Bytes {
+    let mut body = Vec::new();
+    for mut part in answer.parts(form.shape) {
+        if part.choices.is_empty() && !form.with_usage {
+            continue;
+        }
+        request.clone_into(&mut part.id);
+        version.clone_into(&mut part.model);
+        part.cost_micro_euro = part.usage.map(|_| cost);
+        body.extend_from_slice(&event(&part));
     }
+    body.extend_from_slice(&line(chat::DONE));
+    Bytes::from(body)
+}
+
+fn event(part: &Completion) -> Bytes {
+    let json = serde_json::to_string(part);
+    line(&json.expect("wire messages have only plain fields"))
 }
 
 fn line(data: &str) -> Bytes {
