--- a/crates/node/src/callers/steps.rs
+++ b/crates/node/src/callers/steps.rs
@@ -23,6 +23,7 @@
 use super::collect::Answer;
 use super::intake::Call;
 use super::observer::Observer;
+use super::shape::{Shape, ask_for_usage};
 use crate::admission::Meter;
 use crate::shared::{Force, Shared};
 use crate::versions::ratings;
@@ -163,7 +164,7 @@
         loop {
             let begun = run.begin().await?;
             observer.first();
-            match Answer::read(begun).await {
+            match Answer::read(self.shared, &self.call.body, begun).await {
                 Ok(answer) => {
                     observer.ended_whole(&answer);
                     return Ok(answer);
@@ -200,6 +201,7 @@
     fn attempts(&self, version: key::Version) -> Run {
         let work = Work {
             version,
+            path: Shape::new(&self.call.path).path(),
             priority: self.choice.priority,
             fingerprint: fingerprint(self.force, self.call),
             body: body(self.force, version, self.asked),
@@ -218,13 +220,16 @@
     }
 }
 
-/// Returns the body for the engine: always a stream, so that an attempt can be
-/// cancelled and its first token is seen as soon as it exists.
+/// Returns the body for the engine: always a stream with its usage, so that an
+/// attempt can be cancelled, its first token is seen as soon as it exists, and
+/// it can be billed.
 fn body(force: &Force, version: key::Version, asked: &chat::Request) -> Bytes {
+    let mut rest = asked.rest.clone();
+    ask_for_usage(&mut rest);
     let request = chat::Request {
         model: force.names.versions.name(version).to_string(),
         stream: true,
-        rest: asked.rest.clone(),
+        rest,
     };
     Bytes::from(serde_json::to_vec(&request).expect("wire messages have only plain fields"))
 }
@@ -233,15 +238,3 @@
     let organisation = force.names.organisations.name(call.organisation);
     Fingerprint::new(organisation, &call.body)
 }
-
-/// Returns an answer that was held back as the only part of a stream.
-pub fn as_stream(answer: &Answer, request: &str, version: &str, cost: u64) -> Bytes {
-    let mut whole = answer.completion(request, version);
-    "chat.completion.chunk".clone_into(&mut whole.object);
-    whole.cost_micro_euro = Some(cost);
-    for choice in &mut whole.choices {
-        choice.delta = choice.message.take();
-    }
-    let json = serde_json::to_string(&whole).expect("wire messages have only plain fields");
-    Bytes::from(format!("data: {json}\n\ndata: {}\n\n", chat::DONE))
-}
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -1,10 +1,22 @@
 //! One attempt at a model engine, on a thread of the bounded set.
+//!
+//! The thread hands events to the request through a short channel. Two
+//! failures are met here, because the request need not know of them:
+//!
+//! - **A stream cut by its engine** is resumed there, from the event after the
+//!   last. Only when that fails, or has brought nothing new a few times in a
+//!   row, does the request see the fault.
+//! - **A request that gives the attempt up**, as a rule because its caller has
+//!   gone, cancels it at the engine. The thread itself may be waiting for a
+//!   token for a long time, so the call is made from another one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
 use fescuerack_platform::Fault;
-use fescuerack_platform::engine::{self, Attempt, Event};
+use fescuerack_platform::engine::{self, Attempt, Event, Failure};
+use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
 use super::attempts::Work;
@@ -17,94 +29,217 @@
 /// bounds the memory of a stream whose caller reads slowly.
 const BUFFER: usize = 16;
 
-/// Events of one attempt; dropping it cancels the attempt.
-pub type Events = mpsc::Receiver<Result<Event, Fault>>;
+/// Resumptions in a row that may bring nothing new: a cut can lose what was on
+/// its way, but an engine that only ever cuts must not hold the thread.
+const FRUITLESS: u32 = 2;
+
+/// Pauses after cancel calls that found nothing to cancel: the way to an engine
+/// takes a millisecond or so, and much longer only when connecting is slow.
+const CANCEL_PAUSES: [Duration; 3] = [
+    Duration::from_millis(10),
+    Duration::from_millis(50),
+    Duration::from_millis(250),
+];
+
+/// Events of one attempt; dropping it before their end cancels the attempt.
+pub struct Events {
+    receiver: mpsc::Receiver<Result<Event, Fault>>,
+    running: Option<Box<Cancel>>,
+}
+
+/// What it takes to cancel an attempt.
+struct Cancel {
+    shared: Arc<Shared>,
+    runtime: Handle,
+    attempt: Attempt,
+}
 
 /// Starts an attempt.
 pub fn start(shared: &Arc<Shared>, running: Running, work: Work, meter: Meter) -> Events {
-    let (sender, events) = mpsc::channel(BUFFER);
-    let shared = Arc::clone(shared);
+    let (sender, receiver) = mpsc::channel(BUFFER);
     let attempt = Attempt {
         address: running.address.clone(),
+        path: work.path,
         id: shared.random_id(),
         priority: work.priority,
         body: work.body,
     };
-    let deadline = work.deadline;
     let watched = suspects::Attempt {
         version: work.version,
         fingerprint: work.fingerprint,
         server: running.server,
         address: running.address.clone(),
     };
-    tokio::task::spawn_blocking(move || {
-        run(
-            &shared, &attempt, &watched, deadline, &sender, running, &meter,
-        );
-    });
-    events
+    let mut reading = Reading {
+        shared: Arc::clone(shared),
+        attempt: attempt.clone(),
+        deadline: work.deadline,
+        sender,
+        running,
+        meter,
+        watched,
+    };
+    tokio::task::spawn_blocking(move || reading.run());
+    Events {
+        receiver,
+        running: Some(Box::new(Cancel {
+            shared: Arc::clone(shared),
+            runtime: Handle::current(),
+            attempt,
+        })),
+    }
 }
 
-fn run(
-    shared: &Shared,
-    attempt: &Attempt,
-    watched: &suspects::Attempt,
-    deadline: Instant,
-    sender: &mpsc::Sender<Result<Event, Fault>>,
-    mut running: Running,
-    meter: &Meter,
-) {
-    let remaining = deadline.since(shared.now());
-    let mut stream = match engine::open(&shared.upstream, attempt, remaining) {
-        Ok(stream) => stream,
-        Err(fault) => {
-            // Before the request hears of it and tries again.
-            suspects::ended(shared, watched, Err(&fault));
-            running.failed(&fault);
-            note(shared, meter, deadline, &fault);
-            let _ = sender.blocking_send(Err(fault));
-            return;
+impl Events {
+    /// Waits for the next event; `None` after the last.
+    pub async fn recv(&mut self) -> Option<Result<Event, Fault>> {
+        let event = self.receiver.recv().await;
+        let over = match &event {
+            Some(Ok(Event::End) | Err(Fault::NotSent(_) | Fault::Refused { .. })) | None => true,
+            // After the deadline or a crossed answer the engine may still be
+            // at work.
+            Some(Ok(Event::Part(_)) | Err(Fault::Unknown(_) | Fault::Malformed(_))) => false,
+        };
+        if over {
+            self.running = None;
         }
-    };
-    loop {
-        let event = stream.next_event();
-        match &event {
-            Ok(Event::Part(_)) => {
-                running.answered();
-                meter.part(shared.now());
+        event
+    }
+}
+
+impl Drop for Events {
+    fn drop(&mut self) {
+        if let Some(cancel) = self.running.take() {
+            cancel.shared.metrics.count("upstream.cancelled");
+            let runtime = cancel.runtime.clone();
+            runtime.spawn_blocking(move || cancel.send());
+        }
+    }
+}
+
+impl Cancel {
+    fn send(self) {
+        for pause in CANCEL_PAUSES {
+            match engine::cancel(&self.shared.upstream, &self.attempt) {
+                Ok(true) => return,
+                // The call may have overtaken the attempt on its way.
+                Ok(false) => std::thread::sleep(pause),
+                // An engine that cannot be told notices the closed connection
+                // when it writes the next token.
+                Err(_) => break,
             }
-            Ok(Event::End) => {
-                running.ended_well();
-                meter.whole();
+        }
+        self.shared.metrics.count("upstream.cancel_failed");
+    }
+}
+
+/// The reading of one attempt.
+struct Reading {
+    shared: Arc<Shared>,
+    attempt: Attempt,
+    deadline: Instant,
+    sender: mpsc::Sender<Result<Event, Fault>>,
+    running: Running,
+    meter: Meter,
+    watched: suspects::Attempt,
+}
+
+impl Reading {
+    fn run(&mut self) {
+        let remaining = self.deadline.since(self.shared.now());
+        let opened = engine::open(&self.shared.upstream, &self.attempt, remaining);
+        let mut stream = match opened {
+            Ok(stream) => stream,
+            Err(failure) => return self.fail(failure),
+        };
+        let (mut resumed_at, mut fruitless) = (0, 0);
+        loop {
+            match stream.next_event() {
+                // The request has given the attempt up; dropping the stream
+                // closes its connection. However it ended by then, that says
+                // nothing of the version.
+                _ if self.sender.is_closed() => {
+                    return suspects::left(&self.shared, &self.watched);
+                }
+                Ok(Event::End) => {
+                    suspects::ended(&self.shared, &self.watched, Ok(()));
+                    self.running.ended_well();
+                    self.meter.whole();
+                    let _ = self.sender.blocking_send(Ok(Event::End));
+                    return stream.finish();
+                }
+                Ok(part) => {
+                    self.running.answered();
+                    self.meter.part(self.shared.now());
+                    let _ = self.sender.blocking_send(Ok(part));
+                }
+                Err(Failure::Cut(cause)) => {
+                    let position = stream.position();
+                    fruitless = if position > resumed_at {
+                        0
+                    } else {
+                        fruitless + 1
+                    };
+                    resumed_at = position;
+                    match self.resume(position, fruitless) {
+                        Some(resumed) => stream = resumed,
+                        None => return self.fail(Failure::Cut(cause)),
+                    }
+                }
+                Err(failure) => return self.fail(failure),
             }
-            Err(fault) => {
-                running.failed(fault);
-                note(shared, meter, deadline, fault);
+        }
+    }
+
+    /// Resumes a stream that was cut.
+    fn resume(&self, position: u64, fruitless: u32) -> Option<engine::Stream> {
+        let remaining = self.deadline.since(self.shared.now());
+        if fruitless > FRUITLESS || remaining.is_zero() || self.sender.is_closed() {
+            return None;
+        }
+        self.shared.metrics.count("upstream.cut");
+        let resumed = engine::resume(&self.shared.upstream, &self.attempt, position, remaining);
+        match resumed {
+            Ok(stream) => {
+                self.shared.metrics.count("upstream.resumed");
+                Some(stream)
+            }
+            Err(failure) => {
+                if failure == Failure::Crossed {
+                    self.shared.metrics.count("upstream.crossed");
+                }
+                None
             }
         }
-        let last = !matches!(event, Ok(Event::Part(_)));
-        if last {
-            suspects::ended(shared, watched, event.as_ref().map(|_| ()));
+    }
+
+    fn fail(&mut self, failure: Failure) {
+        if self.sender.is_closed() {
+            return suspects::left(&self.shared, &self.watched);
         }
-        // The receiver is dropped when the caller goes away; returning drops
-        // the connection, which cancels the attempt at the engine.
-        if sender.blocking_send(event).is_err() || last {
-            suspects::left(shared, watched);
-            return;
+        if failure == Failure::Crossed {
+            self.shared.metrics.count("upstream.crossed");
         }
+        let fault = failure.into();
+        // Before the request hears of it and tries again.
+        suspects::ended(&self.shared, &self.watched, Err(&fault));
+        self.running.failed(&fault);
+        self.note(&fault);
+        let _ = self.sender.blocking_send(Err(fault));
     }
-}
 
-/// Tells admission when a fault means that runners have too much to do.
-fn note(shared: &Shared, meter: &Meter, deadline: Instant, fault: &Fault) {
-    let refused = matches!(
-        fault,
-        Fault::Refused {
-            status: 429 | 503,
-            ..
+    /// Tells admission of a runner that refuses, or that has used up the time
+    /// of the request.
+    fn note(&self, fault: &Fault) {
+        let refused = matches!(
+            fault,
+            Fault::Refused {
+                status: 429 | 503,
+                ..
+            }
+        );
+        if refused || self.shared.now() >= self.deadline {
+            self.meter.overloaded();
         }
-    );
-    if refused || shared.now() >= deadline {
-        meter.overloaded();
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 //! start.
 
 mod admission;
+mod aid;
 mod callers;
 mod claims;
 mod clock;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,6 +19,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{RpcModule, rpc_params};
 
+use crate::aid;
 use crate::clock;
 use crate::shared::{Shared, lock};
 use crate::versions;
@@ -27,6 +28,8 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest message that is taken, in bytes.
 const LARGEST: u32 = 64 << 10;
+/// Peers that an operator's question asks at a time.
+const ASKED_AT_ONCE: usize = 32;
 /// JSON-RPC error code of a message that is refused.
 const REFUSED: i32 = -32_001;
 
@@ -39,7 +42,7 @@
     let listen = shared.settings.listen.peers.clone();
     let config = jsonrpsee::server::ServerConfig::builder()
         .max_request_body_size(LARGEST)
-        .max_response_body_size(LARGEST)
+        .max_response_body_size(aid::LARGEST_ANSWER)
         .build();
     let server = ServerBuilder::with_config(config)
         .build(&listen)
@@ -55,6 +58,7 @@
             ErrorObjectOwned::owned(REFUSED, reason, None::<()>)
         })
     })?;
+    aid::register(&mut module)?;
     Ok((address, server.start(module)))
 }
 
@@ -158,6 +162,7 @@
 
 /// Hands to the slices what a peer told.
 fn take_in(shared: &Shared, input: Input) {
+    shared.configuration.hear(input.revision);
     let states: peer::Shared = peer::from_slices(input.states);
     versions::merge_records(shared, &states.rollouts);
     let digest: Digest = peer::from_slices(input.digests);
@@ -174,7 +179,8 @@
 
 fn answer(shared: &Shared, sealed: &Sealed) -> Result<Sealed, String> {
     let key = shared.settings.peer_key.as_bytes();
-    let request = peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
+    let request: member::Message =
+        peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
     let about = (request.origin.clone(), request.sequence);
     let hashes = request.hashes.clone();
     let time = time(shared);
@@ -230,3 +236,33 @@
         .await?;
     Ok(peer::open(key, &sealed)?)
 }
+
+/// Asks each peer for the revision that it has in force; `None` for one that
+/// gives no answer. At most [`ASKED_AT_ONCE`] are asked at a time, so that an
+/// operator's question is no burst.
+pub async fn revisions(shared: &Arc<Shared>, addresses: &[String]) -> Vec<Option<u64>> {
+    let mut revisions = vec![None; addresses.len()];
+    for (round, some) in addresses.chunks(ASKED_AT_ONCE).enumerate() {
+        let mut asked = tokio::task::JoinSet::new();
+        for (index, address) in some.iter().cloned().enumerate() {
+            let shared = Arc::clone(shared);
+            asked.spawn(async move { (index, revision(&shared, &address).await) });
+        }
+        while let Some(answer) = asked.join_next().await {
+            if let Ok((index, found)) = answer {
+                revisions[round * ASKED_AT_ONCE + index] = found;
+            }
+        }
+    }
+    revisions
+}
+
+async fn revision(shared: &Shared, address: &str) -> Option<u64> {
+    let own = shared.force().catalog.revision;
+    let message = lock(&shared.member).begin_with(time(shared), own);
+    let sequence = message.sequence;
+    let answer = ask(shared, address, &message).await.ok()?;
+    let revision = answer.revision;
+    receive_answer(shared, sequence, answer);
+    Some(revision)
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -24,6 +24,9 @@
     /// Key that all instances of the fleet share; messages without its seal
     /// are refused.
     pub peer_key: String,
+    /// Operators' port.
+    #[serde(default)]
+    pub operators: Operators,
     /// Limits.
     #[serde(default)]
     pub limits: Limits,
@@ -74,6 +77,8 @@
     pub header_timeout_ms: u64,
     /// Milliseconds within which the body of a request must arrive.
     pub body_timeout_ms: u64,
+    /// Milliseconds for which a caller may leave an answer unread.
+    pub write_timeout_ms: u64,
     /// Milliseconds for which new work is taken after readiness is withdrawn.
     pub drain_lag_ms: u64,
     /// Milliseconds within which running requests end before the process does.
@@ -88,12 +93,22 @@
             body_bytes: 4 << 20,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
+            write_timeout_ms: 30_000,
             drain_lag_ms: 5_000,
             drain_deadline_ms: 120_000,
         }
     }
 }
 
+/// How the operators' port treats those who ask.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operators {
+    /// Whether state, status and configuration are read without a token, for
+    /// networks that only operators reach. Changes always need one.
+    pub open_reads: bool,
+}
+
 /// How the process logs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -133,6 +148,7 @@
                 drain_lag_ms: 0,
                 ..Limits::default()
             },
+            operators: Operators::default(),
             logs: Logs::default(),
             statsd: String::new(),
         }
