--- /dev/null
+++ b/crates/core/benches/decision.rs
@@ -0,0 +1,105 @@
+//! The time that one decision takes: choice of a server in fleets of 12, 100
+//! and 910, and one passage through admission.
+//!
+//! `cargo bench -p fescuerack-core --bench decision`
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use fescuerack_config::Names;
+use fescuerack_core::admission::{Ask, Control, Ended, Thresholds, Verdict};
+use fescuerack_core::clock::Instant;
+use fescuerack_core::route::subset::Place;
+use fescuerack_core::route::{self, Listed, State, Table};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+fn choose(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose");
+    for (servers, subset) in [(12, 32), (100, 32), (910, 32), (100, 910), (910, 910)] {
+        let mut names = Names::new();
+        let fleet = names.fleets.intern("fleet");
+        let mut table = Table::new("zone-0");
+        table.set_place(Place {
+            index: 3,
+            size: subset,
+        });
+        let listed = (0..servers).map(|index| {
+            let id = format!("server-{index}");
+            let listed = Listed {
+                id: id.clone(),
+                fleet,
+                zone: format!("zone-{}", index % 8),
+                address: String::new(),
+                state: State::Live,
+                slots: 8,
+            };
+            (names.servers.intern(&id), listed)
+        });
+        table.list(Instant::ORIGIN, listed.collect());
+        let fleets = [fleet];
+        let avoid = BTreeSet::new();
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        let id = BenchmarkId::from_parameter(format!("{servers} servers, subset {subset}"));
+        group.bench_function(id, |bencher| {
+            bencher.iter(|| {
+                let ask = route::Ask {
+                    fleets: &fleets,
+                    avoid: &avoid,
+                    work: 300,
+                    prompt: 1_000,
+                    prefix: Some(rng.random()),
+                    adapter: None,
+                };
+                let now = Instant::from_millis(1);
+                let server = table.choose(now, &ask, &mut rng).expect("a server");
+                table.start(now, server, ask.work);
+                table.end(now, server, ask.work, route::Ended::Void, false);
+                black_box(server)
+            });
+        });
+    }
+    group.finish();
+}
+
+fn admit(criterion: &mut Criterion) {
+    let mut names = Names::new();
+    let organisations: Vec<_> = (0..100)
+        .map(|index| names.organisations.intern(&format!("organisation-{index}")))
+        .collect();
+    let mut control = Control::new(Thresholds::new(64));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut grants = Vec::new();
+    let mut now = Instant::ORIGIN;
+    criterion.bench_function("admission, 100 organisations, saturated", |bencher| {
+        bencher.iter(|| {
+            now = now.plus_millis(1);
+            let ask = Ask {
+                organisation: organisations[rng.random_range(0..100)],
+                weight: 1,
+                caller: rng.random_range(0..1_000),
+                class: None,
+                priority: 1,
+                long: false,
+                deadline: now.plus_millis(10_000),
+            };
+            if let Verdict::Run(grant) = control.offer(now, &ask, &mut rng) {
+                grants.push(grant);
+            }
+            if grants.len() >= 64 {
+                let grant = grants.swap_remove(0);
+                control.finish(now, grant, Ended::Whole { first: now });
+            }
+            for turn in control.poll(now, &mut rng) {
+                if let fescuerack_core::admission::Turn::Run(_, grant) = turn {
+                    grants.push(grant);
+                }
+            }
+            black_box(grants.len())
+        });
+    });
+}
+
+criterion_group!(benches, choose, admit);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/core/benches/load.rs
@@ -0,0 +1,504 @@
+//! What callers get under load, against the baselines, over several seeds.
+//!
+//! `cargo bench -p fescuerack-core --bench load [-- <part of a name>]` prints
+//! tables of means with the least and greatest value over the seeds; baseline
+//! and product run in the same process on the same load. The queue model is
+//! that of `fescuerack-replay`; time is simulated, so figures repeat exactly.
+
+use std::collections::BTreeMap;
+
+use fescuerack_core::num::float;
+use fescuerack_replay::{
+    Admission, Choice, Crowd, Fault, Figures, Kind, Policy, Retry, Scenario, Stream, run,
+};
+
+/// Seeds of every measurement.
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+/// Mean milliseconds for which a chat request of [`chat`] holds a slot: 80 to
+/// the first token, 50 of prompt, 60 tokens of 58 ms (the mean of the
+/// lognormal is 1.083 of its median).
+const CHAT_MS: f64 = 80.0 + 50.0 + 60.0 * 1.083 * 58.0;
+/// The same for a request of [`long`].
+const LONG_MS: f64 = 80.0 + 300.0 + 600.0 * 1.083 * 58.0;
+
+fn main() {
+    let wanted = std::env::args().skip(1).find(|word| !word.starts_with('-'));
+    let parts: [(&str, fn()); 9] = [
+        ("saturation", saturation),
+        ("long", long_among_short),
+        ("slow", slow_server),
+        ("greedy", greedy),
+        ("prefix", prefix),
+        ("failing", failing),
+        ("third", lost_third),
+        ("crowd", crowd),
+        ("fleet", fleet),
+    ];
+    for (name, part) in parts {
+        if wanted
+            .as_ref()
+            .is_none_or(|wanted| name.contains(wanted.as_str()))
+        {
+            part();
+        }
+    }
+}
+
+/// Twelve servers of today's matching fleet before nine instances.
+fn today() -> Scenario {
+    Scenario {
+        seconds: 150,
+        warm_s: 50,
+        token_ms: 58.0,
+        ..Scenario::default()
+    }
+}
+
+/// Chat that takes a share of the capacity of `scenario`.
+fn chat(scenario: &Scenario, share: f64) -> Stream {
+    let slots = float(scenario.servers) * f64::from(scenario.slots);
+    Stream {
+        rate: share * slots / (CHAT_MS / 1000.0),
+        deadline_ms: 15_000,
+        ..Stream::default()
+    }
+}
+
+/// Long work that takes a share of the capacity.
+fn long(scenario: &Scenario, share: f64) -> Stream {
+    let slots = float(scenario.servers) * f64::from(scenario.slots);
+    Stream {
+        name: "dossier".to_owned(),
+        rate: share * slots / (LONG_MS / 1000.0),
+        tokens: 600.0,
+        prompt: 3_000,
+        deadline_ms: 180_000,
+        priority: 6,
+        long: true,
+        ..Stream::default()
+    }
+}
+
+fn fifo() -> Policy {
+    Policy {
+        admission: Admission::Fifo,
+        ..Policy::default()
+    }
+}
+
+/// Figures over seeds.
+#[derive(Default)]
+struct Spread {
+    values: BTreeMap<&'static str, Vec<f64>>,
+    order: Vec<&'static str>,
+}
+
+impl Spread {
+    fn of(scenario: &Scenario, measure: impl Fn(&Figures) -> Vec<(&'static str, f64)>) -> Self {
+        let mut spread = Self::default();
+        for seed in SEEDS {
+            let scenario = Scenario {
+                seed,
+                ..scenario.clone()
+            };
+            for (name, value) in measure(&run(&scenario)) {
+                if !spread.order.contains(&name) {
+                    spread.order.push(name);
+                }
+                spread.values.entry(name).or_default().push(value);
+            }
+        }
+        spread
+    }
+
+    fn heading(&self, first: &str) {
+        println!("| {first} | {} |", self.order.join(" | "));
+        println!("|---|{}", "---:|".repeat(self.order.len()));
+    }
+
+    fn line(&self, label: &str) {
+        let cell = |name: &&str| {
+            let values = &self.values[*name];
+            let mean = values.iter().sum::<f64>() / float(values.len());
+            let least = values.iter().copied().fold(f64::INFINITY, f64::min);
+            let most = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+            let digits = if most >= 100.0 { 0 } else { 3 };
+            format!("{mean:.digits$} ({least:.digits$}–{most:.digits$})")
+        };
+        let cells: Vec<_> = self.order.iter().map(cell).collect();
+        println!("| {label} | {} |", cells.join(" | "));
+    }
+}
+
+/// Prints one table; each line is a scenario with its label.
+fn report(
+    title: &str,
+    first: &str,
+    lines: &[(String, Scenario)],
+    measure: impl Fn(&Figures) -> Vec<(&'static str, f64)> + Copy,
+) {
+    println!("\n### {title}\n");
+    for (index, (label, scenario)) in lines.iter().enumerate() {
+        let spread = Spread::of(scenario, measure);
+        if index == 0 {
+            spread.heading(first);
+        }
+        spread.line(label);
+    }
+}
+
+fn saturation() {
+    let mut lines = Vec::new();
+    for times in [0.8, 1.2, 2.0, 5.0] {
+        for (name, policy) in [("fifo", fifo()), ("fair", Policy::default())] {
+            let mut scenario = today();
+            scenario.streams = vec![chat(&scenario, times)];
+            scenario.policy = policy;
+            lines.push((format!("{times} × capacity, {name}"), scenario));
+        }
+    }
+    report("Saturation", "load", &lines, |figures| {
+        let row = &figures.rows[0];
+        let late = float(usize::try_from(row.late).unwrap_or(0));
+        let offered = float(usize::try_from(row.offered).unwrap_or(1));
+        vec![
+            ("goodput of capacity", figures.goodput()),
+            ("ran in vain", late / offered),
+            ("first p50 ms", row.first_ms(0.5)),
+            ("first p99 ms", row.first_ms(0.99)),
+        ]
+    });
+}
+
+fn long_among_short() {
+    let mut lines = Vec::new();
+    let mut alone = today();
+    alone.streams = vec![chat(&alone, 0.4)];
+    lines.push(("chat alone, fair".to_owned(), alone.clone()));
+    for times in [1.0, 3.0] {
+        for (name, policy) in [("fifo", fifo()), ("fair", Policy::default())] {
+            let mut scenario = alone.clone();
+            scenario.seconds = 400;
+            scenario.warm_s = 200;
+            scenario.streams.push(long(&alone, times));
+            scenario.policy = policy;
+            lines.push((
+                format!("with long work of {times} × capacity, {name}"),
+                scenario,
+            ));
+        }
+    }
+    report("Long work among short", "load", &lines, |figures| {
+        let row = figures.row("chat");
+        let other = figures.rows.get(1);
+        vec![
+            ("chat first p50 ms", row.first_ms(0.5)),
+            ("chat first p95 ms", row.first_ms(0.95)),
+            ("chat first p99 ms", row.first_ms(0.99)),
+            ("chat in time", row.good_share()),
+            ("capacity used in time", figures.goodput()),
+            (
+                "dossiers in time",
+                other.map_or(0.0, fescuerack_replay::Row::good_share),
+            ),
+        ]
+    });
+}
+
+fn slow_server() {
+    let mut lines = Vec::new();
+    for (name, choice) in [
+        ("round robin", Choice::Round),
+        ("two choices", Choice::Two),
+        ("scored", Choice::Scored),
+    ] {
+        for slow in [1.0, 10.0] {
+            let mut scenario = today();
+            scenario.streams = vec![chat(&scenario, 0.6)];
+            scenario.streams[0].deadline_ms = 60_000;
+            scenario.policy.choice = choice;
+            scenario.faults = vec![Fault {
+                kind: Kind::Slow(slow),
+                servers: 1,
+                from_s: 40.0,
+                to_s: 150.0,
+            }];
+            lines.push((format!("{name}, one server {slow} × slower"), scenario));
+        }
+    }
+    report("One slow server", "choice", &lines, |figures| {
+        let row = &figures.rows[0];
+        vec![
+            ("first p95 ms", row.first_ms(0.95)),
+            ("first p99 ms", row.first_ms(0.99)),
+            ("first p99.9 ms", row.first_ms(0.999)),
+            ("whole p99 ms", row.whole_ms(0.99)),
+        ]
+    });
+}
+
+fn greedy() {
+    let mut lines = Vec::new();
+    for (name, policy) in [("fifo", fifo()), ("fair", Policy::default())] {
+        let mut scenario = today();
+        let base = chat(&scenario, 1.0);
+        scenario.streams = (0..10)
+            .map(|index| Stream {
+                name: format!("org-{index}"),
+                organisation: format!("org-{index}"),
+                rate: base.rate * if index == 0 { 3.0 } else { 0.08 },
+                ..base.clone()
+            })
+            .collect();
+        scenario.policy = policy;
+        lines.push((
+            format!("one organisation of ten sends 4 of 5, {name}"),
+            scenario,
+        ));
+    }
+    report("A greedy organisation", "load", &lines, |figures| {
+        let shares = figures.shares();
+        let worst = shares.values().copied().fold(f64::INFINITY, f64::min);
+        let others = &figures.rows[1];
+        vec![
+            ("Jain index", figures.jain()),
+            ("worst share", worst),
+            ("goodput of capacity", figures.goodput()),
+            ("small: in time", others.good_share()),
+            ("small: first p99 ms", others.first_ms(0.99)),
+        ]
+    });
+    let mut lines = Vec::new();
+    for (name, policy) in [("fifo", fifo()), ("fair", Policy::default())] {
+        let mut scenario = today();
+        let base = chat(&scenario, 1.0);
+        let greedy = Stream {
+            name: "script".to_owned(),
+            rate: base.rate * 3.0,
+            callers: 1,
+            ..base.clone()
+        };
+        let parents = Stream {
+            name: "parents".to_owned(),
+            rate: base.rate * 0.3,
+            ..base
+        };
+        scenario.streams = vec![greedy, parents];
+        scenario.policy = policy;
+        lines.push((format!("one session sends 10 of 11, {name}"), scenario));
+    }
+    report(
+        "A greedy caller of one organisation",
+        "load",
+        &lines,
+        |figures| {
+            let parents = figures.row("parents");
+            vec![
+                ("parents in time", parents.good_share()),
+                ("parents first p99 ms", parents.first_ms(0.99)),
+                ("goodput of capacity", figures.goodput()),
+            ]
+        },
+    );
+}
+
+fn prefix() {
+    let mut lines = Vec::new();
+    for (name, choice) in [
+        ("round robin", Choice::Round),
+        ("two choices", Choice::Two),
+        ("scored, no homes", Choice::Blind),
+        ("scored", Choice::Scored),
+    ] {
+        let mut scenario = today();
+        scenario.cached = 60;
+        scenario.streams = vec![chat(&scenario, 0.6)];
+        let stream = &mut scenario.streams[0];
+        stream.prefixes = 600;
+        stream.skew = 1.5;
+        stream.prompt = 2_000;
+        scenario.policy.choice = choice;
+        lines.push((name.to_owned(), scenario));
+    }
+    report("Prefix homes", "choice", &lines, |figures| {
+        let row = &figures.rows[0];
+        let computed = 1.0 - 0.9 * row.hit_rate();
+        vec![
+            ("hit rate", row.hit_rate()),
+            ("prompt work left", computed),
+            ("first p50 ms", row.first_ms(0.5)),
+            ("first p99 ms", row.first_ms(0.99)),
+            ("busiest server over mean", busiest(figures)),
+        ]
+    });
+}
+
+fn busiest(figures: &Figures) -> f64 {
+    let sum: f64 = figures.servers.iter().sum();
+    let mean = sum / float(figures.servers.len());
+    let most = figures.servers.iter().copied().fold(0.0, f64::max);
+    most / mean.max(1e-9)
+}
+
+fn failing() {
+    let mut lines = Vec::new();
+    for share in [0.02, 0.3, 1.0] {
+        for (name, retry) in [("three retries", Retry::Three), ("budget", Retry::Budget)] {
+            let mut scenario = today();
+            scenario.streams = vec![chat(&scenario, 0.7)];
+            scenario.policy.retry = retry;
+            scenario.faults = vec![Fault {
+                kind: Kind::Failing(share),
+                servers: 12,
+                from_s: 60.0,
+                to_s: 90.0,
+            }];
+            lines.push((
+                format!("{share} of attempts fail for 30 s, {name}"),
+                scenario,
+            ));
+        }
+    }
+    report("A failing pool", "load", &lines, |figures| {
+        let row = &figures.rows[0];
+        let failed = float(usize::try_from(row.failed).unwrap_or(0));
+        let offered = float(usize::try_from(row.offered).unwrap_or(1));
+        vec![
+            ("attempts per request", row.amplification()),
+            ("failed", failed / offered),
+            ("in time", row.good_share()),
+        ]
+    });
+}
+
+fn lost_third() {
+    let mut lines = Vec::new();
+    for (name, policy) in [
+        (
+            "fifo, two choices, three retries",
+            Policy {
+                admission: Admission::Fifo,
+                choice: Choice::Two,
+                retry: Retry::Three,
+                ..Policy::default()
+            },
+        ),
+        ("product", Policy::default()),
+    ] {
+        let mut scenario = today();
+        scenario.streams = vec![chat(&scenario, 0.8)];
+        scenario.policy = policy;
+        scenario.faults = vec![Fault {
+            kind: Kind::Down,
+            servers: 4,
+            from_s: 60.0,
+            to_s: 100.0,
+        }];
+        lines.push((name.to_owned(), scenario));
+    }
+    report(
+        "A third of the pool lost for 40 s at 0.8 of capacity",
+        "policy",
+        &lines,
+        |figures| {
+            let row = &figures.rows[0];
+            let failed = float(usize::try_from(row.failed).unwrap_or(0));
+            let offered = float(usize::try_from(row.offered).unwrap_or(1));
+            vec![
+                ("in time", row.good_share()),
+                ("failed", failed / offered),
+                ("attempts per request", row.amplification()),
+                ("first p99 ms", row.first_ms(0.99)),
+            ]
+        },
+    );
+}
+
+fn crowd() {
+    let mut lines = Vec::new();
+    for (name, policy) in [("fifo", fifo()), ("fair", Policy::default())] {
+        let mut scenario = today();
+        scenario.streams = vec![chat(&scenario, 0.7), chat(&scenario, 2.0)];
+        scenario.streams[1].name = "burst".to_owned();
+        scenario.streams[1].from_s = 60.0;
+        scenario.streams[1].to_s = 80.0;
+        scenario.crowd = Crowd { returns: 10 };
+        scenario.policy = policy;
+        lines.push((
+            format!("burst of 20 s whose callers come back, {name}"),
+            scenario,
+        ));
+    }
+    report("A retrying crowd", "load", &lines, |figures| {
+        let row = figures.row("burst");
+        let refusals = float(usize::try_from(row.refusals).unwrap_or(0));
+        let offered = float(usize::try_from(row.offered).unwrap_or(1));
+        vec![
+            ("chat in time", figures.row("chat").good_share()),
+            ("burst in time", row.good_share()),
+            ("refusals per request", refusals / offered),
+            ("goodput of capacity", figures.goodput()),
+        ]
+    });
+}
+
+fn fleet() {
+    let mut lines = Vec::new();
+    for (nodes, servers) in [(9, 12), (340, 910)] {
+        for lag_ms in [1_000, 5_000] {
+            for (name, choice) in [("two choices", Choice::Two), ("scored", Choice::Scored)] {
+                lines.push(fleet_line(nodes, servers, lag_ms, name, choice, 32.0));
+            }
+        }
+    }
+    for subset in [8.0, 16.0, 64.0, 910.0] {
+        lines.push(fleet_line(
+            340,
+            910,
+            1_000,
+            "scored",
+            Choice::Scored,
+            subset,
+        ));
+    }
+    report(
+        "Stale views and subsets at 0.7 of capacity",
+        "fleet",
+        &lines,
+        |figures| {
+            let row = &figures.rows[0];
+            vec![
+                ("first p95 ms", row.first_ms(0.95)),
+                ("first p99 ms", row.first_ms(0.99)),
+                ("busiest server over mean", busiest(figures)),
+            ]
+        },
+    );
+}
+
+fn fleet_line(
+    nodes: usize,
+    servers: usize,
+    lag_ms: u64,
+    name: &str,
+    choice: Choice,
+    subset: f64,
+) -> (String, Scenario) {
+    let mut scenario = Scenario {
+        nodes,
+        servers,
+        lag_ms,
+        slots: if servers > 100 { 8 } else { 32 },
+        seconds: if servers > 100 { 40 } else { 100 },
+        warm_s: 20,
+        ..today()
+    };
+    scenario.streams = vec![chat(&scenario, 0.7)];
+    scenario.policy.choice = choice;
+    scenario
+        .policy
+        .limits
+        .insert("route.subset".to_owned(), subset);
+    let label = format!("{nodes} × {servers}, lag {lag_ms} ms, {name}, subset {subset}");
+    (label, scenario)
+}
