--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod demo;
 mod dump;
+mod replay;
 
 use anyhow::Result;
 use clap::{Parser, Subcommand};
@@ -24,6 +25,8 @@
     Demo(demo::Demo),
     /// Prints the state of a process.
     Dump(dump::Dump),
+    /// Replays a load through the decisions, to try a threshold.
+    Replay(replay::Replay),
 }
 
 impl Arguments {
@@ -37,6 +40,7 @@
             Command::Check(check) => check.execute(),
             Command::Demo(demo) => demo.execute(),
             Command::Dump(dump) => dump.execute(),
+            Command::Replay(replay) => replay.execute(),
         }
     }
 }
--- a/crates/node/src/callers/entry.rs
+++ b/crates/node/src/callers/entry.rs
@@ -65,7 +65,7 @@
         return Ok(());
     };
     let now = shared.now();
-    let instances = lock(&shared.peers).len().max(1);
+    let instances = lock(&shared.member).view.size();
     let spent = lock(&shared.rates).spend(now, call.organisation, rate, instances);
     spent.map_err(|retry| {
         shared.metrics.count("admission.over_rate");
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -13,6 +13,7 @@
 use fescuerack_wire::list::{Instance, Instances};
 
 use crate::admission;
+use crate::peers;
 use crate::shared::{Force, Shared, lock};
 use crate::stop::Stop;
 
@@ -60,7 +61,7 @@
     routes.set_place(place);
     routes.list(shared.now(), listed);
     drop(routes);
-    *lock(&shared.peers) = peers;
+    peers::observe(shared, &peers);
     shared.listed.store(true, Ordering::SeqCst);
 }
 
@@ -98,7 +99,7 @@
     let now = shared.now();
     let places = shared.settings.limits.concurrency;
     shared.gate.set(admission::thresholds(places, catalog));
-    let instances = lock(&shared.peers).len().max(1);
+    let instances = lock(&shared.member).view.size();
     lock(&shared.rates).refresh(now, instances);
     lock(&shared.pools).set(budget::Thresholds {
         share: catalog.limit("attempt.retry-share"),
