Choose servers without a herd; limit by time in the engines' queues

All nine instances read the same report and sent everything to its least loaded server until the next one.

Callers with equal tags now go in order of arrival; before, the lower session hash always went first.

--- a/crates/core/benches/decision.rs
+++ b/crates/core/benches/decision.rs
@@ -23,6 +23,7 @@
         let mut table = Table::new("zone-0");
         table.set_place(Place {
             index: 3,
+            instances: 340,
             size: subset,
         });
         let listed = (0..servers).map(|index| {
--- a/crates/core/benches/load.rs
+++ b/crates/core/benches/load.rs
@@ -164,12 +164,23 @@
         vec![
             ("goodput of capacity", figures.goodput()),
             ("ran in vain", late / offered),
+            ("limits over slots", limits(figures)),
             ("first p50 ms", row.first_ms(0.5)),
             ("first p99 ms", row.first_ms(0.99)),
         ]
     });
 }
 
+/// Sum of the instances' limits over the slots of [`today`], in the counted
+/// time.
+fn limits(figures: &Figures) -> f64 {
+    let counted = figures.limits.iter().skip(50);
+    let counted: Vec<_> = counted
+        .map(|limit| float(usize::try_from(*limit).unwrap_or(0)))
+        .collect();
+    counted.iter().sum::<f64>() / float(counted.len()) / 384.0
+}
+
 fn long_among_short() {
     let mut lines = Vec::new();
     let mut alone = today();
--- a/crates/core/src/admission/fair.rs
+++ b/crates/core/src/admission/fair.rs
@@ -52,7 +52,8 @@
     waiting: usize,
     turn: u64,
     callers: BTreeMap<u64, Caller>,
-    order: BTreeSet<(u64, u64)>,
+    /// By tag; among equal ones, who has waited longest goes first.
+    order: BTreeSet<(u64, Ticket, u64)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -206,27 +207,30 @@
             tickets: VecDeque::new(),
         });
         if caller.tickets.is_empty() {
-            self.order.insert((caller.tag, key));
+            self.order.insert((caller.tag, ticket, key));
         }
         caller.tickets.push_back(ticket);
         self.waiting += 1;
     }
 
     fn pop(&mut self) -> Option<Ticket> {
-        let (tag, key) = self.order.pop_first()?;
+        let (tag, ticket, key) = self.order.pop_first()?;
         self.turn = self.turn.max(tag);
         let caller = self.callers.get_mut(&key)?;
-        let ticket = caller.tickets.pop_front();
+        caller.tickets.pop_front();
         caller.tag = tag + 1;
         // A caller with nothing left is forgotten: there may be millions of
         // sessions, and its next request starts at the present turn anyway.
-        if caller.tickets.is_empty() {
-            self.callers.remove(&key);
-        } else {
-            self.order.insert((caller.tag, key));
+        match caller.tickets.front() {
+            None => {
+                self.callers.remove(&key);
+            }
+            Some(next) => {
+                self.order.insert((caller.tag, *next, key));
+            }
         }
         self.waiting -= 1;
-        ticket
+        Some(ticket)
     }
 
     fn remove(&mut self, key: u64, ticket: Ticket) -> bool {
@@ -237,9 +241,16 @@
             return false;
         };
         caller.tickets.remove(at);
-        if caller.tickets.is_empty() {
-            self.order.remove(&(caller.tag, key));
-            self.callers.remove(&key);
+        if at == 0 {
+            self.order.remove(&(caller.tag, ticket, key));
+            match caller.tickets.front() {
+                None => {
+                    self.callers.remove(&key);
+                }
+                Some(next) => {
+                    self.order.insert((caller.tag, *next, key));
+                }
+            }
         }
         self.waiting -= 1;
         true
--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -6,11 +6,16 @@
 //! everyone.
 //!
 //! The time to the first token is compared with the least mean of recent
-//! windows. By Little's law `limit * (1 - least / mean)` requests queue at the
-//! runners. While that is under [`QUEUED_LOW`] of the limit the limit grows;
-//! above [`QUEUED_HIGH`] it shrinks. A refusal or timeout of a runner shrinks
-//! it at once. Both factors are those of usual congestion control: a slow
-//! rise, so that all instances together probe gently, and a faster fall.
+//! windows; what it exceeds that by is time in the engines' queues. Over the
+//! mean time that a request holds a place, it is the share of the limit that
+//! queues there (Little's law). While that is under [`QUEUED_LOW`] the limit
+//! grows; above [`QUEUED_HIGH`] it shrinks. A refusal or timeout of a runner
+//! shrinks it at once. The rise is slower than the fall, so that all instances
+//! together probe gently.
+//!
+//! Ruled out: the ratio of first-token times alone. A first token takes 0.1 s
+//! and an answer seconds, so a queue of a fiftieth of the slots already
+//! doubles it, and the limit fell to two thirds of what the pool could carry.
 //! Means of windows, not single samples, are compared: prompts differ in
 //! length, and against the single fastest sample every mean looks slow.
 
@@ -20,13 +25,15 @@
 use crate::num::{float, whole};
 
 /// Share of the limit that may queue at runners while the limit grows.
-pub const QUEUED_LOW: f64 = 0.15;
+pub const QUEUED_LOW: f64 = 0.01;
 /// Share of the limit queued at runners from which the limit shrinks.
-pub const QUEUED_HIGH: f64 = 0.35;
+pub const QUEUED_HIGH: f64 = 0.04;
 /// Share by which the limit grows in one window.
-const GROW: f64 = 0.05;
-/// Factor by which the limit shrinks.
-const SHRINK: f64 = 0.9;
+const GROW: f64 = 0.02;
+/// Factor by which the limit shrinks when requests queue at the runners.
+const SHRINK: f64 = 0.96;
+/// Factor by which the limit shrinks when a runner refuses.
+const REFUSED: f64 = 0.9;
 /// Milliseconds of a window at least.
 const WINDOW_MS: u64 = 250;
 /// Samples of a window at least.
@@ -38,8 +45,13 @@
 /// What one request tells of the runners.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Sample {
-    /// Seconds to the first token.
-    First(f64),
+    /// A request was answered.
+    Answered {
+        /// Seconds to its first token.
+        first: f64,
+        /// Seconds to its end.
+        whole: f64,
+    },
     /// A runner refused it or let it run out of time.
     Overloaded,
 }
@@ -51,7 +63,8 @@
     value: f64,
     start: Instant,
     shrunk: Instant,
-    sum: f64,
+    first: f64,
+    whole: f64,
     samples: usize,
     busiest: usize,
     means: VecDeque<f64>,
@@ -70,7 +83,8 @@
             value: float(most),
             start: Instant::ORIGIN,
             shrunk: Instant::ORIGIN,
-            sum: 0.0,
+            first: 0.0,
+            whole: 0.0,
             samples: 0,
             busiest: 0,
             means: VecDeque::new(),
@@ -99,11 +113,12 @@
             Sample::Overloaded => {
                 // One fall per window: a burst of refusals is one event.
                 if now >= self.shrunk.plus_millis(WINDOW_MS) {
-                    self.shrink(now);
+                    self.shrink(now, REFUSED);
                 }
             }
-            Sample::First(seconds) => {
-                self.sum += seconds;
+            Sample::Answered { first, whole } => {
+                self.first += first;
+                self.whole += whole;
                 self.samples += 1;
                 let due = self.start.plus_millis(WINDOW_MS);
                 if now >= due && self.samples >= SAMPLES {
@@ -114,13 +129,14 @@
     }
 
     fn close(&mut self, now: Instant) {
-        let mean = self.sum / float(self.samples);
+        let mean = self.first / float(self.samples);
+        let held = self.whole / float(self.samples);
         let least = self.means.iter().copied().fold(mean, f64::min);
-        let queued = 1.0 - least / mean.max(1e-9);
+        let queued = (mean - least) / held.max(1e-9);
         // A limit that is not used says nothing about being too low.
         let used = float(self.busiest) >= self.value / 2.0;
         if queued > QUEUED_HIGH && used {
-            self.shrink(now);
+            self.shrink(now, SHRINK);
         } else if queued < QUEUED_LOW && used {
             let grown = self.value + (self.value * GROW).max(1.0);
             self.value = grown.min(float(self.most));
@@ -130,14 +146,15 @@
             self.means.pop_front();
         }
         self.start = now;
-        self.sum = 0.0;
+        self.first = 0.0;
+        self.whole = 0.0;
         self.samples = 0;
         self.busiest = 0;
     }
 
-    fn shrink(&mut self, now: Instant) {
+    fn shrink(&mut self, now: Instant, factor: f64) {
         let least = Self::LEAST.min(float(self.most));
-        self.value = (self.value * SHRINK).max(least);
+        self.value = (self.value * factor).max(least);
         self.shrunk = now;
     }
 }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -292,8 +292,9 @@
                 // Prompts of long work differ too much in length for their
                 // first token to tell of load.
                 if grant.lane == Lane::Short {
-                    let waited = first.since(grant.start).as_secs_f64();
-                    self.limit.add(now, Sample::First(waited), running);
+                    let first = first.since(grant.start).as_secs_f64();
+                    let sample = Sample::Answered { first, whole: took };
+                    self.limit.add(now, sample, running);
                 }
             }
             Ended::Overloaded => self.limit.add(now, Sample::Overloaded, running),
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -51,7 +51,7 @@
 use crate::num::{Mean, float};
 use health::Health;
 use ring::Ring;
-use score::{Pool, Report};
+use score::{Pool, Recent, Report};
 use word::Words;
 
 /// Whether a backend server takes new work.
@@ -109,6 +109,7 @@
     unanswered: u32,
     progress: Instant,
     report: Option<Report>,
+    recent: Recent,
 }
 
 /// What is to be placed.
@@ -241,6 +242,7 @@
             unanswered: 0,
             progress: now,
             report: None,
+            recent: Recent::default(),
         };
         self.servers.insert(key, server);
     }
@@ -251,7 +253,9 @@
             return;
         };
         report.own = server.work;
+        report.own_requests = server.in_flight;
         let leaving = report.leaving;
+        server.recent.forget(report.at);
         server.report = Some(report);
         if leaving {
             self.leave(now, key);
@@ -307,6 +311,7 @@
         }
         for (fleet, mut live) in fleets {
             let servers = &self.servers;
+            let all = live.len();
             subset::keep(&self.place, &mut live, |key| servers[key].id.as_str());
             if !self.pools.contains_key(fleet) {
                 self.pools.insert(fleet, Pool::default());
@@ -326,6 +331,7 @@
                 .iter()
                 .map(|key| (servers[*key].id.as_str(), *key));
             pool.ring = Ring::new(ids);
+            pool.others = self.place.others(all, live.len());
             pool.live = live;
         }
     }
@@ -408,6 +414,7 @@
         };
         server.in_flight += 1;
         server.work += u64::from(work);
+        server.recent.add(now, work);
         if server.unanswered == 0 {
             server.progress = now;
         }
--- a/crates/core/src/route/score.rs
+++ b/crates/core/src/route/score.rs
@@ -4,6 +4,8 @@
 //! report), how much slower the server is than its pool, the way to its zone,
 //! and what has to be loaded or computed again.
 
+use std::collections::VecDeque;
+
 use fescuerack_config::key;
 
 use super::ring::Ring;
@@ -29,6 +31,12 @@
 /// Seconds that an engine takes for one token of work, before the pool's own
 /// measure: 58 ms over a full batch.
 const TOKEN_S: f64 = 0.058;
+/// Share of a server's slots from which a request may have to wait for one.
+/// Beyond it each further share costs as much as the request that would have
+/// to end first holds its slot.
+const FULL: f64 = 0.8;
+/// Seconds for which a request holds a slot, by order of magnitude.
+const HOLD_S: f64 = 4.0;
 /// Slowness under which servers count as equal. Means of few samples differ
 /// by this much; following them would send all work to the luckiest.
 const EQUAL: f64 = 1.5;
@@ -42,12 +50,16 @@
     pub at: Instant,
     /// Work that it runs and queues, in tokens.
     pub work: u64,
+    /// Requests that it runs and queues.
+    pub requests: u32,
     /// Hashes of the adapters that it holds.
     pub adapters: Vec<u64>,
     /// Whether it takes no new work.
     pub leaving: bool,
     /// Own work on it when the report was read.
     pub own: u64,
+    /// Own attempts on it when the report was read.
+    pub own_requests: u32,
 }
 
 /// The servers of one fleet that this instance may choose from.
@@ -59,6 +71,8 @@
     pub usable: Vec<key::Server>,
     /// Own work on the pool, in tokens.
     pub work: u64,
+    /// Other instances that choose from a server of this pool, on average.
+    pub others: f64,
     /// Seconds to the first token over all servers.
     pub first: Mean,
     /// Homes of prefixes.
@@ -77,9 +91,15 @@
 pub(super) fn cost(now: Instant, ask: &Ask<'_>, pool: &Pool, server: &Server, home: bool) -> f64 {
     let slow = slowness(pool, server);
     let work = f64::from(ask.work);
-    let ahead = (number(server.work) + others(now, server)) / ramp(now, server);
+    let slots = f64::from(server.slots.max(1));
+    let others = others(now, pool, server);
+    let share = ramp(now, server);
+    let ahead = (number(server.work) + others.work) / share;
     // One token of work takes the batch's step; `slots` of them run at a time.
-    let queue = (ahead + work) * TOKEN_S / f64::from(server.slots.max(1));
+    let batch = (ahead + work) * TOKEN_S / slots;
+    let requests = (f64::from(server.in_flight) + others.requests) / share;
+    let full = ((requests + 1.0) / slots - FULL).max(0.0) * HOLD_S;
+    let queue = batch + full;
     let itself = (slow - 1.0) * (pool.first.value + work * TOKEN_S);
     let zone = if server.near { 0.0 } else { ZONE_S };
     queue * slow + itself + zone + cold(ask, server, home)
@@ -95,13 +115,28 @@
     if ratio < EQUAL { 1.0 } else { ratio }
 }
 
-/// Work of other instances on a server.
-fn others(now: Instant, server: &Server) -> f64 {
-    server.report.as_ref().map_or(0.0, |report| {
-        let age = now.since(report.at).as_secs_f64();
-        let weight = (-age / REPORT_HALF_S).exp2();
-        weight * number(report.work.saturating_sub(report.own))
-    })
+/// Work of other instances on a server: what the report says beyond own work,
+/// and what they have probably sent since. They read the same report and
+/// choose alike, so each is taken to have sent what this one has.
+fn others(now: Instant, pool: &Pool, server: &Server) -> Others {
+    let Some(report) = &server.report else {
+        return Others::default();
+    };
+    let age = now.since(report.at).as_secs_f64();
+    let weight = (-age / REPORT_HALF_S).exp2();
+    let (work, requests) = server.recent.since(report.at);
+    let reported = report.requests.saturating_sub(report.own_requests);
+    Others {
+        work: weight * number(report.work.saturating_sub(report.own)) + number(work) * pool.others,
+        requests: weight * f64::from(reported) + f64::from(requests) * pool.others,
+    }
+}
+
+/// What other instances have on a server, by estimate.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    work: f64,
+    requests: f64,
 }
 
 fn ramp(now: Instant, server: &Server) -> f64 {
@@ -124,6 +159,41 @@
     prefix + if held { 0.0 } else { ADAPTER_S }
 }
 
+/// Own work sent to one server lately.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Recent {
+    sent: VecDeque<(Instant, u32)>,
+}
+
+impl Recent {
+    /// Attempts that are remembered; more in the life of a report only makes
+    /// the estimate of others' sends too low.
+    const MOST: usize = 64;
+
+    pub(super) fn add(&mut self, now: Instant, work: u32) {
+        if self.sent.len() == Self::MOST {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((now, work));
+    }
+
+    /// Forgets what a report includes.
+    pub(super) fn forget(&mut self, until: Instant) {
+        while self.sent.front().is_some_and(|(at, _)| *at <= until) {
+            self.sent.pop_front();
+        }
+    }
+
+    /// Work and attempts sent after `at`.
+    fn since(&self, at: Instant) -> (u64, u32) {
+        let sent = self.sent.iter().rev();
+        let sent = sent.take_while(|(sent, _)| *sent > at);
+        sent.fold((0, 0), |(work, count), (_, more)| {
+            (work + u64::from(*more), count + 1)
+        })
+    }
+}
+
 pub(super) fn number(tokens: u64) -> f64 {
     float(usize::try_from(tokens).unwrap_or(usize::MAX))
 }
--- a/crates/core/src/route/subset.rs
+++ b/crates/core/src/route/subset.rs
@@ -18,6 +18,7 @@
 use fescuerack_config::key;
 
 use super::ring::{hash, mix};
+use crate::num::float;
 
 /// Servers of one fleet that one instance uses.
 pub const SIZE: usize = 32;
@@ -27,6 +28,8 @@
 pub struct Place {
     /// Position among all instances, ordered by name.
     pub index: usize,
+    /// Number of instances.
+    pub instances: usize,
     /// Servers of a fleet to use.
     pub size: usize,
 }
@@ -35,11 +38,22 @@
     fn default() -> Self {
         Self {
             index: 0,
+            instances: 1,
             size: SIZE,
         }
     }
 }
 
+impl Place {
+    /// Returns how many other instances use a server of a fleet of `all`, on
+    /// average, when each uses `own`.
+    #[must_use]
+    pub fn others(&self, all: usize, own: usize) -> f64 {
+        let share = float(own) / float(all.max(1));
+        (float(self.instances) * share - 1.0).max(0.0)
+    }
+}
+
 /// Keeps the servers that the instance at `place` uses.
 pub fn keep<'a>(
     place: &Place,
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -64,6 +64,7 @@
         work: report.work,
         adapters: adapters.map(|name| route::hash(name.as_bytes())).collect(),
         leaving: report.leaving,
-        own: 0,
+        requests: report.running.saturating_add(report.waiting),
+        ..score::Report::default()
     }
 }
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -71,6 +71,7 @@
     let before = peers.iter().filter(|peer| peer.id < *own);
     Place {
         index: before.count(),
+        instances: peers.len().max(1),
         size: num::whole(force.catalog.limit("route.subset")),
     }
 }
--- a/crates/replay/src/model/clock.rs
+++ b/crates/replay/src/model/clock.rs
@@ -31,8 +31,8 @@
     Tick,
     /// Servers report their load.
     Report,
-    /// A server's report of its work arrives.
-    Read(usize, u64),
+    /// A server's report of its work and requests arrives.
+    Read(usize, u64, u32),
 }
 
 /// Events in the order of time, and of planning at the same time.
--- a/crates/replay/src/model/machine.rs
+++ b/crates/replay/src/model/machine.rs
@@ -101,6 +101,11 @@
         ran
     }
 
+    /// Returns how many attempts it runs and queues.
+    pub fn requests(&self) -> u32 {
+        u32::try_from(self.running.len() + self.queue.len()).unwrap_or(u32::MAX)
+    }
+
     /// Removes all attempts and returns them.
     pub fn clear(&mut self) -> Vec<usize> {
         self.queued.clear();
--- a/crates/replay/src/model/mod.rs
+++ b/crates/replay/src/model/mod.rs
@@ -72,7 +72,7 @@
             .streams
             .iter()
             .map(|stream| Row::new(&stream.name, &stream.organisation, stream.weight));
-        let length = usize::try_from(scenario.seconds).unwrap_or(0) + 1;
+        let length = usize::try_from(scenario.seconds).unwrap_or(0);
         let counted = number(scenario.seconds - scenario.warm_s);
         let slots = float(scenario.servers) * f64::from(scenario.slots);
         Self {
@@ -97,7 +97,10 @@
 
     fn play(&mut self) {
         self.plan();
-        let end = Instant::from_millis(self.scenario.seconds * 1000);
+        // Those who came before the end are still answered.
+        let streams = self.scenario.streams.iter();
+        let longest = streams.map(|stream| stream.deadline_ms).max().unwrap_or(0);
+        let end = self.over().plus_millis(longest * 2);
         while let Some((at, event)) = self.agenda.next() {
             if at >= end {
                 break;
@@ -107,6 +110,16 @@
         }
     }
 
+    /// When no one comes any more.
+    fn over(&self) -> Instant {
+        Instant::from_millis(self.scenario.seconds * 1000)
+    }
+
+    /// Whether this moment is counted.
+    fn counts(&self) -> bool {
+        self.now >= Instant::from_millis(self.scenario.warm_s * 1000) && self.now < self.over()
+    }
+
     fn plan(&mut self) {
         for stream in 0..self.scenario.streams.len() {
             let from = seconds(self.scenario.streams[stream].from_s);
@@ -145,20 +158,20 @@
             Event::List => self.list(),
             Event::Tick => self.tick(),
             Event::Report => self.report(),
-            Event::Read(machine, work) => self.read(machine, work),
+            Event::Read(machine, work, requests) => self.read(machine, work, requests),
         }
     }
 
     fn arrive(&mut self, index: usize) {
         let stream = &self.scenario.streams[index];
         let over = stream.to_s > 0.0 && self.now >= Instant::ORIGIN + seconds(stream.to_s);
-        if over {
+        if over || self.now >= self.over() {
             return;
         }
         let gap = self.gap(index);
         self.agenda.add(self.now + gap, Event::Arrive(index));
         let node = self.rng.random_range(0..self.nodes.len());
-        let counted = self.now >= Instant::from_millis(self.scenario.warm_s * 1000);
+        let counted = self.counts();
         let request = Request::new(index, stream, node, self.now, counted, &mut self.rng);
         if counted {
             self.figures.rows[index].offered += 1;
@@ -284,14 +297,15 @@
             let waited = micros(self.now.since(request.arrived));
             let row = &mut self.figures.rows[request.stream];
             row.first.saturating_record(waited.max(1));
-            let second = second(self.now);
-            let entry = &mut self.figures.firsts[second][request.stream];
-            entry.0 += waited;
-            entry.1 += 1;
+            if let Some(entry) = self.figures.firsts.get_mut(second(self.now)) {
+                entry[request.stream].0 += waited;
+                entry[request.stream].1 += 1;
+            }
         }
     }
 
     fn done(&mut self, key: usize, attempt: u32) {
+        let counts = self.counts();
         let request = &mut self.requests[key];
         if request.attempt != attempt {
             return;
@@ -304,7 +318,7 @@
         } else {
             Status::Late
         };
-        if request.counted && ran {
+        if counts && ran {
             self.figures.servers[index] += held.as_secs_f64() * 1000.0;
             if status == Status::Good {
                 let row = &mut self.figures.rows[request.stream];
@@ -365,7 +379,9 @@
                 row.good += 1;
                 let took = micros(self.now.since(request.arrived));
                 row.whole.saturating_record(took.max(1));
-                self.figures.timeline[second(self.now)][request.stream] += 1;
+                if let Some(entry) = self.figures.timeline.get_mut(second(self.now)) {
+                    entry[request.stream] += 1;
+                }
             }
             Status::Late => row.late += 1,
             Status::Refused => row.refused += 1,
@@ -411,25 +427,29 @@
         for node in &mut self.nodes {
             limit += node.tick(self.now, self.scenario);
         }
-        self.figures.limits[second(self.now)] = u64::try_from(limit).unwrap_or(0);
+        if let Some(entry) = self.figures.limits.get_mut(second(self.now)) {
+            *entry = u64::try_from(limit).unwrap_or(0);
+        }
         self.agenda.add(self.now.plus_millis(TICK_MS), Event::Tick);
     }
 
     fn report(&mut self) {
         for (index, machine) in self.machines.iter().enumerate() {
             let at = self.now.plus_millis(self.scenario.lag_ms);
-            self.agenda.add(at, Event::Read(index, machine.work));
+            self.agenda
+                .add(at, Event::Read(index, machine.work, machine.requests()));
         }
         let next = self.now.plus_millis(self.scenario.report_ms);
         self.agenda.add(next, Event::Report);
     }
 
-    fn read(&mut self, index: usize, work: u64) {
+    fn read(&mut self, index: usize, work: u64, requests: u32) {
         let at = Instant(self.now.0.saturating_sub(self.scenario.lag_ms * 1000));
         for node in &mut self.nodes {
             let report = Report {
                 at,
                 work,
+                requests,
                 ..Report::default()
             };
             node.report(self.now, self.machines[index].key, report);
--- a/crates/replay/src/model/node.rs
+++ b/crates/replay/src/model/node.rs
@@ -87,6 +87,7 @@
             let mut table = Table::new(&zone(index % scenario.zones));
             table.set_place(Place {
                 index,
+                instances: scenario.nodes,
                 size: whole(scenario.limit("route.subset")),
             });
             table.set(route::Thresholds {
