--- a/crates/core/src/cascade/choose.rs
+++ b/crates/core/src/cascade/choose.rs
@@ -295,6 +295,18 @@
         plans
     }
 
+    /// Returns the version whose ratings a version is judged by here: that of
+    /// today for the candidate of a roll-out. Its trial guards the candidate,
+    /// with a budget of its own; if a few bad ratings took it out of the
+    /// plans as well, its sessions would go to a dearer model and the trial
+    /// would get no evidence to end on.
+    fn judged_as(&self, version: key::Version) -> key::Version {
+        let model = self.world.catalog.versions[version].model;
+        let trial = self.world.board.trial(model);
+        let trial = trial.filter(|trial| trial.candidate == version);
+        trial.map_or(version, |trial| trial.current)
+    }
+
     fn candidate(&self, class: key::Class, version: key::Version) -> Candidate {
         let World {
             catalog, learner, ..
@@ -304,7 +316,7 @@
         let rate = |micro: u64| f64::from(u32::try_from(micro).unwrap_or(u32::MAX)) / 1000.0;
         Candidate {
             version,
-            estimate: learner.estimate(catalog, class, version),
+            estimate: learner.estimate(catalog, class, self.judged_as(version)),
             cost: rate(price.input) * f64::from(input)
                 + rate(price.output) * learner.output_tokens(class),
             answer_ms: learner.answer_ms(class, version),
@@ -339,13 +351,6 @@
         if !limits.cascade || self.request.dice >= class.explore {
             return;
         }
-        let in_trial = |version| {
-            let model = self.world.catalog.versions[version].model;
-            self.world
-                .board
-                .trial(model)
-                .is_some_and(|trial| trial.candidate == version)
-        };
         let Steps::Direct(second) = best.steps else {
             return;
         };
@@ -359,7 +364,7 @@
             let held_ms = candidate.answer_ms + limits.rating_ms + dear.answer_ms;
             candidate.cost < dear.cost
                 && held_ms <= limits.within_ms
-                && !in_trial(candidate.version)
+                && self.judged_as(candidate.version) == candidate.version
         });
         let Some(first) = cheaper else {
             return;
--- a/crates/node/src/callers/observer.rs
+++ b/crates/node/src/callers/observer.rs
@@ -75,9 +75,9 @@
             return;
         };
         for choice in &part.choices {
-            if let Some(delta) = &choice.delta {
-                text.push_str(&delta.content);
-            }
+            let part = choice.text.as_deref();
+            let delta = choice.delta.as_ref().map(|delta| delta.content.as_str());
+            text.push_str(part.or(delta).unwrap_or_default());
         }
     }
 
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -7,3 +7,4 @@
 mod shutdown;
 mod stream;
 mod support;
+mod versions;
--- /dev/null
+++ b/crates/node/tests/all/versions.rs
@@ -0,0 +1,252 @@
+//! Versions through real processes: sessions, cascades, roll-outs, requests
+//! that crash servers.
+
+use std::io::Read as _;
+use std::net::TcpListener;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use fescuerack_config::Folder;
+use fescuerack_core::route::State;
+use fescuerack_platform::{HttpStore, manifest};
+use fescuerack_standin::Fault;
+use fescuerack_wire::{chat, header, list::Instance};
+use serde_json::json;
+
+use crate::support::{KEY, Process, World, client, wait_until};
+
+const CHEAP: &str = "kaisla-mini@1";
+const NEXT: &str = "kaisla-mini@2";
+const DEAR: &str = "kaisla-max@1";
+
+type Response = ureq::http::Response<ureq::Body>;
+
+/// Puts the example in force with another file of roll-outs, and another state
+/// of the next version.
+fn publish(world: &World, rollouts: &str, next: &str) -> u64 {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hoivapolku");
+    let folder = Folder::read(&root).expect("the example is readable");
+    let models = String::from_utf8(folder.files["10-models.yaml"].to_vec()).expect("text");
+    let state = format!("  {NEXT}:\n    state: {next}\n");
+    let models = models.replace(&format!("  {NEXT}:\n"), &state);
+    let folder = folder
+        .with_file("10-models.yaml", models)
+        .with_file("40-rollouts.yaml", rollouts.to_owned());
+    let store = HttpStore::new(&world.platform.address());
+    manifest::publish(&store, &folder, "test").expect("the folder is accepted")
+}
+
+fn rollout(word: u64, stage: usize) -> String {
+    format!(
+        "rollouts:\n  kaisla-mini: {{current: {CHEAP}, candidate: {NEXT}, stage: {stage}, \
+         word: {word}}}\n"
+    )
+}
+
+fn in_force(process: &Process, revision: u64) {
+    wait_until("the configuration is in force", || {
+        process.state()["configuration"]["revision"] == revision
+    });
+}
+
+/// Lists two instances and waits until both have heard the other.
+fn introduce(world: &World, first: &Process, second: &Process) {
+    for process in [first, second] {
+        world.platform.list(Instance {
+            id: process.instance.clone(),
+            fleet: "fescuerack".to_owned(),
+            zone: "espoo-a".to_owned(),
+            address: process.peers.clone(),
+            state: State::Live,
+        });
+    }
+    for process in [first, second] {
+        wait_until("the instances hear each other", || {
+            process.state()["member"]["instances"][0]["heard_ms_ago"].is_number()
+        });
+    }
+}
+
+fn informed(process: &Process) {
+    wait_until("the records of roll-outs are known", || {
+        process.state()["versions"]["informed"] == true
+    });
+}
+
+fn ask(process: &Process, model: &str, session: Option<(&str, &str)>) -> Response {
+    let body = json!({
+        "model": model,
+        "max_tokens": 4,
+        "messages": [{"role": "user", "content": "Who can sit tonight?"}],
+    });
+    let mut request = client()
+        .post(format!("{}/v1/chat/completions", process.callers))
+        .header("authorization", format!("Bearer {KEY}"));
+    if let Some((session, token)) = session {
+        request = request.header(header::SESSION, session);
+        if !token.is_empty() {
+            request = request.header(header::SESSION_TOKEN, token);
+        }
+    }
+    request.send_json(body).expect("an answer")
+}
+
+fn read<'a>(response: &'a Response, name: &str) -> &'a str {
+    let value = response.headers().get(name);
+    value.map_or("", |value| value.to_str().expect("text"))
+}
+
+// A parent chats while a roll-out goes from 1% to 100%. The chat stays on its
+// version, also through another instance. Then that version is withdrawn: the
+// chat moves once and is told so.
+#[test]
+fn session_with_token_keeps_its_version_until_withdrawn() {
+    let world = World::new();
+    let first = world.start("entry-0");
+    let second = world.start("entry-1");
+    let answer = ask(&first, "kaisla-mini", Some(("family-1", "")));
+    assert_eq!(read(&answer, header::VERSION), CHEAP);
+    let token = read(&answer, header::SESSION_TOKEN).to_owned();
+    let revision = publish(&world, &rollout(1, 4), "open");
+    in_force(&second, revision);
+    informed(&second);
+    let fresh = ask(&second, "kaisla-mini", Some(("family-2", "")));
+    assert_eq!(read(&fresh, header::VERSION), NEXT);
+    let kept = ask(&second, "kaisla-mini", Some(("family-1", &token)));
+    assert_eq!(read(&kept, header::VERSION), CHEAP);
+    let stolen = ask(&second, "kaisla-mini", Some(("family-3", &token)));
+    assert_eq!(read(&stolen, header::VERSION), NEXT);
+
+    let token = read(&fresh, header::SESSION_TOKEN).to_owned();
+    let revision = publish(&world, &rollout(1, 4), "withdrawn");
+    in_force(&first, revision);
+    let moved = ask(&first, "kaisla-mini", Some(("family-2", &token)));
+    assert_eq!(read(&moved, header::VERSION), CHEAP);
+    assert_eq!(read(&moved, header::SESSION_MOVED), NEXT);
+    let token = read(&moved, header::SESSION_TOKEN).to_owned();
+    let again = ask(&first, "kaisla-mini", Some(("family-2", &token)));
+    assert_eq!(read(&again, header::SESSION_MOVED), "");
+}
+
+// A shortlist is drafted by the cheap version. Good drafts are handed on; a
+// bad one is replaced by the dear version's, and both are billed as one. With
+// the rating service down nobody can tell, so the dear version answers.
+#[test]
+fn cascade_bad_answer_is_escalated_and_billed_once() {
+    let world = World::new();
+    publish(&world, "rollouts: {}\n", "withdrawn");
+    let process = world.start("entry-0");
+    world.platform.rate(CHEAP, 0.99);
+    let good = ask(&process, "auto:shortlist", None);
+    assert_eq!(read(&good, header::VERSION), CHEAP);
+    world.platform.rate(CHEAP, 0.1);
+    let mut bad = ask(&process, "auto:shortlist", None);
+    assert_eq!(read(&bad, header::VERSION), DEAR);
+    let completion: chat::Completion = bad.body_mut().read_json().expect("a completion");
+    let usage = completion.usage.expect("usage");
+    let cost = |input: u64, output: u64| {
+        (input * usage.prompt_tokens + output * usage.completion_tokens).div_ceil(1000)
+    };
+    let both = cost(40, 160) + cost(600, 2400);
+    assert_eq!(read(&bad, header::COST), both.to_string());
+    world.platform.rating_faults().set(Fault::Down, 1);
+    let unrated = ask(&process, "auto:shortlist", None);
+    assert_eq!(read(&unrated, header::VERSION), DEAR);
+}
+
+// At night the candidate turns bad while the store is down. The instance that
+// serves it stops giving it new work, also to its sessions, and the other one
+// hears of it. When the store is back the halt is kept there, and an instance
+// that starts afterwards knows it.
+#[test]
+fn rollout_bad_candidate_is_halted_everywhere_without_the_store() {
+    let world = World::new();
+    publish(&world, &rollout(1, 3), "open");
+    let first = world.start("entry-0");
+    let second = world.start("entry-1");
+    introduce(&world, &first, &second);
+    informed(&first);
+    informed(&second);
+    world.platform.store_faults().set(Fault::Down, 1);
+    world.platform.rate(NEXT, 0.1);
+    let verdict = |process: &Process| {
+        process.state()["versions"]["rollouts"]["kaisla-mini"]["verdict"].clone()
+    };
+    let halted = |process: &Process| {
+        let state = process.state();
+        let record = &state["versions"]["rollouts"]["kaisla-mini"]["record"];
+        record["halts"][NEXT]["word"] == 1
+    };
+    wait_until("the first instance halts the candidate", || {
+        ask(&first, "auto:chat-reply", None);
+        halted(&first)
+    });
+    assert_eq!(verdict(&first), json!({"halt": "ratings"}));
+    wait_until("the second instance hears of it", || halted(&second));
+    for _ in 0..8 {
+        let answer = ask(&second, "kaisla-mini", None);
+        assert_eq!(read(&answer, header::VERSION), CHEAP);
+    }
+    assert_eq!(ask(&second, NEXT, None).status(), 503);
+    world.platform.store_faults().set(Fault::Down, 0);
+    wait_until("the halt is kept", || {
+        first.counter("rollouts.kept") > 0 || second.counter("rollouts.kept") > 0
+    });
+    drop(first);
+    let third = world.start("entry-2");
+    wait_until("an instance that starts later knows it", || halted(&third));
+}
+
+/// An engine that ends for good with the first request that it is sent.
+fn mortal(crashed: &Arc<AtomicU32>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let crashed = Arc::clone(crashed);
+    std::thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            let mut head = [0; 4096];
+            let read = stream.read(&mut head).unwrap_or(0);
+            if head[..read].starts_with(b"POST") {
+                crashed.fetch_add(1, Ordering::SeqCst);
+                return;
+            }
+        }
+    });
+    address
+}
+
+// One request kills every engine that runs it, and its caller sends it again
+// and again through two instances. Two engines are lost, not all six; another
+// request is still answered.
+#[test]
+fn poison_sent_again_costs_two_servers() {
+    let mut world = World::new();
+    world.engines.clear();
+    for index in 0..3 {
+        world.platform.remove(&format!("engine-{index}"));
+    }
+    let crashed = Arc::new(AtomicU32::new(0));
+    for index in 0..6 {
+        world.platform.list(Instance {
+            id: format!("mortal-{index}"),
+            fleet: "kaisla-llm".to_owned(),
+            zone: "espoo-a".to_owned(),
+            address: mortal(&crashed),
+            state: State::Live,
+        });
+    }
+    let first = world.start("entry-0");
+    let second = world.start("entry-1");
+    introduce(&world, &first, &second);
+    assert_eq!(ask(&first, "kaisla-mini", None).status(), 502);
+    wait_until("the second instance hears of it", || {
+        let state = second.state();
+        let known = state["versions"]["suspects"]["known"].as_object();
+        known.is_some_and(|known| !known.is_empty())
+    });
+    for process in [&second, &first, &second] {
+        assert_eq!(ask(process, "kaisla-mini", None).status(), 502);
+    }
+    assert_eq!(crashed.load(Ordering::SeqCst), 2);
+}
