Process tests of claims, outages and configuration; apply no longer believes an old read

Found: with every second read old, an operator who applied twice in a row was told of a conflict with his own first change (apply_watch_faults_in_force, old_reads). A manifest older than the one the operator has seen is now read again, and 'unchanged' and 'refused' are only reported from a manifest whose version a swap has confirmed.

--- a/crates/core/src/force/apply.rs
+++ b/crates/core/src/force/apply.rs
@@ -20,6 +20,9 @@
 use crate::clock::Instant;
 use crate::store::{Backoff, Call, LARGEST_VALUE, Machine, NO_VERSION, Reply, Step, Value};
 
+/// Stands for the version of a key that is surely absent.
+const NOTHING: u64 = NO_VERSION;
+
 /// What came of a wish.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Applied {
@@ -55,6 +58,9 @@
 #[derive(Clone, Debug)]
 enum Phase {
     Read,
+    /// Learns which version of the manifest stands, since what was read may be
+    /// old and would be reported.
+    Confirm,
     Fetch,
     Blobs,
     CheckBlob(String),
@@ -132,6 +138,16 @@
         Some(Problem::new(name, 0, message))
     }
 
+    /// Reports what follows from the manifest that was read, once it is surely
+    /// not an old one.
+    fn confirmed(&self, applied: Applied) -> Phase {
+        if self.at_least == 0 {
+            Phase::Confirm
+        } else {
+            Phase::Done(applied)
+        }
+    }
+
     /// Looks at a manifest and goes on: it was ours, it conflicts, or the
     /// change is worked out on top of it.
     fn rebase(&mut self, version: u64, manifest: Manifest) {
@@ -191,7 +207,7 @@
                 otherwise: Some(applied),
             });
         }
-        Phase::Done(applied)
+        self.confirmed(applied)
     }
 
     /// Goes on once every file is at hand: merges, checks and prepares.
@@ -232,7 +248,7 @@
         };
         self.phase = match self.check() {
             Ok(()) => Phase::Blobs,
-            Err(problems) => Phase::Done(Applied::Refused(problems)),
+            Err(problems) => self.confirmed(Applied::Refused(problems)),
         };
         self.blobs = self.wish.files.values().flatten().cloned().collect();
     }
@@ -266,6 +282,7 @@
         };
         Some(match &self.phase {
             Phase::Read | Phase::ReadBack => get(KEY),
+            Phase::Confirm => swap(KEY.to_owned(), NO_VERSION, Bytes::new()),
             Phase::Fetch => get(&blob_key(self.missing.front()?)),
             Phase::Blobs => {
                 let content = self.blobs.front()?.clone();
@@ -293,7 +310,8 @@
 
     /// Returns whether a value is older than what a conflict has named.
     fn is_old(&self, value: Option<&Value>) -> bool {
-        value.map_or(0, |value| value.version) < self.at_least
+        let version = value.map_or(0, |value| value.version);
+        self.at_least != NOTHING && version < self.at_least
     }
 
     fn read(&mut self, now: Instant, value: Option<&Value>, back: bool) {
@@ -307,6 +325,10 @@
                 None => return self.broken("the manifest is malformed"),
             },
         };
+        if manifest.revision < self.wish.seen.revision {
+            // The operator has seen a newer one: an old read.
+            return self.pause(now);
+        }
         if !back || manifest.change.request == self.wish.request {
             return self.rebase(version, manifest);
         }
@@ -399,6 +421,14 @@
                 self.phase = Phase::History;
                 self.pause(now);
             }
+            Phase::Confirm => {
+                self.at_least = version;
+                self.phase = Phase::Read;
+                if version == 0 {
+                    // Absent for certain; zero would ask to confirm again.
+                    self.at_least = NOTHING;
+                }
+            }
             Phase::Swap => {
                 self.at_least = version;
                 self.phase = if self.ambiguous {
--- /dev/null
+++ b/crates/node/tests/all/claims.rs
@@ -0,0 +1,199 @@
+//! At most once: the same key to any instance, killed at each step.
+
+use std::time::Duration;
+
+use fescuerack_standin::Fault;
+use fescuerack_wire::header;
+use rstest::rstest;
+use serde_json::json;
+
+use crate::support::{KEY, Process, World, client, wait_until};
+
+type Response = ureq::http::Response<ureq::Body>;
+
+/// Milliseconds that a caller waits.
+const DEADLINE_MS: u64 = 2_000;
+
+/// Sends a booking; none when the connection broke.
+pub fn book(
+    process: &Process,
+    key: Option<&str>,
+    body: &str,
+    deadline_ms: u64,
+) -> Option<Response> {
+    let url = format!("{}/v1/services/bookings/confirm", process.callers);
+    let mut request = client()
+        .post(url)
+        .header("authorization", format!("Bearer {KEY}"))
+        .header(header::DEADLINE, deadline_ms.to_string());
+    if let Some(key) = key {
+        request = request.header(header::IDEMPOTENCY, key);
+    }
+    request.send_json(json!({"family": body})).ok()
+}
+
+/// Returns the header that names the outcome.
+pub fn outcome(response: &Response) -> String {
+    let value = response.headers().get(header::OUTCOME);
+    value
+        .map_or("", |value| value.to_str().expect("text"))
+        .to_owned()
+}
+
+fn runs(world: &World) -> u64 {
+    world.services[0].runs().values().sum()
+}
+
+/// Where an instance is killed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Claiming,
+    Running,
+    Recording,
+    Answered,
+}
+
+// An instance dies while a parent's booking is under way: before the claim is
+// kept, while the service works, before the answer is recorded, or after it
+// was handed on. The caller sends the booking again through another instance.
+// The service's own count shows that no sitter is booked twice.
+#[rstest]
+#[case::claiming(Step::Claiming)]
+#[case::running(Step::Running)]
+#[case::recording(Step::Recording)]
+#[case::answered(Step::Answered)]
+fn booking_killed_runs_once(#[case] step: Step) {
+    let world = World::new();
+    let mut first = world.start("entry-0");
+    let second = world.start("entry-1");
+    let service = world.services[0].faults();
+    let store = world.platform.store_faults();
+    match step {
+        Step::Claiming => store.set(Fault::SlowMs, 400),
+        Step::Running | Step::Recording => service.set(Fault::SlowMs, 400),
+        Step::Answered => {}
+    }
+    let doomed = Process::address_of(&first);
+    let caller = std::thread::spawn(move || {
+        let url = format!("{doomed}/v1/services/bookings/confirm");
+        let request = client()
+            .post(url)
+            .header("authorization", format!("Bearer {KEY}"));
+        let request = request.header(header::IDEMPOTENCY, "killed");
+        request.send_json(json!({"family": "virtanen"})).is_ok()
+    });
+    match step {
+        Step::Claiming => std::thread::sleep(Duration::from_millis(150)),
+        Step::Running => wait_until("the service works", || runs(&world) == 1),
+        Step::Recording => {
+            wait_until("the service works", || runs(&world) == 1);
+            store.set(Fault::Down, 1);
+            std::thread::sleep(Duration::from_millis(600));
+        }
+        Step::Answered => wait_until("the booking is done", || first.counter("callers.done") == 1),
+    }
+    first.child.kill().expect("it is killed");
+    first.child.wait().expect("it ends");
+    let answered = caller.join().expect("the caller ends");
+    for fault in [Fault::SlowMs, Fault::Down] {
+        store.set(fault, 0);
+        service.set(fault, 0);
+    }
+    let response = book(&second, Some("killed"), "virtanen", DEADLINE_MS).expect("an answer");
+    let (status, outcome) = (response.status().as_u16(), outcome(&response));
+    match step {
+        Step::Claiming => assert!(["done", "unknown"].contains(&outcome.as_str())),
+        Step::Running | Step::Recording => {
+            assert!(!answered || step == Step::Recording);
+            assert_eq!(outcome, "unknown", "status {status}");
+        }
+        Step::Answered => {
+            assert_eq!(outcome, "done");
+            assert!(response.headers().contains_key(header::REPLAYED));
+        }
+    }
+    assert!(runs(&world) <= 1, "{step:?}: booked twice");
+}
+
+// The store takes a claim and its answer is lost, again and again. Whoever
+// took that for a failure would either never run the booking or run it twice.
+#[test]
+fn booking_lost_answers_runs_once() {
+    let world = World::new();
+    let [first, second] = world.start_fleet(["entry-0", "entry-1"]);
+    let store = world.platform.store_faults();
+    store.set(Fault::LoseAnswers, 1);
+    let address = Process::address_of(&first);
+    let caller = std::thread::spawn(move || {
+        let url = format!("{address}/v1/services/bookings/confirm");
+        let request = client()
+            .post(url)
+            .header("authorization", format!("Bearer {KEY}"));
+        let request = request.header(header::IDEMPOTENCY, "lost");
+        let response = request.send_json(json!({"family": "korhonen"}));
+        outcome(&response.expect("an answer"))
+    });
+    let claims = || {
+        world
+            .platform
+            .with_store(|store| store.keys("claim/", 0).items.len())
+    };
+    wait_until("the claim took effect", || claims() == 1);
+    store.set(Fault::LoseAnswers, 0);
+    assert_eq!(caller.join().expect("the caller ends"), "done");
+    let again = book(&second, Some("lost"), "korhonen", DEADLINE_MS).expect("an answer");
+    assert!(again.headers().contains_key(header::REPLAYED));
+    assert_eq!(runs(&world), 1);
+}
+
+// Another booking under a key that was used: answering it with the first one's
+// confirmation would leave a family without a sitter.
+#[test]
+fn booking_other_body_is_refused() {
+    let world = World::new();
+    let process = world.start("entry-0");
+    let first = book(&process, Some("one"), "virtanen", DEADLINE_MS).expect("an answer");
+    assert_eq!(outcome(&first), "done");
+    let other = book(&process, Some("one"), "korhonen", DEADLINE_MS).expect("an answer");
+    assert_eq!(
+        (other.status().as_u16(), outcome(&other).as_str()),
+        (409, "not-run")
+    );
+    assert_eq!(runs(&world), 1);
+}
+
+// A client without an idempotency key times out and sends its booking again:
+// nothing could tell the two apart, so it is told at once what is missing.
+#[test]
+fn booking_without_key_is_refused() {
+    let world = World::new();
+    let process = world.start("entry-0");
+    let response = book(&process, None, "virtanen", DEADLINE_MS).expect("an answer");
+    assert_eq!(
+        (response.status().as_u16(), outcome(&response).as_str()),
+        (400, "not-run")
+    );
+    assert_eq!(runs(&world), 0);
+}
+
+// The store cannot be reached: a booking waits, since it may return, and is
+// then truly refused. The same key works once the store is back.
+#[test]
+fn booking_store_out_is_not_run() {
+    let world = World::new();
+    let process = world.start("entry-0");
+    let store = world.platform.store_faults();
+    store.set(Fault::Down, 1);
+    let refused = book(&process, Some("out"), "virtanen", 600).expect("an answer");
+    assert_eq!(
+        (refused.status().as_u16(), outcome(&refused).as_str()),
+        (503, "not-run")
+    );
+    assert_eq!(runs(&world), 0);
+    store.set(Fault::Down, 0);
+    wait_until("the given-up claim is settled", || {
+        let again = book(&process, Some("out"), "virtanen", DEADLINE_MS);
+        again.is_some_and(|again| outcome(&again) == "done")
+    });
+    assert_eq!(runs(&world), 1);
+}
--- /dev/null
+++ b/crates/node/tests/all/configuration.rs
@@ -0,0 +1,190 @@
+//! The configuration in force: racing operators, bad files, missed events.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use fescuerack_platform::manifest::{self, Applied, Manifest, Wish};
+use fescuerack_platform::{HttpStore, Store as _};
+use fescuerack_standin::Fault;
+
+use crate::support::{Process, World, wait_until};
+
+fn store(world: &World) -> HttpStore {
+    HttpStore::new(&world.platform.address())
+}
+
+fn seen(world: &World) -> Manifest {
+    let read = manifest::read(&store(world)).expect("the store answers");
+    read.expect("a manifest").1
+}
+
+fn wish(seen: &Manifest, author: &str, name: &str, content: &str, request: &str) -> Wish {
+    Wish {
+        seen: seen.clone(),
+        files: BTreeMap::from([(name.to_owned(), Some(Bytes::from(content.to_owned())))]),
+        author: author.to_owned(),
+        reason: "test".to_owned(),
+        at: manifest::seconds(),
+        request: request.to_owned(),
+    }
+}
+
+fn in_force(fleet: &[Process], revision: u64) {
+    for process in fleet {
+        wait_until("the revision is in force", || {
+            process.revision() == revision
+        });
+    }
+}
+
+// Two teams change their own files at the same time, many times over. Each
+// change is accepted, none undoes another, and every instance ends with all.
+#[test]
+fn apply_different_files_both_win() {
+    const CHANGES: usize = 8;
+    let world = World::new();
+    let fleet = world.start_fleet(["entry-0", "entry-1", "entry-2"]);
+    let before = seen(&world);
+    let teams = ["lapset", "kuljetus"].map(|team| {
+        let store = store(&world);
+        let mut seen = before.clone();
+        std::thread::spawn(move || {
+            for change in 0..CHANGES {
+                let file = format!("90-{team}.yaml");
+                let content = format!("models:\n  {team}: {{note: \"{change}\"}}\n");
+                let request = format!("{team}-{change}");
+                let wish = wish(&seen, team, &file, &content, &request);
+                let applied = manifest::apply(&store, wish);
+                assert!(matches!(applied, Applied::Accepted { .. }), "{applied:?}");
+                seen = manifest::read(&store).expect("an answer").expect("one").1;
+            }
+        })
+    });
+    for team in teams {
+        team.join().expect("the team is done");
+    }
+    let after = seen(&world);
+    assert_eq!(after.revision, before.revision + 2 * CHANGES as u64);
+    assert_eq!(after.files["90-lapset.yaml"].author, "lapset");
+    assert_eq!(after.files["90-kuljetus.yaml"].author, "kuljetus");
+    let history = manifest::history(&store(&world), 100).expect("a history");
+    let revisions: Vec<_> = history.iter().map(|change| change.revision).collect();
+    let expected: Vec<_> = (1..=after.revision).rev().collect();
+    assert_eq!(revisions, expected, "every change has its line");
+    in_force(&fleet, after.revision);
+}
+
+// Two operators change the same file from the same state: the second is told
+// whose change stands, and nothing of its own is in force.
+#[test]
+fn apply_same_file_conflicts() {
+    let world = World::new();
+    let seen_by_both = seen(&world);
+    let store = store(&world);
+    let first = wish(
+        &seen_by_both,
+        "aino",
+        "90-lapset.yaml",
+        "models:\n  a: {note: one}\n",
+        "1",
+    );
+    let second = wish(
+        &seen_by_both,
+        "eero",
+        "90-lapset.yaml",
+        "models:\n  a: {note: two}\n",
+        "2",
+    );
+    let revision = seen_by_both.revision + 1;
+    assert_eq!(
+        manifest::apply(&store, first.clone()),
+        Applied::Accepted { revision }
+    );
+    let Applied::Conflict { file, theirs } = manifest::apply(&store, second) else {
+        panic!("no conflict");
+    };
+    assert_eq!(file, "90-lapset.yaml");
+    assert_eq!(theirs.expect("it stands").author, "aino");
+    assert_eq!(seen(&world).revision, revision);
+    // The first operator's tool lost its answer and sends the same again.
+    assert_eq!(
+        manifest::apply(&store, first),
+        Applied::Accepted { revision }
+    );
+}
+
+// A file that does not parse is refused with its line, and one that somebody
+// wrote past the tool does not reach callers: the old configuration stays.
+#[test]
+fn apply_bad_file_leaves_the_old_in_force() {
+    let world = World::new();
+    let process = world.start("entry-0");
+    let before = seen(&world);
+    let store = store(&world);
+    let bad = wish(
+        &before,
+        "eero",
+        "90-bad.yaml",
+        "models:\n  a: {}\nnonsense: 2\n",
+        "1",
+    );
+    let Applied::Refused(problems) = manifest::apply(&store, bad) else {
+        panic!("taken");
+    };
+    assert_eq!(
+        (problems[0].file.as_str(), problems[0].line),
+        ("90-bad.yaml", 3)
+    );
+    assert_eq!(seen(&world), before);
+    past_the_tool(&store, &before);
+    wait_until("the bad revision is refused", || {
+        process.state()["configuration"]["refused"] == before.revision + 1
+    });
+    assert_eq!(process.revision(), before.revision);
+    assert!(process.is_ready());
+}
+
+/// Swaps in a manifest whose file is nonsense, as no tool of ours would.
+fn past_the_tool(store: &HttpStore, before: &Manifest) {
+    let content = Bytes::from("nonsense: 2\n");
+    let digest = fescuerack_config::folder::digest(&content);
+    let key = format!("config/file/{digest}");
+    store.swap(&key, 0, content, None).expect("an answer");
+    let mut manifest = before.clone();
+    manifest.revision += 1;
+    let file = manifest::File {
+        digest,
+        ..manifest::File::default()
+    };
+    manifest.files.insert("90-bad.yaml".to_owned(), file);
+    let (version, _) = manifest::read(store).expect("an answer").expect("one");
+    let bytes = Bytes::from(serde_json::to_vec(&manifest).expect("plain fields"));
+    let swapped = store.swap(manifest::KEY, version, bytes, None);
+    assert!(matches!(swapped, Ok(fescuerack_platform::Swap::Swapped(_))));
+}
+
+// Watch events are lost, or come late, and reads are old. An accepted change
+// still comes into force on every instance, and stays.
+#[rstest::rstest]
+#[case::missed(Fault::MissWatch, 1)]
+#[case::late(Fault::LateWatchMs, 700)]
+#[case::old_reads(Fault::OldReads, 2)]
+fn apply_watch_faults_in_force(#[case] fault: Fault, #[case] value: u64) {
+    let world = World::new();
+    let fleet = world.start_fleet(["entry-0", "entry-1"]);
+    world.platform.store_faults().set(fault, value);
+    let mut revision = seen(&world).revision;
+    for change in 0..3 {
+        let content = format!("models:\n  a: {{note: \"{change}\"}}\n");
+        let current = world.platform.with_store(|store| {
+            let value = store.get(manifest::KEY).expect("a manifest");
+            serde_json::from_slice::<Manifest>(&value.bytes).expect("JSON")
+        });
+        let request = change.to_string();
+        let wish = wish(&current, "aino", "90-a.yaml", &content, &request);
+        let applied = manifest::apply(&store(&world), wish);
+        revision = current.revision + 1;
+        assert_eq!(applied, Applied::Accepted { revision });
+    }
+    in_force(&fleet, revision);
+}
