Show what instances do with a roll-out; one line a row; quiet when the reader goes

Cause: rollout status told the stage of the configuration, while instances judge, step and halt by themselves; tables drew a line between rows, which grep and head cut apart; head ended the command line with a panic of println.

--- a/crates/cli/src/access.rs
+++ b/crates/cli/src/access.rs
@@ -36,12 +36,7 @@
     token_file: Option<PathBuf>,
     /// The platform's store, as `host:port`, in place of an instance: for the
     /// first configuration, and for when no instance answers.
-    #[arg(
-        long,
-        value_name = "ADDRESS",
-        env = "FESCUERACK_STORE",
-        conflicts_with = "nodes"
-    )]
+    #[arg(long, value_name = "ADDRESS")]
     store: Option<String>,
 }
 
--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -74,8 +74,9 @@
         } else {
             "accepted as"
         };
-        println!("{state} revision {}", accepted.revision);
-        print!("{}", print::effects(&accepted.effects));
+        let revision = accepted.revision;
+        let effects = print::effects(&accepted.effects);
+        print::line(format!("{state} revision {revision}\n{effects}").trim_end())?;
     }
     let instances = wait(reach, output, record.within, accepted.revision);
     let behind: Vec<_> = instances
@@ -90,7 +91,7 @@
         accepted,
     };
     if output == Output::Json {
-        println!("{}", serde_json::to_string_pretty(&outcome)?);
+        print::line(&serde_json::to_string_pretty(&outcome)?)?;
     }
     if record.within > 0 && !behind.is_empty() {
         let message = format!(
@@ -152,10 +153,11 @@
         let all = instances.len();
         if output == Output::Table && behind != shown {
             let elapsed = started.elapsed().as_secs_f64();
-            println!(
-                "in force on {} of {all} instances after {elapsed:.1} s",
-                all - behind
-            );
+            let ahead = all - behind;
+            // A reader who has gone does not end the wait.
+            let _ = print::line(&format!(
+                "in force on {ahead} of {all} instances after {elapsed:.1} s"
+            ));
             shown = behind;
         }
         if behind == 0 || Instant::now() >= deadline {
--- a/crates/cli/src/commands/dump.rs
+++ b/crates/cli/src/commands/dump.rs
@@ -5,6 +5,7 @@
 
 use crate::access::{Access, states};
 use crate::exit::Failed;
+use crate::print;
 
 /// Prints the whole state of the named processes as JSON: one document, or a
 /// list when several are named.
@@ -37,8 +38,8 @@
                 return Err(Failed::usage("name an instance by --node").into());
             }
             [] => {}
-            [one] => println!("{}", serde_json::to_string_pretty(one)?),
-            all => println!("{}", serde_json::to_string_pretty(all)?),
+            [one] => print::line(&serde_json::to_string_pretty(one)?)?,
+            all => print::line(&serde_json::to_string_pretty(all)?)?,
         }
         failure.map_or(Ok(()), Err)
     }
--- a/crates/cli/src/commands/ledger.rs
+++ b/crates/cli/src/commands/ledger.rs
@@ -34,9 +34,9 @@
             ledger.sums.retain(|sum| sum.organisation == *name);
         }
         if self.csv {
-            println!("organisation,version,requests,input_tokens,output_tokens,micro_euro");
+            print::line("organisation,version,requests,input_tokens,output_tokens,micro_euro")?;
             for sum in &ledger.sums {
-                println!("{}", cells(sum).join(","));
+                print::line(&cells(sum).join(","))?;
             }
             return Ok(());
         }
--- a/crates/cli/src/commands/rollout.rs
+++ b/crates/cli/src/commands/rollout.rs
@@ -6,9 +6,10 @@
 use fescuerack_config::{Folder, Merged};
 use serde::Serialize;
 
-use crate::access::Access;
+use crate::access::{Access, states};
 use crate::change::{self, Record};
 use crate::exit::Failed;
+use crate::live;
 use crate::print::{self, Output};
 
 /// Opens, steps, pauses, closes and withdraws roll-outs.
@@ -181,11 +182,26 @@
     stages: Vec<f64>,
     paused: bool,
     exposure: u32,
+    /// What an instance has in force; absent when none was asked.
+    live: Option<live::Rollout>,
+}
+
+impl Row {
+    fn live_share(&self) -> String {
+        let share = self.live.as_ref().map(|live| live.share * 100.0);
+        share.map_or_else(|| "-".to_owned(), |share| format!("{share:.1}%"))
+    }
+}
+
+fn take(live: &mut Vec<live::Rollout>, model: &str) -> Option<live::Rollout> {
+    let at = live.iter().position(|rollout| rollout.model == model)?;
+    Some(live.swap_remove(at))
 }
 
 impl Status {
     fn execute(self, output: Output) -> Result<()> {
         let configuration = self.access.reach()?.configuration()?;
+        let mut live = live::rollouts(&states(&self.access)?);
         let files = configuration.files.into_iter();
         let folder = files.fold(Folder::new(), |folder, (name, file)| {
             folder.with_file(&name, file.text)
@@ -196,6 +212,9 @@
             .rollouts
             .into_iter()
             .map(|(model, rollout)| Row {
+                // Without a candidate nothing is rolled out, whatever an
+                // instance still remembers of the last one.
+                live: take(&mut live, &model).filter(|_| rollout.candidate.is_some()),
                 model,
                 share: match rollout.candidate {
                     Some(_) => rollout.stages.get(rollout.stage).copied().unwrap_or(0.0),
@@ -219,16 +238,22 @@
                     format!("{} of {}", row.stage, row.stages.len().saturating_sub(1)),
                     if row.paused { "yes" } else { "no" }.to_owned(),
                     row.exposure.to_string(),
+                    row.live_share(),
+                    row.live
+                        .as_ref()
+                        .map_or_else(|| "-".to_owned(), |live| live.verdict.clone()),
                 ]
             });
             let header = [
                 "model",
                 "current",
                 "candidate",
-                "share",
-                "stage",
+                "share set",
+                "stage set",
                 "paused",
                 "exposure",
+                "new sessions now",
+                "judgement",
             ];
             print::table(header, rows.collect())
         })
--- a/crates/cli/src/commands/show.rs
+++ b/crates/cli/src/commands/show.rs
@@ -43,8 +43,7 @@
         if let Some(name) = &self.file {
             let file = configuration.files.get(name);
             let file = file.with_context(|| format!("no file is named {name}"))?;
-            print!("{}", file.text);
-            return Ok(());
+            return print::line(file.text.trim_end_matches('\n'));
         }
         if let Some(path) = &self.into {
             return write(path, &configuration);
@@ -63,13 +62,12 @@
         folder = folder.with_file(name, Bytes::from(file.text.clone()));
     }
     apply::remember(path, &folder)?;
-    println!(
+    print::line(&format!(
         "revision {}: {} files in {}",
         configuration.revision,
         folder.files.len(),
         path.display()
-    );
-    Ok(())
+    ))
 }
 
 fn words(configuration: &Configuration) -> String {
--- a/crates/cli/src/commands/top.rs
+++ b/crates/cli/src/commands/top.rs
@@ -11,6 +11,7 @@
 
 use crate::access::{Access, states};
 use crate::exit::Failed;
+use crate::live;
 use crate::print::{self, Output};
 
 /// Clears the screen and goes to its first line.
@@ -35,6 +36,8 @@
 #[derive(Debug, Serialize)]
 struct Look {
     instances: Vec<Row>,
+    /// Roll-outs as the first instance that answers sees them.
+    rollouts: Vec<live::Rollout>,
     /// Counters of all instances that changed since the last look, a second.
     rates: BTreeMap<String, f64>,
 }
@@ -75,9 +78,11 @@
             let rates = before.map_or_else(BTreeMap::new, |(then, old)| {
                 rates(&old, &counters, now.duration_since(then))
             });
+            let rollouts = live::rollouts(&seen);
             let instances = seen.into_iter().map(|(address, state)| row(address, state));
             let look = Look {
                 instances: instances.collect(),
+                rollouts,
                 rates,
             };
             show(output, &look)?;
@@ -106,15 +111,16 @@
 fn show(output: Output, look: &Look) -> Result<()> {
     match output {
         // One document a line, so that a program can read look after look.
-        Output::Json => println!("{}", serde_json::to_string(look)?),
+        Output::Json => print::line(&serde_json::to_string(look)?),
         Output::Table => {
-            if std::io::stdout().is_terminal() {
-                print!("{CLEAR}");
-            }
-            println!("{}", words(look));
+            let clear = if std::io::stdout().is_terminal() {
+                CLEAR
+            } else {
+                ""
+            };
+            print::line(&format!("{clear}{}", words(look)))
         }
     }
-    Ok(())
 }
 
 fn sum(seen: &[(String, Result<Value>)]) -> BTreeMap<String, u64> {
@@ -184,6 +190,15 @@
         "address", "instance", "zone", "state", "revision", "running", "waiting", "to bill",
     ];
     let mut text = print::table(header, rows.collect());
+    if !look.rollouts.is_empty() {
+        let rows = look.rollouts.iter().map(|rollout| {
+            let share = format!("{:.1}%", rollout.share * 100.0);
+            [rollout.model.clone(), share, rollout.verdict.clone()]
+        });
+        let header = ["roll-out", "new sessions now", "judgement"];
+        text.push('\n');
+        text.push_str(&print::table(header, rows.collect()));
+    }
     let mut rates: Vec<_> = look.rates.iter().collect();
     rates.sort_by(|a, b| b.1.total_cmp(a.1));
     let rows = rates.into_iter().take(MOST_COUNTERS);
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod commands;
 mod demo;
 mod exit;
+mod live;
 mod print;
 
 use std::process::ExitCode;
@@ -18,9 +19,16 @@
 fn main() -> ExitCode {
     match commands::Arguments::parse().execute() {
         Ok(()) => ExitCode::SUCCESS,
+        // Whoever read the output has seen enough.
+        Err(error) if is_closed(&error) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("fescuerack: {error:#}");
             exit::code(&error)
         }
     }
 }
+
+fn is_closed(error: &anyhow::Error) -> bool {
+    let cause = error.downcast_ref::<std::io::Error>();
+    cause.is_some_and(|cause| cause.kind() == std::io::ErrorKind::BrokenPipe)
+}
--- a/crates/cli/src/print.rs
+++ b/crates/cli/src/print.rs
@@ -1,14 +1,21 @@
 //! Output: tables for people, JSON for programs.
 
 use std::fmt::Write as _;
+use std::io::Write as _;
 
 use anyhow::Result;
 use clap::ValueEnum;
-use comfy_table::Table;
-use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use comfy_table::{ContentLineStyle, LineStyle, Table, TableStyle};
 use fescuerack_config::difference::{Effect, Kind};
 use serde::Serialize;
 
+/// Style of tables: a line below the header and none between rows, so that each
+/// row is one line to `grep`.
+const STYLE: TableStyle = TableStyle::new()
+    .header_separator(LineStyle::new(' ', '─', ' ', ' '))
+    .header_lines(ContentLineStyle::new(' ', ' ', ' '))
+    .content_lines(ContentLineStyle::new(' ', ' ', ' '));
+
 /// Form of the output.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum)]
 pub enum Output {
@@ -30,15 +37,24 @@
             Self::Json => serde_json::to_string_pretty(value)?,
             Self::Table => table(value),
         };
-        println!("{}", text.trim_end());
-        Ok(())
+        line(text.trim_end())
     }
 }
 
+/// Prints text and a line break.
+///
+/// # Errors
+///
+/// When the output is closed, as `head` does: `println!` would panic.
+pub fn line(text: &str) -> Result<()> {
+    writeln!(std::io::stdout().lock(), "{text}")?;
+    Ok(())
+}
+
 /// Returns a table.
 pub fn table<const N: usize>(header: [&str; N], rows: Vec<[String; N]>) -> String {
     let mut table = Table::new();
-    table.load_style(UTF8_HORIZONTAL_ONLY);
+    table.load_style(STYLE);
     table.set_header(header);
     for row in rows {
         table.add_row(row);
