--- a/crates/config/src/catalog/compile/targets.rs
+++ b/crates/config/src/catalog/compile/targets.rs
@@ -4,11 +4,10 @@
 use super::{Builder, accepted};
 use crate::file;
 
-/// Share of the target below which an answer counts as bad, unless the entry
-/// says otherwise.
-const BAD_SHARE: f64 = 0.75;
-/// Largest share of requests that may try a version of uncertain quality.
-const MOST_EXPLORE: f64 = 0.2;
+/// Part of the target under which an answer is bad, unless the entry says.
+const BAD: f64 = 0.75;
+/// Most requests that may try a version of uncertain quality.
+const MOST_EXPLORED: f64 = 0.2;
 
 impl Builder<'_> {
     pub(super) fn targets(&mut self) {
@@ -20,11 +19,13 @@
     fn target(&mut self, name: &str, entry: &file::Target) {
         let path = format!("targets/{name}");
         self.share(&format!("{path}/quality"), entry.quality);
-        let bad_quality = entry.bad_quality.unwrap_or(entry.quality * BAD_SHARE);
+        let bad_quality = entry.bad_quality.unwrap_or(entry.quality * BAD);
         self.share(&format!("{path}/bad_quality"), bad_quality);
-        if !(0.0..=MOST_EXPLORE).contains(&entry.explore) {
-            let message = format!("{} must lie between 0 and {MOST_EXPLORE}", entry.explore);
-            self.report(&format!("{path}/explore"), message);
+        if !(0.0..=MOST_EXPLORED).contains(&entry.explore) {
+            self.report(
+                &format!("{path}/explore"),
+                format!("must lie between 0 and {MOST_EXPLORED}"),
+            );
         }
         if entry.deadline_ms == 0 {
             self.report(&format!("{path}/deadline_ms"), "must be at least 1");
@@ -60,9 +61,9 @@
                 deadline_ms: entry.deadline_ms,
                 long: entry.long,
                 cascade: entry.cascade,
-                priority: entry.priority,
                 bad_quality,
                 explore: entry.explore,
+                priority: entry.priority,
             },
         );
     }
--- a/crates/config/src/file.rs
+++ b/crates/config/src/file.rs
@@ -161,8 +161,9 @@
     /// Whether the roll-out stays at its stage.
     #[serde(default)]
     pub paused: bool,
-    /// Number of the operators' word on this roll-out. It rises with every
-    /// change of the entry. A halt holds for the words up to the one that it
+    /// Number of the operators' word on this roll-out. It rises when a roll-out
+    /// is opened, and only then: a step or a pause by somebody who has not heard
+    /// of a halt must not clear it. A halt holds for the words up to the one it
     /// stopped; only a higher number lets the same candidate start again.
     #[serde(default)]
     pub word: u64,
--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -90,6 +90,16 @@
         (0.05, 1.0, 0.5),
         "share of failed attempts from which a pool gets no further ones",
     ),
+    limit(
+        "ratings.per-second",
+        (0.0, 100_000.0, 50.0),
+        "ratings a second that all instances together ask for",
+    ),
+    limit(
+        "ratings.share",
+        (0.0, 1.0, 0.1),
+        "share of the usual answers that are rated; a candidate's all are, if there is room",
+    ),
 ];
 
 const fn limit(
--- a/crates/node/src/versions/ratings.rs
+++ b/crates/node/src/versions/ratings.rs
@@ -19,13 +19,9 @@
 /// Time after which the thread looks whether it is to stop.
 const LOOK: Duration = Duration::from_millis(500);
 /// Name of the limit: ratings a second of all instances.
-pub const LIMIT: &str = "ratings_per_second";
-/// Ratings a second of all instances if the configuration names none.
-const DEFAULT_RATE: f64 = 50.0;
+const RATE: &str = "ratings.per-second";
 /// Name of the limit: share of the usual answers that are rated.
-pub const SAMPLE_LIMIT: &str = "rated_share";
-/// Share of the usual answers that are rated if the configuration names none.
-pub const DEFAULT_SAMPLE: f64 = 0.1;
+pub const SHARE: &str = "ratings.share";
 
 /// An answer to be rated.
 #[derive(Clone, Debug)]
@@ -54,7 +50,7 @@
             service: HttpRating::new(address),
             waiting: Mutex::new(VecDeque::new()),
             arrived: Condvar::new(),
-            bucket: Mutex::new(Bucket::new(Instant::ORIGIN, DEFAULT_RATE)),
+            bucket: Mutex::new(Bucket::new(Instant::ORIGIN, 1.0)),
         }
     }
 
@@ -86,8 +82,7 @@
 
 /// Returns whether an answer may be rated now.
 pub fn may_rate(shared: &Shared, force: &Force, purpose: Purpose) -> bool {
-    let limit = force.catalog.limits.get(LIMIT).copied();
-    let rate = limit.unwrap_or(DEFAULT_RATE) / f64::from(super::instances(shared));
+    let rate = force.catalog.limit(RATE) / f64::from(super::instances(shared));
     let now = shared.now();
     lock(&shared.versions.ratings.bucket).take(now, rate, purpose)
 }
