--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod organisation;
 mod plan;
+mod replay;
 mod rollout;
 mod server;
 mod show;
@@ -61,6 +62,8 @@
     Digest(digest::Digest),
     /// Starts stand-ins and instances on this machine, to try the product.
     Demo(demo::Demo),
+    /// Replays a load through the decisions, to try a threshold.
+    Replay(replay::Replay),
     /// Prints completions for a shell.
     Completions(completions::Completions),
 }
@@ -87,6 +90,7 @@
             Command::Dump(dump) => dump.execute(),
             Command::Digest(digest) => digest.execute(),
             Command::Demo(demo) => demo.execute(),
+            Command::Replay(replay) => replay.execute(),
             Command::Completions(completions) => {
                 completions.execute();
                 Ok(())
