--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -101,6 +101,12 @@
         self.shared.is_ready()
     }
 
+    /// Returns how many instances the process knows, itself among them.
+    #[must_use]
+    pub fn fleet_size(&self) -> usize {
+        crate::shared::lock(&self.shared.member).view.size()
+    }
+
     /// Ends the process without cutting a request: readiness goes first, so
     /// that the balancer stops sending callers; new work is taken for as long
     /// as the balancer may lag, then refused; running work finishes; the
