Second run of a suspect only where its crash was seen; random runs

The store's permit and the permit that is taken for granted without the store did not exclude each other. Now only an instance that saw the crash may take the permit; the others refuse until they hear that the request survived, or for an hour.

Ruled out: refusing all second runs while the store is out (innocent neighbours of a crash would be lost).

--- a/crates/core/benches/versions/poison.rs
+++ b/crates/core/benches/versions/poison.rs
@@ -50,8 +50,8 @@
         match self.suspects[index].judge(now, request) {
             Verdict::Run => true,
             Verdict::Refuse => false,
-            Verdict::Permit { own } if self.down => own,
-            Verdict::Permit { .. } => {
+            Verdict::Permit if self.down => true,
+            Verdict::Permit => {
                 let record = self.store.get(&request).cloned().unwrap_or_default();
                 let lost = self.suspects[index].lost(request);
                 let taken = record.take(&format!("instance-{index}"), &lost);
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -15,10 +15,11 @@
 //! So the second run is what tells them apart, and keeping suspects away from
 //! each other is why an innocent one is not condemned with a guilty one twice.
 //!
-//! The second run needs a permit: a swap of the fingerprint's [`Record`] in
-//! the store, so that two instances that both saw a crash cannot each run it
-//! again. With the store out, the instance that saw the crash holds the permit
-//! and all others refuse. Suspicions are pushed to peers at once and repeated
+//! The second run is for the instance that saw the crash; all others refuse
+//! the request until they hear that it survived. It needs a permit besides, a
+//! swap of the fingerprint's [`Record`] in the store, so that two instances
+//! that both saw a crash cannot each run it again; with the store out the
+//! permit is taken for granted. Suspicions are pushed to peers at once and repeated
 //! in digests; until they arrive, another instance may still run a copy that
 //! was sent at the same time.
 
@@ -34,6 +35,9 @@
 pub const MOST_LOST: usize = 2;
 /// Milliseconds for which a suspicion is remembered.
 pub const MEMORY_MS: u64 = 86_400_000;
+/// Milliseconds for which a single crash keeps a request from running where
+/// the crash was not seen; an instance that was to try it again may be gone.
+pub const DOUBT_MS: u64 = 3_600_000;
 /// Suspicions that one instance remembers.
 const MOST: usize = 4096;
 /// Suspicions that are told to a peer at a time.
@@ -77,12 +81,13 @@
 }
 
 impl Record {
-    /// Takes the permit of the second run for `holder`; `None` when the
-    /// fingerprint may not run again.
+    /// Takes the permit of the second run for `holder`, who keeps it if that run
+    /// ended without a crash; `None` when the fingerprint may not run.
     #[must_use]
     pub fn take(mut self, holder: &str, lost: &BTreeSet<String>) -> Option<Self> {
         self.lost.extend(lost.iter().cloned());
-        if self.lost.len() >= MOST_LOST || self.permit.is_some() {
+        let other = self.permit.as_ref().is_some_and(|known| known != holder);
+        if self.lost.len() >= MOST_LOST || other {
             return None;
         }
         self.permit = Some(holder.to_owned());
@@ -114,12 +119,9 @@
 pub enum Verdict {
     /// Run.
     Run,
-    /// Run once more with the permit from the store; `own` says that the crash
-    /// was seen here, so that the permit is held here while the store is out.
-    Permit {
-        /// Whether this instance saw the crash.
-        own: bool,
-    },
+    /// Run once more, with the permit from the store: the crash was seen here.
+    /// While the store is out this instance holds the permit.
+    Permit,
     /// Not run.
     Refuse,
 }
@@ -129,6 +131,7 @@
     lost: BTreeSet<String>,
     survived: bool,
     own: bool,
+    doubt_until: Instant,
     until: Instant,
 }
 
@@ -153,8 +156,12 @@
         match self.known.get(&fingerprint) {
             Some(known) if now >= known.until => Verdict::Run,
             Some(known) if known.lost.len() >= MOST_LOST => Verdict::Refuse,
-            Some(known) if !known.survived => Verdict::Permit { own: known.own },
-            _ => Verdict::Run,
+            // The permit is for one run at a time.
+            Some(_) if self.running.contains_key(&fingerprint) => Verdict::Refuse,
+            Some(known) if known.survived || now >= known.doubt_until => Verdict::Run,
+            Some(known) if known.own => Verdict::Permit,
+            Some(_) => Verdict::Refuse,
+            None => Verdict::Run,
         }
     }
 
@@ -169,7 +176,7 @@
     #[must_use]
     pub fn start(&mut self, now: Instant, fingerprint: Fingerprint, server: key::Server) -> bool {
         let verdict = self.judge(now, fingerprint);
-        if let Verdict::Permit { .. } = verdict {
+        if verdict == Verdict::Permit {
             self.running.insert(fingerprint, server);
         }
         verdict != Verdict::Refuse
@@ -224,10 +231,12 @@
             return;
         }
         let until = now.plus_millis(MEMORY_MS);
+        let doubt_until = now.plus_millis(DOUBT_MS);
         let known = self.known.entry(fingerprint).or_insert(Suspicion {
             lost: BTreeSet::new(),
             survived: false,
             own: false,
+            doubt_until,
             until,
         });
         let before = known.lost.len();
@@ -236,6 +245,7 @@
             // A crash after an end that was well counts like the first one.
             known.survived = false;
             known.until = until;
+            known.doubt_until = doubt_until;
         }
         known.survived |= survived;
         known.own |= own;
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the core's slices, without a network.
 
+mod choice;
 mod fleet;
 mod member;
+mod poison;
 mod replay;
 mod rollout;
--- /dev/null
+++ b/crates/core/tests/all/poison.rs
@@ -0,0 +1,161 @@
+//! Requests that crash servers, sent again through random instances.
+
+use std::collections::BTreeMap;
+
+use fescuerack_config::Names;
+use fescuerack_core::clock::Instant;
+use fescuerack_core::poison::{Digest, Fingerprint, MOST_LOST, Record, Suspects, Verdict};
+use proptest::prelude::*;
+use proptest::test_runner::TestRunner;
+
+use crate::rollout::config;
+
+const INSTANCES: usize = 3;
+const REQUESTS: u64 = 4;
+
+#[derive(Clone, Debug)]
+enum Op {
+    /// An instance is sent a request.
+    Send(usize, u64),
+    /// A run ends, perhaps with the crash of its server.
+    End(usize, bool),
+    /// An old message comes again.
+    Old(usize, usize),
+    Restart(usize),
+    Store(bool),
+    Wait(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let instance = 0..INSTANCES;
+    prop_oneof![
+        8 => (instance.clone(), 0..REQUESTS).prop_map(|(index, request)| Op::Send(index, request)),
+        8 => (0..8_usize, any::<bool>()).prop_map(|(run, crash)| Op::End(run, crash)),
+        2 => (instance.clone(), 0..32_usize).prop_map(|(index, old)| Op::Old(index, old)),
+        1 => instance.prop_map(Op::Restart),
+        1 => any::<bool>().prop_map(Op::Store),
+        1 => (1..3600_u64).prop_map(Op::Wait),
+    ]
+}
+
+struct Run {
+    now: Instant,
+    suspects: Vec<Suspects>,
+    store: BTreeMap<Fingerprint, Record>,
+    down: bool,
+    told: Vec<Digest>,
+    lost: BTreeMap<Fingerprint, usize>,
+    servers: u32,
+    /// Instance and request of each run, and whether it was suspected.
+    runs: Vec<(usize, Fingerprint, bool)>,
+}
+
+impl Run {
+    fn may_run(&mut self, index: usize, request: Fingerprint) -> bool {
+        match self.suspects[index].judge(self.now, request) {
+            Verdict::Run => true,
+            Verdict::Refuse => false,
+            Verdict::Permit if self.down => true,
+            Verdict::Permit => {
+                let record = self.store.get(&request).cloned().unwrap_or_default();
+                let lost = self.suspects[index].lost(request);
+                let taken = record.take(&format!("instance-{index}"), &lost);
+                let may = taken.is_some();
+                self.store.extend(taken.map(|taken| (request, taken)));
+                may
+            }
+        }
+    }
+
+    /// A suspicion is pushed to every peer at once.
+    fn tell(&mut self, from: usize) {
+        let digest = self.suspects[from].digest(self.now);
+        for (index, suspects) in self.suspects.iter_mut().enumerate() {
+            if index != from {
+                suspects.merge(self.now, &digest);
+            }
+        }
+        self.told.push(digest);
+    }
+
+    fn send(&mut self, index: usize, request: Fingerprint) {
+        let suspected = self.suspects[index].judge(self.now, request) != Verdict::Run;
+        // Copies that run before anybody suspects them are not bounded: a
+        // caller sends the next one after the answer, or after a crash.
+        let first = |run: &(usize, Fingerprint, bool)| run.1 == request && !run.2;
+        if !suspected && self.runs.iter().any(first) {
+            return;
+        }
+        if self.may_run(index, request) {
+            let server = Names::new().servers.intern("any");
+            assert!(self.suspects[index].start(self.now, request, server));
+            self.runs.push((index, request, suspected));
+        }
+    }
+
+    fn end(&mut self, run: usize, crash: bool) {
+        if run >= self.runs.len() {
+            return;
+        }
+        let (index, request, _) = self.runs.remove(run);
+        if !crash {
+            self.suspects[index].survived(request);
+            return;
+        }
+        self.servers += 1;
+        *self.lost.entry(request).or_default() += 1;
+        let server = format!("server-{}", self.servers);
+        self.suspects[index].crashed(self.now, request, &server);
+        self.tell(index);
+        let lost = self.lost[&request];
+        assert!(lost <= MOST_LOST, "{lost} servers lost to one request");
+    }
+
+    fn apply(&mut self, op: &Op) {
+        self.now = self.now.plus_millis(100);
+        match *op {
+            Op::Send(index, request) => self.send(index, Fingerprint(request)),
+            Op::End(run, crash) => self.end(run, crash),
+            Op::Old(index, old) => {
+                if let Some(digest) = self.told.get(old) {
+                    self.suspects[index].merge(self.now, digest);
+                }
+            }
+            Op::Restart(index) => {
+                self.suspects[index] = Suspects::new();
+                self.runs.retain(|run| run.0 != index);
+                // It hears a peer before it takes callers.
+                let peer = self.suspects[(index + 1) % INSTANCES].digest(self.now);
+                self.suspects[index].merge(self.now, &peer);
+            }
+            Op::Store(down) => self.down = down,
+            Op::Wait(seconds) => self.now = self.now.plus_millis(seconds * 1000),
+        }
+    }
+}
+
+#[test]
+fn suspects_random_faults_lose_at_most_two_servers() {
+    // Under a day in all, which is how long a suspicion is remembered.
+    let ops = prop::collection::vec(op(), 1..150);
+    let mut runner = TestRunner::new(config());
+    let result = runner.run(&ops, |ops| {
+        let mut run = Run {
+            now: Instant::ORIGIN,
+            suspects: vec![Suspects::new(); INSTANCES],
+            store: BTreeMap::new(),
+            down: false,
+            told: Vec::new(),
+            lost: BTreeMap::new(),
+            servers: 0,
+            runs: Vec::new(),
+        };
+        for op in &ops {
+            run.apply(op);
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -37,7 +37,7 @@
     let may = match verdict {
         Verdict::Run => true,
         Verdict::Refuse => false,
-        Verdict::Permit { own } => permit(shared, fingerprint).unwrap_or(own),
+        Verdict::Permit => permit(shared, fingerprint).unwrap_or(true),
     };
     if !may {
         shared.metrics.count("suspects.refused");
@@ -52,7 +52,7 @@
 /// When the store gives no answer.
 fn permit(shared: &Shared, fingerprint: Fingerprint) -> Result<bool> {
     let key = fingerprint.key();
-    let holder = shared.random_id();
+    let holder = &shared.incarnation;
     let lost = lock(&shared.versions.suspects).lost(fingerprint);
     for _ in 0..TRIES {
         let value = shared.store.get(&key)?;
@@ -63,13 +63,9 @@
             ),
             None => (0, Record::default()),
         };
-        // The answer to an earlier try was lost: the permit is held already.
-        if record.permit.as_ref() == Some(&holder) {
-            return Ok(true);
-        }
         let now = shared.now();
         lock(&shared.versions.suspects).adopt(now, fingerprint, &record);
-        let Some(taken) = record.take(&holder, &lost) else {
+        let Some(taken) = record.take(holder, &lost) else {
             return Ok(false);
         };
         let bytes = Bytes::from(serde_json::to_vec(&taken)?);
@@ -80,6 +76,12 @@
     Ok(false)
 }
 
+/// Has all peers told at once.
+fn press(shared: &Shared) {
+    lock(&shared.member).press();
+    shared.wake.notify_one();
+}
+
 /// Notes that a server crashed under a request; returns whether the request is
 /// thereby condemned.
 fn note_crash(shared: &Shared, fingerprint: Fingerprint, server: &str) -> bool {
@@ -90,8 +92,7 @@
     drop(suspects);
     shared.metrics.count("suspects.crashes");
     // The caller may send it again at once, through any instance.
-    lock(&shared.member).press();
-    shared.wake.notify_one();
+    press(shared);
     log::warn!(server = server; "a backend server crashed under a request");
     condemned
 }
@@ -131,7 +132,10 @@
         Err(Fault::NotSent(_)) => return,
         Err(_) => Event::Failed(attempt.server),
         Ok(()) => {
-            lock(&shared.versions.suspects).survived(attempt.fingerprint);
+            if lock(&shared.versions.suspects).survived(attempt.fingerprint) {
+                // Until they hear, the others would refuse an innocent request.
+                press(shared);
+            }
             return;
         }
     };
