Order engines to load what the configuration names, one instance at a time

Cause: nothing loaded the versions of a roll-out, and two instances that did so side by side would undo each other's orders. The instance that ranks first for a fleet takes the fleet's lease in the store; the version of the lease's key is the fencing number. Engines that ignore it are covered by orders that must end 3 s before the lease, counted from before its request was sent. Ruled out: a lease by wall-clock time in a lasting key (needs synchronised clocks), and a lease for all fleets (one paused holder would stop all).

--- a/crates/config/src/limits.rs
+++ b/crates/config/src/limits.rs
@@ -90,6 +90,11 @@
         (0.05, 1.0, 0.5),
         "share of failed attempts from which a pool gets no further ones",
     ),
+    limit(
+        "orders.loads-per-second",
+        (1.0, 1_000.0, 4.0),
+        "loads a second that engines are ordered, over all fleets",
+    ),
     limit(
         "ratings.per-second",
         (0.0, 100_000.0, 50.0),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 pub mod member;
 pub mod num;
+pub mod order;
 pub mod pacing;
 pub mod poison;
 pub mod rollout;
--- /dev/null
+++ b/crates/core/src/order/holder.rs
@@ -0,0 +1,131 @@
+//! The lease under which orders are given, and what it permits.
+//!
+//! The failure: the holder is paused (by its hypervisor, by swapping) and its
+//! lease lapses. Another instance takes the lease and orders the engine to
+//! load a version. The paused one wakes and, not knowing that time has passed,
+//! orders the engine to unload it. The version that a roll-out needs is gone.
+//!
+//! Two guards:
+//!
+//! - Every order carries the number that the store gave to this holding of the
+//!   lease. Engines that fence refuse a number lower than one they have seen,
+//!   so the late order has no effect whatever the pause.
+//! - For engines that ignore the number, an order must have ended
+//!   [`MARGIN_MS`] before the lease lapses. The lease is counted from before
+//!   its request was sent, so it ends here before it ends at the store. A new
+//!   holder can only begin after the store's end, and so at least the margin
+//!   after the last order of the old one must have ended. What remains is a
+//!   pause longer than the margin that falls between the last look at the
+//!   clock and the write of an order, which takes microseconds.
+
+use crate::clock::Instant;
+
+/// Milliseconds that a lease lasts unless it is renewed. Long enough that a
+/// restart of the store or a lost answer does not end it, short enough that a
+/// roll-out does not wait long for a new holder.
+pub const TTL_MS: u64 = 10_000;
+/// Milliseconds between two renewals: two may fail before the lease lapses.
+pub const RENEW_MS: u64 = 3_000;
+/// Milliseconds before the end of the lease at which every order has ended.
+/// Pauses of virtual machines during live migration last up to about a second.
+pub const MARGIN_MS: u64 = 3_000;
+
+/// Leave to give one order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Permit {
+    /// Fencing number, to be sent with the order.
+    pub number: u64,
+    /// When the order must have ended.
+    pub deadline: Instant,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Lease {
+    id: u64,
+    number: u64,
+    until: Instant,
+    renew_at: Instant,
+}
+
+/// One instance's hold on one fleet.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Holder {
+    lease: Option<Lease>,
+    /// Highest number that was ever held; numbers only rise.
+    highest: u64,
+}
+
+impl Holder {
+    /// Returns a holder that holds nothing.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that the lease `id` was taken by a request sent at `sent`, and
+    /// that the store gave it `number`.
+    ///
+    /// # Panics
+    ///
+    /// When the number is not higher than all before: the store's numbers
+    /// rise with every write.
+    pub fn take(&mut self, sent: Instant, id: u64, number: u64) {
+        assert!(number > self.highest, "a fencing number did not rise");
+        self.highest = number;
+        self.lease = Some(Lease {
+            id,
+            number,
+            until: sent.plus_millis(TTL_MS),
+            renew_at: sent.plus_millis(RENEW_MS),
+        });
+    }
+
+    /// Records that the lease was renewed by a request sent at `sent`.
+    pub fn renew(&mut self, sent: Instant) {
+        if let Some(lease) = &mut self.lease {
+            lease.until = lease.until.max(sent.plus_millis(TTL_MS));
+            lease.renew_at = sent.plus_millis(RENEW_MS);
+        }
+    }
+
+    /// Records that the store no longer knows the lease, or that it is given
+    /// up.
+    pub fn lose(&mut self) {
+        self.lease = None;
+    }
+
+    /// Returns the lease that is due for renewal.
+    #[must_use]
+    pub fn due(&self, now: Instant) -> Option<u64> {
+        let lease = self.lease?;
+        (lease.renew_at <= now).then_some(lease.id)
+    }
+
+    /// Returns whether the lease is held.
+    #[must_use]
+    pub fn is_held(&self, now: Instant) -> bool {
+        self.lease.is_some_and(|lease| now < lease.until)
+    }
+
+    /// Returns leave to give one order now, if there is time left for it.
+    #[must_use]
+    pub fn permit(&self, now: Instant) -> Option<Permit> {
+        let lease = self.lease?;
+        if now.plus_millis(MARGIN_MS) >= lease.until {
+            return None;
+        }
+        let left_ms = u64::try_from(lease.until.since(now).as_millis()).unwrap_or(0);
+        Some(Permit {
+            number: lease.number,
+            deadline: now.plus_millis(left_ms - MARGIN_MS),
+        })
+    }
+}
+
+impl Permit {
+    /// Returns whether an order may still be sent.
+    #[must_use]
+    pub fn is_valid(&self, now: Instant) -> bool {
+        now < self.deadline
+    }
+}
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 mod fleet;
 mod member;
+mod order;
 mod replay;
 mod rollout;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 mod operators;
+mod orders;
 mod peers;
 mod running;
 mod servers;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stop::Stop;
-use crate::{claims, force, ledger, loads, servers, versions};
+use crate::{claims, force, ledger, loads, orders, servers, versions};
 
 /// Stack of one thread, in bytes. Threads that read backend servers are many
 /// and shallow.
@@ -60,6 +60,7 @@
         let stop = Stop::new();
         spawn("config", &shared, &stop, force::follow)?;
         spawn("servers", &shared, &stop, servers::follow)?;
+        spawn("orders", &shared, &stop, orders::follow)?;
         spawn("loads", &shared, &stop, loads::follow)?;
         spawn("claims", &shared, &stop, claims::follow)?;
         spawn("rollouts", &shared, &stop, versions::rollouts::follow)?;
--- a/crates/node/src/operators/state.rs
+++ b/crates/node/src/operators/state.rs
@@ -3,6 +3,7 @@
 //! It holds names, numbers and states; no key, no token and no text of a
 //! caller, so that it can be pasted into a report.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
 use serde_json::json;
@@ -41,6 +42,7 @@
         "claims": {"backlog": shared.claims.backlog()},
         "ledger": shared.ledger.state(),
         "store": shared.store.calls(),
+        "orders": orders(shared),
         "versions": versions::state(shared),
         "counters": shared.metrics.counters(),
     })
@@ -70,3 +72,13 @@
         "hashes": member.replica.hashes(),
     })
 }
+
+fn orders(shared: &Shared) -> BTreeMap<String, crate::orders::Summary> {
+    let force = shared.force();
+    let orders = lock(&shared.orders);
+    let named = orders.iter().map(|(fleet, summary)| {
+        let name = force.names.fleets.name(*fleet).to_string();
+        (name, summary.clone())
+    });
+    named.collect()
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -1,11 +1,11 @@
 //! What the threads of a process share.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use anyhow::Result;
-use fescuerack_config::{Catalog, Names};
+use fescuerack_config::{Catalog, Names, key};
 use fescuerack_core::admission::rate::Rates;
 use fescuerack_core::attempt::pools::Pools;
 use fescuerack_core::clock::Instant;
@@ -21,7 +21,7 @@
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 use crate::versions::Versions;
-use crate::{claims, force, ledger};
+use crate::{claims, force, ledger, orders};
 
 /// The configuration in force, with the names of its keys.
 #[derive(Clone, Debug, Default)]
@@ -78,6 +78,8 @@
     pub member: Mutex<member::Exchange>,
     /// Servers of which peers were told that they leave.
     pub told_leaving: Mutex<BTreeSet<String>>,
+    /// What this process orders, by fleet.
+    pub orders: Mutex<BTreeMap<key::Fleet, orders::Summary>>,
     /// Wakes the exchange with other instances.
     pub wake: tokio::sync::Notify,
     /// Whether the instance list has been read since the start.
@@ -134,6 +136,7 @@
             pools: Mutex::new(Pools::new()),
             names: Mutex::new(Names::new()),
             member: Mutex::new(member::Exchange::new(identity(&settings))),
+            orders: Mutex::new(BTreeMap::new()),
             told_leaving: Mutex::new(BTreeSet::new()),
             wake: tokio::sync::Notify::new(),
             listed: AtomicBool::new(false),
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod engine;
 mod input;
+mod orders;
 mod outage;
 mod path;
 mod peers;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ledger;
 mod limit;
 pub mod manifest;
+pub mod order;
 mod rating;
 pub mod service;
 mod store;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,6 +17,7 @@
 
 use crate::answer::Answer;
 use crate::http::{answer, header as read_header, json, number};
+use crate::orders::Orders;
 use crate::{Fault, Faults, Request, Response, Server};
 
 /// Attempts that can be resumed; the oldest is forgotten first.
@@ -63,6 +64,7 @@
     leaving: AtomicBool,
     running: AtomicU64,
     work: AtomicU64,
+    orders: Orders,
 }
 
 /// The engine's stand-in.
@@ -92,6 +94,7 @@
             leaving: AtomicBool::new(false),
             running: AtomicU64::new(0),
             work: AtomicU64::new(0),
+            orders: Orders::default(),
         });
         let for_handler = Arc::clone(&shared);
         let handler: crate::Handler = Arc::new(move |request| {
@@ -114,6 +117,12 @@
         &self.shared.faults
     }
 
+    /// Returns the orders that it took.
+    #[must_use]
+    pub fn orders(&self) -> &Orders {
+        &self.shared.orders
+    }
+
     /// Cuts every connection after this many events; 0 cuts none.
     pub fn cut_after(&self, events: u64) {
         self.shared.cut_after.store(events, Ordering::SeqCst);
@@ -157,8 +166,11 @@
             return None;
         }
         let path = request.uri().path();
-        if path == "/load" {
-            return Some(self.load());
+        match path {
+            "/load" => return Some(self.load()),
+            "/v1/loaded" => return Some(self.orders.list()),
+            "/v1/orders" => return Some(self.orders.take(&request)),
+            _ => {}
         }
         match path.strip_prefix("/v1/attempts/") {
             Some(rest) => match rest.split_once('/') {
--- /dev/null
+++ b/crates/standin/src/orders.rs
@@ -0,0 +1,77 @@
+//! Orders to the stand-in engine: what it has loaded, and its fence.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
+
+use fescuerack_wire::order::{Action, Loaded, Order};
+
+use crate::http::{answer, json};
+use crate::{Body, Request};
+
+#[derive(Debug, Default)]
+struct State {
+    highest: u64,
+    loaded: BTreeSet<String>,
+    taken: Vec<Order>,
+}
+
+/// The orders that an engine took.
+#[derive(Debug, Default)]
+pub struct Orders {
+    ignores_fence: AtomicBool,
+    state: Mutex<State>,
+}
+
+impl Orders {
+    /// Whether orders with an old number are carried out all the same.
+    pub fn ignore_fence(&self, ignores: bool) {
+        self.ignores_fence.store(ignores, Ordering::SeqCst);
+    }
+
+    /// Loses every version, as a restart does.
+    pub fn forget(&self) {
+        self.with(|state| state.loaded.clear());
+    }
+
+    /// Returns the versions that are loaded.
+    #[must_use]
+    pub fn loaded(&self) -> BTreeSet<String> {
+        self.with(|state| state.loaded.clone())
+    }
+
+    /// Returns the orders that were carried out, in their order.
+    #[must_use]
+    pub fn taken(&self) -> Vec<Order> {
+        self.with(|state| state.taken.clone())
+    }
+
+    pub(crate) fn list(&self) -> hyper::Response<Body> {
+        let versions = self.loaded().into_iter().collect();
+        json(&Loaded { versions })
+    }
+
+    pub(crate) fn take(&self, request: &Request) -> hyper::Response<Body> {
+        let order: Order = match serde_json::from_slice(request.body()) {
+            Ok(order) => order,
+            Err(error) => return answer(400, error.to_string()),
+        };
+        let fences = !self.ignores_fence.load(Ordering::SeqCst);
+        self.with(|state| {
+            if fences && order.number < state.highest {
+                return answer(409, "a higher fencing number was seen");
+            }
+            state.highest = state.highest.max(order.number);
+            match order.action {
+                Action::Load => state.loaded.insert(order.version.clone()),
+                Action::Unload => state.loaded.remove(&order.version),
+            };
+            state.taken.push(order);
+            answer(200, "")
+        })
+    }
+
+    fn with<R>(&self, act: impl FnOnce(&mut State) -> R) -> R {
+        act(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod kv;
 pub mod list;
 pub mod load;
+pub mod order;
 pub mod peer;
 pub mod rating;
 pub mod token;
