Check settings by file, line and variable; document every metric

Cause: a wrong setting was told without its range, only the first was told, limits were mostly unchecked (a drain deadline before the drain's lag was taken), nothing could be set from the environment, and names of metrics stood only in the code.

Settings are read through the configuration's tree of nodes, which keeps lines; FESCUERACK_<SETTING> goes over the file; a misspelt variable of a group is an error. limits.connections bounds what is open, refused with a typed 429. docs/METRICS.md lists 76 names; a test compares it with the code both ways.

Ruled out: serde-saphyr's own locations, which end at the first error and know nothing of a value that parses and is out of range.

--- a/crates/node/src/callers/connection.rs
+++ b/crates/node/src/callers/connection.rs
@@ -122,6 +122,11 @@
     })
 }
 
+/// Refuses a connection for which there is no room.
+pub async fn refuse(stream: TcpStream) {
+    end(stream, Some(last_answer(Kind::Overloaded))).await;
+}
+
 /// Returns the bytes of the answer that an idle connection ends with.
 fn last_answer(kind: Kind) -> Vec<u8> {
     let (line, message) = match kind {
@@ -129,6 +134,10 @@
             "408 Request Timeout",
             "the headers came too slowly; not run",
         ),
+        Kind::Overloaded => (
+            "429 Too Many Requests",
+            "too many connections are open; not run",
+        ),
         _ => (
             "503 Service Unavailable",
             "this instance is shutting down; not run",
--- a/crates/node/src/callers/port.rs
+++ b/crates/node/src/callers/port.rs
@@ -14,7 +14,7 @@
 
 use anyhow::{Context as _, Result};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
 use super::connection;
 use crate::shared::Shared;
@@ -63,7 +63,13 @@
         let (phase, following) = watch::channel(Phase::Serving);
         let (serving, served) = mpsc::channel(1);
         let (refusing, refused) = mpsc::channel(1);
+        let most = shared
+            .settings
+            .limits
+            .connections
+            .min(Semaphore::MAX_PERMITS);
         let acceptor = Acceptor {
+            open: Arc::new(Semaphore::new(most)),
             shared,
             listener,
             phase: following,
@@ -97,6 +103,7 @@
     shared: Arc<Shared>,
     listener: TcpListener,
     phase: watch::Receiver<Phase>,
+    open: Arc<Semaphore>,
 }
 
 impl Acceptor {
@@ -132,10 +139,17 @@
     }
 
     fn serve(&self, stream: TcpStream, token: Token) {
+        let Ok(open) = Arc::clone(&self.open).try_acquire_owned() else {
+            // A typed refusal in place of a wait in the kernel's queue, whose
+            // length no caller knows.
+            self.shared.metrics.count("callers.over_connections");
+            tokio::spawn(connection::refuse(stream));
+            return;
+        };
         let connection = connection::run(Arc::clone(&self.shared), stream, self.phase.clone());
         tokio::spawn(async move {
             connection.await;
-            drop(token);
+            drop((token, open));
         });
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,4 +31,4 @@
 mod versions;
 
 pub use node::Node;
-pub use settings::{Limits, Listen, Logs, Settings};
+pub use settings::{Limits, Listen, Logs, Settings, variables};
--- /dev/null
+++ b/crates/node/src/settings/check.rs
@@ -0,0 +1,136 @@
+//! What each setting accepts.
+
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+
+use fescuerack_wire::peer::LEAST_KEY;
+
+use super::{Limits, Settings};
+
+/// Longest name of an instance, an availability zone or a fleet: names go into
+/// keys of the store and into every message between instances.
+const LONGEST_NAME: usize = 64;
+/// Levels of logs.
+const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
+/// Time-outs of sockets, in milliseconds.
+const TIMEOUT: RangeInclusive<u64> = 10..=600_000;
+
+/// A setting and what is wrong with it.
+type Found = (&'static str, String);
+
+/// Returns everything that is wrong.
+pub fn problems(settings: &Settings) -> Vec<Found> {
+    let listen = &settings.listen;
+    let limits = &settings.limits;
+    let texts = [
+        ("instance", name(&settings.instance)),
+        ("zone", name(&settings.zone)),
+        ("fleet", name(&settings.fleet)),
+        ("peer_key", peer_key(&settings.peer_key)),
+        ("platform", host_and_port(&settings.platform)),
+        ("statsd", optional(&settings.statsd)),
+        ("listen.callers", address(&listen.callers)),
+        ("listen.operators", address(&listen.operators)),
+        ("listen.peers", address(&listen.peers)),
+        ("logs.level", level(&settings.logs.level)),
+    ];
+    let mut found: Vec<Found> = numbers(limits).into();
+    found.retain(|(_, message)| !message.is_empty());
+    let wrong = texts
+        .into_iter()
+        .filter_map(|(setting, problem)| Some((setting, problem?)));
+    found.extend(wrong);
+    found
+}
+
+fn numbers(limits: &Limits) -> [Found; 10] {
+    let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+    [
+        within("limits.concurrency", count(limits.concurrency), 1..=100_000),
+        within(
+            "limits.connections",
+            count(limits.connections),
+            1..=1_000_000,
+        ),
+        within("limits.workers", count(limits.workers), 1..=1_024),
+        within(
+            "limits.body_bytes",
+            count(limits.body_bytes),
+            1_024..=268_435_456,
+        ),
+        within(
+            "limits.header_timeout_ms",
+            limits.header_timeout_ms,
+            TIMEOUT,
+        ),
+        within("limits.body_timeout_ms", limits.body_timeout_ms, TIMEOUT),
+        within("limits.write_timeout_ms", limits.write_timeout_ms, TIMEOUT),
+        within("limits.drain_lag_ms", limits.drain_lag_ms, 0..=600_000),
+        within(
+            "limits.drain_deadline_ms",
+            limits.drain_deadline_ms,
+            1..=86_400_000,
+        ),
+        drain(limits),
+    ]
+}
+
+fn within(setting: &'static str, number: u64, accepted: RangeInclusive<u64>) -> Found {
+    if accepted.contains(&number) {
+        return (setting, String::new());
+    }
+    let (least, most) = accepted.into_inner();
+    (
+        setting,
+        format!("is {number}; accepted are {least} to {most}"),
+    )
+}
+
+/// A drain that is over before new work is refused cuts whatever runs.
+fn drain(limits: &Limits) -> Found {
+    let mut message = String::new();
+    if limits.drain_deadline_ms <= limits.drain_lag_ms {
+        message = format!(
+            "is {}; accepted is more than limits.drain_lag_ms, which is {}",
+            limits.drain_deadline_ms, limits.drain_lag_ms
+        );
+    }
+    ("limits.drain_deadline_ms", message)
+}
+
+fn name(value: &str) -> Option<String> {
+    let plain = |letter: char| letter.is_ascii_alphanumeric() || "-_.".contains(letter);
+    let accepted = (1..=LONGEST_NAME).contains(&value.len()) && value.chars().all(plain);
+    (!accepted).then(|| {
+        format!("is `{value}`; accepted are 1 to {LONGEST_NAME} letters, digits, `-`, `_` and `.`")
+    })
+}
+
+fn peer_key(value: &str) -> Option<String> {
+    (value.len() < LEAST_KEY).then(|| format!("must hold at least {LEAST_KEY} characters"))
+}
+
+fn address(value: &str) -> Option<String> {
+    let wrong = value.parse::<SocketAddr>().is_err();
+    wrong.then(|| format!("is `{value}`; accepted is an IP number and a port, as 10.0.0.7:8080"))
+}
+
+fn host_and_port(value: &str) -> Option<String> {
+    let parts = value.rsplit_once(':');
+    let accepted = parts.is_some_and(|(host, port)| {
+        !host.is_empty() && !host.contains('/') && port.parse::<u16>().is_ok_and(|port| port > 0)
+    });
+    (!accepted).then(|| format!("is `{value}`; accepted is host:port, without a scheme"))
+}
+
+fn optional(value: &str) -> Option<String> {
+    if value.is_empty() {
+        return None;
+    }
+    host_and_port(value)
+}
+
+fn level(value: &str) -> Option<String> {
+    let wrong = !LEVELS.contains(&value);
+    wrong.then(|| format!("is `{value}`; accepted are {}", LEVELS.join(", ")))
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings/mod.rs
@@ -1,11 +1,19 @@
-//! Settings of one process, read from YAML.
+//! Settings of one process.
+//!
+//! They come from one YAML file; variables of the environment go over it, so
+//! that all instances can share a file and differ in their name and addresses
+//! (`read`). A wrong setting keeps the process from starting, and is told with
+//! its file and line, its name and what is accepted (`check`): an instance
+//! that runs with another limit than its operator believes is found out under
+//! load, when it is too late.
 
-use std::path::Path;
+mod check;
+mod read;
 
-use anyhow::{Context as _, Result, anyhow, ensure};
-use fescuerack_wire::peer::LEAST_KEY;
 use serde::Deserialize;
 
+pub use read::variables;
+
 /// Settings of one process.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -66,6 +74,8 @@
 pub struct Limits {
     /// Requests that run at a time.
     pub concurrency: usize,
+    /// Connections of callers that are open at a time; idle ones count too.
+    pub connections: usize,
     /// Threads of the async runtime.
     pub workers: usize,
     /// Largest body of a request, in bytes.
@@ -86,6 +96,7 @@
     fn default() -> Self {
         Self {
             concurrency: 400,
+            connections: 10_000,
             workers: 2,
             body_bytes: 4 << 20,
             header_timeout_ms: 5_000,
@@ -154,35 +165,4 @@
         self.limits = limits;
         self
     }
-
-    /// Reads and checks a settings file.
-    ///
-    /// # Errors
-    ///
-    /// What is wrong with the file, with its line.
-    pub fn read(path: &Path) -> Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .with_context(|| format!("read settings {}", path.display()))?;
-        let settings: Self = serde_saphyr::from_str(&text)
-            .map_err(|error| anyhow!("{}: {error}", path.display()))?;
-        settings.check()?;
-        Ok(settings)
-    }
-
-    fn check(&self) -> Result<()> {
-        ensure!(!self.instance.is_empty(), "instance: must not be empty");
-        ensure!(
-            self.peer_key.len() >= LEAST_KEY,
-            "peer_key: must hold at least {LEAST_KEY} characters"
-        );
-        ensure!(
-            self.limits.concurrency > 0,
-            "limits.concurrency: must be at least 1"
-        );
-        ensure!(
-            self.limits.workers > 0,
-            "limits.workers: must be at least 1"
-        );
-        Ok(())
-    }
 }
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -2,8 +2,10 @@
 
 mod engine;
 mod input;
+mod metrics;
 mod path;
 mod peers;
+mod settings;
 mod shutdown;
 mod stream;
 mod support;
