--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -14,9 +14,11 @@
 /// Settings that are grouped; a variable that begins like one of them and names
 /// no setting is an error, since it is meant for this process and would be
 /// passed over in silence.
-const GROUPS: [&str; 3] = ["listen", "limits", "logs"];
+const GROUPS: [&str; 4] = ["listen", "limits", "logs", "operators"];
+/// Settings beside the limits that are no text.
+const SWITCHES: [&str; 2] = ["logs.json", "operators.open_reads"];
 /// Every setting, with the group it belongs to.
-const SETTINGS: [&str; 20] = [
+const SETTINGS: [&str; 21] = [
     "instance",
     "zone",
     "platform",
@@ -26,6 +28,7 @@
     "listen.callers",
     "listen.operators",
     "listen.peers",
+    "operators.open_reads",
     "logs.level",
     "logs.json",
     "limits.concurrency",
@@ -167,7 +170,7 @@
 
 /// Reads a variable's value: as YAML would where no text is expected.
 fn scalar(setting: &str, value: &str) -> Node {
-    let is_text = !setting.starts_with("limits.") && setting != "logs.json";
+    let is_text = !setting.starts_with("limits.") && !SWITCHES.contains(&setting);
     let parsed = Node::new(value).ok().filter(|_| !is_text);
     let value = match parsed.map(|node| node.value) {
         Some(Value::Mapping(_) | Value::Sequence(_) | Value::Null) | None => {
