--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -13,3 +13,4 @@
 mod shutdown;
 mod stream;
 mod support;
+mod versions;
