--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod fleet;
 mod member;
+mod order;
 mod poison;
 mod replay;
 mod rollout;
