Weigh slots before tokens; slowness only from requests that found a slot

First tokens of dossiers wait for a slot behind chat; taken as slowness they ejected the busiest third of the pool, and tokens as the only load filled some servers' slots while others stood half empty.

--- a/crates/core/src/admission/limit.rs
+++ b/crates/core/src/admission/limit.rs
@@ -25,9 +25,9 @@
 use crate::num::{float, whole};
 
 /// Share of the limit that may queue at runners while the limit grows.
-pub const QUEUED_LOW: f64 = 0.01;
+pub const QUEUED_LOW: f64 = 0.02;
 /// Share of the limit queued at runners from which the limit shrinks.
-pub const QUEUED_HIGH: f64 = 0.04;
+pub const QUEUED_HIGH: f64 = 0.06;
 /// Share by which the limit grows in one window.
 const GROW: f64 = 0.02;
 /// Factor by which the limit shrinks when requests queue at the runners.
--- a/crates/core/src/route/ejection.rs
+++ b/crates/core/src/route/ejection.rs
@@ -11,10 +11,13 @@
 
 use super::Server;
 use super::health::Thresholds;
-use super::score::Pool;
+use super::score::{self, Pool};
 use crate::clock::Instant;
 use crate::num::{Mean, float, whole};
 
+/// Seconds without any first token before a server with no free slot counts as
+/// stuck. Slots of long work become free about once a second.
+const FULL_S: f64 = 10.0;
 /// Samples before a server's mean is compared.
 const SAMPLES: u32 = 5;
 /// Seconds by which a server must be slower beside the factor: differences of
@@ -38,7 +41,7 @@
 pub fn sweep(
     now: Instant,
     thresholds: &Thresholds,
-    pool: &mut Pool,
+    pool: &Pool,
     servers: &mut SecondaryMap<key::Server, Server>,
 ) -> bool {
     let mut changed = false;
@@ -50,11 +53,14 @@
     };
     let limit = (median * thresholds.slow).max(median + LEAST_S);
     for key in &pool.live {
-        let server = &mut servers[*key];
+        let server = &servers[*key];
+        let clear = score::finds_slot(now, pool, server);
         if !server.health.is_trusted() {
             continue;
         }
-        let stuck = server.unanswered > 0 && now.since(server.progress).as_secs_f64() > limit * 2.0;
+        let patience = limit * 2.0 + if clear { 0.0 } else { FULL_S };
+        let still = now.since(server.progress).as_secs_f64();
+        let stuck = server.unanswered > 0 && still > patience;
         let slow = server.first.samples >= SAMPLES && server.first.value > limit;
         if !(stuck || slow) {
             continue;
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -289,7 +289,7 @@
     pub fn tick(&mut self, now: Instant) {
         let forgot = self.words.forget(now);
         let mut changed = forgot;
-        for (_, pool) in &mut self.pools {
+        for (_, pool) in &self.pools {
             changed |= ejection::sweep(now, &self.thresholds, pool, &mut self.servers);
         }
         if changed {
@@ -407,11 +407,14 @@
         })
     }
 
-    /// Records that an attempt of `work` tokens starts on a server.
-    pub fn start(&mut self, now: Instant, key: key::Server, work: u32) {
+    /// Records that an attempt of `work` tokens starts on a server; returns
+    /// whether it finds a slot there, by estimate.
+    pub fn start(&mut self, now: Instant, key: key::Server, work: u32) -> bool {
         let Some(server) = self.servers.get_mut(key) else {
-            return;
+            return false;
         };
+        let pool = self.pools.get(server.fleet);
+        let clear = pool.is_some_and(|pool| score::finds_slot(now, pool, server));
         server.in_flight += 1;
         server.work += u64::from(work);
         server.recent.add(now, work);
@@ -422,16 +425,24 @@
         if let Some(pool) = self.pools.get_mut(server.fleet) {
             pool.work += u64::from(work);
         }
+        clear
     }
 
     /// Records that the first part of an answer came, `seconds` after the
-    /// attempt started.
-    pub fn first(&mut self, now: Instant, key: key::Server, seconds: f64) {
+    /// attempt started; `clear` is what [`Self::start`] returned for it.
+    ///
+    /// A first token that waited for a slot tells of the load, not of the
+    /// server: taken as slowness, it ejects whichever servers are busiest and
+    /// leaves their work to the others.
+    pub fn first(&mut self, now: Instant, key: key::Server, seconds: f64, clear: bool) {
         let Some(server) = self.servers.get_mut(key) else {
             return;
         };
         server.unanswered = server.unanswered.saturating_sub(1);
         server.progress = now;
+        if !clear {
+            return;
+        }
         server.first.add(seconds);
         if let Some(pool) = self.pools.get_mut(server.fleet) {
             pool.first.add(seconds);
--- a/crates/core/src/route/score.rs
+++ b/crates/core/src/route/score.rs
@@ -15,7 +15,7 @@
 
 /// Seconds after which a report counts half. Reports lag by about a second;
 /// after three their content has mostly been served.
-pub const REPORT_HALF_S: f64 = 2.0;
+pub const REPORT_HALF_S: f64 = 4.0;
 /// Seconds over which a server that joins gets its full share: about the time
 /// in which a prefix cache warms.
 pub const RAMP_S: f64 = 20.0;
@@ -32,11 +32,11 @@
 /// measure: 58 ms over a full batch.
 const TOKEN_S: f64 = 0.058;
 /// Share of a server's slots from which a request may have to wait for one.
-/// Beyond it each further share costs as much as the request that would have
-/// to end first holds its slot.
+/// Beyond it the work ahead counts more and more; below it nobody waits.
 const FULL: f64 = 0.8;
-/// Seconds for which a request holds a slot, by order of magnitude.
-const HOLD_S: f64 = 4.0;
+/// Seconds that a request costs the others of a full batch; keeps slots evenly
+/// used while there is no queue.
+const EVEN_S: f64 = 0.5;
 /// Slowness under which servers count as equal. Means of few samples differ
 /// by this much; following them would send all work to the luckiest.
 const EQUAL: f64 = 1.5;
@@ -98,8 +98,9 @@
     // One token of work takes the batch's step; `slots` of them run at a time.
     let batch = (ahead + work) * TOKEN_S / slots;
     let requests = (f64::from(server.in_flight) + others.requests) / share;
-    let full = ((requests + 1.0) / slots - FULL).max(0.0) * HOLD_S;
-    let queue = batch + full;
+    let used = (requests + 1.0) / slots;
+    let full = (used - FULL).max(0.0) / (1.0 - FULL);
+    let queue = used * EVEN_S + full * batch;
     let itself = (slow - 1.0) * (pool.first.value + work * TOKEN_S);
     let zone = if server.near { 0.0 } else { ZONE_S };
     queue * slow + itself + zone + cold(ask, server, home)
@@ -118,17 +119,27 @@
 /// Work of other instances on a server: what the report says beyond own work,
 /// and what they have probably sent since. They read the same report and
 /// choose alike, so each is taken to have sent what this one has.
+///
+/// The older the report, the more they are simply taken to have as much there
+/// as this instance: with no report at all a full server would look empty.
 fn others(now: Instant, pool: &Pool, server: &Server) -> Others {
+    let own = Others {
+        work: number(server.work) * pool.others,
+        requests: f64::from(server.in_flight) * pool.others,
+    };
     let Some(report) = &server.report else {
-        return Others::default();
+        return own;
     };
     let age = now.since(report.at).as_secs_f64();
     let weight = (-age / REPORT_HALF_S).exp2();
     let (work, requests) = server.recent.since(report.at);
-    let reported = report.requests.saturating_sub(report.own_requests);
+    let then = report.work.saturating_sub(report.own);
+    let then_requests = report.requests.saturating_sub(report.own_requests);
+    let work = number(then) + number(work) * pool.others;
+    let requests = f64::from(then_requests) + f64::from(requests) * pool.others;
     Others {
-        work: weight * number(report.work.saturating_sub(report.own)) + number(work) * pool.others,
-        requests: weight * f64::from(reported) + f64::from(requests) * pool.others,
+        work: weight * work + (1.0 - weight) * own.work,
+        requests: weight * requests + (1.0 - weight) * own.requests,
     }
 }
 
@@ -159,6 +170,13 @@
     prefix + if held { 0.0 } else { ADAPTER_S }
 }
 
+/// Returns whether a request that is sent now finds a slot: its first token
+/// then tells of the server and not of a queue.
+pub(super) fn finds_slot(now: Instant, pool: &Pool, server: &Server) -> bool {
+    let requests = f64::from(server.in_flight) + others(now, pool, server).requests;
+    requests < f64::from(server.slots) * FULL
+}
+
 /// Own work sent to one server lately.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Recent {
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -25,6 +25,7 @@
     pub address: String,
     start: Instant,
     work: u32,
+    clear: bool,
     answered: bool,
     ended: Ended,
 }
@@ -55,7 +56,7 @@
         let now = self.now();
         let mut routes = lock(&self.routes);
         let server = routes.choose(now, ask, &mut *lock(&self.rng))?;
-        routes.start(now, server, ask.work);
+        let clear = routes.start(now, server, ask.work);
         let found = routes.get(server)?;
         let (fleet, address) = (found.fleet, found.address.clone());
         drop(routes);
@@ -69,6 +70,7 @@
             address,
             start: now,
             work: ask.work,
+            clear,
             answered: false,
             ended: Ended::Void,
         })
@@ -84,7 +86,7 @@
         self.answered = true;
         let now = self.shared.now();
         let took = now.since(self.start).as_secs_f64();
-        lock(&self.shared.routes).first(now, self.server, took);
+        lock(&self.shared.routes).first(now, self.server, took, self.clear);
     }
 
     /// Records that the answer is whole.
--- a/crates/replay/src/model/node.rs
+++ b/crates/replay/src/model/node.rs
@@ -257,7 +257,7 @@
                     adapter: None,
                 };
                 let server = table.choose(now, &ask, rng)?;
-                table.start(now, server, request.work);
+                request.clear = table.start(now, server, request.work);
                 server
             }
             Chooser::Two(loads) => {
@@ -286,7 +286,7 @@
             && let Some(server) = request.server
         {
             let took = now.since(request.sent).as_secs_f64();
-            table.first(now, server, took);
+            table.first(now, server, took, request.clear);
         }
     }
 
--- a/crates/replay/src/model/request.rs
+++ b/crates/replay/src/model/request.rs
@@ -62,6 +62,8 @@
     pub machine: usize,
     /// Server that counts the present attempt.
     pub server: Option<key::Server>,
+    /// Whether the present attempt found a slot, by the node's estimate.
+    pub clear: bool,
     /// Whether the present attempt has brought its first token.
     pub answered: bool,
     /// When the first token came.
@@ -113,6 +115,7 @@
             attempt: 0,
             machine: 0,
             server: None,
+            clear: false,
             answered: false,
             first: now,
             sent: now,
