--- a/crates/core/benches/load.rs
+++ b/crates/core/benches/load.rs
@@ -430,7 +430,7 @@
     for (name, policy) in [("fifo", fifo()), ("fair", Policy::default())] {
         let mut scenario = today();
         scenario.streams = vec![chat(&scenario, 0.7), chat(&scenario, 2.0)];
-        scenario.streams[1].name = "burst".to_owned();
+        "burst".clone_into(&mut scenario.streams[1].name);
         scenario.streams[1].from_s = 60.0;
         scenario.streams[1].to_s = 80.0;
         scenario.crowd = Crowd { returns: 10 };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,11 +10,15 @@
 pub mod cascade;
 pub mod claim;
 pub mod clock;
+pub mod force;
 pub mod ledger;
 pub mod member;
 pub mod num;
 pub mod pacing;
+pub mod poison;
+pub mod rollout;
 pub mod route;
 pub mod session;
+pub mod store;
 
 pub use fescuerack_config::key;
--- /dev/null
+++ b/crates/node/src/operators/state.rs
@@ -0,0 +1,72 @@
+//! `GET /state`: the dump of the process's state.
+//!
+//! It holds names, numbers and states; no key, no token and no text of a
+//! caller, so that it can be pasted into a report.
+
+use std::sync::atomic::Ordering;
+
+use serde_json::json;
+
+use crate::shared::{Shared, lock};
+use crate::versions;
+
+/// Returns the state of the process.
+pub fn dump(shared: &Shared) -> serde_json::Value {
+    let admission = shared.gate.summary();
+    let servers: Vec<_> = lock(&shared.routes)
+        .iter()
+        .map(|(_, server)| {
+            json!({
+                "id": server.id,
+                "zone": server.zone,
+                "address": server.address,
+                "state": server.state,
+                "in_flight": server.in_flight,
+                "work": server.work,
+                "health": server.health,
+                "first_s": server.first.value,
+            })
+        })
+        .collect();
+    json!({
+        "instance": shared.settings.instance,
+        "zone": shared.settings.zone,
+        "incarnation": shared.incarnation,
+        "ready": shared.is_ready(),
+        "draining": shared.draining.load(Ordering::SeqCst),
+        "configuration": shared.configuration.state(),
+        "admission": admission,
+        "route": {"servers": servers},
+        "member": member(shared),
+        "claims": {"backlog": shared.claims.backlog()},
+        "ledger": shared.ledger.state(),
+        "store": shared.store.calls(),
+        "versions": versions::state(shared),
+        "counters": shared.metrics.counters(),
+    })
+}
+
+fn member(shared: &Shared) -> serde_json::Value {
+    let now = shared.now();
+    let member = lock(&shared.member);
+    let instances: Vec<_> = member
+        .view
+        .iter()
+        .map(|(key, instance)| {
+            json!({
+                "id": instance.id,
+                "zone": instance.zone,
+                "address": instance.address,
+                "state": instance.state,
+                "listed": instance.listed,
+                "live": member.view.is_live(now, key),
+                "heard_ms_ago": instance.heard.map(|heard| now.since(heard).as_millis()),
+                "failures": instance.failures,
+            })
+        })
+        .collect();
+    json!({
+        "instances": instances,
+        "hashes": member.replica.hashes(),
+    })
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -19,13 +19,17 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{RpcModule, rpc_params};
 
+use crate::aid;
 use crate::clock;
 use crate::shared::{Shared, lock};
+use crate::versions;
 
 /// Time within which a peer must answer.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest message that is taken, in bytes.
 const LARGEST: u32 = 64 << 10;
+/// Peers that an operator's question asks at a time.
+const ASKED_AT_ONCE: usize = 32;
 /// JSON-RPC error code of a message that is refused.
 const REFUSED: i32 = -32_001;
 
@@ -38,7 +42,7 @@
     let listen = shared.settings.listen.peers.clone();
     let config = jsonrpsee::server::ServerConfig::builder()
         .max_request_body_size(LARGEST)
-        .max_response_body_size(LARGEST)
+        .max_response_body_size(aid::LARGEST_ANSWER)
         .build();
     let server = ServerBuilder::with_config(config)
         .build(&listen)
@@ -54,6 +58,7 @@
             ErrorObjectOwned::owned(REFUSED, reason, None::<()>)
         })
     })?;
+    aid::register(&mut module)?;
     Ok((address, server.start(module)))
 }
 
@@ -126,8 +131,10 @@
 }
 
 /// Collects what all instances should hold alike.
-fn shared_state(_shared: &Shared) -> peer::Shared {
-    peer::Shared {}
+fn shared_state(shared: &Shared) -> peer::Shared {
+    peer::Shared {
+        rollouts: lock(&shared.versions.board).records(),
+    }
 }
 
 /// Collects what the slices tell their peers.
@@ -138,6 +145,10 @@
         rates: lock(&shared.rates).digest(&force.names, now),
         pools: lock(&shared.pools).digest(&force.names, now),
         words: lock(&shared.routes).digest(now),
+        rollouts: lock(&shared.versions.board).digest(),
+        quality: lock(&shared.versions.learner).digest(&force.names),
+        sessions: lock(&shared.versions.sessions).digest(&force.names),
+        suspects: lock(&shared.versions.suspects).digest(now),
     }
 }
 
@@ -147,11 +158,14 @@
     lock(&shared.rates).merge(&force.names, now, from, &digest.rates);
     lock(&shared.pools).merge(&force.names, now, from, &digest.pools);
     lock(&shared.routes).merge(now, &digest.words);
+    versions::merge(shared, &force, digest);
 }
 
 /// Hands to the slices what a peer told.
 fn take_in(shared: &Shared, input: Input) {
-    let _states: peer::Shared = peer::from_slices(input.states);
+    shared.configuration.hear(input.revision);
+    let states: peer::Shared = peer::from_slices(input.states);
+    versions::merge_records(shared, &states.rollouts);
     let digest: Digest = peer::from_slices(input.digests);
     merge(shared, &input.origin, &digest);
     publish(shared);
@@ -166,7 +180,8 @@
 
 fn answer(shared: &Shared, sealed: &Sealed) -> Result<Sealed, String> {
     let key = shared.settings.peer_key.as_bytes();
-    let request = peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
+    let request: member::Message =
+        peer::open(key, sealed).map_err(|refusal| refusal.to_string())?;
     let about = (request.origin.clone(), request.sequence);
     let hashes = request.hashes.clone();
     let time = time(shared);
@@ -222,3 +237,33 @@
         .await?;
     Ok(peer::open(key, &sealed)?)
 }
+
+/// Asks each peer for the revision that it has in force; `None` for one that
+/// gives no answer. At most [`ASKED_AT_ONCE`] are asked at a time, so that an
+/// operator's question is no burst.
+pub async fn revisions(shared: &Arc<Shared>, addresses: &[String]) -> Vec<Option<u64>> {
+    let mut revisions = vec![None; addresses.len()];
+    for (round, some) in addresses.chunks(ASKED_AT_ONCE).enumerate() {
+        let mut asked = tokio::task::JoinSet::new();
+        for (index, address) in some.iter().cloned().enumerate() {
+            let shared = Arc::clone(shared);
+            asked.spawn(async move { (index, revision(&shared, &address).await) });
+        }
+        while let Some(answer) = asked.join_next().await {
+            if let Ok((index, found)) = answer {
+                revisions[round * ASKED_AT_ONCE + index] = found;
+            }
+        }
+    }
+    revisions
+}
+
+async fn revision(shared: &Shared, address: &str) -> Option<u64> {
+    let own = shared.force().catalog.revision;
+    let message = lock(&shared.member).begin_with(time(shared), own);
+    let sequence = message.sequence;
+    let answer = ask(shared, address, &message).await.ok()?;
+    let revision = answer.revision;
+    receive_answer(shared, sequence, answer);
+    Some(revision)
+}
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -9,15 +9,19 @@
 use fescuerack_core::admission::rate::Rates;
 use fescuerack_core::attempt::pools::Pools;
 use fescuerack_core::clock::Instant;
-use fescuerack_core::{ledger, member, route};
+use fescuerack_core::{member, route};
+use fescuerack_platform::drive::Wall;
 use fescuerack_platform::{Agent, HttpDirectory, HttpStore, agent};
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
+use tokio::runtime::Handle;
 
 use crate::admission::Gate;
 use crate::clock::{self, Clock};
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::versions::Versions;
+use crate::{claims, force, ledger};
 
 /// The configuration in force, with the names of its keys.
 #[derive(Clone, Debug, Default)]
@@ -36,10 +40,16 @@
     pub incarnation: String,
     /// Clock.
     pub clock: Clock,
+    /// Clock whose times other instances read; it never goes back.
+    pub wall: Wall,
+    /// Runs async work for threads.
+    pub runtime: Handle,
     /// Counters.
     pub metrics: Metrics,
     /// Key-value service.
     pub store: HttpStore,
+    /// The same, with the ledger's share of the rate.
+    pub ledger_store: HttpStore,
     /// Instance list.
     pub directory: HttpDirectory,
     /// Connections to backend servers.
@@ -54,10 +64,16 @@
     pub rates: Mutex<Rates>,
     /// Pools of backend servers and their retry budgets.
     pub pools: Mutex<Pools>,
+    /// Roll-outs, quality, sessions, suspects.
+    pub versions: Versions,
     /// Names; the only writer is [`Shared::names`].
     names: Mutex<Names>,
     /// Entries that are to be kept.
-    pub book: Mutex<ledger::Book>,
+    pub ledger: ledger::Desk,
+    /// Claims of non-idempotent requests.
+    pub claims: claims::Desk,
+    /// Where the configuration in force comes from.
+    pub configuration: force::Desk,
     /// Other instances and the soft state that is shared with them.
     pub member: Mutex<member::Exchange>,
     /// Servers of which peers were told that they leave.
@@ -90,14 +106,22 @@
     /// # Errors
     ///
     /// When the metrics' address is malformed.
-    pub fn new(settings: Settings) -> Result<Self> {
+    pub fn new(settings: Settings, runtime: Handle) -> Result<Self> {
         let mut rng = Pcg64Mcg::from_rng(&mut rand::rng());
         let incarnation = format!("{:016x}", rng.random::<u64>());
+        let store = HttpStore::new(&settings.platform);
         Ok(Self {
+            versions: Versions::new(&incarnation, &settings.platform),
+            ledger: ledger::Desk::new(&incarnation),
+            claims: claims::Desk::default(),
+            configuration: force::Desk::default(),
             incarnation,
             clock: Clock::new(),
+            wall: Wall::new(),
+            runtime,
             metrics: Metrics::new(&settings.statsd)?,
-            store: HttpStore::new(&settings.platform),
+            ledger_store: store.for_ledger(),
+            store,
             directory: HttpDirectory::new(&settings.platform),
             upstream: agent(Self::IDLE),
             // A connection that was idle may be closed by the other side while
@@ -109,7 +133,6 @@
             rates: Mutex::new(Rates::new()),
             pools: Mutex::new(Pools::new()),
             names: Mutex::new(Names::new()),
-            book: Mutex::new(ledger::Book::new()),
             member: Mutex::new(member::Exchange::new(identity(&settings))),
             told_leaving: Mutex::new(BTreeSet::new()),
             wake: tokio::sync::Notify::new(),
@@ -176,6 +199,12 @@
         format!("{:016x}{:016x}", self.random(), self.random())
     }
 
+    /// Returns a random number from 0 to 1.
+    #[must_use]
+    pub fn dice(&self) -> f64 {
+        lock(&self.rng).random()
+    }
+
     /// Returns a random number.
     #[must_use]
     pub fn random(&self) -> u64 {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -9,8 +9,8 @@
 
 use fescuerack_core::admission::rate;
 use fescuerack_core::attempt::pools;
-use fescuerack_core::member::Message;
 use fescuerack_core::route::word;
+use fescuerack_core::{cascade, poison, rollout, session};
 use hmac::{Hmac, KeyInit as _, Mac as _};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -35,11 +35,23 @@
     pub pools: pools::Digest,
     /// Servers that leave.
     pub words: word::Digest,
+    /// Counts of roll-outs.
+    pub rollouts: rollout::Digest,
+    /// Ratings.
+    pub quality: cascade::Digest,
+    /// Sessions that the hash alone would move.
+    pub sessions: session::Digest,
+    /// Requests that crashed servers.
+    pub suspects: poison::Digest,
 }
 
 /// Soft state that every instance should hold alike. Each field is one slice.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Shared {}
+pub struct Shared {
+    /// Halts and steps of roll-outs, by model.
+    #[serde(default)]
+    pub rollouts: BTreeMap<String, rollout::Record>,
+}
 
 /// Returns each field of `all` by its name; a slice that has nothing to tell is
 /// left out.
@@ -106,7 +118,7 @@
 ///
 /// Never: a message has only fields that JSON can hold.
 #[must_use]
-pub fn seal(key: &[u8], message: &Message) -> Sealed {
+pub fn seal(key: &[u8], message: &impl Serialize) -> Sealed {
     let body = to_raw_value(message).expect("a message has only plain fields");
     let seal = mac(key, body.get()).finalize().into_bytes();
     Sealed {
@@ -120,7 +132,7 @@
 /// # Errors
 ///
 /// When its seal is wrong or it is malformed.
-pub fn open(key: &[u8], sealed: &Sealed) -> Result<Message, Refusal> {
+pub fn open<T: DeserializeOwned>(key: &[u8], sealed: &Sealed) -> Result<T, Refusal> {
     let seal = hex::decode(&sealed.seal).map_err(|_| Refusal::Seal)?;
     mac(key, sealed.body.get())
         .verify_slice(&seal)
