--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -14,19 +14,25 @@
 //! 6. Any problem in any file refuses the whole folder.
 
 use std::collections::BTreeMap;
+use std::sync::OnceLock;
+
+use bytes::Bytes;
 
 use crate::tree::{self, Failure, Node, Value};
 use crate::{File, Folder, Problem};
 
 /// The merge of a folder, with the owner of every entry.
+///
+/// Lines are worked out when the first problem asks for one: instances compile
+/// every accepted change and never need them.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Merged {
     /// The merged sections.
     pub file: File,
     /// File that holds an entry, by `section/name`.
     pub owners: BTreeMap<String, String>,
-    /// Line of every value in its owner, by `section/name/field/...`.
-    pub lines: BTreeMap<String, usize>,
+    texts: BTreeMap<String, Bytes>,
+    lines: OnceLock<BTreeMap<String, usize>>,
 }
 
 impl Merged {
@@ -40,7 +46,10 @@
         let mut problems = Vec::new();
         for (name, content) in &folder.files {
             match parse(name, content) {
-                Ok((file, root)) => merged.add(name, file, &root, &mut problems),
+                Ok(file) => {
+                    merged.texts.insert(name.clone(), content.clone());
+                    merged.add(name, file, &mut problems);
+                }
                 Err(found) => problems.extend(found),
             }
         }
@@ -57,9 +66,10 @@
     #[must_use]
     pub fn position(&self, path: &str) -> (&str, usize) {
         let file = self.owner(path).unwrap_or("");
+        let lines = self.lines.get_or_init(|| self.all_lines());
         let mut part = path;
         loop {
-            if let Some(line) = self.lines.get(part) {
+            if let Some(line) = lines.get(part) {
                 return (file, *line);
             }
             match part.rsplit_once('/') {
@@ -69,6 +79,20 @@
         }
     }
 
+    /// Returns the line of every value in its owner, by
+    /// `section/name/field/...`.
+    fn all_lines(&self) -> BTreeMap<String, usize> {
+        let mut all = BTreeMap::new();
+        for (name, content) in &self.texts {
+            for (path, line) in lines(content) {
+                if self.owner(&path) == Some(name) {
+                    all.insert(path, line);
+                }
+            }
+        }
+        all
+    }
+
     /// Returns the file that holds the entry of a path. The longest entry
     /// counts: a name that wrongly holds a `/` must still be found.
     fn owner(&self, path: &str) -> Option<&str> {
@@ -81,14 +105,10 @@
         }
     }
 
-    fn add(&mut self, name: &str, file: File, root: &Node, problems: &mut Vec<Problem>) {
-        let mut lines = BTreeMap::new();
-        root.walk("", &mut |path, line| {
-            lines.insert(path.to_owned(), line);
-        });
+    fn add(&mut self, name: &str, file: File, problems: &mut Vec<Problem>) {
         let mut section = Section {
             file: name,
-            lines: &lines,
+            text: self.texts.get(name).cloned().unwrap_or_default(),
             owners: &mut self.owners,
             problems,
         };
@@ -109,17 +129,12 @@
                 .insert(format!("limits/{limit}"), name.to_owned());
         }
         self.file.limits.extend(file.limits);
-        for (path, line) in lines {
-            if self.owner(&path) == Some(name) {
-                self.lines.insert(path, line);
-            }
-        }
     }
 }
 
 struct Section<'a> {
     file: &'a str,
-    lines: &'a BTreeMap<String, usize>,
+    text: Bytes,
     owners: &'a mut BTreeMap<String, String>,
     problems: &'a mut Vec<Problem>,
 }
@@ -132,7 +147,7 @@
                 let message = format!(
                     "{path} already stands in {owner}; an entry may stand in one file only"
                 );
-                let line = self.lines.get(&path).copied().unwrap_or(0);
+                let line = lines(&self.text).get(&path).copied().unwrap_or(0);
                 self.problems.push(Problem::new(self.file, line, message));
                 continue;
             }
@@ -142,22 +157,33 @@
     }
 }
 
-fn parse(name: &str, content: &[u8]) -> Result<(File, Node), Vec<Problem>> {
+/// Returns the line of every value of a file.
+fn lines(content: &[u8]) -> BTreeMap<String, usize> {
+    let mut lines = BTreeMap::new();
+    let text = std::str::from_utf8(content).unwrap_or_default();
+    if let Ok(root) = Node::new(text) {
+        root.walk("", &mut |path, line| {
+            lines.insert(path.to_owned(), line);
+        });
+    }
+    lines
+}
+
+fn parse(name: &str, content: &[u8]) -> Result<File, Vec<Problem>> {
     let text = std::str::from_utf8(content)
         .map_err(|error| vec![Problem::new(name, 0, format!("not UTF-8: {error}"))])?;
+    let error = match serde_saphyr::from_str(text) {
+        Ok(file) => return Ok(file),
+        Err(error) => error,
+    };
     let problem = |failure: Failure| vec![Problem::new(name, failure.line, failure.message)];
     let root = Node::new(text).map_err(problem)?;
     if matches!(root.value, Value::Null) {
-        return Ok((File::default(), root));
+        return Ok(File::default());
     }
-    match serde_saphyr::from_str(text) {
-        Ok(file) => Ok((file, root)),
-        Err(error) => {
-            let problems = tree::diagnose::diagnose(name, &root);
-            if problems.is_empty() {
-                return Err(problem(Failure::from(&error)));
-            }
-            Err(problems)
-        }
+    let problems = tree::diagnose::diagnose(name, &root);
+    if problems.is_empty() {
+        return Err(problem(Failure::from(&error)));
     }
+    Err(problems)
 }
--- /dev/null
+++ b/crates/node/benches/capacity.rs
@@ -0,0 +1,586 @@
+//! Slopes for `docs/CAPACITY.md`, and the table of that page at the planned
+//! size.
+//!
+//! ```text
+//! cargo bench -p fescuerack-node --bench capacity
+//! ```
+//!
+//! Each slope is measured at two sizes and printed with its spread over several
+//! rounds. Processor time of decisions is measured around many calls in this
+//! process; memory is the growth of the resident set; the cost of a process at
+//! rest is read off real `fescuerackd` processes whose list names many servers.
+
+use std::collections::BTreeSet;
+use std::fmt::Write as _;
+use std::hint::black_box;
+use std::io::Write as _;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use fescuerack_config::{Catalog, Folder, Merged, Names, folder, key};
+use fescuerack_core::admission::{self, Control, Thresholds, Verdict};
+use fescuerack_core::clock;
+use fescuerack_core::route::{Ask, Listed, State, Table};
+use fescuerack_core::{claim, ledger, session};
+use fescuerack_platform::{Agent, HttpStore, agent, manifest};
+use fescuerack_standin::{Engine, Pace, Platform};
+use fescuerack_wire::list::{Instance, Instances};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+
+/// Rounds of each measurement.
+const ROUNDS: u64 = 5;
+/// Instances of the planned size.
+const NODES: f64 = 340.0;
+/// Backend servers of the planned size.
+const SERVERS: usize = 910;
+/// Requests a second of the planned size, on one instance.
+const REQUESTS: f64 = 5_000.0 / NODES;
+/// Changes of the configuration a second of the planned size.
+const CHANGES: f64 = 3_000.0 / 86_400.0;
+/// Changes of the platform's list a second: 270 instances a day fail, restart or
+/// are replaced, and each leaves the list and comes back.
+const LIST_CHANGES: f64 = 2.0 * 270.0 / 86_400.0;
+/// Bytes of a reading that finds the list unchanged, with both heads: assumed.
+const UNCHANGED: f64 = 300.0;
+/// Organisations that are assumed; the plan names no number.
+const ORGANISATIONS: usize = 1_000;
+/// Versions of the planned size.
+const VERSIONS: usize = 10;
+/// Bytes of the answer of a claimed request.
+const BODY: usize = 500;
+/// Seconds for which a process at rest is watched.
+const REST: Duration = Duration::from_secs(8);
+
+/// Median with the least and the greatest value.
+#[derive(Clone, Copy)]
+struct Spread {
+    least: f64,
+    median: f64,
+    greatest: f64,
+}
+
+impl Spread {
+    fn new(mut values: Vec<f64>) -> Self {
+        values.sort_by(f64::total_cmp);
+        Self {
+            least: values[0],
+            median: values[values.len() / 2],
+            greatest: values[values.len() - 1],
+        }
+    }
+
+    fn show(self, unit: &str) -> String {
+        let Self {
+            least,
+            median,
+            greatest,
+        } = self;
+        format!("{median:.2} {unit} ({least:.2} to {greatest:.2})")
+    }
+}
+
+fn float(value: usize) -> f64 {
+    f64::from(u32::try_from(value).unwrap_or(u32::MAX))
+}
+
+/// Microseconds of one call, over `ROUNDS` rounds of `calls` calls.
+fn micros(calls: u32, mut call: impl FnMut(u32)) -> Spread {
+    let round = |call: &mut dyn FnMut(u32)| {
+        let started = Instant::now();
+        for index in 0..calls {
+            call(index);
+        }
+        started.elapsed().as_secs_f64() * 1e6 / f64::from(calls)
+    };
+    Spread::new((0..ROUNDS).map(|_| round(&mut call)).collect())
+}
+
+/// Resident memory of a process, in bytes.
+fn resident(process: &str) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/statm")).unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<f64>().ok());
+    pages.unwrap_or(0.0) * 4096.0
+}
+
+/// Variable that tells a copy of this program what to hold: `servers=910`.
+const HOLD: &str = "FESCUERACK_CAPACITY_HOLD";
+/// Copies that are held at once to measure their memory.
+const COPIES: usize = 8;
+
+/// Bytes of one copy of `what`, measured in a fresh process, where no memory
+/// that earlier work has left over hides the growth.
+fn held_bytes(what: &str, size: usize) -> f64 {
+    let program = std::env::current_exe().expect("this program has a path");
+    let output = Command::new(program)
+        .env(HOLD, format!("{what}={size}"))
+        .output();
+    let output = output.expect("this program starts again");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    text.trim().parse().expect("a number of bytes")
+}
+
+/// Holds copies of what the variable names and prints the bytes of each.
+fn hold(asked: &str) {
+    let (what, size) = asked.split_once('=').expect("what and size");
+    let size = size.parse().expect("a size");
+    let grown = if what == "servers" {
+        growth(|| {
+            let mut names = Names::new();
+            (table(&mut names, size), names)
+        })
+    } else {
+        let folder = configuration(size, VERSIONS);
+        growth(|| build(&folder))
+    };
+    println!("{grown}");
+}
+
+fn growth<T>(make: impl Fn() -> T) -> f64 {
+    let first = make();
+    let before = resident("self");
+    let kept: Vec<_> = (0..COPIES).map(|_| make()).collect();
+    let after = resident("self");
+    drop((first, kept));
+    (after - before) / float(COPIES)
+}
+
+fn build(folder: &Folder) -> (Catalog, Names) {
+    let merged = Merged::new(folder).expect("no problems");
+    let mut names = Names::new();
+    let catalog = Catalog::new(1, &merged, &mut names).expect("no problems");
+    (catalog, names)
+}
+
+/// A configuration with that many organisations and versions of five models.
+fn configuration(organisations: usize, versions: usize) -> Folder {
+    let mut models = String::from("models:\n");
+    let mut text = String::from("versions:\n");
+    for model in 0..5 {
+        writeln!(models, "  model-{model}: {{note: measured}}").expect("text grows");
+    }
+    for version in 0..versions {
+        let model = version % 5;
+        let number = version / 5 + 1;
+        writeln!(
+            text,
+            "  model-{model}@{number}:\n    cost_input: 40\n    cost_output: 160\n    \
+             quality: {{default: 0.8, chat: 0.9}}"
+        )
+        .expect("text grows");
+    }
+    let targets = "targets:\n  chat: {quality: 0.8, models: [model-0, model-1]}\n";
+    let mut folder = Folder::new()
+        .with_file("10-models.yaml", models + &text)
+        .with_file("30-targets.yaml", targets.to_owned());
+    // Several files, as several teams write them.
+    for (file, names) in (0..organisations)
+        .collect::<Vec<_>>()
+        .chunks(50)
+        .enumerate()
+    {
+        let mut text = String::from("organisations:\n");
+        for name in names {
+            let digest = folder::digest(format!("key-{name}").as_bytes());
+            writeln!(
+                text,
+                "  organisation-{name}:\n    weight: 2\n    allow: [model-0, model-1]\n    \
+                 keys: [{digest}]"
+            )
+            .expect("text grows");
+        }
+        folder = folder.with_file(&format!("50-part-{file:03}.yaml"), text);
+    }
+    folder
+}
+
+struct Compiled {
+    millis: Spread,
+    text_bytes: usize,
+    memory: f64,
+}
+
+fn compile(organisations: usize, versions: usize) -> Compiled {
+    let folder = configuration(organisations, versions);
+    let text_bytes = folder.files.values().map(bytes_of).sum();
+    let micros = micros(3, |_| {
+        black_box(build(&folder));
+    });
+    let scale = |micros: f64| micros / 1000.0;
+    Compiled {
+        millis: Spread {
+            least: scale(micros.least),
+            median: scale(micros.median),
+            greatest: scale(micros.greatest),
+        },
+        text_bytes,
+        memory: held_bytes("organisations", organisations),
+    }
+}
+
+fn bytes_of(content: &bytes::Bytes) -> usize {
+    content.len()
+}
+
+fn table(names: &mut Names, servers: usize) -> Table {
+    let fleet = names.fleets.intern("fleet");
+    let mut table = Table::new("zone-0");
+    table.list(clock::Instant::ORIGIN, listed(names, fleet, servers));
+    table
+}
+
+fn listed(names: &mut Names, fleet: key::Fleet, servers: usize) -> Vec<(key::Server, Listed)> {
+    let one = |index: usize| {
+        let id = format!("runner-{index:05}");
+        let key = names.servers.intern(&id);
+        let listed = Listed {
+            id,
+            fleet,
+            zone: format!("zone-{}", index % 8),
+            address: format!("10.0.{}.{}:8000", index / 250, index % 250),
+            state: State::Live,
+            slots: 16,
+        };
+        (key, listed)
+    };
+    (0..servers).map(one).collect()
+}
+
+struct Routing {
+    choose: Spread,
+    take_over: Spread,
+    tick: Spread,
+    memory: f64,
+    list_bytes: usize,
+}
+
+fn routing(servers: usize) -> Routing {
+    let mut names = Names::new();
+    let memory = held_bytes("servers", servers) / float(servers);
+    let mut table = table(&mut names, servers);
+    let fleet = names.fleets.intern("fleet");
+    let avoid = BTreeSet::new();
+    let fleets = [fleet];
+    let ask = Ask {
+        fleets: &fleets,
+        avoid: &avoid,
+        work: 200,
+        prompt: 500,
+        prefix: None,
+        adapter: None,
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let now = clock::Instant::from_millis(1_000);
+    let choose = micros(20_000, |_| {
+        black_box(table.choose(now, &ask, &mut rng));
+    });
+    let take_over = micros(20, |_| {
+        let listed = listed(&mut names, fleet, servers);
+        table.list(now, listed);
+    });
+    let tick = micros(200, |_| table.tick(now));
+    Routing {
+        choose,
+        take_over,
+        tick,
+        memory,
+        list_bytes: list(servers, 340).1,
+    }
+}
+
+/// The platform's list, and its size in JSON.
+fn list(servers: usize, nodes: usize) -> (Instances, usize) {
+    let server = |index: usize, fleet: &str| Instance {
+        id: format!("{fleet}-{index:05}"),
+        fleet: fleet.to_owned(),
+        zone: format!("availability-zone-{}", index % 8),
+        address: format!("10.0.{}.{}:8000", index / 250, index % 250),
+        state: State::Live,
+    };
+    let servers = (0..servers).map(|index| server(index, "kaisla-llm"));
+    let nodes = (0..nodes).map(|index| server(index, "fescuerack"));
+    let list = Instances {
+        instances: servers.chain(nodes).collect(),
+    };
+    let bytes = serde_json::to_vec(&list).expect("plain fields").len();
+    (list, bytes)
+}
+
+/// Microseconds of letting one request in and out, with that many
+/// organisations waiting.
+fn admission_of(organisations: usize) -> Spread {
+    let mut names = Names::new();
+    let names: Vec<_> = (0..organisations)
+        .map(|index| names.organisations.intern(&format!("organisation-{index}")))
+        .collect();
+    let mut control = Control::new(Thresholds::new(400));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let now = clock::Instant::from_millis(1_000);
+    micros(20_000, |index| {
+        let ask = admission::Ask {
+            organisation: names[usize::try_from(index).unwrap_or(0) % names.len()],
+            weight: 1,
+            caller: u64::from(index),
+            class: None,
+            priority: 5,
+            long: false,
+            deadline: now.plus_millis(30_000),
+        };
+        if let Verdict::Run(grant) = control.offer(now, &ask, &mut rng) {
+            control.finish(now, grant, admission::Ended::Void);
+        }
+        black_box(control.poll(now, &mut rng));
+    })
+}
+
+/// Bytes of a claim's record with an answer of 500 bytes, and of an entry of
+/// the ledger in a segment.
+fn kept_bytes() -> (usize, usize) {
+    let record = claim::Record {
+        digest: folder::digest(b"request"),
+        nonce: u64::MAX,
+        deadline: clock::Instant::from_millis(1_800_000_000_000),
+        state: claim::State::Done(claim::Answer {
+            status: 200,
+            content_type: Some("application/json".to_owned()),
+            body: bytes::Bytes::from(vec![b'x'; BODY]),
+        }),
+    };
+    // The body stands behind the record.
+    let claim = serde_json::to_vec(&record).expect("plain fields").len() + BODY;
+    let entry = ledger::Entry {
+        request: "0123456789abcdef-000000".to_owned(),
+        organisation: "perhepalvelut-helsinki".to_owned(),
+        version: "kaisla-mini@2".to_owned(),
+        input_tokens: 800,
+        output_tokens: 260,
+        cost: 71,
+        at: 1_800_000_000,
+        label: "0123456789abcdef0123456789abcdef".to_owned(),
+        requests: 1,
+    };
+    let entry = serde_json::to_vec(&entry).expect("plain fields").len();
+    (claim, entry)
+}
+
+/// Real processes before a platform whose list names `servers` servers.
+struct World {
+    _runtime: tokio::runtime::Runtime,
+    platform: Platform,
+    _engine: Engine,
+    processes: Vec<Child>,
+    settings: Vec<tempfile::NamedTempFile>,
+}
+
+impl World {
+    fn new(nodes: usize, servers: usize) -> Self {
+        let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+        let platform = Platform::new(runtime.handle(), "127.0.0.1:0").expect("a platform");
+        let store = HttpStore::new(&platform.address());
+        let folder = configuration(100, VERSIONS).with_file(
+            "20-backends.yaml",
+            "backends:\n  kaisla-llm: {kind: engine, versions: [model-0@1]}\n".to_owned(),
+        );
+        manifest::publish(&store, &folder, "bench").expect("accepted");
+        let pace = Pace {
+            first_ms: 5,
+            token_ms: 2,
+        };
+        let engine = Engine::new(runtime.handle(), "127.0.0.1:0", pace).expect("an engine");
+        for mut instance in list(servers, 0).0.instances {
+            instance.address = engine.address();
+            platform.list(instance);
+        }
+        let mut world = Self {
+            _runtime: runtime,
+            processes: Vec::new(),
+            settings: Vec::new(),
+            _engine: engine,
+            platform,
+        };
+        let client = agent(1);
+        for index in 0..nodes {
+            world.start(index, &client);
+        }
+        world
+    }
+
+    fn start(&mut self, index: usize, client: &Agent) {
+        let ports = [0; 3].map(|_| {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+            listener.local_addr().expect("an address").port()
+        });
+        let mut file = tempfile::NamedTempFile::new().expect("a file");
+        let [callers, operators, peers] = ports;
+        write!(
+            file,
+            "instance: entry-{index}\nzone: availability-zone-{}\nplatform: {}\n\
+             peer_key: a key for the bench\nlisten:\n  callers: 127.0.0.1:{callers}\n  \
+             operators: 127.0.0.1:{operators}\n  peers: 127.0.0.1:{peers}\n",
+            index % 8,
+            self.platform.address()
+        )
+        .expect("settings are written");
+        let child = Command::new(env!("CARGO_BIN_EXE_fescuerackd"))
+            .args(["run", "--settings"])
+            .arg(file.path())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a process starts");
+        self.processes.push(child);
+        self.settings.push(file);
+        self.platform.list(Instance {
+            id: format!("entry-{index}"),
+            fleet: "fescuerack".to_owned(),
+            zone: format!("availability-zone-{}", index % 8),
+            address: format!("127.0.0.1:{peers}"),
+            state: State::Live,
+        });
+        let url = format!("http://127.0.0.1:{operators}/readyz");
+        while !client
+            .get(&url)
+            .call()
+            .is_ok_and(|answer| answer.status() == 200)
+        {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Share of a core and resident bytes of each process at rest.
+    fn rest(&self) -> (Spread, Spread) {
+        let ids: Vec<_> = self
+            .processes
+            .iter()
+            .map(|child| child.id().to_string())
+            .collect();
+        std::thread::sleep(Duration::from_secs(2));
+        let before: Vec<_> = ids.iter().map(|id| ticks(id)).collect();
+        let started = Instant::now();
+        std::thread::sleep(REST);
+        let seconds = started.elapsed().as_secs_f64();
+        let cpu = ids.iter().zip(before);
+        let cpu = cpu.map(|(id, before)| (ticks(id) - before) / 100.0 / seconds * 100.0);
+        let memory = ids.iter().map(|id| resident(id) / 1e6);
+        (Spread::new(cpu.collect()), Spread::new(memory.collect()))
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            let _ = process.kill();
+            let _ = process.wait();
+        }
+    }
+}
+
+/// Processor time of a process, in hundredths of a second.
+fn ticks(process: &str) -> f64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = text.rsplit(") ").next().unwrap_or("").split(' ').collect();
+    let number = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok());
+    number(11).unwrap_or(0.0) + number(12).unwrap_or(0.0)
+}
+
+fn main() {
+    if let Ok(asked) = std::env::var(HOLD) {
+        return hold(&asked);
+    }
+    println!("## Configuration");
+    println!("| organisations | versions | text | parse, merge and compile | memory |");
+    println!("| --- | --- | --- | --- | --- |");
+    let mut planned = None;
+    for (organisations, versions) in [(100, 10), (1_000, 10), (3_000, 10), (1_000, 100)] {
+        let found = compile(organisations, versions);
+        println!(
+            "| {organisations} | {versions} | {:.0} KB | {} | {:.2} MB |",
+            float(found.text_bytes) / 1e3,
+            found.millis.show("ms"),
+            found.memory / 1e6
+        );
+        if (organisations, versions) == (ORGANISATIONS, VERSIONS) {
+            planned = Some(found);
+        }
+    }
+    let planned = planned.expect("the planned size is measured");
+
+    println!("\n## Servers");
+    println!("| servers | choose | take over the list | tick | memory a server | list in JSON |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    let mut route = None;
+    for servers in [12, 100, SERVERS, 9_100] {
+        let found = routing(servers);
+        println!(
+            "| {servers} | {} | {} | {} | {:.0} B | {:.0} KB |",
+            found.choose.show("µs"),
+            found.take_over.show("µs"),
+            found.tick.show("µs"),
+            found.memory,
+            float(found.list_bytes) / 1e3
+        );
+        if servers == SERVERS {
+            route = Some(found);
+        }
+    }
+    let route = route.expect("the planned size is measured");
+
+    println!("\n## Admission, sessions, records");
+    println!("| what | figure |");
+    println!("| --- | --- |");
+    for organisations in [10, 1_000] {
+        let found = admission_of(organisations).show("µs");
+        println!("| let in and out, {organisations} organisations | {found} |");
+    }
+    let position = micros(20_000, |index| {
+        black_box(session::position("kaisla-mini", &index.to_be_bytes()));
+    });
+    println!("| position of a session | {} |", position.show("µs"));
+    let (claim, entry) = kept_bytes();
+    println!("| record of a claim with an answer of 500 bytes | {claim} B |");
+    println!("| entry of the ledger | {entry} B |");
+
+    println!("\n## Processes at rest");
+    println!("| instances | servers | share of a core | resident memory |");
+    println!("| --- | --- | --- | --- |");
+    for (nodes, servers) in [(3, 12), (9, 12), (3, SERVERS), (3, 9_100)] {
+        let world = World::new(nodes, servers);
+        let (cpu, memory) = world.rest();
+        println!(
+            "| {nodes} | {servers} | {} | {} |",
+            cpu.show("%"),
+            memory.show("MB")
+        );
+    }
+
+    println!("\n## At the planned size, one instance");
+    println!("| role | a second | processor | bytes a second |");
+    println!("| --- | --- | --- | --- |");
+    let share = |micros: f64, times: f64| format!("{:.4}%", micros * times / 1e4);
+    println!(
+        "| configuration | {CHANGES:.3} changes | {} | {:.0} |",
+        share(planned.millis.median * 1e3, CHANGES),
+        float(planned.text_bytes) / (float(ORGANISATIONS) / 50.0) * CHANGES
+    );
+    println!(
+        "| list of instances, whole | 2 readings | {} | {:.0} |",
+        share(route.take_over.median + route.tick.median, 2.0),
+        float(route.list_bytes) * 2.0
+    );
+    println!(
+        "| list of instances, by tag | 2 readings, {LIST_CHANGES:.4} changes | {} | {:.0} |",
+        share(route.take_over.median + route.tick.median, 2.0),
+        float(route.list_bytes) * LIST_CHANGES + UNCHANGED * 2.0
+    );
+    println!(
+        "| choice of servers | {REQUESTS:.1} | {} | 0 |",
+        share(route.choose.median, REQUESTS)
+    );
+    println!(
+        "| ledger | {REQUESTS:.1} entries | | {:.0} |",
+        float(entry) * REQUESTS
+    );
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,6 +2,7 @@
 //! behind one address.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -123,12 +124,28 @@
     async fn serve(&self, request: Request) -> Response {
         let path = request.uri().path().to_owned();
         match path.as_str() {
-            "/v1/instances" => Some(json(&self.instances())),
+            "/v1/instances" => Some(self.listing(&request)),
             "/v1/ratings" => self.rating(&request).await,
             _ => self.store(&request, &path).await,
         }
     }
 
+    /// Answers with the list, or with 304 to a reader who has it already.
+    fn listing(&self, request: &Request) -> hyper::Response<crate::Body> {
+        let body = serde_json::to_vec(&self.instances()).expect("a list has only plain fields");
+        let mut hasher = DefaultHasher::new();
+        body.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        let known = request.headers().get("if-none-match");
+        if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+            return answer(304, "");
+        }
+        let mut response = answer(200, body);
+        let tag = tag.parse().expect("a tag is plain text");
+        response.headers_mut().insert("etag", tag);
+        response
+    }
+
     fn instances(&self) -> Instances {
         Instances {
             instances: lock(&self.instances).values().cloned().collect(),
