--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -207,7 +207,8 @@
 
     fn wait_until_ready(&self) -> Result<()> {
         let deadline = Instant::now() + READY;
-        while !self.nodes.iter().all(Node::is_ready) {
+        let complete = |node: &Node| node.is_ready() && node.fleet_size() == self.nodes.len();
+        while !self.nodes.iter().all(complete) {
             ensure!(
                 Instant::now() < deadline,
                 "the instances did not become ready"
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod node;
 mod operators;
+mod orders;
 mod peers;
 mod running;
 mod servers;
@@ -31,4 +32,4 @@
 mod versions;
 
 pub use node::Node;
-pub use settings::{Limits, Listen, Logs, Settings};
+pub use settings::{Limits, Listen, Logs, Settings, variables};
