--- a/crates/core/src/order/mod.rs
+++ b/crates/core/src/order/mod.rs
@@ -4,7 +4,7 @@
 //! fleet. Two that worked side by side would load and unload in turns and draw
 //! twice on the weight store's rate. Whoever holds the lease on the fleet
 //! gives the orders ([`Holder`]); what is to be done follows from the
-//! configuration and from what the engines say they have ([`plan`]).
+//! configuration and from what the engines say they have ([`plan()`]).
 
 mod holder;
 mod plan;
