--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -60,10 +60,10 @@
     Dump(dump::Dump),
     /// Prints the digest of a key or a token, or makes a new one.
     Digest(digest::Digest),
-    /// Starts stand-ins and instances on this machine, to try the product.
-    Demo(demo::Demo),
     /// Replays a load through the decisions, to try a threshold.
     Replay(replay::Replay),
+    /// Starts stand-ins and instances on this machine, to try the product.
+    Demo(demo::Demo),
     /// Prints completions for a shell.
     Completions(completions::Completions),
 }
@@ -89,8 +89,8 @@
             Command::Top(top) => top.execute(output),
             Command::Dump(dump) => dump.execute(),
             Command::Digest(digest) => digest.execute(),
-            Command::Demo(demo) => demo.execute(),
             Command::Replay(replay) => replay.execute(),
+            Command::Demo(demo) => demo.execute(),
             Command::Completions(completions) => {
                 completions.execute();
                 Ok(())
