Keep what peers are told of roll-outs within a message

Cause: a message of peers carries 650 bytes of digests on average and none over 2,600; ten roll-outs with relayed counts took about 4 KB, so no count would have been carried at all, and halts of ten models could outgrow the 4,096 bytes of shared state. Four reports in turn, zero counters left out, two halts and steps for each model, steps left to the store if that is not enough.

--- a/crates/core/src/rollout/board.rs
+++ b/crates/core/src/rollout/board/mod.rs
@@ -1,16 +1,18 @@
 //! All roll-outs as one instance sees them.
 
-use std::collections::{BTreeMap, VecDeque};
+mod configure;
+mod exchange;
 
-use fescuerack_config::file::State;
-use fescuerack_config::{Catalog, Names, key};
+use std::collections::BTreeMap;
+
+use fescuerack_config::key;
 use serde::Serialize;
 use slotmap::SecondaryMap;
 
-use super::count::{Count, Pair};
-use super::digest::{Digest, Report};
+use super::count::Count;
+use super::digest::Report;
 use super::record::{Halt, Record, Step};
-use super::trial::{Hold, Id, Trial, Verdict};
+use super::trial::{Hold, Trial, Verdict};
 use crate::clock::Instant;
 
 /// Milliseconds within which failures at one backend server count once: they
@@ -21,8 +23,6 @@
 const STARVED_MS: u64 = 30_000;
 /// Servers of which the last failure is remembered.
 const MOST_SERVERS: usize = 4096;
-/// Reports of others that go into one digest.
-const RELAYED: usize = 5;
 
 /// What an instance saw of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,7 +88,9 @@
     #[serde(skip)]
     failures: BTreeMap<key::Server, Instant>,
     #[serde(skip)]
-    relay: VecDeque<Report>,
+    relay: Vec<Report>,
+    #[serde(skip)]
+    turn: usize,
     peers: u32,
 }
 
@@ -118,103 +120,6 @@
         self.informed = true;
     }
 
-    /// Takes over the configuration in force; call it after every change.
-    pub fn configure(&mut self, now: Instant, catalog: &Catalog, names: &Names) {
-        let models = &catalog.models;
-        self.entries.retain(|model, _| models.contains_key(model));
-        self.withdrawn.clear();
-        for (version, entry) in &catalog.versions {
-            if entry.state == State::Withdrawn {
-                self.withdrawn.insert(version, ());
-            }
-        }
-        for model in catalog.models.keys() {
-            self.configure_model(now, catalog, names, model);
-        }
-    }
-
-    fn configure_model(
-        &mut self,
-        now: Instant,
-        catalog: &Catalog,
-        names: &Names,
-        model: key::Model,
-    ) {
-        let name = names.models.name(model).to_string();
-        let record = self.records.get(&name).cloned().unwrap_or_default();
-        let Some(rollout) = catalog.rollouts.get(model) else {
-            self.entries.remove(model);
-            for version in &catalog.models[model] {
-                if record.halted(names.versions.name(*version), 0).is_some() {
-                    self.withdrawn.insert(*version, ());
-                }
-            }
-            return;
-        };
-        let is_named = |version| rollout.candidate == Some(version) || rollout.current == version;
-        let halted = |version: key::Version| {
-            // A newer word clears the halt of a version that it names, and of
-            // no other.
-            let word = if is_named(version) { rollout.word } else { 0 };
-            record.halted(names.versions.name(version), word)
-        };
-        // An operator who makes a halted candidate the version of today
-        // without a newer word has not seen the halt.
-        let current = halted(rollout.current)
-            .and_then(|halt| names.versions.get(&halt.fallback))
-            .filter(|version| catalog.versions.contains_key(*version))
-            .unwrap_or(rollout.current);
-        for version in &catalog.models[model] {
-            if halted(*version).is_some() {
-                self.withdrawn.insert(*version, ());
-            }
-        }
-        let previous = self.entries.remove(model);
-        let mut entry = Entry {
-            share: None,
-            stages: rollout.stages.clone(),
-            trial: None,
-            open: false,
-            steady: true,
-            unrated: previous.as_ref().map_or(0, |entry| entry.unrated),
-        };
-        if let Some(candidate) = rollout.candidate {
-            let id = Id {
-                model: name,
-                current: names.versions.name(current).to_string(),
-                candidate: names.versions.name(candidate).to_string(),
-                word: rollout.word,
-            };
-            let mut trial = previous
-                .and_then(|entry| entry.trial)
-                .filter(|trial| trial.id == id)
-                .unwrap_or_else(|| {
-                    entry.unrated = 0;
-                    Trial::new(id.clone(), current, candidate, now)
-                });
-            trial.exposure = rollout.exposure;
-            let stage = record
-                .stage(&id.candidate, id.word)
-                .unwrap_or(rollout.stage)
-                .max(rollout.stage)
-                .min(rollout.stages.len().saturating_sub(1));
-            trial.enter(now, stage);
-            entry.open = catalog.versions[candidate].state == State::Open;
-            entry.steady = rollout.paused || !entry.open;
-            let part = rollout.stages.get(stage).copied().filter(|_| entry.open);
-            entry.share = Some(Share {
-                current,
-                candidate: Some((candidate, part.unwrap_or(0.0))),
-            });
-            entry.trial = Some(trial);
-        }
-        entry.share = entry.share.or(Some(Share {
-            current,
-            candidate: None,
-        }));
-        self.entries.insert(model, entry);
-    }
-
     /// Returns which version new sessions start on; `None` when the model has
     /// no roll-out.
     #[must_use]
@@ -413,75 +318,6 @@
             }
         }
     }
-
-    /// Returns what peers are told.
-    pub fn digest(&mut self) -> Digest {
-        let mut reports = Vec::new();
-        for entry in self.entries.values() {
-            if let Some(trial) = &entry.trial {
-                let pair = trial.source(&self.source);
-                if pair != Pair::default() {
-                    reports.push(Report {
-                        trial: trial.id.clone(),
-                        source: self.source.clone(),
-                        pair,
-                    });
-                }
-            }
-        }
-        let relayed = self.relay.len().min(RELAYED);
-        reports.extend(self.relay.iter().rev().take(relayed).cloned());
-        // What was told moves to the back, so that every report gets its turn.
-        self.relay.rotate_right(relayed);
-        Digest {
-            informed: self.informed,
-            reports,
-        }
-    }
-
-    /// Returns the halts and steps that all instances should hold alike.
-    #[must_use]
-    pub fn records(&self) -> BTreeMap<String, Record> {
-        self.records.clone()
-    }
-
-    /// Takes over a record that a peer holds; returns whether a halt or a step
-    /// was news: then [`Board::configure`] must follow.
-    pub fn merge_record(&mut self, now: Instant, model: &str, record: &Record) -> bool {
-        let known = self.records.entry(model.to_owned()).or_default();
-        let news = known.merge(record);
-        self.enforce(now);
-        news
-    }
-
-    /// Takes over what a peer tells; repeated, reordered and old messages
-    /// change nothing.
-    pub fn merge(&mut self, now: Instant, digest: &Digest) {
-        self.informed |= digest.informed;
-        for report in &digest.reports {
-            self.hear(now, report);
-        }
-        self.enforce(now);
-    }
-
-    fn hear(&mut self, now: Instant, report: &Report) {
-        let trials = self.entries.values_mut();
-        let known = trials
-            .filter_map(|entry| entry.trial.as_mut())
-            .find(|trial| trial.id == report.trial);
-        let Some(trial) = known else {
-            return;
-        };
-        let before = trial.source(&report.source);
-        // An instance that forgot a trial resumes its own counters from what
-        // its peers heard of them.
-        trial.learn(now, &report.source, report.pair);
-        if trial.source(&report.source) != before && report.source != self.source {
-            self.relay
-                .retain(|told| told.source != report.source || told.trial != report.trial);
-            self.relay.push_back(report.clone());
-        }
-    }
 }
 
 fn add(count: &mut Count, event: Event) {
--- a/crates/core/src/rollout/count.rs
+++ b/crates/core/src/rollout/count.rs
@@ -11,28 +11,33 @@
 #[serde(default)]
 pub struct Count {
     /// Attempts that ended, well or not.
-    #[serde(rename = "a")]
+    #[serde(rename = "a", skip_serializing_if = "is_zero")]
     pub answers: u32,
     /// Attempts that ended with an error.
-    #[serde(rename = "e")]
+    #[serde(rename = "e", skip_serializing_if = "is_zero")]
     pub errors: u32,
     /// Attempts whose backend server crashed.
-    #[serde(rename = "c")]
+    #[serde(rename = "c", skip_serializing_if = "is_zero")]
     pub crashes: u32,
     /// Answers whose first token came too late.
-    #[serde(rename = "l")]
+    #[serde(rename = "l", skip_serializing_if = "is_zero")]
     pub late: u32,
     /// Answers that were rated.
-    #[serde(rename = "r")]
+    #[serde(rename = "r", skip_serializing_if = "is_zero")]
     pub rated: u32,
     /// Rated answers that were bad.
-    #[serde(rename = "b")]
+    #[serde(rename = "b", skip_serializing_if = "is_zero")]
     pub bad: u32,
     /// Sum of the ratings, in thousandths.
-    #[serde(rename = "q")]
+    #[serde(rename = "q", skip_serializing_if = "is_zero")]
     pub quality_milli: u32,
 }
 
+/// Whether a counter is left out of messages.
+fn is_zero<T: Default + PartialEq>(count: &T) -> bool {
+    *count == T::default()
+}
+
 impl Count {
     fn zip(self, other: Self, merge: fn(u32, u32) -> u32) -> Self {
         Self {
--- a/crates/core/src/rollout/record.rs
+++ b/crates/core/src/rollout/record.rs
@@ -73,7 +73,7 @@
     /// first: whoever names such a candidate again does so under a higher word,
     /// which would clear its halt anyway. The bound keeps ten models' records
     /// within a message of peers.
-    const MOST: usize = 4;
+    const MOST: usize = 2;
 
     /// Returns whether `candidate` is halted under the operator's `word`.
     #[must_use]
--- a/crates/core/tests/all/rollout.rs
+++ b/crates/core/tests/all/rollout.rs
@@ -1,11 +1,15 @@
 //! Roll-outs under random operators, ratings, faults and restarts.
 
+use std::fmt::Write as _;
+
+use fescuerack_config::Names;
 use fescuerack_core::clock::Instant;
-use fescuerack_core::rollout::Event;
+use fescuerack_core::member::{Parcel, Replica};
+use fescuerack_core::rollout::{Board, Cause, Event, Halt, Record, Step};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
 
-use crate::fleet::{Fleet, MODEL, file};
+use crate::fleet::{Fleet, MODEL, compile, file};
 
 const INSTANCES: usize = 4;
 /// Seed of the short run; `FESCUERACK_SEED` replaces it.
@@ -191,3 +195,85 @@
         panic!("{error}");
     }
 }
+
+// Ten models are in roll-out at once and an instance has heard many peers. A
+// digest that is too large for a message is never carried, and then nobody
+// hears of any count.
+#[test]
+fn digest_ten_rollouts_fits_a_message() {
+    let models = (0..10).map(|model| format!("long-model-name-{model}"));
+    let models: Vec<String> = models.collect();
+    let mut file = String::from("models:\n");
+    for model in &models {
+        let _ = writeln!(file, "  {model}: {{}}");
+    }
+    file.push_str("versions:\n");
+    for model in &models {
+        let _ = writeln!(file, "  {model}@1: {{cost_input: 1, cost_output: 1}}");
+        let _ = writeln!(file, "  {model}@2: {{cost_input: 1, cost_output: 1}}");
+    }
+    file.push_str("rollouts:\n");
+    for model in &models {
+        let _ = writeln!(
+            file,
+            "  {model}: {{current: {model}@1, candidate: {model}@2}}"
+        );
+    }
+    let mut names = Names::new();
+    let catalog = compile(1, &file, &mut names);
+    let now = Instant::ORIGIN;
+    let mut boards = ["0123456789abcdef", "fedcba9876543210"].map(Board::new);
+    for board in &mut boards {
+        board.configure(now, &catalog, &names);
+        for (version, _) in names.versions.iter() {
+            for _ in 0..2000 {
+                board.observe(now, version, Event::Answered { late: true });
+            }
+        }
+    }
+    let [first, second] = &mut boards;
+    let mut heard = std::collections::BTreeSet::new();
+    for _ in 0..20 {
+        let digest = first.digest();
+        let bytes = serde_json::to_string(&digest).expect("plain fields").len();
+        assert!(bytes <= Parcel::LARGEST / 2, "{bytes} bytes");
+        heard.extend(
+            digest
+                .reports
+                .iter()
+                .map(|report| report.trial.model.clone()),
+        );
+        second.merge(now, &digest);
+    }
+    assert_eq!(heard.len(), models.len(), "every roll-out gets its turn");
+}
+
+// The same with two halts and two steps of each: the shared state of peers
+// takes no more than its limit, and a halt that it leaves out does not spread.
+#[test]
+fn records_ten_models_fit_a_message() {
+    let mut board = Board::new("one");
+    for model in 0..10 {
+        let model = format!("a-model-with-a-rather-long-name-{model}");
+        let mut record = Record::default();
+        for version in 0..6 {
+            let halt = Halt {
+                word: 1000 + version,
+                fallback: format!("{model}@1"),
+                cause: Cause::Exposure,
+            };
+            let step = Step {
+                word: 1000 + version,
+                stage: 4,
+            };
+            record.halt(&format!("{model}@{version}"), halt);
+            record.step(&format!("{model}@{version}"), step);
+        }
+        let model = model.as_str();
+        board.adopt(Instant::ORIGIN, model, &record);
+        let shared = board.records();
+        let bytes = serde_json::to_string(&shared).expect("plain fields").len();
+        assert!(bytes <= Replica::LARGEST, "{bytes} bytes");
+        assert_eq!(shared[model].halts.len(), 2);
+    }
+}
