--- /dev/null
+++ b/crates/core/benches/versions/cost.rs
@@ -0,0 +1,130 @@
+//! What the decisions cost an instance.
+
+use std::fmt::Write as _;
+use std::hint::black_box;
+use std::time::Instant as Clock;
+
+use fescuerack_config::{Catalog, Names};
+use fescuerack_core::cascade::{Learner, Request, Wanted, World, choose};
+use fescuerack_core::clock::Instant;
+use fescuerack_core::rollout::{Board, Event};
+
+use crate::fleet::compile;
+use crate::spread;
+
+const MODELS: usize = 10;
+const INSTANCES: usize = 340;
+const TURNS: u32 = 20_000;
+
+fn setup() -> (Names, Catalog) {
+    let mut file = String::from("models:\n");
+    for model in 0..MODELS {
+        let _ = writeln!(file, "  m{model}: {{}}");
+    }
+    file.push_str("versions:\n");
+    for model in 0..MODELS {
+        for version in 1..=2 {
+            let _ = writeln!(
+                file,
+                "  m{model}@{version}: {{cost_input: 10, cost_output: {}, quality: {{default: 0.{}}}}}",
+                10 + model,
+                80 + model
+            );
+        }
+    }
+    file.push_str("rollouts:\n");
+    for model in 0..MODELS {
+        let _ = writeln!(
+            file,
+            "  m{model}: {{current: m{model}@1, candidate: m{model}@2}}"
+        );
+    }
+    let models: Vec<String> = (0..MODELS).map(|model| format!("m{model}")).collect();
+    let models = models.join(", ");
+    let _ = writeln!(
+        file,
+        "targets:\n  work: {{quality: 0.82, cascade: true, models: [{models}]}}"
+    );
+    let _ = writeln!(file, "organisations:\n  o: {{allow: [{models}]}}");
+    let mut names = Names::new();
+    let catalog = compile(1, &file, &mut names);
+    (names, catalog)
+}
+
+/// Microseconds of one call, over five runs.
+fn time(mut call: impl FnMut(u32)) -> String {
+    let runs: Vec<f64> = (0..5)
+        .map(|_| {
+            let start = Clock::now();
+            for turn in 0..TURNS {
+                call(turn);
+            }
+            start.elapsed().as_secs_f64() * 1e6 / f64::from(TURNS)
+        })
+        .collect();
+    spread(&runs)
+}
+
+pub fn run() {
+    let (names, catalog) = setup();
+    let now = Instant::ORIGIN;
+    let mut boards: Vec<Board> = (0..INSTANCES)
+        .map(|index| Board::new(&format!("{index:016x}")))
+        .collect();
+    for board in &mut boards {
+        board.configure(now, &catalog, &names);
+        board.inform();
+        for (version, _) in names.versions.iter() {
+            board.observe(now, version, Event::Answered { late: false });
+        }
+    }
+    let mut board = boards.remove(0);
+    for peer in &mut boards {
+        for _ in 0..MODELS {
+            board.merge(now, &peer.digest());
+        }
+    }
+    let version = names.versions.get("m0@2").expect("a version");
+    let bytes = serde_json::to_string(&board.digest()).map_or(0, |text| text.len());
+    println!("{MODELS} roll-outs, counts of {INSTANCES} instances; microseconds");
+    println!("digest: {bytes} bytes");
+    let rated = Event::Rated {
+        quality_milli: 900,
+        bad: false,
+    };
+    println!(
+        "observe an answer: {}",
+        time(|_| board.observe(now, version, rated))
+    );
+    println!(
+        "judge all roll-outs: {}",
+        time(|_| drop(black_box(board.decide(now))))
+    );
+    let digest = boards[7].digest();
+    println!("merge a digest: {}", time(|_| board.merge(now, &digest)));
+    let learner = Learner::new("one");
+    let world = World {
+        catalog: &catalog,
+        names: &names,
+        board: &board,
+        learner: &learner,
+        now,
+    };
+    let organisation = names.organisations.get("o").expect("an organisation");
+    let class = names.classes.get("work").expect("a class");
+    let choice = time(|turn| {
+        let session = turn.to_be_bytes();
+        let request = Request {
+            organisation,
+            wanted: Wanted::Class(class),
+            session: &session,
+            pinned: None,
+            stream: false,
+            within_ms: 30_000,
+            input_tokens: 500,
+            dice: 0.5,
+        };
+        let _ = black_box(choose(world, request));
+    });
+    println!("choose among {MODELS} models with cascades: {choice}");
+}
--- a/crates/core/benches/versions/main.rs
+++ b/crates/core/benches/versions/main.rs
@@ -1,11 +1,12 @@
 //! Figures of the choice of versions, each against its baselines in the same
 //! run, over several seeds with their spread:
-//! `cargo bench -p fescuerack-core --bench versions [-- rollouts|cascade|sessions|poison]`.
+//! `cargo bench -p fescuerack-core --bench versions [-- rollouts|cascade|sessions|poison|cost]`.
 
 #[path = "../../tests/all/fleet.rs"]
 mod fleet;
 
 mod cascade;
+mod cost;
 mod poison;
 mod rollouts;
 mod sessions;
@@ -31,7 +32,8 @@
         .skip(1)
         .filter(|arg| !arg.starts_with('-'))
         .collect();
-    let runs: [(&str, fn()); 4] = [
+    let runs: [(&str, fn()); 5] = [
+        ("cost", cost::run),
         ("rollouts", rollouts::run),
         ("cascade", cascade::run),
         ("sessions", sessions::run),
--- a/crates/core/src/cascade/estimate.rs
+++ b/crates/core/src/cascade/estimate.rs
@@ -88,6 +88,33 @@
         below / self.weight().max(f64::MIN_POSITIVE)
     }
 
+    fn value(&self, bin: usize) -> f64 {
+        self.sums[bin] / self.weights[bin].max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the lowest interval from which a cascade may hand answers on so
+    /// that its bound, as [`Estimate::bound`] gives it, meets `target`.
+    #[must_use]
+    pub fn threshold(&self, target: f64, instead: f64, confidence: f64) -> Option<usize> {
+        let weight = self.weight().max(f64::MIN_POSITIVE);
+        let mut sum: f64 = self.sums.iter().sum();
+        let squares = (0..BINS).map(|bin| self.weights[bin] * self.value(bin).powi(2));
+        let mut squares: f64 = squares.sum();
+        // One interval after the other changes sides: a search that computed
+        // each bound anew took nine tenths of a choice.
+        for accept in 1..=BINS {
+            let (share, value) = (self.weights[accept - 1], self.value(accept - 1));
+            sum += share * (instead - value);
+            squares += share * (instead.powi(2) - value.powi(2));
+            let mean = sum / weight;
+            let variance = (squares / weight - mean.powi(2)).max(0.0);
+            if mean - confidence * (variance / weight).sqrt() >= target {
+                return Some(accept);
+            }
+        }
+        None
+    }
+
     /// Returns the lower bound, `confidence` standard errors below the mean, of
     /// the quality of a cascade that hands on answers from the interval
     /// `accept` upwards and replaces the others by one of quality `instead`.
@@ -98,7 +125,7 @@
             if bin < accept {
                 instead
             } else {
-                self.sums[bin] / self.weights[bin].max(f64::MIN_POSITIVE)
+                self.value(bin)
             }
         };
         let share = |bin: usize| self.weights[bin] / weight;
--- a/crates/core/src/cascade/plan.rs
+++ b/crates/core/src/cascade/plan.rs
@@ -136,9 +136,14 @@
         return None;
     }
     let instead = second.estimate.bound(0, 0.0, limits.confidence);
-    let accept = (1..=BINS).find(|accept| {
-        first.estimate.bound(*accept, instead, limits.confidence) >= limits.quality
-    })?;
+    let accept = first
+        .estimate
+        .threshold(limits.quality, instead, limits.confidence)?;
+    // Rounding must not let a plan through that its own bound denies.
+    let bound = first.estimate.bound(accept, instead, limits.confidence);
+    if bound < limits.quality {
+        return None;
+    }
     Some(Plan {
         basis: Basis::Bound,
         steps: Steps::Cascade {
@@ -146,7 +151,7 @@
             second: second.version,
             accept: f64::from(u32::try_from(accept).ok()?) / f64::from(u32::try_from(BINS).ok()?),
         },
-        bound: first.estimate.bound(accept, instead, limits.confidence),
+        bound,
         cost: first.cost + first.estimate.below(accept) * second.cost,
     })
 }
