Test the decisions under load; mend what the tests found

Found by the tests: a server that had looked slow was never chosen again, since it got no new samples (0 of 2,000 requests after it was well; now its slowness halves every 5 s without a sample). Peers that had not named a limit yet were taken to own half their part of it; limits are now known before their first request.

--- a/crates/core/src/admission/rate.rs
+++ b/crates/core/src/admission/rate.rs
@@ -113,13 +113,8 @@
         rate: f64,
         instances: usize,
     ) -> Result<(), Instant> {
-        if !self.buckets.contains_key(organisation) {
-            let share = self.first_share(instances);
-            self.buckets
-                .insert(organisation, Bucket::new(now, rate, share));
-        }
+        self.track(now, organisation, rate, instances);
         let bucket = &mut self.buckets[organisation];
-        bucket.rate = rate;
         bucket.asked = bucket.asked.saturating_add(1);
         bucket.fill(now);
         if bucket.tokens >= 1.0 {
@@ -131,16 +126,22 @@
         Err(now + seconds(wait))
     }
 
-    /// Share with which an organisation's first request starts: the floor,
-    /// which peers that hear this instance keep free for it, or `1/n` while no
-    /// peer is heard.
-    fn first_share(&self, instances: usize) -> f64 {
-        let fair = 1.0 / float(instances.max(1));
-        if self.peers.is_empty() {
-            fair
-        } else {
-            fair * FLOOR
+    /// Makes a limit known before its first request, so that peers hear how
+    /// little of it this instance needs.
+    pub fn track(
+        &mut self,
+        now: Instant,
+        organisation: key::Organisation,
+        rate: f64,
+        instances: usize,
+    ) {
+        if let Some(bucket) = self.buckets.get_mut(organisation) {
+            bucket.rate = rate;
+            return;
         }
+        let share = 1.0 / float(instances.max(1));
+        let bucket = Bucket::new(now, rate, share);
+        self.buckets.insert(organisation, bucket);
     }
 
     /// Changes shares when it is time to; call it about once a second.
@@ -230,20 +231,18 @@
             owned: 0.0,
             lacking: 0,
         };
+        let mut heard = 0;
         for owned in peers
             .values()
             .filter_map(|peer| peer.shares.get(organisation))
         {
+            heard += 1;
             view.owned += owned.share;
             view.lacking += usize::from(owned.lacks);
         }
-        // A peer that says nothing of this limit may start with the floor at
-        // any moment, and one that is not heard with `1/n`.
-        let unheard = instances.saturating_sub(1).saturating_sub(peers.len());
-        view.owned += fair * float(unheard);
-        let quiet = peers.values();
-        let quiet = quiet.filter(|peer| !peer.shares.contains_key(organisation));
-        view.owned += fair * FLOOR * float(quiet.count());
+        // A peer that is not heard, or does not name this limit, may own `1/n`.
+        let silent = instances.saturating_sub(1).saturating_sub(heard);
+        view.owned += fair * float(silent);
         view
     }
 }
@@ -265,7 +264,9 @@
         let passed = now.since(self.filled).as_secs_f64();
         let own = self.rate * self.share;
         self.tokens = (self.tokens + passed * own).min(own.max(1.0));
-        self.filled = now;
+        // Callers on several threads may read the clock in one order and get
+        // here in another; time that was paid out must not be paid out again.
+        self.filled = self.filled.max(now);
     }
 
     fn change(&mut self, period_s: f64, view: &View) {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -48,7 +48,7 @@
 use slotmap::SecondaryMap;
 
 use crate::clock::Instant;
-use crate::num::{Mean, float};
+use crate::num::Mean;
 use health::Health;
 use ring::Ring;
 use score::{Pool, Recent, Report};
@@ -108,6 +108,7 @@
     joined: Option<Instant>,
     unanswered: u32,
     progress: Instant,
+    sampled: Instant,
     report: Option<Report>,
     recent: Recent,
 }
@@ -241,6 +242,7 @@
             joined: self.filled.then_some(now),
             unanswered: 0,
             progress: now,
+            sampled: now,
             report: None,
             recent: Recent::default(),
         };
@@ -373,7 +375,7 @@
         rng: &mut R,
         best: &mut Best,
     ) {
-        let home = ask.prefix.and_then(|prefix| self.home(ask, pool, prefix));
+        let home = ask.prefix.and_then(|prefix| self.home(now, pool, prefix));
         let mut consider = |key: key::Server, rng: &mut R| {
             let server = &self.servers[key];
             if ask.avoid.contains(&key) || !server.health.takes(server.in_flight) {
@@ -398,13 +400,10 @@
     }
 
     /// Returns the server whose cache should hold a prefix: the first after
-    /// its place on the ring that is not loaded beyond the bound.
-    fn home(&self, ask: &Ask<'_>, pool: &Pool, prefix: u64) -> Option<key::Server> {
-        let bound = pool.bound(ask.work);
-        pool.ring.after(prefix).take(ring::TRIES).find(|key| {
-            let server = &self.servers[*key];
-            float(usize::try_from(server.work).unwrap_or(usize::MAX)) <= bound
-        })
+    /// its place on the ring that has a slot free, by estimate.
+    fn home(&self, now: Instant, pool: &Pool, prefix: u64) -> Option<key::Server> {
+        let mut homes = pool.ring.after(prefix).take(ring::TRIES);
+        homes.find(|key| score::finds_slot(now, pool, &self.servers[*key]))
     }
 
     /// Records that an attempt of `work` tokens starts on a server; returns
@@ -422,9 +421,6 @@
             server.progress = now;
         }
         server.unanswered += 1;
-        if let Some(pool) = self.pools.get_mut(server.fleet) {
-            pool.work += u64::from(work);
-        }
         clear
     }
 
@@ -443,7 +439,11 @@
         if !clear {
             return;
         }
+        if now.since(server.sampled).as_secs_f64() > score::FORGET_S {
+            server.first = Mean::default();
+        }
         server.first.add(seconds);
+        server.sampled = now;
         if let Some(pool) = self.pools.get_mut(server.fleet) {
             pool.first.add(seconds);
         }
@@ -467,9 +467,6 @@
         }
         let fleet = server.fleet;
         let changed = server.health.ended(now, &self.thresholds, ended);
-        if let Some(pool) = self.pools.get_mut(fleet) {
-            pool.work = pool.work.saturating_sub(u64::from(work));
-        }
         match changed {
             health::Change::None => {}
             health::Change::Recovered => {
--- a/crates/core/src/route/ring.rs
+++ b/crates/core/src/route/ring.rs
@@ -7,9 +7,8 @@
 
 use fescuerack_config::key;
 
-/// Homes that are tried before affinity is given up. A prefix that three
-/// servers cannot carry within the bound is popular enough to be cached
-/// wherever it goes.
+/// Homes that are tried before affinity is given up. A prefix that fills three
+/// servers is popular enough to be cached wherever it goes.
 pub const TRIES: usize = 3;
 /// Points of one server on the ring; they even out the homes' shares.
 const POINTS: u64 = 32;
--- a/crates/core/src/route/score.rs
+++ b/crates/core/src/route/score.rs
@@ -36,13 +36,15 @@
 const FULL: f64 = 0.8;
 /// Seconds that a request costs the others of a full batch; keeps slots evenly
 /// used while there is no queue.
-const EVEN_S: f64 = 0.5;
+const EVEN_S: f64 = 0.1;
+/// Seconds without a sample after which slowness counts half.
+const SLOW_HALF_S: f64 = 5.0;
+/// Seconds without a sample after which the older ones are forgotten: they
+/// would outweigh the few that the server gets to prove itself.
+pub const FORGET_S: f64 = 10.0;
 /// Slowness under which servers count as equal. Means of few samples differ
 /// by this much; following them would send all work to the luckiest.
 const EQUAL: f64 = 1.5;
-/// Part above the pool's mean load that a prefix's home may have.
-const BOUND: f64 = 0.25;
-
 /// A server's own report of its load, as it was read.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -69,8 +71,6 @@
     pub live: Vec<key::Server>,
     /// Those that are trusted with work.
     pub usable: Vec<key::Server>,
-    /// Own work on the pool, in tokens.
-    pub work: u64,
     /// Other instances that choose from a server of this pool, on average.
     pub others: f64,
     /// Seconds to the first token over all servers.
@@ -79,17 +79,9 @@
     pub(super) ring: Ring,
 }
 
-impl Pool {
-    /// Work up to which a server takes a prefix that is at home there.
-    pub(super) fn bound(&self, work: u32) -> f64 {
-        let mean = number(self.work + u64::from(work)) / float(self.usable.len().max(1));
-        mean * (1.0 + BOUND) + f64::from(work)
-    }
-}
-
 /// Returns the expected cost of an attempt on a server.
 pub(super) fn cost(now: Instant, ask: &Ask<'_>, pool: &Pool, server: &Server, home: bool) -> f64 {
-    let slow = slowness(pool, server);
+    let slow = slowness(now, pool, server);
     let work = f64::from(ask.work);
     let slots = f64::from(server.slots.max(1));
     let others = others(now, pool, server);
@@ -108,11 +100,16 @@
 
 /// How many times slower than its pool a server is; differences that may be
 /// chance count as none.
-fn slowness(pool: &Pool, server: &Server) -> f64 {
+///
+/// A server that looks slow gets no work and so no new samples; without the
+/// decay it would never be seen to be well again.
+fn slowness(now: Instant, pool: &Pool, server: &Server) -> f64 {
     if server.first.samples < 3 || pool.first.value <= 0.0 {
         return 1.0;
     }
     let ratio = server.first.value / pool.first.value;
+    let age = now.since(server.sampled).as_secs_f64();
+    let ratio = 1.0 + (ratio - 1.0) * (-age / SLOW_HALF_S).exp2();
     if ratio < EQUAL { 1.0 } else { ratio }
 }
 
--- /dev/null
+++ b/crates/core/tests/all/admission.rs
@@ -0,0 +1,400 @@
+//! Admission under the patterns of load that it answers.
+
+use fescuerack_config::{Names, key};
+use fescuerack_core::admission::{Ask, Control, Ended, Grant, Reason, Thresholds, Turn, Verdict};
+use fescuerack_core::clock::Instant;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+use rand::SeedableRng as _;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+const PLACES: usize = 8;
+
+struct Fixture {
+    control: Control,
+    rng: Pcg64Mcg,
+    names: Names,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        Self {
+            control: Control::new(Thresholds::new(PLACES)),
+            rng: Pcg64Mcg::seed_from_u64(7),
+            names: Names::new(),
+        }
+    }
+
+    fn ask(&mut self, organisation: &str, deadline_ms: u64) -> Ask {
+        Ask {
+            organisation: self.names.organisations.intern(organisation),
+            weight: 1,
+            caller: 0,
+            class: None,
+            priority: 1,
+            long: false,
+            deadline: Instant::from_millis(deadline_ms),
+        }
+    }
+
+    fn offer(&mut self, now_ms: u64, ask: &Ask) -> Verdict {
+        let now = Instant::from_millis(now_ms);
+        self.control.offer(now, ask, &mut self.rng)
+    }
+
+    fn poll(&mut self, now_ms: u64) -> Vec<Turn> {
+        let now = Instant::from_millis(now_ms);
+        self.control.poll(now, &mut self.rng)
+    }
+
+    /// Fills every place, each request having run `service_ms` before.
+    fn saturate(&mut self, service_ms: u64) -> Vec<Grant> {
+        let ask = self.ask("filler", 1_000_000);
+        let mut grants = Vec::new();
+        for round in 0..2 {
+            let now = round * service_ms;
+            for grant in grants.drain(..) {
+                let at = Instant::from_millis(now);
+                self.control.finish(at, grant, Ended::Whole { first: at });
+            }
+            for _ in 0..PLACES {
+                let Verdict::Run(grant) = self.offer(now, &ask) else {
+                    panic!("a place is free");
+                };
+                grants.push(grant);
+            }
+        }
+        grants
+    }
+}
+
+// A parent sends a chat request while all places are taken. Its deadline comes
+// nearer until the answer could not be in time any more. Served late it would
+// cost a place and help nobody, so at that moment, not at its deadline, it is
+// turned away.
+#[test]
+fn poll_refuses_when_too_late_to_finish() {
+    let mut fixture = Fixture::new();
+    let _grants = fixture.saturate(1_000);
+    let ask = fixture.ask("small", 6_000);
+    let Verdict::Wait(ticket) = fixture.offer(1_000, &ask) else {
+        panic!("it can still finish");
+    };
+    assert!(fixture.poll(4_900).is_empty());
+    let turns = fixture.poll(5_001);
+    assert!(matches!(turns[..], [Turn::Refuse(refused, refusal)]
+            if refused == ticket && refusal.reason == Reason::TooLate));
+    assert_eq!(fixture.control.load().1, 0);
+}
+
+#[test]
+fn offer_refuses_at_once_what_cannot_finish() {
+    let mut fixture = Fixture::new();
+    let _grants = fixture.saturate(1_000);
+    let ask = fixture.ask("small", 1_900);
+    let Verdict::Refuse(refusal) = fixture.offer(1_000, &ask) else {
+        panic!("a second is needed and 0.9 remain");
+    };
+    assert_eq!(refusal.reason, Reason::TooLate);
+    assert!(refusal.retry > Instant::from_millis(1_000));
+}
+
+// A crowd is turned away at one moment. With equal times to come back it would
+// meet itself again a moment later.
+#[test]
+fn refusal_spreads_returns() {
+    let mut fixture = Fixture::new();
+    let _grants = fixture.saturate(1_000);
+    let ask = fixture.ask("small", 1_500);
+    let mut returns = Vec::new();
+    for _ in 0..100 {
+        if let Verdict::Refuse(refusal) = fixture.offer(1_000, &ask) {
+            returns.push(refusal.retry);
+        }
+    }
+    returns.sort_unstable();
+    assert_eq!(returns.len(), 100);
+    let spread = returns[99].since(returns[0]).as_millis();
+    assert!(spread > 900, "all come back within {spread} ms");
+    let most = Instant::from_millis(1_000 + 30_000);
+    assert!(returns.iter().all(|retry| *retry <= most));
+}
+
+// One municipality's batch has filled the queue when a small one sends a single
+// request. In order of arrival it would wait for the whole batch.
+#[rstest]
+#[case::equal(1, 1)]
+#[case::heavier(3, 2)]
+fn pop_shares_between_organisations(#[case] weight: u32, #[case] within: usize) {
+    let mut fixture = Fixture::new();
+    let mut grants = fixture.saturate(1_000);
+    let greedy = fixture.ask("greedy", 1_000_000);
+    for _ in 0..20 {
+        fixture.offer(1_000, &greedy);
+    }
+    let small = Ask {
+        weight,
+        ..fixture.ask("small", 1_000_000)
+    };
+    let Verdict::Wait(ticket) = fixture.offer(1_000, &small) else {
+        panic!("it waits");
+    };
+    let mut position = 0;
+    for (index, grant) in grants.drain(..3).enumerate() {
+        let now = Instant::from_millis(2_000);
+        fixture.control.finish(now, grant, Ended::Void);
+        if fixture
+            .poll(2_000)
+            .iter()
+            .any(|turn| matches!(turn, Turn::Run(run, _) if *run == ticket))
+        {
+            position = index + 1;
+        }
+    }
+    assert!(
+        (1..=within.max(2)).contains(&position),
+        "served as number {position}"
+    );
+}
+
+// Within one organisation a script without a session sends hundreds of
+// requests; a parent's session sends one.
+#[test]
+fn pop_shares_between_callers() {
+    let mut fixture = Fixture::new();
+    let mut grants = fixture.saturate(1_000);
+    let script = fixture.ask("one", 1_000_000);
+    for _ in 0..30 {
+        fixture.offer(1_000, &script);
+    }
+    let parent = Ask {
+        caller: 9,
+        ..script
+    };
+    let Verdict::Wait(ticket) = fixture.offer(1_000, &parent) else {
+        panic!("it waits");
+    };
+    let mut run = Vec::new();
+    for grant in grants.drain(..2) {
+        fixture
+            .control
+            .finish(Instant::from_millis(2_000), grant, Ended::Void);
+        run.extend(fixture.poll(2_000));
+    }
+    assert!(
+        run.iter()
+            .any(|turn| matches!(turn, Turn::Run(run, _) if *run == ticket))
+    );
+}
+
+// Dossiers hold their places a hundred times longer than chat. A flood of them
+// must leave room for chat, and chat some for them.
+#[test]
+fn offer_bounds_long_work_and_keeps_its_floor() {
+    let mut fixture = Fixture::new();
+    let dossier = Ask {
+        long: true,
+        ..fixture.ask("one", 1_000_000)
+    };
+    let running = |verdict: &Verdict| matches!(verdict, Verdict::Run(_));
+    let long = (0..20)
+        .filter(|_| running(&fixture.offer(0, &dossier)))
+        .count();
+    assert_eq!(long, 2, "0.3 of 8 places");
+    let chat = fixture.ask("one", 1_000_000);
+    let short = (0..20)
+        .filter(|_| running(&fixture.offer(0, &chat)))
+        .count();
+    assert_eq!(short, PLACES - 2);
+}
+
+// Runners refuse work for a while (a third of the pool is lost), then answer
+// as before. The limit follows both ways and never reaches zero.
+#[test]
+fn limit_follows_what_runners_finish() {
+    let mut fixture = Fixture::new();
+    let ask = fixture.ask("one", u64::MAX / 2_000);
+    let mut now = 0;
+    for _ in 0..50 {
+        now += 300;
+        if let Verdict::Run(grant) = fixture.offer(now, &ask) {
+            let at = Instant::from_millis(now);
+            fixture.control.finish(at, grant, Ended::Overloaded);
+        }
+    }
+    let least = fixture.control.summary().limit;
+    assert!((1..PLACES).contains(&least), "the limit fell to {least}");
+    let mut grants = Vec::new();
+    for _ in 0..400 {
+        now += 100;
+        let at = Instant::from_millis(now);
+        for grant in grants.drain(..) {
+            fixture
+                .control
+                .finish(at, grant, Ended::Whole { first: at });
+        }
+        for _ in 0..PLACES {
+            if let Verdict::Run(grant) = fixture.offer(now, &ask) {
+                grants.push(grant);
+            }
+        }
+        for turn in fixture.poll(now) {
+            if let Turn::Run(_, grant) = turn {
+                grants.push(grant);
+            }
+        }
+    }
+    assert_eq!(fixture.control.summary().limit, PLACES);
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer {
+        organisation: usize,
+        caller: u64,
+        priority: u8,
+        long: bool,
+        within_ms: u64,
+    },
+    Finish {
+        index: usize,
+        how: u8,
+    },
+    Cancel {
+        index: usize,
+    },
+    Pass {
+        ms: u64,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4_usize, 0..5_u64, 0..3_u8, any::<bool>(), 1..5_000_u64).prop_map(
+            |(organisation, caller, priority, long, within_ms)| Step::Offer {
+                organisation, caller, priority, long, within_ms,
+            }
+        ),
+        3 => (any::<usize>(), 0..3_u8).prop_map(|(index, how)| Step::Finish { index, how }),
+        1 => any::<usize>().prop_map(|index| Step::Cancel { index }),
+        2 => (0..500_u64).prop_map(|ms| Step::Pass { ms }),
+    ]
+}
+
+/// What the callers of a random run know.
+#[derive(Default)]
+struct Callers {
+    running: Vec<Grant>,
+    waiting: Vec<fescuerack_core::admission::Ticket>,
+    offered: usize,
+    refused: usize,
+    ended: usize,
+}
+
+impl Callers {
+    fn verdict(&mut self, verdict: Verdict) {
+        self.offered += 1;
+        match verdict {
+            Verdict::Run(grant) => self.running.push(grant),
+            Verdict::Wait(ticket) => self.waiting.push(ticket),
+            Verdict::Refuse(_) => self.refused += 1,
+        }
+    }
+
+    /// Each turn is of someone who waits, so none is told twice.
+    fn turn(&mut self, turn: Turn) {
+        let ticket = match turn {
+            Turn::Run(ticket, grant) => {
+                self.running.push(grant);
+                ticket
+            }
+            Turn::Refuse(ticket, _) => {
+                self.refused += 1;
+                ticket
+            }
+        };
+        let at = self.waiting.iter().position(|known| *known == ticket);
+        self.waiting.swap_remove(at.expect("it waits"));
+    }
+}
+
+fn play(steps: &[Step]) {
+    let mut names = Names::new();
+    let organisations: Vec<key::Organisation> = (0..4)
+        .map(|index| names.organisations.intern(&index.to_string()))
+        .collect();
+    let mut control = Control::new(Thresholds::new(6));
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    let mut callers = Callers::default();
+    let mut now = Instant::ORIGIN;
+    for step in steps {
+        match *step {
+            Step::Offer {
+                organisation,
+                caller,
+                priority,
+                long,
+                within_ms,
+            } => {
+                let ask = Ask {
+                    organisation: organisations[organisation],
+                    weight: u32::try_from(organisation).unwrap_or(0) + 1,
+                    caller,
+                    class: None,
+                    priority,
+                    long,
+                    deadline: now.plus_millis(within_ms),
+                };
+                callers.verdict(control.offer(now, &ask, &mut rng));
+            }
+            Step::Finish { index, how } if !callers.running.is_empty() => {
+                let grant = callers.running.swap_remove(index % callers.running.len());
+                let ended = match how {
+                    0 => Ended::Whole { first: now },
+                    1 => Ended::Overloaded,
+                    _ => Ended::Void,
+                };
+                control.finish(now, grant, ended);
+                callers.ended += 1;
+            }
+            Step::Cancel { index } if !callers.waiting.is_empty() => {
+                let ticket = callers.waiting.swap_remove(index % callers.waiting.len());
+                assert!(control.cancel(ticket), "it waits");
+                assert!(!control.cancel(ticket), "it waits no more");
+                callers.ended += 1;
+            }
+            Step::Pass { ms } => now = now.plus_millis(ms),
+            Step::Finish { .. } | Step::Cancel { .. } => {}
+        }
+        for turn in control.poll(now, &mut rng) {
+            callers.turn(turn);
+        }
+        let known = (callers.running.len(), callers.waiting.len());
+        assert_eq!(control.load(), known);
+        let told = callers.refused + callers.ended + known.0 + known.1;
+        assert_eq!(told, callers.offered, "a request was lost or told twice");
+        assert!(known.0 <= 6 + 1, "more run than there are places");
+        assert!(control.next_expiry().is_none_or(|expiry| expiry > now));
+    }
+}
+
+// Requests come, wait, end and go away in any order: none is lost, none is
+// answered twice, and nobody waits past the time at which it could finish.
+#[test]
+fn control_random_steps_lose_and_double_none() {
+    let steps = std::env::var("FESCUERACK_STEPS").ok();
+    let steps = steps.and_then(|steps| steps.parse().ok()).unwrap_or(200);
+    let config = Config {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let strategy = proptest::collection::vec(step(), 1..=steps);
+    let result = TestRunner::new(config).run(&strategy, |steps| {
+        play(&steps);
+        Ok(())
+    });
+    result.expect("the invariants hold");
+}
--- /dev/null
+++ b/crates/core/tests/all/route.rs
@@ -0,0 +1,305 @@
+//! Choice of servers under the patterns that it answers.
+
+use std::collections::BTreeSet;
+
+use fescuerack_config::{Names, key};
+use fescuerack_core::clock::Instant;
+use fescuerack_core::route::score::Report;
+use fescuerack_core::route::subset::{Place, keep};
+use fescuerack_core::route::{Ask, Ended, Listed, State, Table};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64Mcg;
+
+struct Fixture {
+    table: Table,
+    rng: Pcg64Mcg,
+    fleet: key::Fleet,
+    keys: Vec<key::Server>,
+    avoid: BTreeSet<key::Server>,
+}
+
+impl Fixture {
+    fn new(servers: usize) -> Self {
+        let mut names = Names::new();
+        let fleet = names.fleets.intern("fleet");
+        let keys = (0..servers).map(|index| names.servers.intern(&format!("s{index}")));
+        let mut fixture = Self {
+            table: Table::new("a"),
+            rng: Pcg64Mcg::seed_from_u64(5),
+            fleet,
+            keys: keys.collect(),
+            avoid: BTreeSet::new(),
+        };
+        let all = fixture.keys.clone();
+        fixture.list(0, &all);
+        fixture
+    }
+
+    fn list(&mut self, now_ms: u64, shown: &[key::Server]) {
+        let listed = self.keys.iter().enumerate();
+        let listed = listed.filter(|(_, key)| shown.contains(key));
+        let listed = listed.map(|(index, key)| {
+            let server = Listed {
+                id: format!("s{index}"),
+                fleet: self.fleet,
+                zone: "a".to_owned(),
+                address: String::new(),
+                state: State::Live,
+                slots: 32,
+            };
+            (*key, server)
+        });
+        self.table
+            .list(Instant::from_millis(now_ms), listed.collect());
+    }
+
+    fn choose(&mut self, now_ms: u64, prefix: Option<u64>) -> Option<usize> {
+        let fleets = [self.fleet];
+        let ask = Ask {
+            fleets: &fleets,
+            avoid: &self.avoid,
+            work: 100,
+            prompt: 2_000,
+            prefix,
+            adapter: None,
+        };
+        let now = Instant::from_millis(now_ms);
+        let chosen = self.table.choose(now, &ask, &mut self.rng)?;
+        self.keys.iter().position(|key| *key == chosen)
+    }
+
+    /// Runs one attempt to its end and returns its server.
+    fn attempt(&mut self, now_ms: u64, ended: impl Fn(usize) -> (f64, Ended)) -> usize {
+        let index = self.choose(now_ms, None).expect("a server");
+        let (key, now) = (self.keys[index], Instant::from_millis(now_ms));
+        let clear = self.table.start(now, key, 100);
+        let (seconds, ended) = ended(index);
+        let answered = ended == Ended::Well;
+        if answered {
+            self.table.first(now, key, seconds, clear);
+        }
+        self.table.end(now, key, 100, ended, answered);
+        index
+    }
+}
+
+// A server is retired and says so in a refusal; the instance list shows it as
+// live for many seconds more. It gets nothing from that moment, nor from peers
+// that are told, and what runs there still ends.
+#[test]
+fn choose_never_takes_a_server_that_said_it_leaves() {
+    let mut fixture = Fixture::new(3);
+    let now = Instant::from_millis(10);
+    let leaving = fixture.keys[1];
+    fixture.table.start(now, leaving, 100);
+    fixture.table.leave(now, leaving);
+    let mut peer = Fixture::new(3);
+    peer.table.merge(now, &fixture.table.digest(now));
+    for step in 0..200 {
+        assert_ne!(fixture.choose(step, None), Some(1));
+        assert_ne!(peer.choose(step, None), Some(1));
+    }
+    fixture.table.end(now, leaving, 100, Ended::Well, false);
+    // Two peers that tell each other do not keep the word alive for ever.
+    let later = Instant::from_millis(130_000);
+    peer.table.merge(later, &fixture.table.digest(later));
+    peer.table.tick(later);
+    assert!((0..100).any(|_| peer.choose(130_000, None) == Some(1)));
+}
+
+#[test]
+fn choose_skips_a_server_gone_from_the_list() {
+    let mut fixture = Fixture::new(3);
+    let shown = [fixture.keys[0], fixture.keys[2]];
+    fixture.list(500, &shown);
+    assert!((0..100).all(|_| fixture.choose(600, None) != Some(1)));
+}
+
+// One server becomes ten times slower while its peers are well. It is found by
+// comparison and ejected, comes back on probation one attempt at a time, is
+// ejected again while it is slow, and gets its share once it is well.
+#[test]
+fn tick_ejects_a_slow_server_and_takes_it_back() {
+    let mut fixture = Fixture::new(6);
+    let share = |fixture: &mut Fixture, from_ms: u64, slow: f64| {
+        let mut taken = 0;
+        for step in 0..2_000 {
+            let now = from_ms + step * 10;
+            let seconds = move |index| if index == 0 { slow } else { 0.1 };
+            let ended = move |index| (seconds(index), Ended::Well);
+            taken += usize::from(fixture.attempt(now, ended) == 0);
+            if step % 50 == 0 {
+                fixture.table.tick(Instant::from_millis(now));
+            }
+        }
+        taken
+    };
+    assert!(share(&mut fixture, 0, 0.1) > 200, "it is well");
+    assert!(share(&mut fixture, 20_000, 1.0) < 100, "it is slow");
+    share(&mut fixture, 200_000, 0.1);
+    assert!(share(&mut fixture, 220_000, 0.1) > 200, "it is well again");
+}
+
+// Every server fails: the cause is common (a bad network, a bad version).
+// Ejecting them all would leave none for the first that recovers.
+#[test]
+fn end_keeps_the_floor_when_all_fail() {
+    let mut fixture = Fixture::new(6);
+    for step in 0..300 {
+        fixture.attempt(step, |_| (0.0, Ended::Badly));
+        fixture.table.tick(Instant::from_millis(step));
+    }
+    let ejected = fixture.table.iter();
+    let ejected = ejected
+        .filter(|(_, server)| server.health.is_ejected())
+        .count();
+    assert_eq!(ejected, 2, "a third of six");
+    assert!(fixture.table.usable(fixture.fleet).len() >= 4);
+}
+
+// Nine instances read the same report, in which one server stands idle. If each
+// sends everything there until the next report, it is flooded.
+#[test]
+fn choose_with_one_stale_report_makes_no_herd() {
+    let mut sent = [0_u32; 6];
+    for instance in 0..9 {
+        let mut fixture = Fixture::new(6);
+        fixture.rng = Pcg64Mcg::seed_from_u64(instance);
+        fixture.table.set_place(Place {
+            index: usize::try_from(instance).unwrap_or(0),
+            instances: 9,
+            size: 32,
+        });
+        for (index, key) in fixture.keys.clone().into_iter().enumerate() {
+            let report = Report {
+                at: Instant::from_millis(1_000),
+                work: if index == 0 { 0 } else { 900 },
+                requests: if index == 0 { 0 } else { 9 },
+                ..Report::default()
+            };
+            fixture
+                .table
+                .report(Instant::from_millis(1_000), key, report);
+        }
+        for _ in 0..10 {
+            let index = fixture.choose(1_500, None).expect("a server");
+            let key = fixture.keys[index];
+            fixture.table.start(Instant::from_millis(1_500), key, 100);
+            sent[index] += 1;
+        }
+    }
+    // Level would be 22 more on the idle one; all 90 would be the herd.
+    assert!(sent[0] >= 15, "the idle server gets more: {sent:?}");
+    assert!(sent[0] <= 36, "but not all: {sent:?}");
+}
+
+#[test]
+fn choose_ramps_up_a_server_that_joins() {
+    let mut fixture = Fixture::new(4);
+    let present = fixture.keys[..3].to_vec();
+    fixture.list(100, &present);
+    let all = fixture.keys.clone();
+    fixture.list(10_000, &all);
+    let mut early = [0; 4];
+    for step in 0..300 {
+        let index = fixture.choose(10_000 + step, None).expect("a server");
+        fixture
+            .table
+            .start(Instant::from_millis(10_000 + step), all[index], 1);
+        early[index] += 1;
+    }
+    assert!(
+        early[3] > 0 && early[3] < 30,
+        "a fair share would be 75: {early:?}"
+    );
+}
+
+// One prefix has most of the load. Its home keeps it while it can; what exceeds
+// the bound goes elsewhere.
+#[test]
+fn choose_keeps_a_prefix_home_within_its_bound() {
+    let mut fixture = Fixture::new(6);
+    let home = fixture.choose(0, Some(77)).expect("a server");
+    assert!((0..50).all(|_| fixture.choose(0, Some(77)) == Some(home)));
+    let mut sent = [0_u32; 6];
+    for _ in 0..120 {
+        let index = fixture.choose(0, Some(77)).expect("a server");
+        fixture
+            .table
+            .start(Instant::ORIGIN, fixture.keys[index], 100);
+        sent[index] += 1;
+    }
+    let most = sent.iter().max().copied().unwrap_or(0);
+    assert!(
+        most <= 40,
+        "20 each, with a bound of 1.25 and room for others: {sent:?}"
+    );
+}
+
+#[test]
+fn choose_reports_and_failures_in_any_order_stay_within_live_servers() {
+    for seed in 0..20 {
+        let mut fixture = Fixture::new(5);
+        fixture.rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut running: Vec<(usize, bool)> = Vec::new();
+        for step in 0..2_000 {
+            let now = Instant::from_millis(step * 20);
+            match fixture.rng.random_range(0..10) {
+                0..5 => {
+                    let index = fixture.choose(step * 20, Some(step % 7)).expect("a server");
+                    let clear = fixture.table.start(now, fixture.keys[index], 100);
+                    running.push((index, clear));
+                }
+                5..9 if !running.is_empty() => {
+                    let at = fixture.rng.random_range(0..running.len());
+                    let (index, clear) = running.swap_remove(at);
+                    let well = fixture.rng.random::<f64>() < 0.6;
+                    let key = fixture.keys[index];
+                    if well {
+                        fixture.table.first(now, key, 0.1, clear);
+                    }
+                    let ended = if well { Ended::Well } else { Ended::Badly };
+                    fixture.table.end(now, key, 100, ended, well);
+                }
+                _ => fixture.table.tick(now),
+            }
+            assert!(
+                fixture.table.usable(fixture.fleet).len() >= 4,
+                "the floor holds"
+            );
+        }
+        let left: u32 = fixture
+            .table
+            .iter()
+            .map(|(_, server)| server.in_flight)
+            .sum();
+        assert_eq!(usize::try_from(left).unwrap_or(0), running.len());
+    }
+}
+
+#[test]
+fn keep_deals_servers_out_evenly() {
+    let mut names = Names::new();
+    let ids: Vec<String> = (0..910).map(|index| format!("server-{index}")).collect();
+    let keys: Vec<_> = ids.iter().map(|id| names.servers.intern(id)).collect();
+    let mut uses = vec![0_u32; keys.len()];
+    for index in 0..340 {
+        let place = Place {
+            index,
+            instances: 340,
+            size: 32,
+        };
+        let mut kept = keys.clone();
+        keep(&place, &mut kept, |key| names.servers.name(key).as_ref());
+        assert!((32..=33).contains(&kept.len()));
+        for key in kept {
+            uses[keys.iter().position(|known| *known == key).expect("known")] += 1;
+        }
+    }
+    let least = uses.iter().min().copied().unwrap_or(0);
+    let most = uses.iter().max().copied().unwrap_or(0);
+    assert!(
+        least >= 12 && most <= 13,
+        "each in {least} to {most} subsets"
+    );
+}
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -101,7 +101,14 @@
     let places = shared.settings.limits.concurrency;
     shared.gate.set(admission::thresholds(places, catalog));
     let instances = lock(&shared.member).view.size();
-    lock(&shared.rates).refresh(now, instances);
+    let mut rates = lock(&shared.rates);
+    for (key, organisation) in &catalog.organisations {
+        if let Some(rate) = organisation.rate {
+            rates.track(now, key, rate, instances);
+        }
+    }
+    rates.refresh(now, instances);
+    drop(rates);
     lock(&shared.pools).set(budget::Thresholds {
         share: catalog.limit("attempt.retry-share"),
         saved: catalog.limit("attempt.retry-saved"),
