--- a/crates/node/tests/all/orders.rs
+++ b/crates/node/tests/all/orders.rs
@@ -47,6 +47,7 @@
 #[test]
 fn holder_frozen_gives_no_order_after_a_newer_one() {
     let world = World::new();
+    world.publish_with("fences: true", "fences: false");
     for engine in &world.engines {
         engine.orders().ignore_fence(true);
     }
