--- a/crates/config/src/change/rollout.rs
+++ b/crates/config/src/change/rollout.rs
@@ -68,7 +68,7 @@
     draft: &mut Draft<'_>,
     model: &str,
     candidate: &str,
-    fields: Map<String, Json>,
+    mut fields: Map<String, Json>,
 ) -> Result<(), Refusal> {
     if let Ok((_, running)) = running(draft, model) {
         let message = format!("a roll-out of {running} is open; close or withdraw it first");
@@ -78,6 +78,10 @@
         let message = format!("{candidate} is not open; `rollout reopen {candidate}` opens it");
         return Err(senseless(message));
     }
+    // Only an opening raises the word: it clears a halt of the candidate.
+    let last = draft.merged.file.rollouts.get(model);
+    let word = last.map_or(1, |last| last.word.saturating_add(1));
+    fields.insert("word".to_owned(), Json::from(word));
     if draft.owner(ROLLOUTS, model).is_none() {
         if !fields.contains_key("current") {
             let message = format!("{model} has no roll-out yet: name its version of today");
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -52,13 +52,14 @@
             .context("start the runtime")?;
         let shared = Arc::new(Shared::new(settings, runtime.handle().clone())?);
         let callers = runtime.block_on(callers::Port::new(Arc::clone(&shared)))?;
-        let operators = operators::Port::new(&shared)?;
+        let operators = operators::Port::new(&shared, runtime.handle())?;
         let (peers, peers_handle) = runtime.block_on(peers::serve(Arc::clone(&shared)))?;
         runtime.spawn(peers_handle.stopped());
         runtime.spawn(peers::follow(Arc::clone(&shared)));
         runtime.spawn(ledger::copy(Arc::clone(&shared)));
         let stop = Stop::new();
         spawn("config", &shared, &stop, force::follow)?;
+        spawn("watch", &shared, &stop, force::watch)?;
         spawn("servers", &shared, &stop, servers::follow)?;
         spawn("loads", &shared, &stop, loads::follow)?;
         spawn("claims", &shared, &stop, claims::follow)?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -24,6 +24,9 @@
     /// Key that all instances of the fleet share; messages without its seal
     /// are refused.
     pub peer_key: String,
+    /// Operators' port.
+    #[serde(default)]
+    pub operators: Operators,
     /// Limits.
     #[serde(default)]
     pub limits: Limits,
@@ -74,6 +77,9 @@
     pub header_timeout_ms: u64,
     /// Milliseconds within which the body of a request must arrive.
     pub body_timeout_ms: u64,
+    /// Milliseconds that an answer's end waits at most until its ledger entry
+    /// is kept in the store or copied to a peer.
+    pub ledger_wait_ms: u64,
     /// Milliseconds for which new work is taken after readiness is withdrawn.
     pub drain_lag_ms: u64,
     /// Milliseconds within which running requests end before the process does.
@@ -83,6 +89,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            ledger_wait_ms: 4,
             concurrency: 400,
             workers: 2,
             body_bytes: 4 << 20,
@@ -94,6 +101,15 @@
     }
 }
 
+/// How the operators' port treats those who ask.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operators {
+    /// Whether state, status and configuration are read without a token, for
+    /// networks that only operators reach. Changes always need one.
+    pub open_reads: bool,
+}
+
 /// How the process logs.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -130,9 +146,11 @@
             fleet: default_fleet(),
             peer_key: peer_key.to_owned(),
             limits: Limits {
+                ledger_wait_ms: 4,
                 drain_lag_ms: 0,
                 ..Limits::default()
             },
+            operators: Operators::default(),
             logs: Logs::default(),
             statsd: String::new(),
         }
--- a/crates/platform/src/manifest.rs
+++ b/crates/platform/src/manifest.rs
@@ -64,16 +64,25 @@
             result = result.with_file(name, content.clone());
             continue;
         }
-        let value = store
-            .get(&blob_key(&file.digest))
-            .with_context(|| format!("read file {name}"))?
-            .with_context(|| format!("file {name} is missing in the store"))?;
+        let value = blob(store, &file.digest).with_context(|| format!("read file {name}"))?;
         result = result.with_file(name, value.bytes);
     }
     verify(manifest, &result)?;
     Ok(result)
 }
 
+/// Reads a file's content. A manifest names only files that exist: one that is
+/// absent is an old read, and the next one may be new.
+fn blob(store: &dyn Store, digest: &str) -> Result<Value> {
+    const READS: usize = 3;
+    for _ in 0..READS {
+        if let Some(value) = store.get(&blob_key(digest))? {
+            return Ok(value);
+        }
+    }
+    bail!("its content is missing in the store")
+}
+
 /// Verifies that a folder is exactly what a manifest names.
 ///
 /// # Errors
--- a/crates/standin/tests/all/force.rs
+++ b/crates/standin/tests/all/force.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: racing operators, lost answers, kills and old
 //! reads never lose, double or revert an accepted change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use fescuerack_config::folder;
@@ -44,6 +44,11 @@
     wishes: BTreeMap<String, Wish>,
     accepted: BTreeMap<String, u64>,
     rejected: Vec<String>,
+    /// Requests that were told that nothing was changed, and how many manifests
+    /// there were then.
+    rejected_so_far: Vec<(String, usize)>,
+    /// Requests that were sent more than once: an earlier one may be under way.
+    asked_before: BTreeSet<String>,
     next: u64,
     counts: BTreeMap<&'static str, u64>,
 }
@@ -65,6 +70,8 @@
             wishes: BTreeMap::new(),
             accepted: BTreeMap::new(),
             rejected: Vec::new(),
+            rejected_so_far: Vec::new(),
+            asked_before: BTreeSet::new(),
             next: 0,
             counts: BTreeMap::new(),
         }
@@ -144,6 +151,7 @@
         if !self.unsure.is_empty() && self.dice.chance(0.5) {
             let wish = self.unsure.swap_remove(0);
             self.count("sent again");
+            self.asked_before.insert(wish.request.clone());
             return self.start(wish);
         }
         self.next += 1;
@@ -215,6 +223,9 @@
                     self.log[index].change.request, request,
                     "accepted is not in force"
                 );
+                let mut contents = wish.files.values().flatten();
+                let is_bad = contents.any(|content| content.starts_with(b"nonsense"));
+                assert!(!is_bad, "nonsense was accepted");
                 self.accepted.insert(request, revision);
                 self.count("accepted");
             }
@@ -240,6 +251,9 @@
             }
             Applied::Out => {
                 self.count("out");
+                if !self.asked_before.contains(&request) {
+                    self.rejected_so_far.push((request, self.log.len()));
+                }
                 self.unsure.push(wish);
             }
             Applied::Unchanged { .. } => {
@@ -312,6 +326,13 @@
             let stands = log.any(|manifest| manifest.change.request == *request);
             assert!(!stands, "{request} was rejected and came into force");
         }
+        for (request, length) in &self.rejected_so_far {
+            if !self.asked_before.contains(request) {
+                let mut log = self.log.iter();
+                let stands = log.any(|manifest| manifest.change.request == *request);
+                assert!(!stands, "{request} was out at {length} and came into force");
+            }
+        }
         for (request, revision) in &self.accepted {
             let index = usize::try_from(*revision).expect("small");
             assert_eq!(self.log[index].change.request, *request);
