--- a/crates/node/src/force.rs
+++ b/crates/node/src/force.rs
@@ -1,13 +1,14 @@
 //! Follows the manifest and puts each accepted configuration in force.
 //!
-//! Every instance waits at the store for a change and reads the manifest after
-//! each wait, so a missed event costs one wait and not the change. While the
-//! store is out, peers give their verified copy: to an instance that has just
-//! started, and to one that hears of a newer revision. See
-//! `docs/design/configuration.md` for the ways that were weighed.
+//! Every instance waits at the store for a change, in long waits, since each
+//! counts as a call. An event that is missed shows in the next message of a
+//! peer, which names its revision. While the store is out, peers give their
+//! verified copy: to an instance that has just started, and to one that hears
+//! of a newer revision. See `docs/design/configuration.md` for the ways that
+//! were weighed.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, anyhow};
@@ -22,9 +23,15 @@
 use crate::shared::{Force, Shared, lock};
 use crate::stop::Stop;
 
-/// Time for which one watch waits at the store. With the read that follows it
-/// bounds what a missed event costs.
-const WATCH: Duration = Duration::from_secs(3);
+/// Time for which one watch waits at the store.
+const WATCH: Duration = Duration::from_secs(30);
+/// Time between two reads of the manifest without any event. An instance that
+/// misses its event and hears no peer is late by this at most.
+const READ_EVERY: Duration = Duration::from_secs(30);
+/// The same while a newer revision is known to exist, or none is in force yet.
+const READ_AGAIN: Duration = Duration::from_millis(200);
+/// Pause of the watch after an event.
+const BETWEEN_WATCHES: Duration = Duration::from_millis(20);
 /// Reads per second that the fleet may spend when all read after a change.
 const AFTER_CHANGE: u64 = 900;
 /// Reads of one instance after a change: the wait, the manifest, one file.
@@ -51,6 +58,11 @@
 pub struct Desk {
     inner: Mutex<Inner>,
     heard: AtomicU64,
+    /// Version of the manifest that was read last.
+    seen: AtomicU64,
+    /// Whether there is a reason to read the manifest.
+    due: Mutex<bool>,
+    changed: Condvar,
 }
 
 #[derive(Debug, Default)]
@@ -66,7 +78,41 @@
 impl Desk {
     /// Takes note of the revision at a peer.
     pub fn hear(&self, revision: u64) {
-        self.heard.fetch_max(revision, Ordering::SeqCst);
+        if self.heard.fetch_max(revision, Ordering::SeqCst) < revision {
+            self.wake();
+        }
+    }
+
+    fn wake(&self) {
+        *lock(&self.due) = true;
+        self.changed.notify_all();
+    }
+
+    /// Waits for a reason to read the manifest, but not longer than `wait`.
+    fn wait(&self, wait: Duration) {
+        let due = lock(&self.due);
+        let (mut due, _) = self
+            .changed
+            .wait_timeout_while(due, wait, |due| !*due)
+            .unwrap_or_else(PoisonError::into_inner);
+        *due = false;
+    }
+
+    /// Returns how long to wait for a reason to read: shortly while there is
+    /// no configuration, or while a peer has a newer one than the last read
+    /// showed.
+    fn pause(&self) -> Duration {
+        let inner = lock(&self.inner);
+        let heard = self.heard.load(Ordering::SeqCst);
+        let known = inner
+            .follower
+            .revision()
+            .max(inner.follower.refused().unwrap_or(0));
+        if known == 0 || heard > known {
+            READ_AGAIN
+        } else {
+            READ_EVERY
+        }
     }
 
     /// Returns the manifest in force; none without a configuration.
@@ -99,17 +145,43 @@
     }
 }
 
-/// Follows the manifest until `stop` is set.
+/// Waits at the store for changes until `stop` is set.
+pub fn watch(shared: &Arc<Shared>, stop: &Stop) {
+    let mut backoff = Backoff::new(shared.random());
+    loop {
+        let seen = shared.configuration.seen.load(Ordering::SeqCst);
+        let result = shared.store.watch(manifest::KEY, seen, WATCH);
+        let now = shared.wall.now();
+        let pause = match result {
+            Ok(latest) if latest > seen => spread(shared),
+            Ok(_) => Duration::ZERO,
+            Err(_) => backoff.next(now).since(now),
+        };
+        if result.is_ok() {
+            backoff.reset();
+        }
+        if stop.wait(pause) {
+            return;
+        }
+        shared.configuration.wake();
+        // The read moves `seen` on; without a pause the same event would come
+        // again before it has.
+        if stop.wait(BETWEEN_WATCHES) {
+            return;
+        }
+    }
+}
+
+/// Reads the manifest when there is a reason to, until `stop` is set.
 pub fn follow(shared: &Arc<Shared>, stop: &Stop) {
-    let mut seen = 0;
     let mut backoff = Backoff::new(shared.random());
     loop {
         share(shared);
-        let result = look(shared, stop, seen);
-        note_store(shared, result.is_err());
-        let pause = if let Ok(version) = result {
-            seen = version;
+        let is_read = look(shared).is_ok();
+        note_store(shared, !is_read);
+        let pause = if is_read {
             backoff.reset();
+            shared.configuration.wait(shared.configuration.pause());
             Duration::ZERO
         } else {
             shared.metrics.count("force.store_failed");
@@ -141,28 +213,22 @@
     }
 }
 
-/// Waits for a change after version `seen` of the manifest and puts it in
-/// force; returns the version of the manifest that was read. That version, and
-/// not the one of the event, is waited on next: after an old read the same
-/// event must come again.
-fn look(shared: &Shared, stop: &Stop, seen: u64) -> Result<u64> {
-    if seen > 0 {
-        let latest = shared.store.watch(manifest::KEY, seen, WATCH)?;
-        if latest > seen && stop.wait(spread(shared)) {
-            return Ok(seen);
-        }
-    }
+/// Reads the manifest and puts it in force. The version that was read, and not
+/// the one of the event, is waited on next: after an old read the same event
+/// must come again.
+fn look(shared: &Shared) -> Result<()> {
     let Some((version, manifest)) = manifest::read(&shared.store)? else {
-        let _ = stop.wait(Duration::from_millis(200));
-        return Ok(0);
+        return Ok(());
     };
-    let decision = lock(&shared.configuration.inner).follower.see(&manifest);
+    let desk = &shared.configuration;
+    desk.seen.fetch_max(version, Ordering::SeqCst);
+    let decision = lock(&desk.inner).follower.see(&manifest);
     if decision == Seen::Fetch {
-        let have = lock(&shared.configuration.inner).folder.clone();
+        let have = lock(&desk.inner).folder.clone();
         let folder = manifest::fetch_with(&shared.store, &manifest, &have)?;
         put(shared, manifest, folder, &Source::Store);
     }
-    Ok(version.max(seen))
+    Ok(())
 }
 
 /// Returns a random pause that spreads the fleet's reads after a change.
