--- a/crates/node/src/callers/attempts.rs
+++ b/crates/node/src/callers/attempts.rs
@@ -6,7 +6,7 @@
 use fescuerack_config::key;
 use fescuerack_core::attempt::{Attempts, End, Next, Outcome, hedge};
 use fescuerack_core::clock::Instant;
-use fescuerack_core::poison::Fingerprint;
+use fescuerack_core::poison::{self, Fingerprint};
 use fescuerack_core::route::Ask;
 use fescuerack_platform::Fault;
 use fescuerack_platform::engine::Event;
@@ -106,6 +106,10 @@
             if !suspects::admit(&self.shared, self.work.fingerprint).await {
                 return Err(Failure::Crashes(self.attempts.outcome()));
             }
+            if suspects::is_suspected(&self.shared, self.work.fingerprint) {
+                let latest = self.shared.now().plus_millis(poison::LONGEST_MS);
+                self.work.deadline = self.work.deadline.min(latest);
+            }
             if self.attempts.made() > 0 {
                 let now = self.shared.now();
                 let pause = self.attempts.pause(now, &mut *lock(&self.shared.rng));
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -18,7 +18,7 @@
 /// Settings beside the limits that are no text.
 const SWITCHES: [&str; 2] = ["logs.json", "operators.open_reads"];
 /// Every setting, with the group it belongs to.
-const SETTINGS: [&str; 21] = [
+const SETTINGS: [&str; 22] = [
     "instance",
     "zone",
     "platform",
@@ -38,6 +38,7 @@
     "limits.header_timeout_ms",
     "limits.body_timeout_ms",
     "limits.write_timeout_ms",
+    "limits.ledger_wait_ms",
     "limits.drain_lag_ms",
     "limits.drain_deadline_ms",
 ];
