--- a/crates/core/benches/load.rs
+++ b/crates/core/benches/load.rs
@@ -5,9 +5,13 @@
 //! and product run in the same process on the same load. The queue model is
 //! that of `fescuerack-replay`; time is simulated, so figures repeat exactly.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
+use fescuerack_config::Names;
+use fescuerack_core::admission::rate::Rates;
+use fescuerack_core::clock::Instant;
 use fescuerack_core::num::float;
+use fescuerack_core::pacing::Drain;
 use fescuerack_replay::{
     Admission, Choice, Crowd, Fault, Figures, Kind, Policy, Retry, Scenario, Stream, run,
 };
@@ -23,7 +27,7 @@
 
 fn main() {
     let wanted = std::env::args().skip(1).find(|word| !word.starts_with('-'));
-    let parts: [(&str, fn()); 9] = [
+    let parts: [(&str, fn()); 11] = [
         ("saturation", saturation),
         ("long", long_among_short),
         ("slow", slow_server),
@@ -33,6 +37,8 @@
         ("third", lost_third),
         ("crowd", crowd),
         ("fleet", fleet),
+        ("rates", rates),
+        ("store", store_back),
     ];
     for (name, part) in parts {
         if wanted
@@ -513,3 +519,174 @@
     let label = format!("{nodes} × {servers}, lag {lag_ms} ms, {name}, subset {subset}");
     (label, scenario)
 }
+
+/// An organisation sends three times its limit of 1,000 a second through all
+/// instances, then through a tenth of them.
+fn rates() {
+    println!("\n### A limit of 1,000 requests a second across instances\n");
+    println!(
+        "| instances, age of views | most in a second | mean, all send | mean, a tenth send |"
+    );
+    println!("|---|---:|---:|---:|");
+    for instances in [9, 340] {
+        for lag_s in [1, 3, 10] {
+            let passed = rate_run(instances, lag_s);
+            let mean =
+                |from: usize, to: usize| passed[from..to].iter().sum::<usize>() / (to - from);
+            let most = passed.iter().max().copied().unwrap_or(0);
+            println!(
+                "| {instances}, {lag_s} s | {most} | {} | {} |",
+                mean(20, 60),
+                mean(90, 120)
+            );
+        }
+    }
+}
+
+fn rate_run(count: usize, lag_s: u64) -> Vec<usize> {
+    const LIMIT: f64 = 1_000.0;
+    let mut names = Names::new();
+    let organisation = names.organisations.intern("one");
+    let mut instances: Vec<_> = (0..count).map(|_| Rates::new()).collect();
+    for instance in &mut instances {
+        instance.track(Instant::ORIGIN, organisation, LIMIT, count);
+    }
+    let mut told = VecDeque::new();
+    let mut passed = Vec::new();
+    for second in 0..120_u64 {
+        let now = Instant::from_millis(second * 1_000 + 1);
+        let digests: Vec<_> = instances.iter().map(|it| it.digest(&names, now)).collect();
+        told.push_back(digests);
+        if told.len() > usize::try_from(lag_s).unwrap_or(0) {
+            for (from, digest) in told.pop_front().into_iter().flatten().enumerate() {
+                for (index, instance) in instances.iter_mut().enumerate() {
+                    if index != from {
+                        instance.merge(&names, now, &from.to_string(), &digest);
+                    }
+                }
+            }
+        }
+        let senders = if second < 60 {
+            count
+        } else {
+            count.div_ceil(10)
+        };
+        let each = u64::try_from(3_000 / senders).unwrap_or(1);
+        let mut all = 0;
+        for instance in &mut instances {
+            instance.refresh(now, count);
+        }
+        for instance in &mut instances[..senders] {
+            for step in 0..each {
+                let at = now.plus_millis(step * 990 / each);
+                let spent = instance.spend(at, organisation, LIMIT, count);
+                all += usize::from(spent.is_ok());
+            }
+        }
+        passed.push(all);
+    }
+    passed
+}
+
+/// The store returns after an outage in which 340 instances have gathered 60
+/// writes each. It serves 500 a second; a write that is not answered within a
+/// second is sent again, and the store serves both.
+fn store_back() {
+    println!("\n### The store returns to 340 × 60 writes at 500 a second\n");
+    println!("| policy | s until all are kept | served per write | longest wait s |");
+    println!("|---|---:|---:|---:|");
+    for (name, batch) in [
+        ("all at once", None),
+        ("batches of 10 a second, no brake", Some((10, false))),
+        ("batches of 10 a second with brake", Some((10, true))),
+        ("batches of 1 a second with brake", Some((1, true))),
+        ("batches of 2 a second with brake", Some((2, true))),
+    ] {
+        let (seconds, served, wait) = store_run(batch);
+        println!("| {name} | {seconds:.1} | {served:.2} | {wait:.1} |");
+    }
+}
+
+fn store_run(batch: Option<(usize, bool)>) -> (f64, f64, f64) {
+    const STEP_MS: u64 = 10;
+    const SERVED: usize = 5;
+    let mut clients: Vec<Client> = (0..340).map(|_| Client::new(batch)).collect();
+    // Each entry: client, piece, when it was sent.
+    let mut queue: VecDeque<(usize, usize, Instant)> = VecDeque::new();
+    let (mut served, mut wait, mut now) = (0, 0.0_f64, Instant::ORIGIN);
+    while clients.iter().any(|client| !client.is_done()) && now < Instant::from_millis(600_000) {
+        now = now.plus_millis(STEP_MS);
+        for (index, client) in clients.iter_mut().enumerate() {
+            for piece in client.send(now) {
+                queue.push_back((index, piece, now));
+            }
+        }
+        for _ in 0..SERVED {
+            let Some((client, piece, sent)) = queue.pop_front() else {
+                break;
+            };
+            served += 1;
+            wait = wait.max(now.since(sent).as_secs_f64());
+            clients[client].answered(piece);
+        }
+    }
+    let seconds = now.since(Instant::ORIGIN).as_secs_f64();
+    (seconds, float(served) / (340.0 * 60.0), wait)
+}
+
+/// An instance with a backlog of writes.
+struct Client {
+    drain: Option<Drain>,
+    brake: bool,
+    unsent: Vec<usize>,
+    sent: BTreeMap<usize, Instant>,
+}
+
+impl Client {
+    fn new(batch: Option<(usize, bool)>) -> Self {
+        Self {
+            drain: batch.map(|(size, _)| Drain::new(size)),
+            brake: batch.is_some_and(|(_, brake)| brake),
+            unsent: (0..60).collect(),
+            sent: BTreeMap::new(),
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.unsent.is_empty() && self.sent.is_empty()
+    }
+
+    fn send(&mut self, now: Instant) -> Vec<usize> {
+        let late = |sent: &Instant| now >= sent.plus_millis(1_000);
+        let mut pieces: Vec<usize> = self
+            .sent
+            .iter()
+            .filter(|(_, sent)| late(sent))
+            .map(|(piece, _)| *piece)
+            .collect();
+        let waiting = self.unsent.len();
+        let more = match &mut self.drain {
+            None => waiting,
+            Some(drain) => drain.take(now, waiting),
+        };
+        if !self.brake
+            && let Some(drain) = &mut self.drain
+        {
+            (0..more).for_each(|_| drain.answered());
+        }
+        pieces.extend(self.unsent.split_off(waiting - more));
+        for piece in &pieces {
+            self.sent.insert(*piece, now);
+        }
+        pieces
+    }
+
+    fn answered(&mut self, piece: usize) {
+        if self.sent.remove(&piece).is_some()
+            && self.brake
+            && let Some(drain) = &mut self.drain
+        {
+            drain.answered();
+        }
+    }
+}
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -95,6 +95,34 @@
 
     /// Starts a process under `limits`, in YAML's flow style without braces.
     pub fn start_with(&self, instance: &str, limits: &str) -> Process {
+        let process = self.spawn(instance, limits);
+        process.wait_until_ready();
+        process
+    }
+
+    /// Starts processes that know each other.
+    pub fn start_fleet<const N: usize>(&self, instances: [&str; N]) -> [Process; N] {
+        let fleet = instances.map(|instance| self.start(instance));
+        for process in &fleet {
+            self.list_own(process);
+        }
+        for process in &fleet {
+            wait_until("the fleet is known", || {
+                process.state()["member"]["instances"]
+                    .as_array()
+                    .is_some_and(|others| others.len() + 1 >= N)
+            });
+        }
+        fleet
+    }
+
+    /// Puts a process on the platform's list.
+    pub fn list_own(&self, process: &Process) {
+        self.list(&process.instance, "fescuerack", process.peers.clone());
+    }
+
+    /// Starts a process under `limits` without waiting for it.
+    pub fn spawn(&self, instance: &str, limits: &str) -> Process {
         let settings = format!(
             "instance: {instance}\nzone: espoo-a\npeer_key: a key for the tests\nplatform: {}\nlisten:\n  \
              callers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n  peers: 127.0.0.1:0\n\
@@ -112,16 +140,14 @@
             .spawn()
             .expect("the process starts");
         let addresses = read_addresses(&mut child);
-        let process = Process {
+        Process {
             child,
             callers: addresses("callers"),
             operators: addresses("operators"),
             instance: instance.to_owned(),
             peers: addresses("peers").trim_start_matches("http://").to_owned(),
             _settings: file,
-        };
-        process.wait_until_ready();
-        process
+        }
     }
 }
 
@@ -168,11 +194,23 @@
         words.find_map(|word| word.parse().ok()).expect("a number")
     }
 
+    /// Returns the revision of the configuration in force.
+    pub fn revision(&self) -> u64 {
+        self.state()["configuration"]["revision"]
+            .as_u64()
+            .unwrap_or(0)
+    }
+
     /// Waits until a counter has reached a value.
     pub fn wait_for(&self, name: &str, value: u64) {
         wait_until(name, || self.counter(name) >= value);
     }
 
+    /// Returns the address of the callers' port, for another thread.
+    pub fn address_of(process: &Self) -> String {
+        process.callers.clone()
+    }
+
     /// Asks for a graceful shutdown.
     pub fn terminate(&self) {
         let pid = self.child.id().to_string();
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod claim;
 mod force;
 mod ledger;
+mod manifest;
 mod run;
