--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -35,11 +35,13 @@
 pub mod health;
 mod ring;
 pub mod score;
+mod server;
 pub mod subset;
 pub mod word;
 
 pub use health::Thresholds;
 pub use ring::hash;
+pub use server::{Ask, Ended, Listed, Server, State};
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -49,98 +51,11 @@
 
 use crate::clock::Instant;
 use crate::num::Mean;
-use health::Health;
 use ring::Ring;
-use score::{Pool, Recent, Report};
+use score::{Pool, Report};
+use server::Best;
 use word::Words;
 
-/// Whether a backend server takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum State {
-    /// Takes new work.
-    Live,
-    /// Finishes its work and takes no more.
-    Leaving,
-}
-
-/// A backend server as the instance list describes it.
-#[derive(Clone, Debug)]
-pub struct Listed {
-    /// Identifier in the instance list.
-    pub id: String,
-    /// Fleet that it belongs to.
-    pub fleet: key::Fleet,
-    /// Availability zone.
-    pub zone: String,
-    /// Address, as `host:port`.
-    pub address: String,
-    /// Whether it takes new work.
-    pub state: State,
-    /// Requests that it runs at a time.
-    pub slots: u32,
-}
-
-/// A backend server and what this instance knows of it.
-#[derive(Clone, Debug)]
-pub struct Server {
-    /// Identifier in the instance list.
-    pub id: String,
-    /// Fleet that it belongs to.
-    pub fleet: key::Fleet,
-    /// Availability zone.
-    pub zone: String,
-    /// Address, as `host:port`.
-    pub address: String,
-    /// Whether it takes new work.
-    pub state: State,
-    /// Requests that it runs at a time.
-    pub slots: u32,
-    /// Attempts of this instance that run on it.
-    pub in_flight: u32,
-    /// Work of these attempts, in tokens.
-    pub work: u64,
-    /// Whether it is trusted with work.
-    pub health: Health,
-    /// Seconds to the first token, or to the answer of a plain service.
-    pub first: Mean,
-    near: bool,
-    joined: Option<Instant>,
-    unanswered: u32,
-    progress: Instant,
-    sampled: Instant,
-    report: Option<Report>,
-    recent: Recent,
-}
-
-/// What is to be placed.
-#[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
-    /// Fleets that can run it.
-    pub fleets: &'a [key::Fleet],
-    /// Servers that it must not run on.
-    pub avoid: &'a BTreeSet<key::Server>,
-    /// Its work in tokens; 1 for a call of a plain service.
-    pub work: u32,
-    /// Tokens of its prompt.
-    pub prompt: u32,
-    /// Hash of the prompt's beginning, when it is long enough to be cached.
-    pub prefix: Option<u64>,
-    /// Hash of the adapter that it needs.
-    pub adapter: Option<u64>,
-}
-
-/// How an attempt ended, as far as the choice of servers is concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// The server did its part.
-    Well,
-    /// The server failed, broke off or refused.
-    Badly,
-    /// It says nothing about the server.
-    Void,
-}
-
 /// The backend servers that this instance knows.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -215,37 +130,12 @@
     fn observe(&mut self, now: Instant, key: key::Server, listed: Listed) {
         let near = listed.zone == self.zone;
         if let Some(known) = self.servers.get_mut(key) {
-            if known.state == State::Leaving && listed.state == State::Live {
-                known.joined = Some(now);
-            }
-            known.near = near;
-            known.address = listed.address;
-            known.zone = listed.zone;
-            known.fleet = listed.fleet;
-            known.state = listed.state;
-            known.slots = listed.slots;
+            known.update(now, listed, near);
             return;
         }
-        let server = Server {
-            id: listed.id,
-            fleet: listed.fleet,
-            zone: listed.zone,
-            address: listed.address,
-            state: listed.state,
-            slots: listed.slots,
-            in_flight: 0,
-            work: 0,
-            health: Health::new(),
-            first: Mean::default(),
-            near,
-            // Servers of the first list have not just joined: this instance has.
-            joined: self.filled.then_some(now),
-            unanswered: 0,
-            progress: now,
-            sampled: now,
-            report: None,
-            recent: Recent::default(),
-        };
+        // Servers of the first list have not just joined: this instance has.
+        let joined = self.filled.then_some(now);
+        let server = Server::new(now, listed, near, joined);
         self.servers.insert(key, server);
     }
 
@@ -508,25 +398,3 @@
         self.pools.get(fleet).map_or(&[], |pool| &pool.usable)
     }
 }
-
-/// The server of least cost so far; equal costs are decided at random, so that
-/// instances do not agree on the same server.
-#[derive(Default)]
-struct Best {
-    server: Option<key::Server>,
-    cost: f64,
-    rank: f64,
-}
-
-impl Best {
-    fn offer(&mut self, server: key::Server, cost: f64, rank: f64) {
-        let better = self.server.is_none() || (cost, rank) < (self.cost, self.rank);
-        if better {
-            *self = Self {
-                server: Some(server),
-                cost,
-                rank,
-            };
-        }
-    }
-}
