--- a/crates/cli/src/commands/demo.rs
+++ b/crates/cli/src/commands/demo.rs
@@ -28,6 +28,9 @@
     /// caller's key of the demo.
     #[arg(long, value_name = "FILE")]
     env: Option<PathBuf>,
+    /// Logs changes of state too, not only what goes wrong.
+    #[arg(long)]
+    verbose: bool,
     /// Sends one request of each kind, prints a table and exits.
     #[arg(long)]
     once: bool,
@@ -42,7 +45,7 @@
     /// not the right one.
     pub fn execute(self) -> Result<()> {
         ensure!(self.instances > 0, "--instances must be at least 1");
-        let _logger = Logger::try_with_str("info")?
+        let _logger = Logger::try_with_str(if self.verbose { "info" } else { "warn" })?
             .log_to_stderr()
             .start()
             .context("start the logger")?;
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -18,9 +18,9 @@
 use tokio::runtime::Runtime;
 
 /// Servers of one engine fleet.
-const ENGINES: usize = 4;
+const ENGINES: usize = 12;
 /// Servers of one fleet of a plain service.
-const SERVICES: usize = 2;
+const SERVICES: usize = 4;
 /// Pace of the stand-in engines.
 const PACE: Pace = Pace {
     first_ms: 30,
--- a/crates/cli/tests/all/verbs.rs
+++ b/crates/cli/tests/all/verbs.rs
@@ -307,3 +307,12 @@
         assert!(ran.out.contains(verb));
     }
 }
+
+#[rstest::rstest]
+#[case::hoivapolku("hoivapolku-entry-0.yaml")]
+#[case::opozivnik("opozivnik-entry-0.yaml")]
+fn settings_of_the_examples_are_accepted(#[case] name: &str) {
+    let path = example().join("../settings").join(name);
+    let settings = fescuerack_node::Settings::read(&path).expect("accepted");
+    assert_eq!(settings.instance, "entry-0");
+}
--- a/crates/config/tests/all/change.rs
+++ b/crates/config/tests/all/change.rs
@@ -142,3 +142,15 @@
     };
     assert_eq!(after(&folder, &[remove]).0, before);
 }
+
+// A program of a team misspells a field of an organisation. The change must be
+// refused; without the field it would seem to have taken effect.
+#[test]
+fn action_with_an_unknown_field_is_refused() {
+    for action in [
+        r#"{"action": "organisation-set", "organisation": "a", "wieght": 3}"#,
+        r#"{"action": "rollout-step", "model": "m", "stages": 3}"#,
+    ] {
+        assert!(serde_json::from_str::<Action>(action).is_err(), "{action}");
+    }
+}
