--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the core's slices, without a network.
 
+mod choice;
 mod fleet;
 mod member;
 mod order;
+mod poison;
 mod replay;
 mod rollout;
