--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the core's slices, without a network.
 
+mod admission;
+mod attempt;
 mod choice;
 mod fleet;
 mod member;
@@ -7,3 +9,4 @@
 mod poison;
 mod replay;
 mod rollout;
+mod route;
--- a/crates/node/src/aid.rs
+++ b/crates/node/src/aid.rs
@@ -16,7 +16,7 @@
 use fescuerack_core::store::LARGEST_VALUE;
 use fescuerack_wire::peer::{self, Sealed};
 use jsonrpsee::core::client::ClientT as _;
-use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::types::ErrorObjectOwned;
 use jsonrpsee::{RpcModule, rpc_params};
 use serde::de::DeserializeOwned;
@@ -80,21 +80,46 @@
     }
 }
 
-/// Asks the peer at `address`.
+/// A peer that is asked again and again; keeps its connection.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    client: HttpClient,
+}
+
+impl Peer {
+    /// Prepares to ask the peer at `address`.
+    ///
+    /// # Errors
+    ///
+    /// When the address is malformed.
+    pub fn new(address: &str) -> Result<Self> {
+        let client = HttpClientBuilder::default()
+            .request_timeout(TIMEOUT)
+            .max_response_size(LARGEST_ANSWER)
+            .build(format!("http://{address}"))?;
+        Ok(Self { client })
+    }
+
+    /// Asks the peer.
+    ///
+    /// # Errors
+    ///
+    /// When there is no usable answer; the peer may have done what was asked.
+    pub async fn ask<R: DeserializeOwned>(&self, shared: &Shared, ask: &Ask) -> Result<R> {
+        let key = shared.settings.peer_key.as_bytes();
+        let parameters = rpc_params![peer::seal(key, ask)];
+        let sealed: Sealed = self.client.request(METHOD, parameters).await?;
+        Ok(peer::open(key, &sealed)?)
+    }
+}
+
+/// Asks the peer at `address` once.
 ///
 /// # Errors
 ///
 /// When there is no usable answer; the peer may have done what was asked.
 pub async fn ask<R: DeserializeOwned>(shared: &Shared, address: &str, ask: &Ask) -> Result<R> {
-    let key = shared.settings.peer_key.as_bytes();
-    let client = HttpClientBuilder::default()
-        .request_timeout(TIMEOUT)
-        .max_response_size(LARGEST_ANSWER)
-        .build(format!("http://{address}"))?;
-    let sealed: Sealed = client
-        .request(METHOD, rpc_params![peer::seal(key, ask)])
-        .await?;
-    Ok(peer::open(key, &sealed)?)
+    Peer::new(address)?.ask(shared, ask).await
 }
 
 /// Returns the addresses of at most `most` random instances that are live.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -59,6 +59,7 @@
         runtime.spawn(ledger::copy(Arc::clone(&shared)));
         let stop = Stop::new();
         spawn("config", &shared, &stop, force::follow)?;
+        spawn("watch", &shared, &stop, force::watch)?;
         spawn("servers", &shared, &stop, servers::follow)?;
         spawn("orders", &shared, &stop, orders::follow)?;
         spawn("loads", &shared, &stop, loads::follow)?;
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -35,13 +35,17 @@
     _settings: tempfile::NamedTempFile,
 }
 
+fn example() -> Folder {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hoivapolku");
+    Folder::read(&root).expect("the example is readable")
+}
+
 impl World {
     /// Starts stand-ins with the example configuration of Hoivapolku.
     pub fn new() -> Self {
         let runtime = Runtime::new().expect("a runtime starts");
         let platform = Platform::new(runtime.handle(), "127.0.0.1:0").expect("platform");
-        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hoivapolku");
-        let folder = Folder::read(&root).expect("the example is readable");
+        let folder = example();
         let store = HttpStore::new(&platform.address());
         manifest::publish(&store, &folder, "test").expect("the example is accepted");
         let pace = Pace {
@@ -88,6 +92,17 @@
         });
     }
 
+    /// Publishes the example configuration with every `from` replaced.
+    pub fn publish_with(&self, from: &str, to: &str) {
+        let mut folder = Folder::new();
+        for (name, content) in example().files {
+            let content = String::from_utf8(content.to_vec()).expect("UTF-8");
+            folder = folder.with_file(&name, content.replace(from, to));
+        }
+        let store = HttpStore::new(&self.platform.address());
+        manifest::publish(&store, &folder, "test").expect("accepted");
+    }
+
     /// Starts a process and waits until it is ready.
     pub fn start(&self, instance: &str) -> Process {
         self.start_with(instance, "drain_lag_ms: 0")
