--- /dev/null
+++ b/crates/node/benches/path/main.rs
@@ -0,0 +1,174 @@
+//! What the router costs on the path of a request.
+//!
+//! `cargo bench -p fescuerack-node --bench path [-- latency|throughput|memory]`
+//!
+//! Three sides are measured in turn, in the same run: the stand-in engine
+//! *direct*; through a real `fescuerackd` (*node*); and through a *bare*
+//! pass-through on the same two libraries, hyper and ureq, that decides
+//! nothing. Each round goes over all sides, so that what else the machine does
+//! falls on all of them; figures are medians over the rounds with the least and
+//! the greatest.
+
+mod bare;
+mod client;
+mod process;
+mod world;
+
+use std::time::Duration;
+
+use anyhow::{Result, bail};
+use client::{Load, Measured};
+use fescuerack_standin::Pace;
+use process::Process;
+use world::World;
+
+/// Rounds over all sides.
+const ROUNDS: usize = 3;
+/// Open streams at which latency is measured.
+const STREAMS: [usize; 3] = [1, 50, 400];
+/// Time for which each side is measured in a round.
+const WINDOW: Duration = Duration::from_secs(3);
+/// Pace of the engine for latency: a first token and a rate as in production.
+const PACED: Pace = Pace {
+    first_ms: 100,
+    token_ms: 20,
+};
+/// Tokens of an answer for latency.
+const TOKENS: u64 = 20;
+/// Pace of the engine for throughput: nothing but the path takes time.
+const AT_ONCE: Pace = Pace {
+    first_ms: 0,
+    token_ms: 0,
+};
+/// Requests at a time for throughput.
+const CLOSED_LOOP: usize = 64;
+/// Tokens of an answer for throughput.
+const FEW: u64 = 8;
+/// Pace of the engine for memory: streams stay open.
+const STILL: Pace = Pace {
+    first_ms: 1,
+    token_ms: 600_000,
+};
+/// Open streams for memory.
+const OPEN: usize = 400;
+
+fn main() -> Result<()> {
+    let mut arguments = std::env::args()
+        .skip(1)
+        .filter(|argument| argument != "--bench");
+    match arguments.next().as_deref() {
+        Some(bare::ARGUMENT) => bare::serve(&arguments.next().unwrap_or_default()),
+        Some("latency") => latency(),
+        Some("throughput") => throughput(),
+        Some("memory") => memory(),
+        None => {
+            latency()?;
+            throughput()?;
+            memory()
+        }
+        Some(other) => bail!("no such measurement: {other}"),
+    }
+}
+
+/// (a) First token and total time, added to the engine's own.
+fn latency() -> Result<()> {
+    println!("## added to the direct way, in ms: median [least, greatest] of {ROUNDS} rounds");
+    println!("streams | side | first p50 | first p99 | total p50 | total p99 | answers");
+    let world = World::new(PACED)?;
+    let node = Process::node(&world.platform.address())?;
+    let bare = Process::bare(&world.engines[0].address())?;
+    for streams in STREAMS {
+        let mut rounds = [Vec::new(), Vec::new()];
+        let mut answers = [0; 2];
+        for _ in 0..ROUNDS {
+            let run = |address: &str| {
+                let load = Load::new(address, streams, TOKENS);
+                load.run(&world.runtime, WINDOW)
+            };
+            let direct = run(&world.engines[0].address())?;
+            for (side, process) in [&node, &bare].into_iter().enumerate() {
+                let through = run(&process.address)?;
+                rounds[side].push(through.added_to(&direct));
+                answers[side] += through.answers;
+            }
+        }
+        for (side, name) in ["node", "bare"].into_iter().enumerate() {
+            let columns: Vec<_> = (0..4).map(|column| spread(&rounds[side], column)).collect();
+            println!(
+                "{streams} | {name} | {} | {}",
+                columns.join(" | "),
+                answers[side]
+            );
+        }
+    }
+    Ok(())
+}
+
+/// (b) Requests a second and processor time of a request, against the bare
+/// pass-through.
+fn throughput() -> Result<()> {
+    println!("## {CLOSED_LOOP} requests at a time, {FEW} tokens each, {ROUNDS} rounds");
+    println!("side | requests/s | CPU us/request | first p99 ms");
+    let world = World::new(AT_ONCE)?;
+    let node = Process::node(&world.platform.address())?;
+    let bare = Process::bare(&world.engines[0].address())?;
+    let mut rounds = [Vec::new(), Vec::new()];
+    for _ in 0..ROUNDS {
+        for (side, process) in [&node, &bare].into_iter().enumerate() {
+            let before = process.cpu();
+            let load = Load::new(&process.address, CLOSED_LOOP, FEW);
+            let measured = load.run(&world.runtime, WINDOW)?;
+            rounds[side].push(cost(&measured, process.cpu() - before));
+        }
+    }
+    for (side, name) in ["node", "bare"].into_iter().enumerate() {
+        let columns: Vec<_> = (0..3).map(|column| spread(&rounds[side], column)).collect();
+        println!("{name} | {}", columns.join(" | "));
+    }
+    let ratio = |column: usize| median(&rounds[0], column) / median(&rounds[1], column);
+    println!("node / bare: requests {:.2}, CPU {:.2}", ratio(0), ratio(1));
+    Ok(())
+}
+
+fn cost(measured: &Measured, cpu: Duration) -> [f64; 4] {
+    let answers = measured.answers_float();
+    let per_second = answers / measured.took.as_secs_f64();
+    let micros = cpu.as_secs_f64() * 1e6 / answers;
+    [per_second, micros, measured.quantiles()[1], 0.0]
+}
+
+/// (c) Memory of an open stream.
+fn memory() -> Result<()> {
+    println!("## resident memory of {OPEN} open streams");
+    println!("side | KB before | KB with streams | KB a stream");
+    let world = World::new(STILL)?;
+    let node = Process::node(&world.platform.address())?;
+    let bare = Process::bare(&world.engines[0].address())?;
+    for (name, process) in [("node", &node), ("bare", &bare)] {
+        let before = process.resident_kb();
+        let load = Load::new(&process.address, OPEN, TOKENS);
+        let open = load.open(&world.runtime)?;
+        let with = process.resident_kb();
+        let each = with.saturating_sub(before) / u64::try_from(OPEN)?;
+        println!("{name} | {before} | {with} | {each}");
+        drop(open);
+    }
+    Ok(())
+}
+
+fn sorted(rounds: &[[f64; 4]], column: usize) -> Vec<f64> {
+    let mut values: Vec<_> = rounds.iter().map(|round| round[column]).collect();
+    values.sort_by(f64::total_cmp);
+    values
+}
+
+fn median(rounds: &[[f64; 4]], column: usize) -> f64 {
+    let values = sorted(rounds, column);
+    values[values.len() / 2]
+}
+
+fn spread(rounds: &[[f64; 4]], column: usize) -> String {
+    let values = sorted(rounds, column);
+    let (least, most) = (values[0], values[values.len() - 1]);
+    format!("{:.2} [{least:.2}, {most:.2}]", median(rounds, column))
+}
--- /dev/null
+++ b/crates/node/benches/path/world.rs
@@ -0,0 +1,42 @@
+//! Stand-ins in the bench's own process.
+
+use std::path::Path;
+
+use anyhow::Result;
+use fescuerack_config::Folder;
+use fescuerack_core::route::State;
+use fescuerack_platform::{HttpStore, manifest};
+use fescuerack_standin::{Engine, Pace, Platform};
+use fescuerack_wire::list::Instance;
+use tokio::runtime::Runtime;
+
+/// The platform and one engine, which serves the configuration's fleet alone,
+/// so that all sides use the same one.
+pub struct World {
+    pub runtime: Runtime,
+    pub platform: Platform,
+    pub engines: Vec<Engine>,
+}
+
+impl World {
+    pub fn new(pace: Pace) -> Result<Self> {
+        let runtime = Runtime::new()?;
+        let platform = Platform::new(runtime.handle(), "127.0.0.1:0")?;
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hoivapolku");
+        let folder = Folder::read(&root)?;
+        manifest::publish(&HttpStore::new(&platform.address()), &folder, "bench")?;
+        let engine = Engine::new(runtime.handle(), "127.0.0.1:0", pace)?;
+        platform.list(Instance {
+            id: "engine-0".to_owned(),
+            fleet: "kaisla-llm".to_owned(),
+            zone: "espoo-a".to_owned(),
+            address: engine.address(),
+            state: State::Live,
+        });
+        Ok(Self {
+            runtime,
+            platform,
+            engines: vec![engine],
+        })
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -8,6 +8,11 @@
 /// Time within which a connection must be made.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// Buffers of one connection, in bytes. The library's own, 128 KB each, made up
+/// three quarters of the memory of an open stream; an event of a stream is some
+/// hundred bytes, and a longer body goes through in pieces.
+const BUFFER: usize = 16 << 10;
+
 /// Creates a pool that keeps at most `idle` connections to one address.
 ///
 /// Proxies of the environment are not used: the router talks to addresses it
@@ -19,6 +24,8 @@
         .max_redirects(0)
         .http_status_as_error(false)
         .timeout_connect(Some(CONNECT))
+        .input_buffer_size(BUFFER)
+        .output_buffer_size(BUFFER)
         .max_idle_connections(idle * 64)
         .max_idle_connections_per_host(idle)
         .user_agent("fescuerack")
