Look twice before a server that broke off counts as alive

The connection of a dying engine can end before its listening socket does; the one look right after the break found the port open, the crash went uncounted and the request ran once more. Ruled out: late word to the second instance (it refuses a suspect that it did not see crash itself) and hedges (the request waits for both).

--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -17,16 +17,27 @@
 
 /// Time within which a living server takes a connection.
 const PROBE: Duration = Duration::from_millis(250);
+/// Pause before a server that still takes connections is looked at again.
+const SECOND_LOOK: Duration = Duration::from_millis(50);
 /// Tries to swap a permit before the request is refused.
 const TRIES: usize = 3;
 
 /// Returns whether a server that broke off has crashed: it takes no
 /// connection. An engine needs far longer to load its model than this takes.
+///
+/// The connections of a dying process end one after the other, and its
+/// listening socket may be the last: a single look right after the break finds
+/// it open, and the crash goes uncounted. So a server that still takes a
+/// connection is looked at once more.
 fn has_crashed(address: &str) -> bool {
     let addresses = address.to_socket_addrs();
     let Some(address) = addresses.ok().and_then(|mut found| found.next()) else {
         return false;
     };
+    if TcpStream::connect_timeout(&address, PROBE).is_err() {
+        return true;
+    }
+    std::thread::sleep(SECOND_LOOK);
     TcpStream::connect_timeout(&address, PROBE).is_err()
 }
 
