--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -18,9 +18,9 @@
 use tokio::runtime::Runtime;
 
 /// Servers of one engine fleet.
-const ENGINES: usize = 4;
+const ENGINES: usize = 12;
 /// Servers of one fleet of a plain service.
-const SERVICES: usize = 2;
+const SERVICES: usize = 4;
 /// Pace of the stand-in engines.
 const PACE: Pace = Pace {
     first_ms: 30,
@@ -207,7 +207,8 @@
 
     fn wait_until_ready(&self) -> Result<()> {
         let deadline = Instant::now() + READY;
-        while !self.nodes.iter().all(Node::is_ready) {
+        let complete = |node: &Node| node.is_ready() && node.fleet_size() == self.nodes.len();
+        while !self.nodes.iter().all(complete) {
             ensure!(
                 Instant::now() < deadline,
                 "the instances did not become ready"
--- a/crates/core/src/cascade/choose.rs
+++ b/crates/core/src/cascade/choose/mod.rs
@@ -1,11 +1,12 @@
 //! The choice for one request.
 
+mod trying;
+
 use fescuerack_config::file::State;
 use fescuerack_config::{Catalog, Class, Names, key};
 
-use super::estimate::BINS;
 use super::learner::Learner;
-use super::plan::{self, Basis, Candidate, Limits, Plan, Steps};
+use super::plan::{self, Basis, CONFIDENCE, Candidate, Limits, Plan, Steps};
 use crate::clock::Instant;
 use crate::rollout::Board;
 use crate::session::{self, Place};
@@ -215,13 +216,13 @@
         if plans.is_empty() && self.may_miss() {
             let leave = |candidate| Plan {
                 basis: Basis::Leave,
-                ..plan::direct(candidate)
+                ..plan::direct(candidate, CONFIDENCE)
             };
             plans = candidates.iter().map(leave).collect();
             plans.sort_by(|one, other| other.bound.total_cmp(&one.bound));
         }
         if plans.is_empty() {
-            return Err(Refusal::BelowTarget);
+            return self.uncertain(entry, limits, &candidates);
         }
         self.explore(entry, limits, &candidates, &mut plans);
         Ok(plans)
@@ -248,13 +249,25 @@
         if plans.is_empty() {
             plans.push(Plan {
                 basis: Basis::Session,
-                ..plan::direct(&candidates[0])
+                ..plan::direct(&candidates[0], CONFIDENCE)
             });
         }
         plans.truncate(1);
         plans
     }
 
+    /// Returns the version whose ratings a version is judged by here: that of
+    /// today for the candidate of a roll-out. Its trial guards the candidate,
+    /// with a budget of its own; if a few bad ratings took it out of the
+    /// plans as well, its sessions would go to a dearer model and the trial
+    /// would get no evidence to end on.
+    fn judged_as(&self, version: key::Version) -> key::Version {
+        let model = self.world.catalog.versions[version].model;
+        let trial = self.world.board.trial(model);
+        let trial = trial.filter(|trial| trial.candidate == version);
+        trial.map_or(version, |trial| trial.current)
+    }
+
     fn candidate(&self, class: key::Class, version: key::Version) -> Candidate {
         let World {
             catalog, learner, ..
@@ -264,7 +277,7 @@
         let rate = |micro: u64| f64::from(u32::try_from(micro).unwrap_or(u32::MAX)) / 1000.0;
         Candidate {
             version,
-            estimate: learner.estimate(catalog, class, version),
+            estimate: learner.estimate(catalog, class, self.judged_as(version)),
             cost: rate(price.input) * f64::from(input)
                 + rate(price.output) * learner.output_tokens(class),
             answer_ms: learner.answer_ms(class, version),
@@ -280,60 +293,10 @@
             cascade: class.cascade && self.world.learner.can_rate(self.world.now),
             within_ms: f64::from(due.min(self.request.within_ms)),
             rating_ms: self.world.learner.rating_ms(),
+            confidence: CONFIDENCE,
         }
     }
 
-    /// Now and then tries a cheaper version than the best plan's, with its
-    /// answer rated before it is handed on, so that a version that has become
-    /// better than it was thought is found. A candidate of a roll-out is never
-    /// tried: its exposure is counted.
-    fn explore(
-        &self,
-        class: &Class,
-        limits: Limits,
-        candidates: &[Candidate],
-        plans: &mut Vec<Plan>,
-    ) {
-        let best = plans[0];
-        if !limits.cascade || self.request.dice >= class.explore {
-            return;
-        }
-        let in_trial = |version| {
-            let model = self.world.catalog.versions[version].model;
-            self.world
-                .board
-                .trial(model)
-                .is_some_and(|trial| trial.candidate == version)
-        };
-        let Steps::Direct(second) = best.steps else {
-            return;
-        };
-        let Some(dear) = candidates
-            .iter()
-            .find(|candidate| candidate.version == second)
-        else {
-            return;
-        };
-        let cheaper = candidates.iter().find(|candidate| {
-            let held_ms = candidate.answer_ms + limits.rating_ms + dear.answer_ms;
-            candidate.cost < dear.cost
-                && held_ms <= limits.within_ms
-                && !in_trial(candidate.version)
-        });
-        let Some(first) = cheaper else {
-            return;
-        };
-        let bins = f64::from(u32::try_from(BINS).unwrap_or(1));
-        let accept = (class.quality * bins).ceil() / bins;
-        let steps = Steps::Cascade {
-            first: first.version,
-            second,
-            accept,
-        };
-        // What is handed on was rated at the target or is the best plan's.
-        plans.insert(0, Plan { steps, ..best });
-    }
-
     fn check(&self, plans: &[Plan]) {
         assert!(!plans.is_empty(), "a choice without a plan");
         let target = self.class().map_or(0.0, |(_, class)| class.quality);
@@ -353,7 +316,8 @@
                 );
             }
             let meets = match plan.basis {
-                Basis::Bound => plan.bound >= target,
+                Basis::Bound | Basis::Expected => plan.bound >= target,
+                Basis::Probe => self.may_probe(),
                 Basis::Leave => self.may_miss(),
                 Basis::Session => self.request.pinned == Some(plan.first()),
                 Basis::Named => self.class().is_none(),
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -1,6 +1,12 @@
 //! Tests of the core's slices, without a network.
 
+mod admission;
+mod attempt;
+mod choice;
 mod fleet;
 mod member;
+mod order;
+mod poison;
 mod replay;
 mod rollout;
+mod route;
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -2,6 +2,7 @@
 //! behind one address.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -28,6 +29,8 @@
     store_faults: Faults,
     rating_faults: Faults,
     reads: AtomicU64,
+    writes: AtomicU64,
+    watches: AtomicU64,
     /// The present second and the calls in it.
     second: Mutex<(u64, u64)>,
     started: std::time::Instant,
@@ -57,6 +60,8 @@
             store_faults: Faults::new(),
             rating_faults: Faults::new(),
             reads: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
+            watches: AtomicU64::new(0),
             second: Mutex::new((0, 0)),
             started: std::time::Instant::now(),
         });
@@ -109,6 +114,18 @@
         &self.shared.rating_faults
     }
 
+    /// Returns how often the key-value service was read, written and watched.
+    #[must_use]
+    pub fn store_calls(&self) -> [u64; 3] {
+        let Shared {
+            reads,
+            writes,
+            watches,
+            ..
+        } = &*self.shared;
+        [reads, writes, watches].map(|count| count.load(Ordering::Relaxed))
+    }
+
     /// Reads the store's state without its network.
     pub fn with_store<R>(&self, read: impl FnOnce(&mut Store) -> R) -> R {
         read(&mut lock(&self.shared.store))
@@ -123,12 +140,28 @@
     async fn serve(&self, request: Request) -> Response {
         let path = request.uri().path().to_owned();
         match path.as_str() {
-            "/v1/instances" => Some(json(&self.instances())),
+            "/v1/instances" => Some(self.listing(&request)),
             "/v1/ratings" => self.rating(&request).await,
             _ => self.store(&request, &path).await,
         }
     }
 
+    /// Answers with the list, or with 304 to a reader who has it already.
+    fn listing(&self, request: &Request) -> hyper::Response<crate::Body> {
+        let body = serde_json::to_vec(&self.instances()).expect("a list has only plain fields");
+        let mut hasher = DefaultHasher::new();
+        body.hash(&mut hasher);
+        let tag = format!("\"{:016x}\"", hasher.finish());
+        let known = request.headers().get("if-none-match");
+        if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+            return answer(304, "");
+        }
+        let mut response = answer(200, body);
+        let tag = tag.parse().expect("a tag is plain text");
+        response.headers_mut().insert("etag", tag);
+        response
+    }
+
     fn instances(&self) -> Instances {
         Instances {
             instances: lock(&self.instances).values().cloned().collect(),
@@ -174,6 +207,7 @@
     }
 
     async fn watch(&self, request: &Request) -> hyper::Response<crate::Body> {
+        self.watches.fetch_add(1, Ordering::Relaxed);
         let prefix = parameter(request, "prefix").unwrap_or_default();
         let after = number(request, "after");
         let deadline = self.now().plus_millis(number(request, "wait_ms"));
@@ -199,6 +233,7 @@
         store.expire(now);
         if let Some(key) = path.strip_prefix("/v1/kv/") {
             return if request.method() == hyper::Method::PUT {
+                self.writes.fetch_add(1, Ordering::Relaxed);
                 put(&mut store, request, key)
             } else {
                 self.get(&store, key)
--- a/crates/standin/tests/all/force.rs
+++ b/crates/standin/tests/all/force.rs
@@ -1,7 +1,7 @@
 //! The configuration in force: racing operators, lost answers, kills and old
 //! reads never lose, double or revert an accepted change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 use fescuerack_config::folder;
@@ -20,6 +20,8 @@
 
 struct Operator {
     wish: Wish,
+    /// Manifests that had been in force when it began.
+    began: usize,
     machine: Apply,
 }
 
@@ -42,6 +44,11 @@
     wishes: BTreeMap<String, Wish>,
     accepted: BTreeMap<String, u64>,
     rejected: Vec<String>,
+    /// Requests that were told that nothing was changed, and how many manifests
+    /// there were then.
+    rejected_so_far: Vec<(String, usize)>,
+    /// Requests that were sent more than once: an earlier one may be under way.
+    asked_before: BTreeSet<String>,
     next: u64,
     counts: BTreeMap<&'static str, u64>,
 }
@@ -63,6 +70,8 @@
             wishes: BTreeMap::new(),
             accepted: BTreeMap::new(),
             rejected: Vec::new(),
+            rejected_so_far: Vec::new(),
+            asked_before: BTreeSet::new(),
             next: 0,
             counts: BTreeMap::new(),
         }
@@ -142,6 +151,7 @@
         if !self.unsure.is_empty() && self.dice.chance(0.5) {
             let wish = self.unsure.swap_remove(0);
             self.count("sent again");
+            self.asked_before.insert(wish.request.clone());
             return self.start(wish);
         }
         self.next += 1;
@@ -161,8 +171,7 @@
             } else {
                 let value = self.dice.below(40);
                 Some(Bytes::from(format!(
-                    "models:\n  m{}: {{note: v{value}}}\n",
-                    &name[..1]
+                    "models:\n  m{name}: {{note: \"{value}\"}}\n"
                 )))
             };
             files.insert(name, content);
@@ -182,7 +191,12 @@
     fn start(&mut self, wish: Wish) {
         let deadline = self.now.plus_millis(500 + self.dice.below(4_000) as u64);
         let machine = Apply::new(wish.clone(), deadline, self.dice.number());
-        self.operators.push(Operator { wish, machine });
+        let began = self.log.len();
+        self.operators.push(Operator {
+            wish,
+            began,
+            machine,
+        });
         self.count("wishes");
     }
 
@@ -195,12 +209,12 @@
             }
             Step::Done(applied) => {
                 let operator = self.operators.swap_remove(index);
-                self.told(operator.wish, applied);
+                self.told(operator.wish, operator.began, applied);
             }
         }
     }
 
-    fn told(&mut self, wish: Wish, applied: Applied) {
+    fn told(&mut self, wish: Wish, began: usize, applied: Applied) {
         let request = wish.request.clone();
         match applied {
             Applied::Accepted { revision } => {
@@ -209,10 +223,21 @@
                     self.log[index].change.request, request,
                     "accepted is not in force"
                 );
+                let mut contents = wish.files.values().flatten();
+                let is_bad = contents.any(|content| content.starts_with(b"nonsense"));
+                assert!(!is_bad, "nonsense was accepted");
                 self.accepted.insert(request, revision);
                 self.count("accepted");
             }
-            Applied::Conflict { .. } => {
+            Applied::Conflict { file, .. } => {
+                let digest = |manifest: &Manifest| manifest.files.get(&file).cloned();
+                let mut newer = self.log.iter().skip(1);
+                let changed = newer.any(|manifest| {
+                    manifest.revision > wish.seen.revision
+                        && digest(manifest).map(|file| file.digest)
+                            != digest(&wish.seen).map(|file| file.digest)
+                });
+                assert!(changed, "{request} conflicts with nothing");
                 self.rejected.push(request);
                 self.count("conflicts");
             }
@@ -226,9 +251,22 @@
             }
             Applied::Out => {
                 self.count("out");
+                if !self.asked_before.contains(&request) {
+                    self.rejected_so_far.push((request, self.log.len()));
+                }
                 self.unsure.push(wish);
             }
-            Applied::Unchanged { .. } => self.count("unchanged"),
+            Applied::Unchanged { .. } => {
+                let mut stood = self.log[began - 1..].iter();
+                let like_this = |manifest: &Manifest| {
+                    wish.files.iter().all(|(name, content)| {
+                        let wanted = content.as_ref().map(|content| folder::digest(content));
+                        manifest.files.get(name).map(|file| &file.digest) == wanted.as_ref()
+                    })
+                };
+                assert!(stood.any(like_this), "{request} would change something");
+                self.count("unchanged");
+            }
             Applied::Unknown => {
                 self.unsure.push(wish);
                 self.count("unknown");
@@ -288,6 +326,13 @@
             let stands = log.any(|manifest| manifest.change.request == *request);
             assert!(!stands, "{request} was rejected and came into force");
         }
+        for (request, length) in &self.rejected_so_far {
+            if !self.asked_before.contains(request) {
+                let mut log = self.log.iter();
+                let stands = log.any(|manifest| manifest.change.request == *request);
+                assert!(!stands, "{request} was out at {length} and came into force");
+            }
+        }
         for (request, revision) in &self.accepted {
             let index = usize::try_from(*revision).expect("small");
             assert_eq!(self.log[index].change.request, *request);
