--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod ledger;
 mod organisation;
 mod plan;
+mod replay;
 mod rollout;
 mod server;
 mod show;
@@ -59,6 +60,8 @@
     Dump(dump::Dump),
     /// Prints the digest of a key or a token, or makes a new one.
     Digest(digest::Digest),
+    /// Replays a load through the decisions, to try a threshold.
+    Replay(replay::Replay),
     /// Starts stand-ins and instances on this machine, to try the product.
     Demo(demo::Demo),
     /// Prints completions for a shell.
@@ -86,6 +89,7 @@
             Command::Top(top) => top.execute(output),
             Command::Dump(dump) => dump.execute(),
             Command::Digest(digest) => digest.execute(),
+            Command::Replay(replay) => replay.execute(),
             Command::Demo(demo) => demo.execute(),
             Command::Completions(completions) => {
                 completions.execute();
--- a/crates/cli/tests/all/support.rs
+++ b/crates/cli/tests/all/support.rs
@@ -119,7 +119,10 @@
             _engine: engine,
             _runtime: runtime,
         };
-        World::wait(|| world.nodes.iter().all(Node::is_ready));
+        // The list lags: an instance that does not know the other yet would say
+        // that a change is in force everywhere when it has asked only itself.
+        let complete = |node: &Node| node.is_ready() && node.fleet_size() == world.nodes.len();
+        World::wait(|| world.nodes.iter().all(complete));
         world
     }
 
--- a/crates/node/src/callers/chat.rs
+++ b/crates/node/src/callers/chat.rs
@@ -14,9 +14,10 @@
 use super::intake::Call;
 use super::observer::Observer;
 use super::reply::{Reply, failure, failure_with, json, whole, with_header};
+use super::shape::Form;
 use super::steps::{Part, Steps};
-use super::stream::Stream;
-use super::{bill, entry, steps};
+use super::stream::{self, Stream};
+use super::{bill, entry};
 use crate::admission::Place;
 use crate::shared::{Force, Shared};
 
@@ -27,6 +28,7 @@
     start: Instant,
     call: Call,
     choice: Choice,
+    form: Form,
     place: Place,
 }
 
@@ -36,6 +38,10 @@
         Ok(asked) => asked,
         Err(error) => return failure(Kind::InvalidRequest, &format!("body: {error}")),
     };
+    let form = Form::new(&call.path, &asked);
+    if let Err(refusal) = form.shape.check(&asked) {
+        return refusal.into();
+    }
     let start = shared.now();
     let force = shared.force();
     let choice = match choice::choose(&shared, &force, &call, &asked) {
@@ -52,6 +58,7 @@
         start,
         call,
         choice,
+        form,
         place,
     };
     job.run(asked).await
@@ -76,7 +83,7 @@
         self.choice.version = ready.version;
         match ready.part {
             Part::Begun(begun, observer) => self.stream(begun, observer, ready.spent),
-            Part::Whole(answer) => self.whole(&answer, ready.spent, asked.stream).await,
+            Part::Whole(answer) => self.whole(answer, ready.spent).await,
         }
     }
 
@@ -88,26 +95,28 @@
             force: self.force,
             call: self.call,
             version: choice.version,
+            form: self.form,
             spent,
         };
         labels.on(choice.on(stream.start(begun, observer, self.place)))
     }
 
-    async fn whole(&self, answer: &Answer, spent: Spent, as_stream: bool) -> Reply {
+    async fn whole(self, answer: Answer, spent: Spent) -> Reply {
         let Self {
             shared,
             force,
             call,
             choice,
+            form,
             ..
-        } = self;
+        } = &self;
         let cost = bill::completion(shared, force, call, choice.version, answer.usage, spent).await;
         let labels = self.labels();
-        let reply = if as_stream {
-            let body = steps::as_stream(answer, &labels.request, &labels.version, cost);
+        let reply = if form.is_streamed {
+            let body = stream::held(&answer, *form, &labels.request, &labels.version, cost);
             whole(200, "text/event-stream", body)
         } else {
-            json(&answer.completion(&labels.request, &labels.version))
+            json(&answer.completion(form.shape, &labels.request, &labels.version))
         };
         let reply = with_header(reply, header::OUTCOME, "done");
         let reply = with_header(reply, header::COST, &cost.to_string());
@@ -121,6 +130,9 @@
                 "no healthy backend server serves the version",
                 outcome,
             ),
+            Failure::Failed(outcome) if self.shared.now() >= self.call.deadline => {
+                failure_with(Kind::DeadlineExceeded, "the deadline passed", outcome)
+            }
             Failure::Failed(outcome) => {
                 failure_with(Kind::UpstreamFailed, "every attempt failed", outcome)
             }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -15,7 +15,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::stop::Stop;
-use crate::{claims, force, ledger, loads, servers, versions};
+use crate::{claims, force, ledger, loads, orders, servers, versions};
 
 /// Stack of one thread, in bytes. Threads that read backend servers are many
 /// and shallow.
@@ -61,6 +61,7 @@
         spawn("config", &shared, &stop, force::follow)?;
         spawn("watch", &shared, &stop, force::watch)?;
         spawn("servers", &shared, &stop, servers::follow)?;
+        spawn("orders", &shared, &stop, orders::follow)?;
         spawn("loads", &shared, &stop, loads::follow)?;
         spawn("claims", &shared, &stop, claims::follow)?;
         spawn("rollouts", &shared, &stop, versions::rollouts::follow)?;
@@ -102,6 +103,12 @@
         self.shared.is_ready()
     }
 
+    /// Returns how many instances the process knows, itself among them.
+    #[must_use]
+    pub fn fleet_size(&self) -> usize {
+        crate::shared::lock(&self.shared.member).view.size()
+    }
+
     /// Ends the process without cutting a request: readiness goes first, so
     /// that the balancer stops sending callers; new work is taken for as long
     /// as the balancer may lag, then refused; running work finishes; the
@@ -147,6 +154,23 @@
     std::thread::Builder::new()
         .name(name.to_owned())
         .stack_size(STACK)
-        .spawn(move || body(&shared, &stop))
+        .spawn(move || {
+            let _fatal = Fatal;
+            body(&shared, &stop);
+        })
         .with_context(|| format!("start thread {name}"))
 }
+
+/// Ends the process when its thread panics. A broken invariant must not leave
+/// an instance behind that answers without following the configuration or
+/// keeping the ledger; another instance takes its place.
+struct Fatal;
+
+impl Drop for Fatal {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            log::error!("a background thread met a broken invariant");
+            std::process::abort();
+        }
+    }
+}
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -2,8 +2,15 @@
 
 mod claims;
 mod configuration;
+mod engine;
+mod input;
+mod metrics;
+mod orders;
 mod outage;
 mod path;
 mod peers;
+mod settings;
 mod shutdown;
+mod stream;
 mod support;
+mod versions;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,10 +4,12 @@
 //! Tests and `fescuerack demo` use them; they are no simulator: each answers
 //! at the interface and knows nothing of the others.
 
+mod answer;
 mod chaos;
 mod engine;
 mod fault;
 mod http;
+mod orders;
 mod platform;
 mod service;
 mod store;
@@ -16,6 +18,7 @@
 pub use engine::{Engine, Pace};
 pub use fault::{Fault, Faults};
 pub use http::{Body, Handler, Request, Response, Server};
+pub use orders::Orders;
 pub use platform::Platform;
 pub use service::Service;
 pub use store::{Refusal, Store};
