--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -35,11 +35,13 @@
 pub mod health;
 mod ring;
 pub mod score;
+mod server;
 pub mod subset;
 pub mod word;
 
 pub use health::Thresholds;
 pub use ring::hash;
+pub use server::{Ask, Ended, Listed, Server, State};
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -48,98 +50,12 @@
 use slotmap::SecondaryMap;
 
 use crate::clock::Instant;
-use crate::num::{Mean, float};
-use health::Health;
+use crate::num::Mean;
 use ring::Ring;
-use score::{Pool, Recent, Report};
+use score::{Pool, Report};
+use server::Best;
 use word::Words;
 
-/// Whether a backend server takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum State {
-    /// Takes new work.
-    Live,
-    /// Finishes its work and takes no more.
-    Leaving,
-}
-
-/// A backend server as the instance list describes it.
-#[derive(Clone, Debug)]
-pub struct Listed {
-    /// Identifier in the instance list.
-    pub id: String,
-    /// Fleet that it belongs to.
-    pub fleet: key::Fleet,
-    /// Availability zone.
-    pub zone: String,
-    /// Address, as `host:port`.
-    pub address: String,
-    /// Whether it takes new work.
-    pub state: State,
-    /// Requests that it runs at a time.
-    pub slots: u32,
-}
-
-/// A backend server and what this instance knows of it.
-#[derive(Clone, Debug)]
-pub struct Server {
-    /// Identifier in the instance list.
-    pub id: String,
-    /// Fleet that it belongs to.
-    pub fleet: key::Fleet,
-    /// Availability zone.
-    pub zone: String,
-    /// Address, as `host:port`.
-    pub address: String,
-    /// Whether it takes new work.
-    pub state: State,
-    /// Requests that it runs at a time.
-    pub slots: u32,
-    /// Attempts of this instance that run on it.
-    pub in_flight: u32,
-    /// Work of these attempts, in tokens.
-    pub work: u64,
-    /// Whether it is trusted with work.
-    pub health: Health,
-    /// Seconds to the first token, or to the answer of a plain service.
-    pub first: Mean,
-    near: bool,
-    joined: Option<Instant>,
-    unanswered: u32,
-    progress: Instant,
-    report: Option<Report>,
-    recent: Recent,
-}
-
-/// What is to be placed.
-#[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
-    /// Fleets that can run it.
-    pub fleets: &'a [key::Fleet],
-    /// Servers that it must not run on.
-    pub avoid: &'a BTreeSet<key::Server>,
-    /// Its work in tokens; 1 for a call of a plain service.
-    pub work: u32,
-    /// Tokens of its prompt.
-    pub prompt: u32,
-    /// Hash of the prompt's beginning, when it is long enough to be cached.
-    pub prefix: Option<u64>,
-    /// Hash of the adapter that it needs.
-    pub adapter: Option<u64>,
-}
-
-/// How an attempt ended, as far as the choice of servers is concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// The server did its part.
-    Well,
-    /// The server failed, broke off or refused.
-    Badly,
-    /// It says nothing about the server.
-    Void,
-}
-
 /// The backend servers that this instance knows.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -214,36 +130,12 @@
     fn observe(&mut self, now: Instant, key: key::Server, listed: Listed) {
         let near = listed.zone == self.zone;
         if let Some(known) = self.servers.get_mut(key) {
-            if known.state == State::Leaving && listed.state == State::Live {
-                known.joined = Some(now);
-            }
-            known.near = near;
-            known.address = listed.address;
-            known.zone = listed.zone;
-            known.fleet = listed.fleet;
-            known.state = listed.state;
-            known.slots = listed.slots;
+            known.update(now, listed, near);
             return;
         }
-        let server = Server {
-            id: listed.id,
-            fleet: listed.fleet,
-            zone: listed.zone,
-            address: listed.address,
-            state: listed.state,
-            slots: listed.slots,
-            in_flight: 0,
-            work: 0,
-            health: Health::new(),
-            first: Mean::default(),
-            near,
-            // Servers of the first list have not just joined: this instance has.
-            joined: self.filled.then_some(now),
-            unanswered: 0,
-            progress: now,
-            report: None,
-            recent: Recent::default(),
-        };
+        // Servers of the first list have not just joined: this instance has.
+        let joined = self.filled.then_some(now);
+        let server = Server::new(now, listed, near, joined);
         self.servers.insert(key, server);
     }
 
@@ -373,7 +265,7 @@
         rng: &mut R,
         best: &mut Best,
     ) {
-        let home = ask.prefix.and_then(|prefix| self.home(ask, pool, prefix));
+        let home = ask.prefix.and_then(|prefix| self.home(now, pool, prefix));
         let mut consider = |key: key::Server, rng: &mut R| {
             let server = &self.servers[key];
             if ask.avoid.contains(&key) || !server.health.takes(server.in_flight) {
@@ -398,13 +290,10 @@
     }
 
     /// Returns the server whose cache should hold a prefix: the first after
-    /// its place on the ring that is not loaded beyond the bound.
-    fn home(&self, ask: &Ask<'_>, pool: &Pool, prefix: u64) -> Option<key::Server> {
-        let bound = pool.bound(ask.work);
-        pool.ring.after(prefix).take(ring::TRIES).find(|key| {
-            let server = &self.servers[*key];
-            float(usize::try_from(server.work).unwrap_or(usize::MAX)) <= bound
-        })
+    /// its place on the ring that has a slot free, by estimate.
+    fn home(&self, now: Instant, pool: &Pool, prefix: u64) -> Option<key::Server> {
+        let mut homes = pool.ring.after(prefix).take(ring::TRIES);
+        homes.find(|key| score::finds_slot(now, pool, &self.servers[*key]))
     }
 
     /// Records that an attempt of `work` tokens starts on a server; returns
@@ -422,9 +311,6 @@
             server.progress = now;
         }
         server.unanswered += 1;
-        if let Some(pool) = self.pools.get_mut(server.fleet) {
-            pool.work += u64::from(work);
-        }
         clear
     }
 
@@ -443,7 +329,11 @@
         if !clear {
             return;
         }
+        if now.since(server.sampled).as_secs_f64() > score::FORGET_S {
+            server.first = Mean::default();
+        }
         server.first.add(seconds);
+        server.sampled = now;
         if let Some(pool) = self.pools.get_mut(server.fleet) {
             pool.first.add(seconds);
         }
@@ -467,9 +357,6 @@
         }
         let fleet = server.fleet;
         let changed = server.health.ended(now, &self.thresholds, ended);
-        if let Some(pool) = self.pools.get_mut(fleet) {
-            pool.work = pool.work.saturating_sub(u64::from(work));
-        }
         match changed {
             health::Change::None => {}
             health::Change::Recovered => {
@@ -511,25 +398,3 @@
         self.pools.get(fleet).map_or(&[], |pool| &pool.usable)
     }
 }
-
-/// The server of least cost so far; equal costs are decided at random, so that
-/// instances do not agree on the same server.
-#[derive(Default)]
-struct Best {
-    server: Option<key::Server>,
-    cost: f64,
-    rank: f64,
-}
-
-impl Best {
-    fn offer(&mut self, server: key::Server, cost: f64, rank: f64) {
-        let better = self.server.is_none() || (cost, rank) < (self.cost, self.rank);
-        if better {
-            *self = Self {
-                server: Some(server),
-                cost,
-                rank,
-            };
-        }
-    }
-}
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -43,7 +43,7 @@
     found
 }
 
-fn numbers(limits: &Limits) -> [Found; 10] {
+fn numbers(limits: &Limits) -> [Found; 11] {
     let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
     [
         within("limits.concurrency", count(limits.concurrency), 1..=100_000),
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -87,11 +87,11 @@
     pub header_timeout_ms: u64,
     /// Milliseconds within which the body of a request must arrive.
     pub body_timeout_ms: u64,
+    /// Milliseconds for which a caller may leave an answer unread.
+    pub write_timeout_ms: u64,
     /// Milliseconds that an answer's end waits at most until its ledger entry
     /// is kept in the store or copied to a peer.
     pub ledger_wait_ms: u64,
-    /// Milliseconds for which a caller may leave an answer unread.
-    pub write_timeout_ms: u64,
     /// Milliseconds for which new work is taken after readiness is withdrawn.
     pub drain_lag_ms: u64,
     /// Milliseconds within which running requests end before the process does.
@@ -101,7 +101,6 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            ledger_wait_ms: 4,
             concurrency: 400,
             connections: 10_000,
             workers: 2,
@@ -109,6 +108,7 @@
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
             write_timeout_ms: 30_000,
+            ledger_wait_ms: 4,
             drain_lag_ms: 5_000,
             drain_deadline_ms: 120_000,
         }
@@ -160,7 +160,6 @@
             fleet: default_fleet(),
             peer_key: peer_key.to_owned(),
             limits: Limits {
-                ledger_wait_ms: 4,
                 drain_lag_ms: 0,
                 ..Limits::default()
             },
