--- a/crates/core/tests/all/poison.rs
+++ b/crates/core/tests/all/poison.rs
@@ -4,7 +4,9 @@
 
 use fescuerack_config::Names;
 use fescuerack_core::clock::Instant;
-use fescuerack_core::poison::{Digest, Fingerprint, MOST_LOST, Record, Suspects, Verdict};
+use fescuerack_core::poison::{
+    Digest, Fingerprint, LONGEST_MS, MOST_LOST, Record, Suspects, Verdict,
+};
 use proptest::prelude::*;
 use proptest::test_runner::TestRunner;
 
@@ -38,6 +40,15 @@
     ]
 }
 
+/// A run that has not ended.
+#[derive(Clone, Copy)]
+struct Running {
+    index: usize,
+    request: Fingerprint,
+    suspected: bool,
+    until: Instant,
+}
+
 struct Run {
     now: Instant,
     suspects: Vec<Suspects>,
@@ -46,8 +57,7 @@
     told: Vec<Digest>,
     lost: BTreeMap<Fingerprint, usize>,
     servers: u32,
-    /// Instance and request of each run, and whether it was suspected.
-    runs: Vec<(usize, Fingerprint, bool)>,
+    runs: Vec<Running>,
 }
 
 impl Run {
@@ -82,14 +92,19 @@
         let suspected = self.suspects[index].judge(self.now, request) != Verdict::Run;
         // Copies that run before anybody suspects them are not bounded: a
         // caller sends the next one after the answer, or after a crash.
-        let first = |run: &(usize, Fingerprint, bool)| run.1 == request && !run.2;
+        let first = |run: &Running| run.request == request && !run.suspected;
         if !suspected && self.runs.iter().any(first) {
             return;
         }
         if self.may_run(index, request) {
             let server = Names::new().servers.intern("any");
             assert!(self.suspects[index].start(self.now, request, server));
-            self.runs.push((index, request, suspected));
+            self.runs.push(Running {
+                index,
+                request,
+                suspected,
+                until: self.now.plus_millis(LONGEST_MS),
+            });
         }
     }
 
@@ -97,7 +112,7 @@
         if run >= self.runs.len() {
             return;
         }
-        let (index, request, _) = self.runs.remove(run);
+        let Running { index, request, .. } = self.runs.remove(run);
         if !crash {
             self.suspects[index].survived(request);
             return;
@@ -113,6 +128,10 @@
 
     fn apply(&mut self, op: &Op) {
         self.now = self.now.plus_millis(100);
+        let now = self.now;
+        for run in self.runs.extract_if(.., |run| run.until <= now) {
+            self.suspects[run.index].left(run.request);
+        }
         match *op {
             Op::Send(index, request) => self.send(index, Fingerprint(request)),
             Op::End(run, crash) => self.end(run, crash),
@@ -123,7 +142,7 @@
             }
             Op::Restart(index) => {
                 self.suspects[index] = Suspects::new();
-                self.runs.retain(|run| run.0 != index);
+                self.runs.retain(|run| run.index != index);
                 // It hears a peer before it takes callers.
                 let peer = self.suspects[(index + 1) % INSTANCES].digest(self.now);
                 self.suspects[index].merge(self.now, &peer);
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -43,7 +43,7 @@
     found
 }
 
-fn numbers(limits: &Limits) -> [Found; 10] {
+fn numbers(limits: &Limits) -> [Found; 11] {
     let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
     [
         within("limits.concurrency", count(limits.concurrency), 1..=100_000),
@@ -65,6 +65,7 @@
         ),
         within("limits.body_timeout_ms", limits.body_timeout_ms, TIMEOUT),
         within("limits.write_timeout_ms", limits.write_timeout_ms, TIMEOUT),
+        within("limits.ledger_wait_ms", limits.ledger_wait_ms, 0..=1_000),
         within("limits.drain_lag_ms", limits.drain_lag_ms, 0..=600_000),
         within(
             "limits.drain_deadline_ms",
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -29,6 +29,8 @@
     store_faults: Faults,
     rating_faults: Faults,
     reads: AtomicU64,
+    writes: AtomicU64,
+    watches: AtomicU64,
     /// The present second and the calls in it.
     second: Mutex<(u64, u64)>,
     started: std::time::Instant,
@@ -58,6 +60,8 @@
             store_faults: Faults::new(),
             rating_faults: Faults::new(),
             reads: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
+            watches: AtomicU64::new(0),
             second: Mutex::new((0, 0)),
             started: std::time::Instant::now(),
         });
@@ -110,6 +114,18 @@
         &self.shared.rating_faults
     }
 
+    /// Returns how often the key-value service was read, written and watched.
+    #[must_use]
+    pub fn store_calls(&self) -> [u64; 3] {
+        let Shared {
+            reads,
+            writes,
+            watches,
+            ..
+        } = &*self.shared;
+        [reads, writes, watches].map(|count| count.load(Ordering::Relaxed))
+    }
+
     /// Reads the store's state without its network.
     pub fn with_store<R>(&self, read: impl FnOnce(&mut Store) -> R) -> R {
         read(&mut lock(&self.shared.store))
@@ -191,6 +207,7 @@
     }
 
     async fn watch(&self, request: &Request) -> hyper::Response<crate::Body> {
+        self.watches.fetch_add(1, Ordering::Relaxed);
         let prefix = parameter(request, "prefix").unwrap_or_default();
         let after = number(request, "after");
         let deadline = self.now().plus_millis(number(request, "wait_ms"));
@@ -216,6 +233,7 @@
         store.expire(now);
         if let Some(key) = path.strip_prefix("/v1/kv/") {
             return if request.method() == hyper::Method::PUT {
+                self.writes.fetch_add(1, Ordering::Relaxed);
                 put(&mut store, request, key)
             } else {
                 self.get(&store, key)
