--- a/crates/cli/tests/all/verbs.rs
+++ b/crates/cli/tests/all/verbs.rs
@@ -316,3 +316,83 @@
     let settings = fescuerack_node::Settings::read(&path).expect("accepted");
     assert_eq!(settings.instance, "entry-0");
 }
+
+// The store takes writes and loses every answer for a while, in the middle of
+// the night. An operator who steps a roll-out must never be told that nothing
+// was changed when something was; the same request, sent again, tells.
+#[test]
+fn step_with_lost_answers_is_never_denied() {
+    let world = World::new();
+    let step = [
+        "rollout",
+        "step",
+        "kaisla-mini",
+        "--why",
+        "w",
+        "--request",
+        "r-1",
+    ];
+    let step = [&step[..], &["--within", "0"]].concat();
+    let faults = world.platform.store_faults();
+    let first = std::thread::scope(|scope| {
+        let ran = scope.spawn(|| world.run(MODEL_TEAM, &step));
+        std::thread::sleep(std::time::Duration::from_millis(30));
+        faults.set(Fault::LoseAnswers, 1);
+        ran.join().expect("it ran")
+    });
+    faults.set(Fault::LoseAnswers, 0);
+    let status = || {
+        world
+            .run(ADMIN, &["rollout", "status", "--output", "json"])
+            .json()
+    };
+    let stepped = status()[0]["stage"] == 2;
+    match first.code {
+        0 => assert!(stepped, "{first:?}"),
+        6 => assert!(!stepped, "{first:?}"),
+        7 => {}
+        _ => panic!("{first:?}"),
+    }
+    let second = world.run(MODEL_TEAM, &step);
+    assert_eq!(second.code, 0, "{second:?}");
+    assert_eq!(status()[0]["stage"], 2, "{first:?} {second:?}");
+}
+
+// Two operators step the same roll-out in the same second. One step was meant;
+// two would show the candidate to four times as many sessions.
+#[test]
+fn step_by_two_operators_at_once_is_one_step() {
+    let world = World::new();
+    let step = [
+        "rollout",
+        "step",
+        "kaisla-mini",
+        "--why",
+        "w",
+        "--within",
+        "0",
+    ];
+    let step = [&step[..], &["--output", "json"]].concat();
+    let ran: Vec<_> = std::thread::scope(|scope| {
+        let ran = [ADMIN, MODEL_TEAM, ADMIN, MODEL_TEAM]
+            .map(|token| scope.spawn(|| world.run(token, &step)));
+        ran.map(|thread| thread.join().expect("it ran")).into()
+    });
+    assert!(ran.iter().all(|ran| [0, 4].contains(&ran.code)), "{ran:?}");
+    // An operator whose wish stands already is told so. One who looked after
+    // another's step has seen it, and steps on.
+    let accepted = ran.iter().filter(|ran| ran.code == 0);
+    let changes = accepted
+        .filter(|ran| ran.json()["unchanged"] == false)
+        .count();
+    let status = world
+        .run(ADMIN, &["rollout", "status", "--output", "json"])
+        .json();
+    let stage = status[0]["stage"].as_u64().expect("a stage");
+    assert_eq!(stage, 1 + u64::try_from(changes).expect("few"), "{ran:?}");
+    let history = world.run(ADMIN, &["history", "--output", "json"]).json();
+    assert_eq!(
+        history["changes"].as_array().map(Vec::len),
+        Some(1 + changes)
+    );
+}
--- a/crates/config/tests/all/main.rs
+++ b/crates/config/tests/all/main.rs
@@ -6,4 +6,5 @@
 mod examples;
 mod permission;
 mod problems;
+mod random;
 mod reference;
