--- a/crates/core/src/order/holder.rs
+++ b/crates/core/src/order/holder.rs
@@ -107,17 +107,19 @@
         self.lease.is_some_and(|lease| now < lease.until)
     }
 
-    /// Returns leave to give one order now, if there is time left for it.
+    /// Returns leave to give one order now, if there is time left for it. An
+    /// engine that fences needs no margin.
     #[must_use]
-    pub fn permit(&self, now: Instant) -> Option<Permit> {
+    pub fn permit(&self, now: Instant, fences: bool) -> Option<Permit> {
         let lease = self.lease?;
-        if now.plus_millis(MARGIN_MS) >= lease.until {
-            return None;
-        }
+        let margin_ms = if fences { 0 } else { MARGIN_MS };
         let left_ms = u64::try_from(lease.until.since(now).as_millis()).unwrap_or(0);
+        let usable_ms = left_ms
+            .checked_sub(margin_ms)
+            .filter(|usable| *usable > 0)?;
         Some(Permit {
             number: lease.number,
-            deadline: now.plus_millis(left_ms - MARGIN_MS),
+            deadline: now.plus_millis(usable_ms),
         })
     }
 }
--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -38,6 +38,9 @@
 /// Milliseconds for which a single crash keeps a request from running where
 /// the crash was not seen; an instance that was to try it again may be gone.
 pub const DOUBT_MS: u64 = 3_600_000;
+/// Milliseconds that the second run of a suspect may take: it has surely ended
+/// when another instance may run the request again.
+pub const LONGEST_MS: u64 = DOUBT_MS / 2;
 /// Suspicions that one instance remembers.
 const MOST: usize = 4096;
 /// Suspicions that are told to a peer at a time.
@@ -159,7 +162,10 @@
             // The permit is for one run at a time.
             Some(_) if self.running.contains_key(&fingerprint) => Verdict::Refuse,
             Some(known) if known.survived || now >= known.doubt_until => Verdict::Run,
-            Some(known) if known.own => Verdict::Permit,
+            // Not so late that it could still run when others may.
+            Some(known) if known.own && now.plus_millis(LONGEST_MS) <= known.doubt_until => {
+                Verdict::Permit
+            }
             Some(_) => Verdict::Refuse,
             None => Verdict::Run,
         }
--- a/crates/node/src/callers/bill.rs
+++ b/crates/node/src/callers/bill.rs
@@ -1,6 +1,7 @@
 //! Billing of an answered request.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use fescuerack_config::key;
 use fescuerack_core::ledger::{Entry, Ticket};
@@ -91,7 +92,8 @@
 
 async fn keep(shared: &Arc<Shared>, ticket: Ticket) {
     let start = shared.now();
-    if !shared.ledger.safe(ticket).await {
+    let wait = Duration::from_millis(shared.settings.limits.ledger_wait_ms);
+    if !shared.ledger.safe(ticket, wait).await {
         shared.metrics.count("ledger.unsafe");
     }
     let waited = shared.now().since(start);
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -1,10 +1,12 @@
 //! Keeps the ledger: in the store, and beside it with a peer.
 //!
 //! An answer's end waits until its entry is safe: kept in the store, or copied
-//! to a peer when the store cannot keep it in time, for [`WAIT`] at most. The
+//! to a peer when the store cannot keep it in time, for
+//! [`crate::Limits::ledger_wait_ms`] at most. The
 //! first token waits for nothing. See `docs/design/ledger.md` for the ways that
 //! were weighed and their figures.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -13,14 +15,17 @@
 use fescuerack_platform::ledger::{self, Writer};
 use tokio::sync::{Notify, watch};
 
-use crate::aid::{self, Ask, LARGEST_BATCH};
+use crate::aid::{self, Ask, LARGEST_BATCH, Peer};
 use crate::shared::{Shared, lock};
 use crate::stop::Stop;
 
-/// Longest time that an answer's end waits for its entry.
-const WAIT: Duration = Duration::from_millis(4);
-/// Time that the store has before entries are copied to a peer.
+/// Time that the store has before entries are copied to a peer. When the last
+/// write took longer, the store has no time at all: it is slow, out, or this
+/// instance's share of its rate is used up.
 const STORE_FIRST: Duration = Duration::from_millis(2);
+/// Time of a write, its token included, from which the store counts as late:
+/// twice what it takes in good order.
+const LATE: Duration = Duration::from_millis(5);
 /// Time between two looks when nothing happens, and between two words to the
 /// peer that holds copies.
 const IDLE: Duration = Duration::from_secs(1);
@@ -35,8 +40,10 @@
     copy: Notify,
     safe: watch::Sender<Ticket>,
     shelf: Mutex<Shelf>,
-    /// Address of the peer that holds our copies.
-    keeper: Mutex<Option<String>>,
+    /// The peer that holds our copies.
+    keeper: Mutex<Option<Peer>>,
+    /// Whether the last write was late.
+    is_late: AtomicBool,
 }
 
 impl Desk {
@@ -49,6 +56,7 @@
             safe: watch::Sender::new(Ticket::default()),
             shelf: Mutex::new(Shelf::new()),
             keeper: Mutex::new(None),
+            is_late: AtomicBool::new(false),
         }
     }
 
@@ -71,11 +79,12 @@
         self.copy.notify_one();
     }
 
-    /// Waits until an entry is safe, or for [`WAIT`]; returns whether it is.
-    pub async fn safe(&self, ticket: Ticket) -> bool {
+    /// Waits until an entry is safe, but not longer than `wait`; returns
+    /// whether it is.
+    pub async fn safe(&self, ticket: Ticket, wait: Duration) -> bool {
         let mut safe = self.safe.subscribe();
         let waiting = safe.wait_for(|until| *until > ticket);
-        matches!(tokio::time::timeout(WAIT, waiting).await, Ok(Ok(_)))
+        matches!(tokio::time::timeout(wait, waiting).await, Ok(Ok(_)))
     }
 
     fn tell(&self) {
@@ -158,7 +167,11 @@
 /// Writes what the store does not hold yet; returns whether nothing is left.
 pub fn keep(shared: &Shared) -> bool {
     while let Some(segment) = next(shared) {
-        if ledger::write(&shared.ledger_store, &shared.writer(), &segment).is_err() {
+        let begun = shared.now();
+        let written = ledger::write(&shared.ledger_store, &shared.writer(), &segment);
+        let is_late = written.is_err() || shared.now().since(begun) > LATE;
+        shared.ledger.is_late.store(is_late, Ordering::Relaxed);
+        if written.is_err() {
             shared.metrics.count("ledger.store_failed");
             return false;
         }
@@ -177,7 +190,7 @@
     let desk = &shared.ledger;
     loop {
         let waited = tokio::time::timeout(IDLE, desk.copy.notified()).await;
-        if waited.is_ok() {
+        if waited.is_ok() && !desk.is_late.load(Ordering::Relaxed) {
             tokio::time::sleep(STORE_FIRST).await;
         }
         let mut more = true;
@@ -199,7 +212,8 @@
     if copies.is_empty() && keeper.is_none() {
         return false;
     }
-    let Some(address) = keeper.or_else(|| aid::keeper(shared)) else {
+    let chosen = || Peer::new(&aid::keeper(shared)?).ok();
+    let Some(keeper) = keeper.or_else(chosen) else {
         return false;
     };
     let until = copies.last().map(|(ticket, _)| Ticket(ticket.0 + 1));
@@ -208,7 +222,7 @@
         kept_until,
         copies,
     });
-    let is_held = matches!(aid::ask::<bool>(shared, &address, &hold).await, Ok(true));
+    let is_held = matches!(keeper.ask::<bool>(shared, &hold).await, Ok(true));
     if !is_held {
         shared.metrics.count("ledger.copy_failed");
         // Another one next time; this one writes what it holds after a while,
@@ -218,10 +232,10 @@
     }
     let Some(until) = until else {
         let done = !lock(&desk.book).has_copies_out();
-        *lock(&desk.keeper) = (!done).then_some(address);
+        *lock(&desk.keeper) = (!done).then_some(keeper);
         return false;
     };
-    *lock(&desk.keeper) = Some(address);
+    *lock(&desk.keeper) = Some(keeper);
     lock(&desk.book).copied(until);
     desk.tell();
     shared.metrics.count("ledger.copied");
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -157,8 +157,9 @@
         .collect();
     let unload = desk.grace.pass(shared.now(), &idle);
     let loads = loads(force);
+    let fences = force.catalog.fleets[fleet].fences;
     for plan in order::plan(&wanted, &unload, &engines, loads) {
-        let Some(permit) = desk.holder.permit(shared.now()) else {
+        let Some(permit) = desk.holder.permit(shared.now(), fences) else {
             return;
         };
         give(shared, force, &targets, permit, plan, desk);
--- a/crates/standin/tests/all/ledger.rs
+++ b/crates/standin/tests/all/ledger.rs
@@ -12,11 +12,18 @@
 use crate::run::{Dice, schedules};
 
 const INSTANCES: usize = 3;
-const LIMITS: Limits = Limits {
+/// Bounds that are met often; the bill is then exact in its sums.
+const SMALL: Limits = Limits {
     segment_bytes: 4_000,
     total_bytes: 8_000,
     offered_bytes: 2_000,
 };
+/// Bounds that are never met; every request then has its own line.
+const LARGE: Limits = Limits {
+    segment_bytes: 4_000,
+    total_bytes: usize::MAX,
+    offered_bytes: 2_000,
+};
 
 struct Instance {
     name: String,
@@ -30,6 +37,7 @@
 
 struct World {
     dice: Dice,
+    limits: Limits,
     store: Chaos,
     now: Instant,
     instances: Vec<Instance>,
@@ -47,6 +55,7 @@
     fn new(seed: u64) -> Self {
         let mut world = Self {
             dice: Dice::new(seed),
+            limits: if seed.is_multiple_of(2) { SMALL } else { LARGE },
             store: Chaos::new(seed ^ 0x1ed_6e2, Odds::HARD),
             now: Instant::from_millis(1),
             instances: Vec::new(),
@@ -70,7 +79,7 @@
         self.started += 1;
         let name = format!("i{}", self.started);
         self.instances.push(Instance {
-            book: Book::new(&name, LIMITS),
+            book: Book::new(&name, self.limits),
             name,
             shelf: Shelf::new(),
             tickets: BTreeMap::new(),
@@ -314,6 +323,13 @@
             "{billed} billed of {}",
             self.answered
         );
+        if self.limits == LARGE {
+            for number in 1..=self.answered {
+                let request = format!("r{number}");
+                let is_there = single.contains(&request) || self.excused.contains_key(&request);
+                assert!(is_there, "{request} is unbilled");
+            }
+        }
         let excused = self.excused.iter();
         let excused = excused.filter(|(request, _)| !single.contains(*request));
         let excused: u64 = excused.map(|(_, requests)| requests).sum();
@@ -330,6 +346,45 @@
     }
 }
 
+fn entry(number: u64) -> Entry {
+    Entry {
+        request: format!("r{number}"),
+        organisation: "o".to_owned(),
+        version: "v".to_owned(),
+        cost: 1,
+        requests: 1,
+        ..Entry::default()
+    }
+}
+
+// An outage lasts so long that the entries no longer fit. Dropping them would
+// leave them unbilled, keeping them would fill the small instance's memory.
+#[test]
+fn book_at_its_bound_folds() {
+    const ANSWERS: u64 = 1_000;
+    let mut book = Book::new("i1", SMALL);
+    for number in 0..ANSWERS {
+        book.add(entry(number));
+    }
+    let bytes: usize = book.entries().iter().map(Entry::size).sum();
+    assert!(bytes < SMALL.total_bytes + 1_000, "{bytes} bytes are held");
+    assert_eq!(book.pending(), ANSWERS);
+    let cost: u64 = book.entries().iter().map(|entry| entry.cost).sum();
+    assert_eq!(cost, ANSWERS);
+}
+
+// Entries were folded, so the oldest tickets stand in a sum that no peer has.
+// Copies of later ones must not make their answers look safe.
+#[test]
+fn offer_beside_sums_is_empty() {
+    let mut book = Book::new("i1", SMALL);
+    for number in 0..100 {
+        book.add(entry(number));
+    }
+    assert!(book.folds() > 0);
+    assert!(book.offer(1_000).is_empty());
+}
+
 // An instance is killed or drained in an outage of the store, peers hold its
 // entries, answers are lost and messages come late. A month later a bill shows
 // a request twice, or not at all.
