--- a/crates/cli/src/commands/rollout.rs
+++ b/crates/cli/src/commands/rollout.rs
@@ -124,9 +124,12 @@
             Verb::Pause(of) => of.act(output, |model| Action::RolloutPause { model }),
             Verb::Resume(of) => of.act(output, |model| Action::RolloutResume { model }),
             Verb::Close(close) => {
+                let live = live::rollouts(&states(&close.access)?);
+                let live = live.iter().find(|live| live.model == close.model);
                 let action = Action::RolloutClose {
                     model: close.model,
                     keep_current: close.keep_current,
+                    stepped: live.is_some_and(live::Rollout::is_whole),
                 };
                 change::act(&close.access, output, &close.record, action)
             }
--- a/crates/cli/src/live.rs
+++ b/crates/cli/src/live.rs
@@ -19,6 +19,13 @@
     pub verdict: String,
 }
 
+impl Rollout {
+    /// Returns whether every new session starts on the candidate.
+    pub fn is_whole(&self) -> bool {
+        self.share >= 1.0
+    }
+}
+
 /// Returns the roll-outs of the first instance that answers.
 pub fn rollouts(states: &[(String, Result<Value>)]) -> Vec<Rollout> {
     let mut answers = states.iter().filter_map(|(_, state)| state.as_ref().ok());
--- a/crates/config/src/change/mod.rs
+++ b/crates/config/src/change/mod.rs
@@ -58,6 +58,10 @@
         /// Keeps the version of today instead of taking the candidate.
         #[serde(default)]
         keep_current: bool,
+        /// Whether the evidence has stepped it to its last stage, whatever
+        /// stage the files set.
+        #[serde(default)]
+        stepped: bool,
     },
     /// Withdraws a version: it gets no new work at all.
     VersionWithdraw {
--- a/crates/config/src/change/rollout.rs
+++ b/crates/config/src/change/rollout.rs
@@ -38,7 +38,8 @@
         Action::RolloutClose {
             model,
             keep_current,
-        } => close(draft, model, *keep_current),
+            stepped,
+        } => close(draft, model, *keep_current, *stepped),
         Action::VersionWithdraw {
             version,
             replacement,
@@ -123,12 +124,17 @@
 /// stage: a jump from a small share to all would show a fault to everybody at
 /// once. With the version of today kept, the candidate is closed, so that the
 /// sessions which it has keep it.
-fn close(draft: &mut Draft<'_>, model: &str, keep_current: bool) -> Result<(), Refusal> {
+fn close(
+    draft: &mut Draft<'_>,
+    model: &str,
+    keep_current: bool,
+    stepped: bool,
+) -> Result<(), Refusal> {
     let (rollout, candidate) = running(draft, model)?;
     if keep_current {
         draft.set(VERSIONS, candidate, "state", "closed")?;
     } else {
-        if rollout.stage + 1 < rollout.stages.len() {
+        if !stepped && rollout.stage + 1 < rollout.stages.len() {
             let message = format!(
                 "{candidate} is at stage {} of {}; step on to the last one, or keep the current \
                  version",
--- a/crates/config/tests/all/change.rs
+++ b/crates/config/tests/all/change.rs
@@ -32,6 +32,7 @@
     let close = Action::RolloutClose {
         model: model(),
         keep_current: false,
+        stepped: false,
     };
     let before = example("hoivapolku");
     let (folder, file) = after(&before, &[step.clone(), step.clone(), step.clone(), close]);
@@ -58,6 +59,7 @@
     let message = refusal(&Action::RolloutClose {
         model: model(),
         keep_current: false,
+        stepped: false,
     });
     assert!(message.contains("at stage 1 of 4"), "{message}");
 }
