--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -154,6 +154,23 @@
     std::thread::Builder::new()
         .name(name.to_owned())
         .stack_size(STACK)
-        .spawn(move || body(&shared, &stop))
+        .spawn(move || {
+            let _fatal = Fatal;
+            body(&shared, &stop);
+        })
         .with_context(|| format!("start thread {name}"))
 }
+
+/// Ends the process when its thread panics. A broken invariant must not leave
+/// an instance behind that answers without following the configuration or
+/// keeping the ledger; another instance takes its place.
+struct Fatal;
+
+impl Drop for Fatal {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            log::error!("a background thread met a broken invariant");
+            std::process::abort();
+        }
+    }
+}
