--- a/crates/standin/tests/all/claim.rs
+++ b/crates/standin/tests/all/claim.rs
@@ -4,10 +4,12 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use fescuerack_core::claim::{Answer, Claim, Claiming, Name, Outcome, Recording, State, Verdict};
+use fescuerack_core::claim::{
+    Answer, Claim, Claiming, Name, Outcome, Record, Recording, State, Verdict,
+};
 use fescuerack_core::clock::Instant;
-use fescuerack_core::store::{Machine as _, Step};
-use fescuerack_standin::{Chaos, Odds};
+use fescuerack_core::store::{Call, Machine as _, Reply, Step};
+use fescuerack_standin::{Chaos, Odds, Refusal, Store};
 
 use crate::run::{Dice, schedules};
 
@@ -322,3 +324,107 @@
         world.counts.into_iter().collect()
     });
 }
+
+/// Makes the calls of a machine until it ends; the first read is an old one if
+/// `is_old`.
+fn settle(store: &mut Store, mut machine: Recording, mut is_old: bool) -> bool {
+    let mut now = Instant::from_millis(1);
+    loop {
+        let call = match machine.step(now) {
+            Step::Done(settled) => return settled,
+            Step::Wait(until) => {
+                now = until;
+                continue;
+            }
+            Step::Call(call) => call,
+        };
+        let reply = match call {
+            Call::Get { key } if is_old => {
+                is_old = false;
+                Reply::Value(store.get_old(&key))
+            }
+            Call::Get { key } => Reply::Value(store.get(&key)),
+            Call::Swap {
+                key,
+                expected,
+                value,
+                ..
+            } => match store.swap(&key, expected, value, None) {
+                Ok(version) => Reply::Swapped(version),
+                Err(Refusal::Conflict(version)) => Reply::Conflict(version),
+                Err(_) => Reply::Refused,
+            },
+        };
+        machine.take(now, reply);
+    }
+}
+
+/// Returns the swap with which a sender takes over what stands at `key`.
+fn taking(store: &Store, nonce: u64) -> Call {
+    let now = Instant::from_millis(1);
+    let mut machine = Claiming::new(name(0, 0), nonce, now.plus_millis(1_000), None);
+    loop {
+        let Step::Call(call) = machine.step(now) else {
+            panic!("it only makes calls");
+        };
+        let Call::Swap { expected, .. } = &call else {
+            machine.take(now, Reply::Value(store.get("claim/0")));
+            continue;
+        };
+        let stands = store.get("claim/0").map_or(0, |value| value.version);
+        if *expected == stands {
+            return call;
+        }
+        machine.take(now, Reply::Conflict(stands));
+    }
+}
+
+fn make(store: &mut Store, call: Call) -> Result<u64, Refusal> {
+    let Call::Swap {
+        key,
+        expected,
+        value,
+        ..
+    } = call
+    else {
+        panic!("a swap");
+    };
+    store.swap(&key, expected, value, None)
+}
+
+// A booking was not run, and its caller sends it again. The second instance
+// takes it over, gets no answer until the deadline and gives up, while its
+// write is still under way. When that arrives, nobody runs the booking and
+// nobody ever may: the caller is told "unknown" for a day.
+#[rstest::rstest]
+#[case::fresh_read(false)]
+#[case::old_read(true)]
+fn settle_late_takeover_meets_a_conflict(#[case] is_old: bool) {
+    let mut store = Store::new();
+    let first = taking(&store, 1);
+    let version = make(&mut store, first).expect("the first claim");
+    let running = Claim {
+        key: "claim/0".to_owned(),
+        version,
+        record: claim_record(1),
+        lease: None,
+    };
+    let until = Instant::from_millis(60_000);
+    let ended = Recording::new(&running, State::NotRun, until);
+    assert!(settle(&mut store, ended, false));
+    let late = taking(&store, 2);
+    let given_up = Recording::with_lost(name(0, 0), 2, None, until);
+    assert!(settle(&mut store, given_up, is_old));
+    assert!(matches!(make(&mut store, late), Err(Refusal::Conflict(_))));
+    let again = taking(&store, 3);
+    assert!(make(&mut store, again).is_ok(), "the key cannot be claimed");
+}
+
+fn claim_record(nonce: u64) -> Record {
+    Record {
+        digest: name(0, 0).digest,
+        nonce,
+        deadline: Instant::from_millis(1_000),
+        state: State::Running,
+    }
+}
