--- /dev/null
+++ b/crates/node/tests/all/load.rs
@@ -0,0 +1,63 @@
+//! Decisions under load, through a real process.
+
+use fescuerack_wire::header;
+use serde_json::json;
+
+use crate::support::{KEY, World, client};
+
+// An engine is retired and refuses new work, while the instance list goes on
+// showing it as live. Callers see nothing of it: what it refuses has not run
+// and goes to another engine, outside the retry budget.
+#[test]
+fn chat_server_that_leaves_gets_no_new_work() {
+    let world = World::new();
+    let process = world.start("entry-0");
+    world.engines[0].leave();
+    let url = format!("{}/v1/chat/completions", process.callers);
+    let body = json!({
+        "model": "auto:chat-reply",
+        "max_tokens": 2,
+        "messages": [{"role": "user", "content": "Who can sit tonight?"}],
+    });
+    for _ in 0..30 {
+        let answer = client()
+            .post(&url)
+            .header("authorization", format!("Bearer {KEY}"))
+            .send_json(&body)
+            .expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+    assert_eq!(world.engines[0].counts().0, 0, "it started nothing");
+    assert_eq!(process.counter("attempts.retry_denied"), 0);
+}
+
+// A caller gives a deadline that has all but passed while every place is taken.
+// The answer comes at once, says that nothing ran and when to come back.
+#[test]
+fn chat_too_late_is_refused_as_not_run() {
+    let mut world = World::new();
+    world.replace_engines(400, 20);
+    let process = world.start_with("entry-0", "concurrency: 1");
+    let url = format!("{}/v1/chat/completions", process.callers);
+    let body = json!({"model": "auto:chat-reply", "max_tokens": 100, "messages": []});
+    let send = |deadline_ms: &str| {
+        client()
+            .post(&url)
+            .header("authorization", format!("Bearer {KEY}"))
+            .header(header::DEADLINE, deadline_ms)
+            .send_json(&body)
+            .expect("an answer")
+    };
+    assert_eq!(send("60000").status(), 200, "the duration becomes known");
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| send("60000").status());
+        crate::support::wait_until("the place is taken", || {
+            process.state()["admission"]["running"] == 1
+        });
+        let refused = send("1000");
+        assert_eq!(refused.status(), 429);
+        assert_eq!(refused.headers()[header::OUTCOME], "not-run");
+        assert!(refused.headers().contains_key("retry-after"));
+        assert_eq!(first.join().expect("no panic"), 200);
+    });
+}
--- a/crates/node/tests/all/main.rs
+++ b/crates/node/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod engine;
 mod input;
+mod load;
 mod metrics;
 mod orders;
 mod outage;
