--- a/crates/cli/src/access.rs
+++ b/crates/cli/src/access.rs
@@ -7,6 +7,7 @@
 use anyhow::{Context as _, Result, anyhow};
 use clap::Args;
 use fescuerack_config::change::Action;
+use fescuerack_config::{Folder, Merged};
 use fescuerack_platform::{Agent, Fault, HttpStore, admin, agent};
 use fescuerack_wire::admin::{
     Accepted, Configuration, Error, Failure, History, Instances, Ledger, Plan, Proposal,
@@ -314,3 +315,16 @@
     };
     Ok(access.addresses().into_iter().map(one).collect())
 }
+
+/// Returns the merge of a configuration that was read.
+///
+/// # Errors
+///
+/// When it holds problems, which one that was accepted does not.
+pub fn merged(configuration: Configuration) -> Result<Merged> {
+    let files = configuration.files.into_iter();
+    let folder = files.fold(Folder::new(), |folder, (name, file)| {
+        folder.with_file(&name, file.text)
+    });
+    Ok(Merged::new(&folder).map_err(Failed::problems)?)
+}
--- a/crates/cli/src/commands/organisation.rs
+++ b/crates/cli/src/commands/organisation.rs
@@ -3,11 +3,9 @@
 use anyhow::Result;
 use clap::{Args, Subcommand};
 use fescuerack_config::change::{Action, Fields};
-use fescuerack_config::{Folder, Merged};
 
-use crate::access::Access;
+use crate::access::{Access, merged};
 use crate::change::{self, Record};
-use crate::exit::Failed;
 use crate::print::{self, Output};
 
 /// Creates, changes and removes organisations.
@@ -108,11 +106,7 @@
 impl List {
     fn execute(self, output: Output) -> Result<()> {
         let configuration = self.access.reach()?.configuration()?;
-        let files = configuration.files.into_iter();
-        let folder = files.fold(Folder::new(), |folder, (name, file)| {
-            folder.with_file(&name, file.text)
-        });
-        let merged = Merged::new(&folder).map_err(Failed::problems)?;
+        let merged = merged(configuration)?;
         output.print(&merged.file.organisations, |organisations| {
             let rows = organisations.iter().map(|(name, entry)| {
                 [
--- a/crates/cli/src/commands/rollout.rs
+++ b/crates/cli/src/commands/rollout.rs
@@ -3,10 +3,9 @@
 use anyhow::Result;
 use clap::{Args, Subcommand};
 use fescuerack_config::change::Action;
-use fescuerack_config::{Folder, Merged};
 use serde::Serialize;
 
-use crate::access::{Access, states};
+use crate::access::{Access, merged, states};
 use crate::change::{self, Record};
 use crate::exit::Failed;
 use crate::live;
@@ -205,11 +204,7 @@
     fn execute(self, output: Output) -> Result<()> {
         let configuration = self.access.reach()?.configuration()?;
         let mut live = live::rollouts(&states(&self.access)?);
-        let files = configuration.files.into_iter();
-        let folder = files.fold(Folder::new(), |folder, (name, file)| {
-            folder.with_file(&name, file.text)
-        });
-        let merged = Merged::new(&folder).map_err(Failed::problems)?;
+        let merged = merged(configuration)?;
         let rows: Vec<_> = merged
             .file
             .rollouts
--- a/crates/config/src/edit/mod.rs
+++ b/crates/config/src/edit/mod.rs
@@ -148,22 +148,7 @@
     let first = entries.first().filter(|first| first.line > block.line);
     let Some(first) = first else {
         // The whole section stands on one line, or is empty: write it anew.
-        let mut all = match json(&block.node) {
-            Json::Object(entries) => entries,
-            _ => Map::new(),
-        };
-        match wanted {
-            Some(wanted) => all.insert(name.to_owned(), Json::Object(wanted.clone())),
-            None => all.remove(name),
-        };
-        let mut new = vec![format!("{section}:")];
-        for (name, entry) in &all {
-            let fields = entry.as_object().cloned().unwrap_or_default();
-            new.extend(emit::entry("  ", name, &fields));
-        }
-        if all.is_empty() {
-            new = vec![format!("{section}: {{}}")];
-        }
+        let new = section_anew(block, section, name, wanted);
         let range = lines.block(block.line);
         lines.replace(range, &new);
         return lines.join();
@@ -186,6 +171,31 @@
     lines.join()
 }
 
+fn section_anew(
+    block: &Field,
+    section: &str,
+    name: &str,
+    wanted: Option<&Map<String, Json>>,
+) -> Vec<String> {
+    let mut all = match json(&block.node) {
+        Json::Object(entries) => entries,
+        _ => Map::new(),
+    };
+    match wanted {
+        Some(wanted) => all.insert(name.to_owned(), Json::Object(wanted.clone())),
+        None => all.remove(name),
+    };
+    if all.is_empty() {
+        return vec![format!("{section}: {{}}")];
+    }
+    let mut lines = vec![format!("{section}:")];
+    for (name, entry) in &all {
+        let fields = entry.as_object().cloned().unwrap_or_default();
+        lines.extend(emit::entry("  ", name, &fields));
+    }
+    lines
+}
+
 /// Returns whether `changed` differs from `before` in this one entry only,
 /// and there as wanted.
 fn holds(
