Copy the ledger again when its keeper is gone; the run holds kills to what was promised

The randomised run excused every entry that a killed instance still held, also those it had promised to be safe with a peer, so two guards of the shelf could be removed unseen.

On the way: after the peer that holds copies had gone, the new one got only later entries. All that the store does not have is copied again.

--- a/crates/core/src/admission/ask.rs
+++ b/crates/core/src/admission/ask.rs
@@ -72,7 +72,7 @@
 pub enum Verdict {
     /// Runs at once.
     Run(Grant),
-    /// Waits; [`Control::poll`] later returns the ticket.
+    /// Waits; [`super::Control::poll`] later returns the ticket.
     Wait(Ticket),
     /// Is turned away.
     Refuse(Refusal),
--- a/crates/core/src/ledger/book.rs
+++ b/crates/core/src/ledger/book.rs
@@ -304,6 +304,12 @@
         self.copied_until = self.copied_until.max(until);
     }
 
+    /// Forgets that a peer held copies: it is gone, and another one is to get
+    /// them all.
+    pub fn copy_again(&mut self) {
+        self.copied_until = self.kept_until;
+    }
+
     /// Returns the first ticket that only this process knows.
     #[must_use]
     pub fn safe_until(&self) -> Ticket {
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -204,11 +204,15 @@
 /// holds ours; returns whether there is more.
 async fn send(shared: &Arc<Shared>) -> bool {
     let desk = &shared.ledger;
+    let keeper = lock(&desk.keeper).clone();
     let (copies, kept_until) = {
         let mut book = lock(&desk.book);
+        if keeper.is_none() {
+            // What an earlier one held may be gone with it.
+            book.copy_again();
+        }
         (book.offer(LARGEST_BATCH), book.kept_until())
     };
-    let keeper = lock(&desk.keeper).clone();
     if copies.is_empty() && keeper.is_none() {
         return false;
     }
--- a/crates/standin/tests/all/ledger.rs
+++ b/crates/standin/tests/all/ledger.rs
@@ -153,9 +153,12 @@
         let names: Vec<_> = self.instances.iter().map(|one| one.name.clone()).collect();
         let other = (index + 1 + self.dice.below(names.len() - 1)) % names.len();
         let instance = &mut self.instances[index];
-        let copies = instance.book.offer(1_000);
         let keeper = instance.keeper.clone();
         let keeper = keeper.filter(|keeper| names.contains(keeper));
+        if keeper.is_none() {
+            instance.book.copy_again();
+        }
+        let copies = instance.book.offer(1_000);
         if copies.is_empty() && keeper.is_none() {
             return;
         }
@@ -216,9 +219,11 @@
         let safe = killed.book.safe_until();
         let kept = killed.book.kept_until();
         let held = killed.keeper.is_some();
+        let mut promised = BTreeSet::new();
         for (ticket, request) in killed.tickets {
-            let is_copied = ticket < safe && held;
-            if ticket >= kept && !is_copied {
+            if ticket < kept || (ticket < safe && held) {
+                promised.insert(request);
+            } else {
                 self.excused.insert(request, 1);
             }
         }
@@ -229,7 +234,9 @@
             self.unless_elsewhere(&entry);
         }
         for entry in killed.book.entries() {
-            self.unless_elsewhere(&entry);
+            if !promised.contains(&entry.request) {
+                self.unless_elsewhere(&entry);
+            }
         }
         self.count("kills");
         self.start();
