--- a/crates/node/tests/all/versions.rs
+++ b/crates/node/tests/all/versions.rs
@@ -209,6 +209,9 @@
             let read = stream.read(&mut head).unwrap_or(0);
             if head[..read].starts_with(b"POST") {
                 crashed.fetch_add(1, Ordering::SeqCst);
+                // The caller sees the break while the port still listens.
+                drop(stream);
+                std::thread::sleep(std::time::Duration::from_millis(10));
                 return;
             }
         }
