--- a/crates/node/src/callers/choice.rs
+++ b/crates/node/src/callers/choice.rs
@@ -79,7 +79,12 @@
         stream: asked.stream,
         within_ms: u32::try_from(within).unwrap_or(u32::MAX),
         input_tokens: u64::try_from(call.body.len() / 4).unwrap_or(u64::MAX),
-        dice: shared.dice(),
+        // What is tried once must not become the version of a session.
+        dice: if call.session.is_some() {
+            1.0
+        } else {
+            shared.dice()
+        },
     };
     let board = lock(&shared.versions.board);
     let learner = lock(&shared.versions.learner);
@@ -90,7 +95,11 @@
         learner: &learner,
         now,
     };
-    let chosen = cascade::choose(world, request).map_err(refusal)?;
+    let mut chosen = cascade::choose(world, request).map_err(refusal)?;
+    if call.session.is_some() {
+        // A session waits for its version rather than go to another.
+        chosen.plans.truncate(1);
+    }
     drop(learner);
     drop(board);
     let class = match wanted {
