--- a/crates/core/src/cascade/choose/mod.rs
+++ b/crates/core/src/cascade/choose/mod.rs
@@ -244,8 +244,14 @@
                 _ => {}
             }
         }
-        let mut plans = plan::plan(&candidates, self.limits(entry));
-        plans.retain(|plan| plan.first() == version);
+        let all = plan::plan(&candidates, self.limits(entry));
+        let own = all.iter().filter(|plan| plan.first() == version);
+        let mut plans: Vec<Plan> = own.copied().collect();
+        if plans.is_empty() && entry.cascade {
+            // Its answers cannot be judged now: this one comes from a dearer
+            // version, as an escalated one would, and the session stays.
+            plans = all;
+        }
         if plans.is_empty() {
             plans.push(Plan {
                 basis: Basis::Session,
--- a/crates/core/tests/all/choice.rs
+++ b/crates/core/tests/all/choice.rs
@@ -255,6 +255,26 @@
     assert_eq!(plan.steps, Steps::Direct(market.version(3)));
 }
 
+// A session drafts with the cheap version, judged answer by answer. The rating
+// service goes down: its next answer must not be an unjudged cheap one, and the
+// session must not leave its version either.
+#[test]
+fn choose_for_session_without_ratings_does_not_hand_on_unjudged() {
+    let mut case = usual();
+    case.pinned = Some(0);
+    let mut market = Market::new(&case);
+    let choice = market.choose(&case).expect("a plan");
+    assert!(
+        matches!(choice.plans[0].steps, Steps::Cascade { first, .. } if first == market.version(0))
+    );
+    for _ in 0..3 {
+        market.learner.rating_failed(Instant::ORIGIN);
+    }
+    let choice = market.choose(&case).expect("a plan");
+    assert_eq!(choice.plans[0].steps, Steps::Direct(market.version(3)));
+    assert_eq!(choice.place, Place::Keep(market.version(0)));
+}
+
 // No version that is allowed meets the target: the refusal says so, unless the
 // organisation takes less rather than nothing.
 #[rstest]
