Take the pacing that no part uses out of the core

Cause: core::pacing was used by the bench alone; the store client's rate for each instance does what its bounded batches do, and core::store has a back-off of its own. It is now the tried way beside the bench, with the two tests of it gone together with the module. Also: the bench in two files; a trace's story is printed when its replay fails, in place of an allowance for an unread field.

--- a/crates/core/src/pacing.rs
+++ b/crates/core/benches/load/pacing.rs
@@ -8,18 +8,18 @@
 //! [`Backoff`] spreads the tries while it is out. [`Drain`] lets the backlog go
 //! in bounded batches and stops while earlier ones are unanswered. Both ideas
 //! are those of the Relier paper ("bounded scan batch", "recovery-queue
-//! backpressure"). The bench `store` supports the first where the batches of
-//! all instances together stay under what the other side serves, so take the
-//! batch from that rate over the number of instances; the second shortens the
+//! backpressure"). The first is supported where the batches of all instances
+//! together stay under what the other side serves; the second shortens the
 //! recovery from a batch twice too large and does not save one twenty times
-//! too large (docs/BENCHMARKS.md). Backend servers that come back are paced by
-//! the ramp of [`crate::route::score`].
+//! too large (docs/BENCHMARKS.md). The product bounds the rate of each instance
+//! in its store client (`core::store`), which comes to the same as the bounded
+//! batch; the brake is not in the product.
 
 use std::time::Duration;
 
 use rand::{Rng, RngExt as _};
 
-use crate::clock::Instant;
+use fescuerack_core::clock::Instant;
 
 /// When to try something again that is out.
 #[derive(Clone, Copy, Debug)]
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod member;
 pub mod num;
 pub mod order;
-pub mod pacing;
 pub mod poison;
 pub mod rollout;
 pub mod route;
--- a/crates/core/tests/all/attempt.rs
+++ b/crates/core/tests/all/attempt.rs
@@ -1,4 +1,4 @@
-//! Retries, hedges, limits across instances and pacing.
+//! Retries, hedges and limits across instances.
 
 use fescuerack_config::{Names, key};
 use fescuerack_core::admission::rate::Rates;
@@ -6,7 +6,6 @@
 use fescuerack_core::attempt::{Attempts, End, Next, Outcome, hedge};
 use fescuerack_core::clock::Instant;
 use fescuerack_core::num::Mean;
-use fescuerack_core::pacing::{Backoff, Drain};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
@@ -213,32 +212,3 @@
     }
     assert!((190..=215).contains(&passed), "{passed} of 200 in 20 s");
 }
-
-#[test]
-fn drain_takes_no_more_than_a_batch_unanswered() {
-    let mut drain = Drain::new(10);
-    assert_eq!(drain.take(Instant::from_millis(0), 25), 10);
-    assert_eq!(drain.take(Instant::from_millis(500), 15), 0);
-    assert_eq!(
-        drain.take(Instant::from_millis(1_000), 15),
-        0,
-        "none was answered"
-    );
-    for _ in 0..4 {
-        drain.answered();
-    }
-    assert_eq!(drain.take(Instant::from_millis(1_100), 15), 4);
-}
-
-#[test]
-fn backoff_spreads_and_stays_bounded() {
-    let mut rng = Pcg64Mcg::seed_from_u64(1);
-    let mut backoff = Backoff::new();
-    let pauses: Vec<_> = (0..100)
-        .map(|_| backoff.next(&mut rng).as_millis())
-        .collect();
-    assert!(pauses.iter().all(|pause| (100..=2_000).contains(pause)));
-    assert!(pauses.iter().any(|pause| *pause > 1_000));
-    backoff.reset();
-    assert!(backoff.next(&mut rng).as_millis() <= 300);
-}
--- a/crates/core/tests/all/replay.rs
+++ b/crates/core/tests/all/replay.rs
@@ -16,7 +16,6 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Trace {
-    #[allow(dead_code)]
     story: String,
     instances: usize,
     exposure: u32,
@@ -309,6 +308,7 @@
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/traces/{trace}.json"));
     let text = std::fs::read_to_string(&path).expect("the trace is readable");
     let trace: Trace = serde_json::from_str(&text).expect("the trace is well formed");
+    println!("{}", trace.story);
     let mut replay = Replay::new(&trace);
     for step in trace.steps {
         replay.step(step);
