--- a/crates/core/benches/load/main.rs
+++ b/crates/core/benches/load/main.rs
@@ -480,6 +480,13 @@
             subset,
         ));
     }
+    // As the instances read them: one engine a second, twelve in turn.
+    for (nodes, servers) in [(9, 12), (340, 910)] {
+        let (label, mut scenario) =
+            fleet_line(nodes, servers, 1_000, "scored", Choice::Scored, 12.0);
+        scenario.report_ms = 12_000;
+        lines.push((format!("{label}, read every 12 s"), scenario));
+    }
     report(
         "Stale views and subsets at 0.7 of capacity",
         "fleet",
