Recognise a change that is sent again after it took effect

The recorded identifier held a digest of the whole proposal, with the digests of the files that the sender saw. A step sent again after its first sending was in force saw its own change and was refused as another proposal under a used identifier. Ruled out: the lost answer itself (the store held the change). The digest now covers what was asked.

--- a/crates/cli/tests/all/verbs.rs
+++ b/crates/cli/tests/all/verbs.rs
@@ -358,6 +358,24 @@
     assert_eq!(status()[0]["stage"], 2, "{first:?} {second:?}");
 }
 
+// An operator's tool lost the answer to a step. By the time it sends the step
+// again under the same identifier, the first sending is in force and the tool
+// sees other files. The step must be recognised: neither refused nor repeated.
+#[test]
+fn step_sent_again_when_in_force_is_recognised() {
+    let world = World::new();
+    let step = ["rollout", "step", "kaisla-mini", "--why", "w"];
+    let step = [&step[..], &["--request", "r-1", "--output", "json"]].concat();
+    for unchanged in [false, true] {
+        let ran = world.run(MODEL_TEAM, &step);
+        assert_eq!(ran.code, 0, "{ran:?}");
+        let outcome = ran.json();
+        assert_eq!(outcome["in_force_everywhere"], true);
+        assert_eq!(outcome["revision"], 2);
+        assert_eq!(outcome["unchanged"], unchanged);
+    }
+}
+
 // Two operators step the same roll-out in the same second. One step was meant;
 // two would show the candidate to four times as many sessions.
 #[test]
--- a/crates/platform/src/admin/submit.rs
+++ b/crates/platform/src/admin/submit.rs
@@ -1,5 +1,6 @@
 //! Putting a proposal in force.
 
+use fescuerack_config::change::Action;
 use fescuerack_config::{Operator, folder};
 use fescuerack_wire::admin::{Accepted, Error, Kind, Proposal};
 
@@ -100,11 +101,25 @@
 }
 
 fn identifier(proposal: &Proposal, author: &str) -> String {
-    let body = serde_json::to_vec(proposal).expect("a proposal has only plain fields");
+    let body = serde_json::to_vec(&asked(proposal)).expect("a proposal has only plain fields");
     let digest = folder::digest(&body);
     format!("{author}/{}/{}", proposal.request, &digest[..DIGITS])
 }
 
+/// Returns what the operator asked for, without what the sender saw.
+///
+/// A request that was sent again after its first sending took effect sees its
+/// own change. With that in the digest it would be taken for another proposal
+/// under a used identifier, and refused.
+fn asked(proposal: &Proposal) -> Proposal {
+    let mut asked = proposal.clone();
+    asked.seen.clear();
+    if let Some(Action::RolloutClose { stepped, .. }) = &mut asked.action {
+        *stepped = false;
+    }
+    asked
+}
+
 /// Looks for an earlier sending of the same request.
 fn earlier(
     store: &dyn Store,
