Say that an outcome is not known when a later try was refused

The command line sends a change again when its outcome is not known, and asks another instance when one does not answer; the refusal of that later try was taken for the outcome of the first. Ruled out: the instance's own answer, which was 'outcome unknown'. Only an acceptance settles an unknown outcome now. Two new tests of these orders, with a port that answers as told, fail with either guard removed and pass with both.

--- a/crates/cli/src/access.rs
+++ b/crates/cli/src/access.rs
@@ -17,6 +17,8 @@
 use crate::exit::Failed;
 
 /// Time within which an instance must answer. An instance itself gives the
+/// Path of the changes.
+const CHANGES: &str = "/v1/changes";
 /// store ten seconds for a change.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -173,7 +175,7 @@
     /// Why it was not accepted.
     pub fn submit(&self, proposal: &Proposal) -> Result<Accepted> {
         match self {
-            Self::Nodes { .. } => self.post("/v1/changes", proposal),
+            Self::Nodes { .. } => self.post(CHANGES, proposal),
             Self::Store(store) => told(admin::submit(store, proposal, STORE_AUTHOR, None)),
         }
     }
@@ -196,11 +198,13 @@
     }
 
     fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
-        self.ask(|agent, address, token| get(agent, address, token, path))
+        self.ask(false, |agent, address, token| {
+            get(agent, address, token, path)
+        })
     }
 
     fn post<T: DeserializeOwned>(&self, path: &str, proposal: &Proposal) -> Result<T> {
-        self.ask(|agent, address, token| {
+        self.ask(path == CHANGES, |agent, address, token| {
             let mut request = agent
                 .post(format!("http://{address}{path}"))
                 .config()
@@ -217,8 +221,13 @@
 
     /// Asks one instance after another until one answers. A proposal may be
     /// sent twice by this; its identifier makes that harmless.
+    ///
+    /// Where the request `changes` something, an instance that gave no answer
+    /// may still carry it out. The refusal of another then only says that this
+    /// other one changed nothing, so the outcome stays unknown.
     fn ask<T: DeserializeOwned>(
         &self,
+        changes: bool,
         send: impl Fn(&Agent, &str, Option<&str>) -> Result<Response, Fault>,
     ) -> Result<T> {
         let Self::Nodes {
@@ -233,7 +242,16 @@
         let mut maybe_taken = false;
         for address in addresses {
             match send(agent, address, token.as_deref()) {
-                Ok(response) => return read(address, response),
+                Ok(response) => {
+                    let answer = read(address, response);
+                    return match answer {
+                        Err(error) if changes && maybe_taken => {
+                            let message = format!("{}; {error:#}", failures.join("; "));
+                            Err(Failed::unknown(message).into())
+                        }
+                        answer => answer,
+                    };
+                }
                 Err(fault) => {
                     maybe_taken |= !matches!(fault, Fault::NotSent(_));
                     failures.push(format!("{address}: {fault}"));
--- a/crates/cli/src/change.rs
+++ b/crates/cli/src/change.rs
@@ -5,7 +5,7 @@
 use anyhow::Result;
 use clap::Args;
 use fescuerack_config::change::Action;
-use fescuerack_wire::admin::{Accepted, Instance, Kind, Proposal};
+use fescuerack_wire::admin::{Accepted, Instance, Proposal};
 use serde::Serialize;
 
 use crate::access::{Access, Reach};
@@ -108,21 +108,27 @@
 
 /// Sends a proposal; one whose outcome is not known is sent again, which its
 /// identifier makes harmless.
+///
+/// Once an outcome is not known only an acceptance settles it. A later try that
+/// meets a silent store, or another operator's change, says that *it* changed
+/// nothing; the first may have taken effect all the same.
 fn send(reach: &Reach, proposal: &Proposal) -> Result<Accepted> {
-    let mut tries = 1;
-    loop {
-        let error = match reach.submit(proposal) {
-            Ok(accepted) => return Ok(accepted),
-            Err(error) => error,
-        };
-        let failed = error.downcast_ref::<Failed>();
-        let unknown = failed.is_some_and(|failed| failed.kind == Some(Kind::OutcomeUnknown));
-        if !unknown || tries == TRIES {
-            let hint = format!("request {}", proposal.request);
-            return Err(if unknown { error.context(hint) } else { error });
+    let unknown = match reach.submit(proposal) {
+        Err(error) if is_unknown(&error) => error,
+        settled => return settled,
+    };
+    for _ in 1..TRIES {
+        if let Ok(accepted) = reach.submit(proposal) {
+            return Ok(accepted);
         }
-        tries += 1;
     }
+    Err(unknown.context(format!("request {}", proposal.request)))
+}
+
+fn is_unknown(error: &anyhow::Error) -> bool {
+    error
+        .downcast_ref::<Failed>()
+        .is_some_and(Failed::is_unknown)
 }
 
 fn is_behind(instance: &Instance, revision: u64) -> bool {
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -45,8 +45,6 @@
 pub struct Failed {
     /// Exit code.
     pub code: u8,
-    /// Kind, when an instance or the store gave it.
-    pub kind: Option<Kind>,
     /// Text for people.
     pub message: String,
     /// Problems with their positions.
@@ -57,7 +55,6 @@
     fn new(code: u8, message: impl Into<String>) -> Self {
         Self {
             code,
-            kind: None,
             message: message.into(),
             problems: Vec::new(),
         }
@@ -78,6 +75,11 @@
         Self::new(UNKNOWN, message)
     }
 
+    /// Returns whether the outcome of a request is not known.
+    pub fn is_unknown(&self) -> bool {
+        self.code == UNKNOWN
+    }
+
     /// Accepted, but not in force everywhere.
     pub fn behind(message: impl Into<String>) -> Self {
         Self::new(BEHIND, message)
@@ -105,7 +107,6 @@
         };
         Self {
             code,
-            kind: Some(error.kind),
             message: error.message,
             problems: error.problems,
         }
--- a/crates/cli/tests/all/main.rs
+++ b/crates/cli/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod api;
 mod pages;
 mod support;
+mod unknown;
 mod verbs;
--- a/crates/cli/tests/all/support.rs
+++ b/crates/cli/tests/all/support.rs
@@ -143,17 +143,22 @@
     /// Runs the command line as an operator against both instances.
     pub fn run(&self, token: &str, arguments: &[&str]) -> Ran {
         let nodes = format!("{},{}", self.operators(0), self.operators(1));
-        let output = Command::new(BINARY)
-            .args(arguments)
-            .env("FESCUERACK_NODE", nodes)
-            .env("FESCUERACK_TOKEN", token)
-            .stdin(Stdio::null())
-            .output()
-            .expect("the command line runs");
-        Ran::new(&output)
+        run_at(&nodes, token, arguments)
     }
 }
 
+/// Runs a command against operators' ports, separated by commas.
+pub fn run_at(nodes: &str, token: &str, arguments: &[&str]) -> Ran {
+    let output = Command::new(BINARY)
+        .args(arguments)
+        .env("FESCUERACK_NODE", nodes)
+        .env("FESCUERACK_TOKEN", token)
+        .stdin(Stdio::null())
+        .output()
+        .expect("the command line runs");
+    Ran::new(&output)
+}
+
 /// What a command printed and how it ended.
 #[derive(Debug)]
 pub struct Ran {
