Keep the lease when an engine is busy; one reader of JSON answers

Cause: found in the read-through. Any refusal of an order was taken for a higher fencing number, so one busy engine (503) made the holder give up the fleet's lease, and no engine after it got its orders. Only status 409 says so now. The new test fails without that (the other engines never have every version) and passes with it. Also: three clients of engines and ratings read their answers by the same lines; they share one function.

--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -14,6 +14,7 @@
 use fescuerack_core::member;
 use fescuerack_core::order::{self, Engine, Grace, Holder, Permit, Plan};
 use fescuerack_core::route::State;
+use fescuerack_platform::order::FENCED;
 use fescuerack_platform::{Fault, Store as _, Swap};
 use fescuerack_wire::order::{Action, Order};
 
@@ -241,7 +242,7 @@
                 Action::Unload => loaded.remove(&version),
             };
         }
-        Err(Fault::Refused { .. }) => {
+        Err(Fault::Refused { status, .. }) if status == FENCED => {
             // Somebody holds a higher number: this lease is no longer ours.
             shared.metrics.count("orders.fenced");
             desk.holder.lose();
--- a/crates/node/tests/all/orders.rs
+++ b/crates/node/tests/all/orders.rs
@@ -41,6 +41,24 @@
     }
 }
 
+// One engine is busy and takes no order. The others must get theirs, and the
+// instance must not give up the lease as if a newer holder had been seen.
+#[test]
+fn engine_busy_does_not_end_the_lease() {
+    let world = World::new();
+    world.engines[0].orders().refuse(true);
+    let [process] = world.start_fleet(["entry-0"]);
+    wait_until("the others have every version", || {
+        let mut others = world.engines[1..].iter();
+        others.all(|engine| engine.orders().loaded().len() == VERSIONS)
+    });
+    process.wait_for("orders.failed", 1);
+    assert!(holds(&process));
+    assert_eq!(process.counter("orders.fenced"), 0);
+    world.engines[0].orders().refuse(false);
+    wait_until("the busy one has them later", || all_loaded(&world));
+}
+
 // The instance that gives the orders is frozen and its lease lapses. The other
 // takes over and orders a load. The first wakes: its orders must not come
 // after the newer holder's, although these engines ignore fencing numbers.
--- a/crates/platform/src/engine.rs
+++ b/crates/platform/src/engine.rs
@@ -24,6 +24,7 @@
 use fescuerack_wire::load::Report;
 use thiserror::Error;
 
+use crate::http::json;
 use crate::{Agent, Fault};
 
 /// Longest line of a stream, in bytes; bounds the memory of an attempt whose
@@ -154,18 +155,14 @@
 ///
 /// A [`Fault`] when it gives none within `timeout`.
 pub fn load(agent: &Agent, address: &str, timeout: Duration) -> Result<Report, Fault> {
-    let mut response = agent
+    let response = agent
         .get(format!("http://{address}/load"))
         .config()
         .timeout_global(Some(timeout))
         .build()
         .call()
         .map_err(|error| Fault::from_client(&error))?;
-    if response.status() != 200 {
-        return Err(Fault::Malformed("no report of load".to_owned()));
-    }
-    let report = response.body_mut().read_json();
-    report.map_err(|error| Fault::Malformed(error.to_string()))
+    json(response)
 }
 
 fn send(
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -9,6 +9,8 @@
 use ureq::unversioned::resolver::{DefaultResolver, ResolvedSocketAddrs, Resolver};
 use ureq::unversioned::transport::{DefaultConnector, NextTimeout};
 
+use crate::Fault;
+
 /// A pool of connections.
 pub type Agent = ureq::Agent;
 
@@ -40,6 +42,28 @@
     ureq::Agent::with_parts(config, DefaultConnector::default(), Numbers::default())
 }
 
+/// An answer whose body has not been read.
+pub(crate) type Response = ureq::http::Response<ureq::Body>;
+
+/// Reads an answer that is JSON.
+pub(crate) fn json<T: serde::de::DeserializeOwned>(mut response: Response) -> Result<T, Fault> {
+    if response.status() != 200 {
+        return Err(refused(response));
+    }
+    response
+        .body_mut()
+        .read_json()
+        .map_err(|error| Fault::Malformed(error.to_string()))
+}
+
+/// Returns what an answer other than 200 says.
+pub(crate) fn refused(mut response: Response) -> Fault {
+    Fault::Refused {
+        status: response.status().as_u16(),
+        message: response.body_mut().read_to_string().unwrap_or_default(),
+    }
+}
+
 /// Takes IP numbers as they are.
 ///
 /// The library's resolver starts a thread for every request that has a
--- a/crates/platform/src/order.rs
+++ b/crates/platform/src/order.rs
@@ -4,28 +4,26 @@
 
 use fescuerack_wire::order::{Loaded, Order};
 
+use crate::http::{json, refused};
 use crate::{Agent, Fault};
 
+/// Status of an order whose fencing number is too low.
+pub const FENCED: u16 = 409;
+
 /// Asks an engine what it has.
 ///
 /// # Errors
 ///
 /// When the engine gives no answer.
 pub fn loaded(agent: &Agent, address: &str, timeout: Duration) -> Result<Loaded, Fault> {
-    let mut response = agent
+    let response = agent
         .get(format!("http://{address}/v1/loaded"))
         .config()
         .timeout_global(Some(timeout))
         .build()
         .call()
         .map_err(|error| Fault::from_client(&error))?;
-    if response.status() != 200 {
-        return Err(refused(&mut response));
-    }
-    response
-        .body_mut()
-        .read_json()
-        .map_err(|error| Fault::Malformed(error.to_string()))
+    json(response)
 }
 
 /// Gives an order, which must have ended within `timeout`.
@@ -35,10 +33,11 @@
 ///
 /// # Errors
 ///
-/// [`Fault::Refused`] when the engine has seen a higher fencing number;
+/// [`Fault::Refused`] with [`FENCED`] when the engine has seen a higher fencing
+/// number, with another status when it takes no order now;
 /// [`Fault::Unknown`] when the order may have taken effect.
 pub fn give(agent: &Agent, address: &str, order: &Order, timeout: Duration) -> Result<(), Fault> {
-    let mut response = agent
+    let response = agent
         .post(format!("http://{address}/v1/orders"))
         .config()
         .timeout_global(Some(timeout))
@@ -48,12 +47,5 @@
     if response.status() == 200 {
         return Ok(());
     }
-    Err(refused(&mut response))
-}
-
-fn refused(response: &mut ureq::http::Response<ureq::Body>) -> Fault {
-    Fault::Refused {
-        status: response.status().as_u16(),
-        message: response.body_mut().read_to_string().unwrap_or_default(),
-    }
+    Err(refused(response))
 }
--- a/crates/platform/src/rating.rs
+++ b/crates/platform/src/rating.rs
@@ -4,6 +4,7 @@
 
 use fescuerack_wire::rating;
 
+use crate::http::json;
 use crate::{Agent, Fault, agent};
 
 /// Rates answers.
@@ -38,7 +39,7 @@
 
 impl Rating for HttpRating {
     fn rate(&self, request: &rating::Request) -> Result<rating::Rating, Fault> {
-        let mut response = self
+        let response = self
             .agent
             .post(&self.url)
             .config()
@@ -46,15 +47,6 @@
             .build()
             .send_json(request)
             .map_err(|error| Fault::from_client(&error))?;
-        if response.status() != 200 {
-            return Err(Fault::Refused {
-                status: response.status().as_u16(),
-                message: String::new(),
-            });
-        }
-        response
-            .body_mut()
-            .read_json()
-            .map_err(|error| Fault::Malformed(error.to_string()))
+        json(response)
     }
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -7,6 +7,7 @@
 use fescuerack_core::store::{LARGEST_VALUE, Lane};
 use fescuerack_wire::{header, kv};
 
+use crate::http::Response;
 use crate::limit::Limit;
 use crate::{Agent, Calls, Fault, agent};
 
@@ -85,8 +86,6 @@
     writes: Lane,
 }
 
-type Response = ureq::http::Response<ureq::Body>;
-
 impl HttpStore {
     /// Idle connections that are kept.
     const IDLE: usize = 16;
--- a/crates/standin/src/orders.rs
+++ b/crates/standin/src/orders.rs
@@ -20,6 +20,7 @@
 #[derive(Debug, Default)]
 pub struct Orders {
     ignores_fence: AtomicBool,
+    busy: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -29,6 +30,11 @@
         self.ignores_fence.store(ignores, Ordering::SeqCst);
     }
 
+    /// Whether every order is refused with status 503.
+    pub fn refuse(&self, busy: bool) {
+        self.busy.store(busy, Ordering::SeqCst);
+    }
+
     /// Loses every version, as a restart does.
     pub fn forget(&self) {
         self.with(|state| state.loaded.clear());
@@ -56,6 +62,9 @@
             Ok(order) => order,
             Err(error) => return answer(400, error.to_string()),
         };
+        if self.busy.load(Ordering::SeqCst) {
+            return answer(503, "busy");
+        }
         let fences = !self.ignores_fence.load(Ordering::SeqCst);
         self.with(|state| {
             if fences && order.number < state.highest {
