Search the history before a change is written, not only before a conflict

It was sent again after its answer was lost and after a colleague had undone it: the files stood as the operator had seen them, so nothing conflicted and the history was not asked. Ruled out: an old read of the history (no read of it was made). A directed test over HTTP fails without the search and passes with it.

--- a/crates/core/src/force/apply/mod.rs
+++ b/crates/core/src/force/apply/mod.rs
@@ -101,6 +101,8 @@
     missing: VecDeque<String>,
     blobs: VecDeque<Bytes>,
     ambiguous: bool,
+    /// Revision up to which the history surely holds no change of this wish.
+    searched: u64,
 }
 
 impl Apply {
@@ -120,6 +122,7 @@
             missing: VecDeque::new(),
             blobs: VecDeque::new(),
             ambiguous: false,
+            searched: wish.seen.revision,
             wish,
         };
         if let Some(problem) = machine.oversize() {
@@ -152,6 +155,10 @@
             self.phase = self.report(applied);
             return;
         }
+        if self.searched + 1 < self.current.revision {
+            self.phase = Phase::Probe(self.search(None));
+            return;
+        }
         let wish = &self.wish;
         let untouched = self.current.files.iter();
         let untouched = untouched.filter(|(name, _)| !wish.files.contains_key(*name));
@@ -167,18 +174,27 @@
     /// again whose first answer was lost, and others may have gone on from
     /// there: before it is called a conflict, the history is asked.
     fn report(&self, applied: Applied) -> Phase {
-        let from = self.wish.seen.revision + 1;
-        let to = self.current.revision;
-        if matches!(applied, Applied::Conflict { .. }) && from < to {
-            return Phase::Probe(Search {
-                from,
-                to: to - 1,
-                otherwise: Some(applied),
-            });
+        let unsearched = self.searched + 1 < self.current.revision;
+        if matches!(applied, Applied::Conflict { .. }) && unsearched {
+            return Phase::Probe(self.search(Some(applied)));
         }
         self.confirmed(applied)
     }
 
+    /// Returns a search of all revisions between what was searched and the one
+    /// that stands.
+    ///
+    /// It is made before a conflict is reported and before anything is written:
+    /// a request that took effect and was undone by somebody else finds the
+    /// files as its operator saw them, and would be put in force twice.
+    fn search(&self, otherwise: Option<Applied>) -> Search {
+        Search {
+            from: self.searched + 1,
+            to: self.current.revision - 1,
+            otherwise,
+        }
+    }
+
     fn call(&self) -> Option<Call> {
         let get = |key: &str| Call::Get {
             key: key.to_owned(),
@@ -275,6 +291,7 @@
         // its expected version is gone, never will.
         self.ambiguous = false;
         self.at_least = 0;
+        self.searched = self.searched.max(search.to);
         self.phase = search.otherwise.map_or(Phase::Read, Phase::Done);
     }
 
--- a/crates/standin/tests/all/manifest.rs
+++ b/crates/standin/tests/all/manifest.rs
@@ -1,7 +1,12 @@
 //! Reading the configuration over HTTP.
 
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
 use fescuerack_config::Folder;
-use fescuerack_platform::{HttpStore, manifest};
+use fescuerack_core::force::{Manifest, Wish};
+use fescuerack_platform::HttpStore;
+use fescuerack_platform::manifest::{self, Applied};
 use fescuerack_standin::{Fault, Platform};
 use tokio::runtime::Runtime;
 
@@ -26,3 +31,38 @@
         "revision {revision}"
     );
 }
+
+fn wish(seen: &Manifest, request: &str, content: Option<&'static str>) -> Wish {
+    let content = content.map(|text| Bytes::from_static(text.as_bytes()));
+    Wish {
+        seen: seen.clone(),
+        files: BTreeMap::from([("b.yaml".to_owned(), content)]),
+        author: "test".to_owned(),
+        reason: "test".to_owned(),
+        at: 0,
+        request: request.to_owned(),
+    }
+}
+
+// An operator's tool loses the answer to a change. The change was accepted and
+// a colleague has undone it since. The tool sends it again: the files stand as
+// the operator saw them, and the change would come into force a second time.
+#[test]
+fn apply_sent_again_after_it_was_undone_changes_nothing() {
+    let runtime = Runtime::new().expect("a runtime");
+    let platform = Platform::new(runtime.handle(), "127.0.0.1:0").expect("platform");
+    let store = HttpStore::new(&platform.address());
+    let folder = Folder::new().with_file("a.yaml", "models: {a: {}}\n");
+    manifest::publish(&store, &folder, "test").expect("accepted");
+    let seen = || manifest::read(&store).expect("an answer").expect("one").1;
+    let first = wish(&seen(), "r-1", Some("models: {b: {}}\n"));
+    let accepted = Applied::Accepted { revision: 2 };
+    assert_eq!(manifest::apply(&store, first.clone()), accepted);
+    let undo = wish(&seen(), "r-2", None);
+    assert_eq!(
+        manifest::apply(&store, undo),
+        Applied::Accepted { revision: 3 }
+    );
+    assert_eq!(manifest::apply(&store, first), accepted);
+    assert_eq!(seen().revision, 3);
+}
