--- a/crates/cli/tests/all/support.rs
+++ b/crates/cli/tests/all/support.rs
@@ -145,6 +145,12 @@
         let nodes = format!("{},{}", self.operators(0), self.operators(1));
         run_at(&nodes, token, arguments)
     }
+
+    /// Returns what `rollout status` says, as JSON.
+    pub fn rollouts(&self) -> Value {
+        let status = ["rollout", "status", "--output", "json"];
+        self.run(ADMIN, &status).json()
+    }
 }
 
 /// Runs a command against operators' ports, separated by commas.
--- a/crates/cli/tests/all/verbs.rs
+++ b/crates/cli/tests/all/verbs.rs
@@ -109,9 +109,7 @@
     assert_eq!(change["author"], "model-team");
     assert_eq!(change["why"], "a calm day");
     assert_eq!(change["put"][0], "40-rollouts.yaml");
-    let status = world
-        .run(ADMIN, &["rollout", "status", "--output", "json"])
-        .json();
+    let status = world.rollouts();
     assert_eq!(status[0]["stage"], 2);
 }
 
@@ -139,9 +137,7 @@
     assert_eq!(first.json()["revision"], 2, "{first:?}");
     let other = step("another reason");
     assert_eq!(other.code, 4, "{other:?}");
-    let status = world
-        .run(ADMIN, &["rollout", "status", "--output", "json"])
-        .json();
+    let status = world.rollouts();
     assert_eq!(status[0]["stage"], 2);
 }
 
@@ -341,11 +337,7 @@
         ran.join().expect("it ran")
     });
     faults.set(Fault::LoseAnswers, 0);
-    let status = || {
-        world
-            .run(ADMIN, &["rollout", "status", "--output", "json"])
-            .json()
-    };
+    let status = || world.rollouts();
     let stepped = status()[0]["stage"] == 2;
     match first.code {
         0 => assert!(stepped, "{first:?}"),
@@ -403,9 +395,7 @@
     let changes = accepted
         .filter(|ran| ran.json()["unchanged"] == false)
         .count();
-    let status = world
-        .run(ADMIN, &["rollout", "status", "--output", "json"])
-        .json();
+    let status = world.rollouts();
     let stage = status[0]["stage"].as_u64().expect("a stage");
     assert_eq!(stage, 1 + u64::try_from(changes).expect("few"), "{ran:?}");
     let history = world.run(ADMIN, &["history", "--output", "json"]).json();
