--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -28,8 +28,9 @@
 /// Milliseconds after the signal for which new connections are taken: the platform
 /// needs two refused questions, a second apart, to send none any more.
 const ACCEPT_MS: u64 = 2_600;
-/// Part of the grace, in sixths, after which the process ends whatever still runs.
-const END_SIXTHS: u64 = 5;
+/// Milliseconds before the end of the grace at which the process ends whatever still
+/// runs: its last bytes must leave before it is killed.
+const LAST_MS: u64 = 400;
 /// Milliseconds between looks at whether everything has ended.
 const LOOK: Duration = Duration::from_millis(50);
 /// Pause after a failed accept, which mostly means that descriptors ran out.
@@ -103,13 +104,12 @@
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep_until(deadline(asked.plus_millis(ACCEPT_MS))).await;
     phase.send_replace(Phase::Closing);
-    let end = asked.plus_millis(grace_ms * END_SIXTHS / 6);
-    // The caller side holds a receiver for each open connection.
-    while phase.receiver_count() > 1 && now() < end {
+    let end = asked.plus_millis(grace_ms.saturating_sub(LAST_MS));
+    // Each open connection holds a receiver; the listener has dropped its own.
+    while phase.receiver_count() > 0 && now() < end {
         tokio::time::sleep(LOOK).await;
     }
-    let left = phase.receiver_count().saturating_sub(1);
-    tracing::info!(event = "stopped", connections = left);
+    tracing::info!(event = "stopped", connections = phase.receiver_count());
 }
 
 async fn bind(what: &str, address: SocketAddr) -> anyhow::Result<TcpListener> {
