--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -219,7 +219,7 @@
         near = pick.is_near,
         running,
         revision,
-        ms = ended.since(began).as_millis(),
+        ms = ended.since(began).as_secs_f64() * 1_000.0,
         outcome = word,
         detail
     );
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -21,6 +21,10 @@
 const WAIT_MS: u64 = 3_000;
 /// Milliseconds for which changes gather before the next watch.
 const GATHER_MS: u64 = 250;
+/// Milliseconds that a watch waits while the store is away. A long wait on a store
+/// that does not answer is given up only seconds later, and a node that began one
+/// just before the store returned would learn of nothing meanwhile.
+const PROBE_MS: u64 = 50;
 /// Milliseconds between tries while the store is away.
 const RETRY_MS: u64 = 350;
 /// Everything in the store concerns the gateway.
@@ -41,13 +45,16 @@
 /// Watches until the history that the node would go on from is gone.
 async fn watch(node: &Rc<Node>) {
     loop {
-        let after = node.view.borrow().revision;
+        let (after, is_away) = {
+            let view = node.view.borrow();
+            (view.revision, view.outage.is_away())
+        };
         let call = Call::Watch {
             prefix: ALL,
             after,
-            wait_ms: WAIT_MS,
+            wait_ms: if is_away { PROBE_MS } else { WAIT_MS },
         };
-        match node.store.call(&call).await {
+        match answer(node, &call, is_away).await {
             Ok(Answer::Page(page)) => {
                 note_answer(node, "watch");
                 let has_news = !page.items.is_empty();
@@ -73,6 +80,16 @@
     }
 }
 
+/// Makes a call; while the store is away a peer is asked at the same time, so that
+/// a call which hangs does not keep this node from what peers know.
+async fn answer(node: &Rc<Node>, call: &Call<'_>, is_away: bool) -> Result<Answer, Fault> {
+    if !is_away {
+        return node.store.call(call).await;
+    }
+    let (answer, ()) = tokio::join!(node.store.call(call), peer::catch_up(node));
+    answer
+}
+
 /// Reads everything; pages are not a snapshot, so the watch goes on from the first
 /// page's revision and hears again what changed between them.
 async fn read_all(node: &Rc<Node>) -> Result<(), Fault> {
@@ -115,11 +132,10 @@
     note_view(node);
 }
 
-/// Waits a little and asks a peer what is newer meanwhile.
+/// Waits a little, not as long as the others do.
 async fn recover(node: &Rc<Node>) {
     let spread = node.random.borrow_mut().random_range(0..RETRY_MS);
     tokio::time::sleep(Duration::from_millis(RETRY_MS / 2 + spread)).await;
-    peer::catch_up(node).await;
 }
 
 fn note_answer(node: &Node, kind: &str) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -104,7 +104,7 @@
             outcome,
             events = self.splitter.count(),
             attempts = self.sent,
-            ms = now().since(self.job.arrived).as_millis()
+            ms = now().since(self.job.arrived).as_secs_f64() * 1_000.0
         );
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -93,7 +93,7 @@
         route,
         outcome,
         status = response.status().as_u16(),
-        ms = passed.as_millis(),
+        ms = passed.as_secs_f64() * 1_000.0,
         configuration
     );
     response
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -14,7 +14,8 @@
 /// Longest wait for the answer of a call that does not wait by itself. The store
 /// answers in milliseconds; slow phases of it take tens of times as long.
 const PATIENCE: Duration = Duration::from_millis(1_500);
-/// What a waiting call gets besides its own wait.
+/// What a waiting call gets besides its own wait: a slow store takes some hundred
+/// milliseconds.
 const MARGIN: Duration = Duration::from_millis(1_000);
 
 /// Why a call has no answer.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -242,7 +242,7 @@
             return;
         };
         let is_draining = server.listed.state == State::Draining;
-        tracing::info!(event = "server-gone", server = id, held_ms = held.map(|until| until.since(now).as_millis()));
+        tracing::info!(event = "server-gone", server = id, held_s = held.map(|until| until.since(now).as_secs_f64()));
         match held {
             Some(until) if !is_draining => server.gone_at = Some(until),
             _ => {
