Set a quarter of the engines aside for light prompts

Change: engines are told apart by the hash of their identity; prompts that take little reading (tokens by the model's weight) go to a quarter of them, others to the rest, each spilling over to the other when all of its own are overloaded.

--- a/crates/core/src/routed/home.rs
+++ b/crates/core/src/routed/home.rs
@@ -27,6 +27,13 @@
 /// calls.
 const ZONE: f64 = 0.35;
 
+/// Part of the servers that is set aside for the smallest model. Its steps are ten
+/// times shorter, so that it hardly fills them, but they wait for every chunk of a
+/// prompt that a large model reads on the same server.
+const SMALL: f64 = 0.25;
+/// Servers from which some are set aside.
+const FEWEST: usize = 4;
+
 /// One server that may run the attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -40,7 +47,9 @@
     pub is_near: bool,
     /// Whether it counts as healthy.
     pub is_healthy: bool,
-    /// Whether it has this part of the prompt, as far as known: tried already.
+    /// Whether it is set aside for requests of this sort, see [`suits`].
+    pub is_suited: bool,
+    /// Whether this request was tried there already.
     pub is_tried: bool,
 }
 
@@ -74,10 +83,24 @@
     let total: f64 = order.iter().map(|&index| candidates[index].load).sum();
     let count = u32::try_from(order.len()).unwrap_or(u32::MAX).max(1);
     let most = OVER * total / f64::from(count) + SPARE;
-    let home = order.iter().find(|&&index| candidates[index].load < most);
+    let fits = |index: &&usize| candidates[**index].load < most;
+    let suited = |index: &&usize| candidates[**index].is_suited;
+    let home = order.iter().filter(suited).find(fits);
+    let home = home.or_else(|| order.iter().find(fits));
     home.or(order.first()).copied()
 }
 
+/// Whether the server at `rank` of `servers` is set aside for small models
+/// (`is_small`) or for the others. All nodes order servers alike, by the hash of
+/// their identity.
+#[must_use]
+pub fn suits(rank: usize, servers: usize, is_small: bool) -> bool {
+    let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+    let for_small = (count(servers) * SMALL).round().max(1.0);
+    let is_for_small = count(rank) < for_small;
+    is_for_small == is_small || servers < FEWEST
+}
+
 fn by_load(candidates: &[Candidate], usable: &[usize], draw: u64) -> Option<usize> {
     let score = |index: usize| {
         let candidate = &candidates[index];
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -146,6 +146,9 @@
     let is_failure = status.is_server_error();
     let outcome = if is_failure { Outcome::Failed } else { Outcome::Good };
     note(node, job, &pick, began, Some(outcome), "head", status.as_str());
+    if let Some(confidence) = head.confidence {
+        tracing::info!(event = "confidence", id = job.ask.id, server = &*pick.id, confidence);
+    }
     Tried::Headed(Headed {
         answered,
         head,
@@ -214,6 +217,7 @@
     tracing::info!(
         event = "attempt",
         id = job.ask.id,
+        route = &*job.route.name,
         server = &*pick.id,
         version = &*pick.version,
         near = pick.is_near,
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -18,7 +18,11 @@
 /// engine reads between two steps.
 const TOKENS: f64 = 4_096.0;
 /// How much heavier a request to the largest model weighs than one to the smallest.
-const LARGEST: f64 = 3.0;
+const LARGEST: f64 = 10.0;
+
+/// Prompts whose reading weighs less than this many tokens of the smallest model are
+/// light.
+const LIGHT: f64 = 15_000.0;
 
 /// The server that was picked.
 #[derive(Clone, Debug)]
@@ -70,16 +74,23 @@
 /// Work that a request brings, in requests of usual size.
 #[must_use]
 pub fn work(ask: &Ask, model: Option<(usize, usize)>) -> f64 {
-    let size = 1.0 + f64::from(ask.tokens.0) / TOKENS;
-    let factor = match model {
+    (1.0 + f64::from(ask.tokens.0) / TOKENS) * heaviness(model)
+}
+
+/// Prompt tokens, weighed by how long the model takes to read one.
+fn reading(ask: &Ask, model: Option<(usize, usize)>) -> f64 {
+    f64::from(ask.tokens.0) * heaviness(model)
+}
+
+fn heaviness(model: Option<(usize, usize)>) -> f64 {
+    match model {
         Some((rank, models)) if models > 1 => {
             let rank = f64::from(u32::try_from(rank).unwrap_or(u32::MAX));
             let last = f64::from(u32::try_from(models - 1).unwrap_or(u32::MAX));
             1.0 + (LARGEST - 1.0) * rank / last
         }
         _ => 1.0,
-    };
-    size * factor
+    }
 }
 
 /// Hash of the session that a request belongs to, alike on all nodes.
@@ -134,15 +145,21 @@
     let now = now();
     let view = node.view.borrow();
     let settings = node.settings.borrow();
-    let listed: Vec<&Server> = eligible(node, &view, service, model, session);
+    let mut listed: Vec<&Server> = eligible(node, &view, service, model, session);
+    listed.sort_by_key(|server| home::mix(server.identity));
+    let rank = route.models.iter().position(|one| Some(&**one) == model);
+    let is_small = reading(ask, rank.map(|rank| (rank, route.models.len()))) < LIGHT;
+    let count = listed.len();
     let candidates: Vec<Candidate> = listed
         .iter()
-        .map(|server| Candidate {
+        .enumerate()
+        .map(|(rank, server)| Candidate {
             identity: server.identity,
             load: server.work,
             places: server.listed.places,
             is_near: *server.listed.zone == *settings.zone,
             is_healthy: server.health.is_in(now),
+            is_suited: route.models.len() < 2 || home::suits(rank, count, is_small),
             is_tried: tried.contains(&server.listed.id),
         })
         .collect();
