--- a/crates/core/src/routed/home.rs
+++ b/crates/core/src/routed/home.rs
@@ -49,8 +49,6 @@
     pub is_healthy: bool,
     /// Whether it is set aside for requests of this sort, see [`suits`].
     pub is_suited: bool,
-    /// Whether this request was tried there already.
-    pub is_tried: bool,
 }
 
 /// Returns the index of the server to take; `part` is the hash of the prompt part
@@ -64,15 +62,13 @@
     }
 }
 
-/// Healthy servers that were not tried; failing those, untried ones.
+/// Healthy servers; failing those, all.
 fn usable(candidates: &[Candidate]) -> Vec<usize> {
-    let untried = |index: &usize| !candidates[*index].is_tried;
     let healthy: Vec<usize> = (0..candidates.len())
-        .filter(untried)
         .filter(|&index| candidates[index].is_healthy)
         .collect();
     if healthy.is_empty() {
-        return (0..candidates.len()).filter(untried).collect();
+        return (0..candidates.len()).collect();
     }
     healthy
 }
--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`home`]: which backend server runs an attempt;
 //! - [`health`]: which backend servers are left out for a while;
+//! - [`load`]: what other nodes have running on each backend server;
 //! - [`tier`]: which of a route's models answers, and when a weak answer is
 //!   asked for again of a stronger one;
 //! - [`budget`]: how many further attempts one node may make;
@@ -17,6 +18,7 @@
 pub mod crash;
 pub mod health;
 pub mod home;
+pub mod load;
 pub mod tier;
 pub mod trial;
 pub mod vanish;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -92,7 +92,7 @@
 ) -> Tried {
     let models = job.route.models.len();
     let work = pick::work(&job.ask, model.map(|(rank, _)| (rank, models)));
-    let running = Running::new(node, &pick, work);
+    let mut running = Running::new(node, &pick, work);
     let began = now();
     let request = request(node, job, &pick, model.map(|(_, name)| name), last_event);
     let sent = node
@@ -114,7 +114,10 @@
             note(node, job, &pick, began, Some(Outcome::Failed), "broken", &reason);
             Tried::Unknown
         }
-        Sent::Answered(answered) => judge(node, job, pick, began, answered, running),
+        Sent::Answered(answered) => {
+            running.settle();
+            judge(node, job, pick, began, answered, running)
+        }
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,6 +7,7 @@
 
 use fescuerack_core::routed::budget::Budget;
 use fescuerack_core::routed::crash::Suspects;
+use fescuerack_core::routed::load::{Hub, Others};
 use fescuerack_core::routed::trial::Counts;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -58,6 +59,10 @@
     pub suspects: RefCell<Suspects>,
     /// Roll-outs by service.
     pub evidence: RefCell<HashMap<Arc<str>, Evidence>>,
+    /// Work of other nodes by server.
+    pub others: RefCell<Others>,
+    /// What this node has been told as a hub.
+    pub hub: RefCell<Hub>,
     /// Usual times until the head.
     pub usual: RefCell<HashMap<u64, Usual>>,
     /// Whether the process is stopping.
@@ -86,6 +91,8 @@
             budgets: RefCell::default(),
             suspects: RefCell::default(),
             evidence: RefCell::default(),
+            others: RefCell::default(),
+            hub: RefCell::default(),
             usual: RefCell::default(),
             is_stopping: Cell::new(false),
             metrics: Metrics::new()?,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,6 +6,8 @@
 //! heard, and its own suspicions. Nodes exchange only while there is a reason:
 //!
 //! - the store does not answer this node: it asks any peer for what is newer;
+//! - requests run: each node tells the hub of its group what it has on each server
+//!   ([`load`]);
 //! - a roll-out runs: each node tells the collector of its service, which all
 //!   nodes work out alike from the list of nodes, once a second.
 
@@ -17,13 +19,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fescuerack_core::routed::home;
+use fescuerack_core::routed::{home, load};
 use fescuerack_core::routed::trial::{self, Counts};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Method, Request, Response, StatusCode};
 use rand::RngExt as _;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::now;
@@ -34,6 +37,8 @@
 
 /// Path of an exchange.
 const PATH: &str = "/exchange";
+/// Path on which a hub is told of work.
+const LOAD: &str = "/load";
 /// Longest time that an exchange may take.
 const PATIENCE: Duration = Duration::from_millis(700);
 /// Bytes that a message has at most.
@@ -99,6 +104,80 @@
     }
 }
 
+/// What a node tells its hub.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Work {
+    node: String,
+    table: load::Table,
+}
+
+/// Tells the hub of this node's group what it has running, until the process ends.
+pub async fn share_load(node: Rc<Node>) {
+    let mut was_idle = true;
+    loop {
+        tokio::time::sleep(Duration::from_millis(load::TELL_MS)).await;
+        let table = own_work(&node);
+        // The last telling says that nothing runs any more.
+        let is_idle = table.is_empty();
+        if is_idle && was_idle {
+            continue;
+        }
+        was_idle = is_idle;
+        let Some((name, address)) = hub(&node) else {
+            let name = node.settings.borrow().instance.clone();
+            let sum = node.hub.borrow_mut().tell(now(), &name, table);
+            hear_load(&node, &sum);
+            continue;
+        };
+        let work = Work {
+            node: node.settings.borrow().instance.clone(),
+            table,
+        };
+        match tokio::time::timeout(PATIENCE, ask(&node, address, LOAD, &work)).await {
+            Ok(Ok(sum)) => hear_load(&node, &sum),
+            Ok(Err(error)) => tracing::info!(event = "hub-failed", peer = name, reason = %error),
+            Err(_) => tracing::info!(event = "hub-failed", peer = name, reason = "no answer in time"),
+        }
+    }
+}
+
+fn own_work(node: &Node) -> load::Table {
+    let view = node.view.borrow();
+    let busy = view.servers.values().filter(|server| server.work > 0.0);
+    busy.map(|server| (load::short(server.identity), hundredths(server.work)))
+        .collect()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the cast saturates, and work is never negative"
+)]
+fn hundredths(work: f64) -> u32 {
+    (work * 100.0) as u32
+}
+
+fn hear_load(node: &Node, sum: &load::Sum) {
+    let nodes = node.view.borrow().node_count();
+    node.others.borrow_mut().hear(now(), sum, nodes);
+}
+
+/// The node that this one tells of its work; `None` if it is the hub itself. All
+/// nodes of a group agree on it as far as they know the same nodes.
+fn hub(node: &Node) -> Option<(String, SocketAddr)> {
+    let view = node.view.borrow();
+    let own = node.settings.borrow().instance.clone();
+    let groups = u64::try_from(load::groups(view.nodes.len())).unwrap_or(1).max(1);
+    let group = |name: &str| home::hash(name.as_bytes()) % groups;
+    let mine = group(&own);
+    let (name, address) = view
+        .nodes
+        .iter()
+        .filter(|(name, _)| group(name) == mine)
+        .max_by_key(|(name, _)| home::mix(home::hash(name.as_bytes())))?;
+    (*name != own).then(|| (name.clone(), *address))
+}
+
 /// The node that gathers the counts of a service; `None` if it is this one.
 #[must_use]
 pub fn collector(node: &Node, service: &str) -> Option<(String, SocketAddr)> {
@@ -118,7 +197,7 @@
 
 async fn exchange(node: &Rc<Node>, name: &str, address: SocketAddr, wants_items: bool) {
     let message = message(node, wants_items);
-    match tokio::time::timeout(PATIENCE, ask(node, address, &message)).await {
+    match tokio::time::timeout(PATIENCE, ask(node, address, PATH, &message)).await {
         Ok(Ok(reply)) => take_reply(node, name, &reply),
         Ok(Err(error)) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
         Err(_) => tracing::info!(event = "peer-failed", peer = name, reason = "no answer in time"),
@@ -143,10 +222,15 @@
     }
 }
 
-async fn ask(node: &Node, address: SocketAddr, message: &Message) -> anyhow::Result<Reply> {
+async fn ask<R: DeserializeOwned>(
+    node: &Node,
+    address: SocketAddr,
+    path: &str,
+    message: &impl Serialize,
+) -> anyhow::Result<R> {
     let request = Request::builder()
         .method(Method::POST)
-        .uri(PATH)
+        .uri(path)
         .header(HOST, address.to_string())
         .body(Full::new(Bytes::from(serde_json::to_vec(message)?)))?;
     let answered = match node.pool.send(address, request, true).await {
@@ -197,10 +281,7 @@
     node: Rc<Node>,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
-    let is_exchange = request.method() == Method::POST && request.uri().path() == PATH;
-    if !is_exchange {
-        return Ok(plain(StatusCode::NOT_FOUND));
-    }
+    let path = request.uri().path().to_owned();
     let body = match Limited::new(request.into_body(), MOST).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
@@ -208,19 +289,20 @@
             return Ok(plain(StatusCode::BAD_REQUEST));
         }
     };
-    let message: Message = match serde_json::from_slice(&body) {
-        Ok(message) => message,
-        Err(error) => {
-            tracing::warn!(event = "peer-message-unreadable", reason = %error);
-            return Ok(plain(StatusCode::BAD_REQUEST));
-        }
+    let answer = match path.as_str() {
+        PATH => serde_json::from_slice(&body)
+            .and_then(|message| serde_json::to_vec(&reply(&node, message))),
+        LOAD => serde_json::from_slice(&body).and_then(|work: Work| {
+            let sum = node.hub.borrow_mut().tell(now(), &work.node, work.table);
+            serde_json::to_vec(&sum)
+        }),
+        _ => return Ok(plain(StatusCode::NOT_FOUND)),
     };
-    let reply = reply(&node, message);
-    match serde_json::to_vec(&reply) {
+    match answer {
         Ok(body) => Ok(Response::new(Full::new(Bytes::from(body)))),
         Err(error) => {
-            tracing::error!(event = "peer-reply-unwritable", reason = %error);
-            Ok(plain(StatusCode::INTERNAL_SERVER_ERROR))
+            tracing::warn!(event = "peer-message-unreadable", path, reason = %error);
+            Ok(plain(StatusCode::BAD_REQUEST))
         }
     }
 }
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -20,6 +20,9 @@
 /// How much heavier a request to the largest model weighs than one to the smallest.
 const LARGEST: f64 = 10.0;
 
+/// Part of a request's work that is left once its prompt has been read: producing
+/// tokens shares each step with all other requests on the engine.
+const ANSWERING: f64 = 0.1;
 /// Prompts whose reading weighs less than this many tokens of the smallest model are
 /// light.
 const LIGHT: f64 = 15_000.0;
@@ -56,6 +59,15 @@
 }
 
 impl Running {
+    /// Notes that the first of the answer is there: the prompt has been read.
+    pub fn settle(&mut self) {
+        let rest = self.work * ANSWERING;
+        if let Some(server) = self.node.view.borrow_mut().servers.get_mut(&self.id) {
+            server.work = (server.work - self.work + rest).max(0.0);
+        }
+        self.work = rest;
+    }
+
     /// Counts a request on `pick`.
     #[must_use]
     pub fn new(node: &Rc<Node>, pick: &Pick, work: f64) -> Self {
@@ -145,7 +157,8 @@
     let now = now();
     let view = node.view.borrow();
     let settings = node.settings.borrow();
-    let mut listed: Vec<&Server> = eligible(node, &view, service, model, session);
+    let others = node.others.borrow();
+    let mut listed: Vec<&Server> = eligible(node, &view, service, model, session, tried);
     listed.sort_by_key(|server| home::mix(server.identity));
     let rank = route.models.iter().position(|one| Some(&**one) == model);
     let is_small = reading(ask, rank.map(|rank| (rank, route.models.len()))) < LIGHT;
@@ -155,12 +168,11 @@
         .enumerate()
         .map(|(rank, server)| Candidate {
             identity: server.identity,
-            load: server.work,
+            load: server.work + others.work(now, server.identity),
             places: server.listed.places,
             is_near: *server.listed.zone == *settings.zone,
             is_healthy: server.health.is_in(now),
             is_suited: route.models.len() < 2 || home::suits(rank, count, is_small),
-            is_tried: tried.contains(&server.listed.id),
         })
         .collect();
     let part = match route.kind {
@@ -188,6 +200,7 @@
     service: &Arc<str>,
     model: Option<&str>,
     session: u64,
+    tried: &[Arc<str>],
 ) -> Vec<&'a Server> {
     let usable = |server: &&Server| {
         let listed = &server.listed;
@@ -198,6 +211,7 @@
             && listed.state == State::Ready
             && server.gone_at.is_none()
             && !server.is_replaced
+            && !tried.contains(&listed.id)
             && holds
     };
     let all: Vec<&Server> = view.servers.values().filter(usable).collect();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -58,6 +58,7 @@
     tokio::task::spawn_local(follow::run(node.clone()));
     tokio::task::spawn_local(member::run(node.clone()));
     tokio::task::spawn_local(peer::run(node.clone()));
+    tokio::task::spawn_local(peer::share_load(node.clone()));
     tokio::task::spawn_local(trials::run(node.clone()));
     let (stop, stopped) = watch::channel(None);
     let serving = front.run(node.clone(), stopped);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -15,7 +15,7 @@
 use http_body_util::channel::{Channel, Sender};
 use hyper::Response;
 
-use crate::attempt::{self, Headed, Job, Tried};
+use crate::attempt::{self, Headed, Job, NotRun, Tried};
 use crate::body::{Answer, Cut, Relayed};
 use crate::clock::{deadline, now};
 use crate::events::Splitter;
@@ -221,6 +221,11 @@
                 Tried::Headed(headed) if headed.answered.response.status().is_success() => {
                     return Some(headed);
                 }
+                Tried::NotRun(NotRun::Unreached) => {
+                    // No byte left, so nobody was asked.
+                    self.sent -= 1;
+                    self.tried.push(pick.id);
+                }
                 _ => self.tried.push(pick.id),
             }
         }
