--- a/crates/cli/src/access.rs
+++ b/crates/cli/src/access.rs
@@ -6,9 +6,9 @@
 
 use anyhow::{Context as _, Result, anyhow};
 use clap::Args;
+use fescuerack_client::{Agent, Fault, HttpStore, admin, agent};
 use fescuerack_config::change::Action;
 use fescuerack_config::{Folder, Merged};
-use fescuerack_client::{Agent, Fault, HttpStore, admin, agent};
 use fescuerack_wire::admin::{
     Accepted, Configuration, Error, Failure, History, Instances, Ledger, Plan, Proposal,
 };
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -7,11 +7,11 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context as _, Result, anyhow, ensure};
+use fescuerack_client::{HttpStore, manifest};
 use fescuerack_config::file::{Backend, Kind};
 use fescuerack_config::{Folder, Merged, folder};
 use fescuerack_core::route::State;
 use fescuerack_node::{Listen, Node, Settings};
-use fescuerack_client::{HttpStore, manifest};
 use fescuerack_standin::{Engine, Pace, Platform, Service};
 use fescuerack_wire::list::Instance;
 use serde::Serialize;
--- a/crates/cli/tests/all/api.rs
+++ b/crates/cli/tests/all/api.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use fescuerack_config::change::Action;
 use fescuerack_client::agent;
+use fescuerack_config::change::Action;
 use fescuerack_standin::Fault;
 use fescuerack_wire::admin::Kind;
 use serde_json::{Value, json};
--- a/crates/cli/tests/all/support.rs
+++ b/crates/cli/tests/all/support.rs
@@ -5,10 +5,10 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use fescuerack_client::{HttpStore, manifest};
 use fescuerack_config::Folder;
 use fescuerack_core::route::State;
 use fescuerack_node::{Node, Settings};
-use fescuerack_client::{HttpStore, manifest};
 use fescuerack_standin::{Engine, Pace, Platform};
 use fescuerack_wire::list::Instance;
 use serde_json::Value;
--- a/crates/core/src/routed/crash.rs
+++ b/crates/core/src/routed/crash.rs
@@ -60,7 +60,10 @@
     /// What was counted here, for peers: digests that crashed a server twice or
     /// more, since single crashes are the servers' own doing most of the time.
     pub fn own(&self) -> impl Iterator<Item = (u64, u32)> + '_ {
-        let told = self.counts.iter().filter(|(_, count)| count.own >= MOST - 1);
+        let told = self
+            .counts
+            .iter()
+            .filter(|(_, count)| count.own >= MOST - 1);
         told.map(|(&digest, count)| (digest, count.own))
     }
 
--- a/crates/core/src/routed/health.rs
+++ b/crates/core/src/routed/health.rs
@@ -6,7 +6,7 @@
 //! of the traffic, and a non-idempotent request that meets one is lost.
 //!
 //! Failures are weighed by recency: a mean of outcomes that halves with every
-//! [`HALF`] outcomes. A server over [`FAILING`] is left out, for a time that
+//! [`HALF`] outcomes. A server whose mean is over a half is left out, for a time that
 //! doubles while its first attempts after a return fail again. How many may be
 //! left out is for [`home`](super::home) to say: it prefers healthy servers, and
 //! falls back on all.
--- a/crates/core/src/routed/home.rs
+++ b/crates/core/src/routed/home.rs
@@ -7,8 +7,8 @@
 //!   all nodes work out alike without a message, and which moves only the parts
 //!   of a server that comes or goes.
 //! - **A hot part.** Its home would be flooded, so a home is passed over while
-//!   it has more of this node's work than [`OVER`] times the mean and
-//!   [`SPARE`] more; the next in the hash order is its second home.
+//!   it has more work than one and a half times the mean and the weight
+//!   of a long prompt; the next in the hash order is its second home.
 //! - **Plain calls.** Without parts the server with least own work per place is
 //!   taken, the own availability zone first, since bytes between zones cost.
 //! - **A failing server.** Servers that [`health`](super::health) leaves out are
@@ -22,7 +22,7 @@
 const OVER: f64 = 1.5;
 /// Work, in requests of usual size, that a home may have beyond the mean: below
 /// that a queue is too short to matter beside a cold prompt.
-const SPARE: f64 = 3.0;
+const SPARE: f64 = 12.0;
 /// Work that counts as much as leaving the own availability zone, for plain
 /// calls.
 const ZONE: f64 = 0.35;
--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -11,6 +11,7 @@
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`trial`]: when a new version has proved itself, and how much it gets
 //!   until then;
+//! - [`session`]: which sessions stay on the version that they began on;
 //! - [`vanish`]: which backend servers are gone when the store has been away;
 //! - [`crash`]: which requests crash the backend servers that run them.
 
@@ -19,6 +20,7 @@
 pub mod health;
 pub mod home;
 pub mod load;
+pub mod session;
 pub mod tier;
 pub mod trial;
 pub mod vanish;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -55,7 +55,7 @@
     /// No head came in the time that the attempt had.
     Silent,
     /// A head came.
-    Headed(Headed),
+    Headed(Box<Headed>),
 }
 
 /// How it is known that an attempt did not run.
@@ -98,20 +98,33 @@
     let sent = node
         .pool
         .send(pick.address, request, job.route.is_repeatable());
-    let sent = match tokio::time::timeout_at(deadline(until), sent).await {
-        Ok(sent) => sent,
-        Err(_) => {
-            note(node, job, &pick, began, Some(Outcome::Silent), "silent", "");
-            return Tried::Silent;
-        }
+    let Ok(sent) = tokio::time::timeout_at(deadline(until), sent).await else {
+        note(node, job, &pick, began, Some(Outcome::Silent), "silent", "");
+        return Tried::Silent;
     };
     match sent {
         Sent::NotSent(reason) => {
-            note(node, job, &pick, began, Some(Outcome::Silent), "unreached", &reason);
+            note(
+                node,
+                job,
+                &pick,
+                began,
+                Some(Outcome::Silent),
+                "unreached",
+                &reason,
+            );
             Tried::NotRun(NotRun::Unreached)
         }
         Sent::Broken(reason) => {
-            note(node, job, &pick, began, Some(Outcome::Failed), "broken", &reason);
+            note(
+                node,
+                job,
+                &pick,
+                began,
+                Some(Outcome::Failed),
+                "broken",
+                &reason,
+            );
             Tried::Unknown
         }
         Sent::Answered(answered) => {
@@ -143,22 +156,47 @@
         return Tried::NotRun(NotRun::Said);
     }
     if !head.is_own {
-        note(node, job, &pick, began, Some(Outcome::Failed), "other-answer", status.as_str());
+        note(
+            node,
+            job,
+            &pick,
+            began,
+            Some(Outcome::Failed),
+            "other-answer",
+            status.as_str(),
+        );
         return Tried::Unknown;
     }
     let is_failure = status.is_server_error();
-    let outcome = if is_failure { Outcome::Failed } else { Outcome::Good };
-    note(node, job, &pick, began, Some(outcome), "head", status.as_str());
+    let outcome = if is_failure {
+        Outcome::Failed
+    } else {
+        Outcome::Good
+    };
+    note(
+        node,
+        job,
+        &pick,
+        began,
+        Some(outcome),
+        "head",
+        status.as_str(),
+    );
     if let Some(confidence) = head.confidence {
-        tracing::info!(event = "confidence", id = job.ask.id, server = &*pick.id, confidence);
+        tracing::info!(
+            event = "confidence",
+            id = job.ask.id,
+            server = &*pick.id,
+            confidence
+        );
     }
-    Tried::Headed(Headed {
+    Tried::Headed(Box::new(Headed {
         answered,
         head,
         pick,
         head_ms: now().since(began).as_secs_f64() * 1_000.0,
         running,
-    })
+    }))
 }
 
 fn request(
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -156,7 +156,9 @@
         });
         self.routes
             .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix))
+            .filter(|route| {
+                route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+            })
             .max_by_key(|route| route.prefix.len())
     }
 
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -139,14 +139,20 @@
 }
 
 fn note_answer(node: &Node, kind: &str) {
-    node.metrics.store.with_label_values(&[kind, "answered"]).inc();
+    node.metrics
+        .store
+        .with_label_values(&[kind, "answered"])
+        .inc();
     if node.view.borrow_mut().outage.answer(now()) {
         tracing::info!(event = "store-regained", call = kind);
     }
 }
 
 fn note_fault(node: &Node, kind: &str, fault: &Fault) {
-    node.metrics.store.with_label_values(&[kind, "failed"]).inc();
+    node.metrics
+        .store
+        .with_label_values(&[kind, "failed"])
+        .inc();
     let mut view = node.view.borrow_mut();
     if view.outage.fail() {
         tracing::warn!(event = "store-lost", call = kind, reason = %fault, revision = view.revision);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -64,7 +64,12 @@
     pub async fn new(node: &Node) -> anyhow::Result<Self> {
         let (callers, readiness, peers, metrics) = {
             let settings = node.settings.borrow();
-            (settings.callers, settings.readiness, settings.peers, settings.metrics)
+            (
+                settings.callers,
+                settings.readiness,
+                settings.peers,
+                settings.metrics,
+            )
         };
         Ok(Self {
             callers: bind("callers", callers).await?,
@@ -100,7 +105,11 @@
 async fn leave(node: &Node, phase: &watch::Sender<Phase>, asked: Instant) {
     node.is_stopping.set(true);
     let grace_ms = node.settings.borrow().grace_ms;
-    tracing::info!(event = "stopping", in_progress = node.metrics.in_progress.get(), grace_ms);
+    tracing::info!(
+        event = "stopping",
+        in_progress = node.metrics.in_progress.get(),
+        grace_ms
+    );
     phase.send_replace(Phase::Leaving);
     tokio::time::sleep_until(deadline(asked.plus_millis(ACCEPT_MS))).await;
     phase.send_replace(Phase::Closing);
@@ -183,12 +192,11 @@
         ended = connection.as_mut() => Some(ended),
         _ = async { phases.wait_for(|phase| *phase == Phase::Closing).await.is_ok() } => None,
     };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
     };
     if let Err(error) = ended {
         tracing::debug!(event = "caller-connection-ended", %error);
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -34,7 +34,11 @@
     let (key, address, ttl_ms) = {
         let settings = node.settings.borrow();
         let key = format!("{NODES}{}", settings.instance);
-        (key, settings.peers.to_string(), settings.lease_ms.max(LEASE_MS))
+        (
+            key,
+            settings.peers.to_string(),
+            settings.lease_ms.max(LEASE_MS),
+        )
     };
     let Answer::Done(lease) = node.store.call(&Call::Grant { ttl_ms }).await? else {
         return Ok(None);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and histograms, served as text.
 
-use prometheus::{HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 
 /// Upper bounds in seconds of latency buckets: from a plain call to a long stream.
 const SECONDS: &[f64] = &[
--- a/crates/gateway/src/net.rs
+++ b/crates/gateway/src/net.rs
@@ -13,7 +13,7 @@
 
 /// Silence after which the other side is probed: a good hundred round trips
 /// within a region, and short against the seconds that a caller waits.
-const PROBE_AFTER: Duration = Duration::from_millis(1_000);
+const PROBE_AFTER: Duration = Duration::from_secs(1);
 /// Time between probes.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Probes without an answer after which the connection has failed.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,13 +1,14 @@
 //! One node: its settings, what it knows, and its handles.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use fescuerack_core::routed::budget::Budget;
 use fescuerack_core::routed::crash::Suspects;
 use fescuerack_core::routed::load::{Hub, Others};
+use fescuerack_core::routed::session::Recent;
 use fescuerack_core::routed::trial::Counts;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -27,7 +28,7 @@
     /// Counted here.
     pub own: Counts,
     /// Counted by others, by node.
-    pub heard: HashMap<String, Counts>,
+    pub heard: BTreeMap<String, Counts>,
     /// Sum that a peer has told.
     pub told: Counts,
 }
@@ -59,6 +60,10 @@
     pub suspects: RefCell<Suspects>,
     /// Roll-outs by service.
     pub evidence: RefCell<HashMap<Arc<str>, Evidence>>,
+    /// Sessions served lately by versions that were not on trial.
+    pub recent: RefCell<Recent>,
+    /// The same of other nodes, as far as a trial would move them.
+    pub recent_elsewhere: RefCell<Recent>,
     /// Work of other nodes by server.
     pub others: RefCell<Others>,
     /// What this node has been told as a hub.
@@ -91,6 +96,8 @@
             budgets: RefCell::default(),
             suspects: RefCell::default(),
             evidence: RefCell::default(),
+            recent: RefCell::default(),
+            recent_elsewhere: RefCell::default(),
             others: RefCell::default(),
             hub: RefCell::default(),
             usual: RefCell::default(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -11,7 +11,7 @@
 //! - a roll-out runs: each node tells the collector of its service, which all
 //!   nodes work out alike from the list of nodes, once a second.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,8 +19,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fescuerack_core::routed::{home, load};
+use fescuerack_core::routed::session::Recent;
 use fescuerack_core::routed::trial::{self, Counts};
+use fescuerack_core::routed::{home, load};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -33,6 +34,7 @@
 use crate::edge::Item;
 use crate::follow;
 use crate::node::Node;
+use crate::trials;
 use crate::upstream::Sent;
 
 /// Path of an exchange.
@@ -51,6 +53,9 @@
 struct Told {
     version: String,
     counts: Counts,
+    /// Sessions that stay on the old version though their hash would move them.
+    #[serde(default)]
+    sessions: Vec<u64>,
 }
 
 /// What the asking node says.
@@ -88,7 +93,11 @@
         tokio::time::sleep(Duration::from_millis(TELL_MS)).await;
         let services: Vec<Arc<str>> = {
             let view = node.view.borrow();
-            let running = view.orders.values().filter(|order| order.progress.is_none_or(|progress| progress == crate::edge::Progress::Running));
+            let running = view.orders.values().filter(|order| {
+                order
+                    .progress
+                    .is_none_or(|progress| progress == crate::edge::Progress::Running)
+            });
             running.map(|order| order.rollout.service.clone()).collect()
         };
         let mut asked: Vec<SocketAddr> = Vec::new();
@@ -136,7 +145,11 @@
         match tokio::time::timeout(PATIENCE, ask(&node, address, LOAD, &work)).await {
             Ok(Ok(sum)) => hear_load(&node, &sum),
             Ok(Err(error)) => tracing::info!(event = "hub-failed", peer = name, reason = %error),
-            Err(_) => tracing::info!(event = "hub-failed", peer = name, reason = "no answer in time"),
+            Err(_) => tracing::info!(
+                event = "hub-failed",
+                peer = name,
+                reason = "no answer in time"
+            ),
         }
     }
 }
@@ -167,7 +180,9 @@
 fn hub(node: &Node) -> Option<(String, SocketAddr)> {
     let view = node.view.borrow();
     let own = node.settings.borrow().instance.clone();
-    let groups = u64::try_from(load::groups(view.nodes.len())).unwrap_or(1).max(1);
+    let groups = u64::try_from(load::groups(view.nodes.len()))
+        .unwrap_or(1)
+        .max(1);
     let group = |name: &str| home::hash(name.as_bytes()) % groups;
     let mine = group(&own);
     let (name, address) = view
@@ -192,7 +207,9 @@
     let own = node.settings.borrow().instance.clone();
     let view = node.view.borrow();
     let others = view.nodes.iter().filter(|(name, _)| **name != own);
-    others.map(|(name, address)| (name.clone(), *address)).collect()
+    others
+        .map(|(name, address)| (name.clone(), *address))
+        .collect()
 }
 
 async fn exchange(node: &Rc<Node>, name: &str, address: SocketAddr, wants_items: bool) {
@@ -200,7 +217,11 @@
     match tokio::time::timeout(PATIENCE, ask(node, address, PATH, &message)).await {
         Ok(Ok(reply)) => take_reply(node, name, &reply),
         Ok(Err(error)) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
-        Err(_) => tracing::info!(event = "peer-failed", peer = name, reason = "no answer in time"),
+        Err(_) => tracing::info!(
+            event = "peer-failed",
+            peer = name,
+            reason = "no answer in time"
+        ),
     }
 }
 
@@ -210,6 +231,7 @@
         let told = Told {
             version: evidence.version.clone(),
             counts: evidence.own.clone(),
+            sessions: staying(node, service, &node.recent.borrow()),
         };
         (service.to_string(), told)
     });
@@ -250,7 +272,12 @@
         for item in &reply.items {
             view.apply(now(), &*node.platform, item);
         }
-        tracing::info!(event = "learned-from-peer", peer, before, revision = view.revision);
+        tracing::info!(
+            event = "learned-from-peer",
+            peer,
+            before,
+            revision = view.revision
+        );
     }
     follow::note_view(node);
     let mut evidence = node.evidence.borrow_mut();
@@ -259,12 +286,31 @@
             && known.version == told.version
         {
             known.told.clone_from(&told.counts);
+            hear_sessions(node, &told.sessions);
         }
     }
     drop(evidence);
     hear_suspects(node, &reply.suspects);
 }
 
+/// Sessions among `recent` that the trial of `service` would move.
+fn staying(node: &Node, service: &str, recent: &Recent) -> Vec<u64> {
+    let view = node.view.borrow();
+    let Some(order) = view.orders.get(service) else {
+        return Vec::new();
+    };
+    let trial = trials::trial(node, order);
+    recent.going_on(now(), |session| trial.includes(session))
+}
+
+fn hear_sessions(node: &Node, sessions: &[u64]) {
+    let pause_ms = node.settings.borrow().session_ms;
+    let mut elsewhere = node.recent_elsewhere.borrow_mut();
+    for &session in sessions {
+        elsewhere.note(now(), session, pause_ms);
+    }
+}
+
 fn hear_suspects(node: &Node, suspects: &[(u64, u32)]) {
     let mut known = node.suspects.borrow_mut();
     for &(digest, crashes) in suspects {
@@ -319,9 +365,13 @@
             continue;
         }
         known.heard.insert(message.node.clone(), told.counts);
+        hear_sessions(node, &told.sessions);
+        let mut sessions = staying(node, &service, &node.recent.borrow());
+        sessions.extend(staying(node, &service, &node.recent_elsewhere.borrow()));
         let sum = Told {
             version: told.version,
             counts: sum(&known.own, &known.heard),
+            sessions,
         };
         rollouts.insert(service, sum);
     }
@@ -340,7 +390,7 @@
 
 /// Sums own counts and those of others.
 #[must_use]
-pub fn sum(own: &Counts, heard: &HashMap<String, Counts>) -> Counts {
+pub fn sum(own: &Counts, heard: &BTreeMap<String, Counts>) -> Counts {
     let mut sum = own.clone();
     for counts in heard.values() {
         trial::add(&mut sum, counts);
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -129,7 +129,11 @@
 /// Service of a route for a request, by the route's weights.
 #[must_use]
 pub fn service(route: &Route, id: &str) -> Option<Arc<str>> {
-    let total: u64 = route.destinations.iter().map(|one| u64::from(one.weight)).sum();
+    let total: u64 = route
+        .destinations
+        .iter()
+        .map(|one| u64::from(one.weight))
+        .sum();
     if total == 0 {
         return route.destinations.first().map(|one| one.service.clone());
     }
@@ -176,13 +180,20 @@
         })
         .collect();
     let part = match route.kind {
-        Kind::Streaming => shared_part(ask).map(|part| {
-            home::mix(part ^ home::hash(model.unwrap_or_default().as_bytes()))
-        }),
+        Kind::Streaming => shared_part(ask)
+            .map(|part| home::mix(part ^ home::hash(model.unwrap_or_default().as_bytes()))),
         Kind::Idempotent | Kind::NonIdempotent => None,
     };
     let index = home::choose(&candidates, part, home::hash(ask.id.as_bytes()))?;
     let server = listed[index];
+    let is_trial = view
+        .orders
+        .get(service)
+        .is_some_and(|order| order.rollout.version == server.listed.version);
+    if !is_trial && route.kind == Kind::Streaming {
+        let mut recent = node.recent.borrow_mut();
+        recent.note(now, session, settings.session_ms);
+    }
     Some(Pick {
         id: server.listed.id.clone(),
         address: server.listed.address,
@@ -220,7 +231,11 @@
     };
     let is_new = |server: &&&Server| server.listed.version == order.rollout.version;
     let new: Vec<&Server> = all.iter().filter(is_new).copied().collect();
-    let old: Vec<&Server> = all.iter().filter(|server| !is_new(server)).copied().collect();
+    let old: Vec<&Server> = all
+        .iter()
+        .filter(|server| !is_new(server))
+        .copied()
+        .collect();
     if prefers_new(node, order, session) && !new.is_empty() {
         return new;
     }
@@ -232,7 +247,12 @@
         Some(Progress::Completed) => true,
         Some(Progress::RolledBack) => false,
         Some(Progress::Running) | None => {
-            !order.is_halted && trials::trial(node, order).includes(session)
+            let now = now();
+            let trial = trials::trial(node, order);
+            let is_moved = trial.has_begun(now) && trial.includes(session);
+            let goes_on = node.recent.borrow().goes_on(now, session)
+                || node.recent_elsewhere.borrow().goes_on(now, session);
+            !order.is_halted && is_moved && !goes_on
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -119,14 +119,23 @@
             let head_ms = headed.head_ms;
             match self.part(headed, sender).await {
                 Part::Done => {
-                    request::count(&self.node, &self.job, &pick, self.model, Ended::Well(head_ms));
+                    request::count(
+                        &self.node,
+                        &self.job,
+                        &pick,
+                        self.model,
+                        Ended::Well(head_ms),
+                    );
                     self.node.suspects.borrow_mut().ended_well(self.job.digest);
                     return Ok("whole");
                 }
                 Part::Left => return Ok("caller-left"),
                 Part::Broken(reason) => {
                     request::count(&self.node, &self.job, &pick, self.model, Ended::Badly);
-                    self.node.suspects.borrow_mut().crashed(now(), self.job.digest);
+                    self.node
+                        .suspects
+                        .borrow_mut()
+                        .crashed(now(), self.job.digest);
                     tracing::info!(
                         event = "stream-broken",
                         id = self.job.ask.id,
@@ -219,7 +228,7 @@
             .await;
             match tried {
                 Tried::Headed(headed) if headed.answered.response.status().is_success() => {
-                    return Some(headed);
+                    return Some(*headed);
                 }
                 Tried::NotRun(NotRun::Unreached) => {
                     // No byte left, so nobody was asked.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -78,15 +78,22 @@
         Err(refusal) => refusal.word(),
     };
     let spread = node.random.borrow_mut().random::<f64>();
-    let response =
-        result.unwrap_or_else(|refusal| refusal.answer(now(), deadline, spread));
+    let response = result.unwrap_or_else(|refusal| refusal.answer(now(), deadline, spread));
     let passed = now().since(arrived);
-    node.metrics.requests.with_label_values(&[route, outcome]).inc();
+    node.metrics
+        .requests
+        .with_label_values(&[route, outcome])
+        .inc();
     node.metrics
         .first
         .with_label_values(&[route])
         .observe(passed.as_secs_f64());
-    let configuration = node.view.borrow().catalog.as_ref().map_or(0, |known| known.version);
+    let configuration = node
+        .view
+        .borrow()
+        .catalog
+        .as_ref()
+        .map_or(0, |known| known.version);
     tracing::info!(
         event = "request",
         id,
@@ -107,7 +114,12 @@
 }
 
 fn admit(node: &Node, request: &Request<Incoming>, ask: &Ask) -> Result<Admitted, Refusal> {
-    let catalog = node.view.borrow().catalog.clone().ok_or(Refusal::NotReady)?;
+    let catalog = node
+        .view
+        .borrow()
+        .catalog
+        .clone()
+        .ok_or(Refusal::NotReady)?;
     let host = request
         .headers()
         .get(HOST)
@@ -206,7 +218,11 @@
 
 async fn route(node: &Rc<Node>, job: Rc<Job>) -> Result<Response<Answer>, Refusal> {
     if node.suspects.borrow().is_refused(now(), job.digest) {
-        tracing::warn!(event = "crashing-request", id = job.ask.id, digest = job.digest);
+        tracing::warn!(
+            event = "crashing-request",
+            id = job.ask.id,
+            digest = job.digest
+        );
         return Err(Refusal::NotRun);
     }
     let service = pick::service(&job.route, &job.ask.id).ok_or(Refusal::NotRun)?;
@@ -235,11 +251,26 @@
     course: &mut Course,
 ) -> Result<Response<Answer>, Refusal> {
     loop {
-        let model = course.model.map(|rank| (rank, job.route.models[rank].clone()));
+        let model = course
+            .model
+            .map(|rank| (rank, job.route.models[rank].clone()));
         let name = model.as_ref().map(|(_, name)| &**name);
-        let pick = pick::pick(node, &job.route, &job.ask, service, name, job.session, &course.tried);
+        let pick = pick::pick(
+            node,
+            &job.route,
+            &job.ask,
+            service,
+            name,
+            job.session,
+            &course.tried,
+        );
         let Some(pick) = pick else {
-            tracing::info!(event = "no-server", id = job.ask.id, service = &**service, tried = course.tried.len());
+            tracing::info!(
+                event = "no-server",
+                id = job.ask.id,
+                service = &**service,
+                tried = course.tried.len()
+            );
             return Err(give_up(course));
         };
         let may_have_run = course.may_have_run;
@@ -279,7 +310,7 @@
             }
             Tried::Headed(headed) => {
                 course.sent += 1;
-                match judge(node, job, service, course, headed).await {
+                match judge(node, job, service, course, *headed).await {
                     Judged::Answer(response) => return Ok(response),
                     Judged::Refuse(refusal) => return Err(refusal),
                     Judged::Again => {}
@@ -330,7 +361,14 @@
         .further
         .with_label_values(&[&**service, word])
         .inc();
-    tracing::info!(event = "further-attempt", id = job.ask.id, reason, taken = is_taken, sent, nodes);
+    tracing::info!(
+        event = "further-attempt",
+        id = job.ask.id,
+        reason,
+        taken = is_taken,
+        sent,
+        nodes
+    );
     is_taken
 }
 
@@ -353,12 +391,24 @@
         && let Some(next) = tier::next(job.route.models.len(), rank, headed.head.confidence, 1.0)
         && further(node, job, service, course.sent, "weak")
     {
-        tracing::info!(event = "weak-answer", id = job.ask.id, model = rank, next, confidence = headed.head.confidence);
+        tracing::info!(
+            event = "weak-answer",
+            id = job.ask.id,
+            model = rank,
+            next,
+            confidence = headed.head.confidence
+        );
         node.metrics
             .dropped_answers
             .with_label_values(&[&*job.route.name])
             .inc();
-        count(node, job, &headed.pick, course.model, Ended::Well(headed.head_ms));
+        count(
+            node,
+            job,
+            &headed.pick,
+            course.model,
+            Ended::Well(headed.head_ms),
+        );
         course.model = Some(next);
         return Judged::Again;
     }
@@ -414,7 +464,14 @@
 pub fn count(node: &Node, job: &Job, pick: &Pick, model: Option<usize>, ended: Ended) {
     let model = u64::try_from(model.unwrap_or_default()).unwrap_or_default();
     let kind = home::mix(home::hash(job.route.name.as_bytes()) ^ model);
-    trials::count(node, &pick.service, &pick.version, &job.route.name, kind, ended);
+    trials::count(
+        node,
+        &pick.service,
+        &pick.version,
+        &job.route.name,
+        kind,
+        ended,
+    );
 }
 
 /// Status and headers of an answer that is relayed.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -32,6 +32,8 @@
     pub grace_ms: u64,
     /// Further attempts of all nodes together.
     pub retries: Bound,
+    /// Milliseconds within which the next request of a session comes.
+    pub session_ms: u64,
     /// Part of a service's requests that a new version on trial may get.
     pub exposure: f64,
 }
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -16,7 +16,7 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// What a waiting call gets besides its own wait: a slow store takes some hundred
 /// milliseconds.
-const MARGIN: Duration = Duration::from_millis(1_000);
+const MARGIN: Duration = Duration::from_secs(1);
 
 /// Why a call has no answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -153,7 +153,10 @@
     }
     let heard = peer::sum(&known.own, &known.heard);
     let size = |counts: &Counts| -> u32 {
-        counts.values().map(|pair| pair.old.all + pair.new.all).sum()
+        counts
+            .values()
+            .map(|pair| pair.old.all + pair.new.all)
+            .sum()
     };
     if size(&known.told) > size(&heard) {
         known.told.clone()
@@ -213,7 +216,9 @@
             node.view.borrow_mut().apply(now(), &*node.platform, &item);
         }
         // Somebody else has written; the watch tells what.
-        Ok(other) => tracing::info!(event = "rollout-not-recorded", key, ?progress, answer = ?other),
+        Ok(other) => {
+            tracing::info!(event = "rollout-not-recorded", key, ?progress, answer = ?other);
+        }
         Err(fault) => {
             tracing::warn!(event = "rollout-not-recorded", key, ?progress, reason = %fault);
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -147,8 +147,7 @@
         let mut idle = self.idle.borrow_mut();
         idle.retain(|address, list| {
             list.retain(|connection| {
-                !connection.sender.is_closed()
-                    && now < connection.idle_since.plus_millis(KEPT_MS)
+                !connection.sender.is_closed() && now < connection.idle_since.plus_millis(KEPT_MS)
             });
             !list.is_empty() && keeps(*address)
         });
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -97,7 +97,13 @@
 
     /// Takes in a whole read of the store as of `revision`: keys that it lacks are
     /// removed.
-    pub fn replace(&mut self, now: Instant, platform: &dyn Platform, items: &[Item], revision: u64) {
+    pub fn replace(
+        &mut self,
+        now: Instant,
+        platform: &dyn Platform,
+        items: &[Item],
+        revision: u64,
+    ) {
         let listed: std::collections::HashSet<&str> =
             items.iter().map(|item| item.key.as_str()).collect();
         let missing: Vec<String> = self
@@ -169,7 +175,11 @@
             Change::Rollout(rollout) => self.take_rollout(now, rollout),
             Change::RolloutGone(service) => {
                 self.orders.remove(&service);
-                tracing::info!(event = "rollout-withdrawn", service = &*service, revision = item.revision);
+                tracing::info!(
+                    event = "rollout-withdrawn",
+                    service = &*service,
+                    revision = item.revision
+                );
             }
             Change::Status(status) => {
                 if let Some(order) = self.orders.get_mut(&status.service) {
@@ -194,7 +204,12 @@
             }
             Change::Own => self.take_own(item),
             Change::Unreadable(reason) => {
-                tracing::error!(event = "unreadable-item", key = item.key, revision = item.revision, reason);
+                tracing::error!(
+                    event = "unreadable-item",
+                    key = item.key,
+                    revision = item.revision,
+                    reason
+                );
             }
         }
     }
@@ -242,7 +257,11 @@
             return;
         };
         let is_draining = server.listed.state == State::Draining;
-        tracing::info!(event = "server-gone", server = id, held_s = held.map(|until| until.since(now).as_secs_f64()));
+        tracing::info!(
+            event = "server-gone",
+            server = id,
+            held_s = held.map(|until| until.since(now).as_secs_f64())
+        );
         match held {
             Some(until) if !is_draining => server.gone_at = Some(until),
             _ => {
@@ -258,7 +277,10 @@
             version = &*rollout.version,
             within_ms = rollout.within_ms
         );
-        let revision = self.orders.get(&rollout.service).map_or(0, |known| known.revision);
+        let revision = self
+            .orders
+            .get(&rollout.service)
+            .map_or(0, |known| known.revision);
         let order = Order {
             heard: now,
             is_inherited: self.revision == 0,
--- a/crates/node/benches/capacity.rs
+++ b/crates/node/benches/capacity.rs
@@ -17,12 +17,12 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use fescuerack_client::{Agent, HttpStore, agent, manifest};
 use fescuerack_config::{Catalog, Folder, Merged, Names, folder, key};
 use fescuerack_core::admission::{self, Control, Thresholds, Verdict};
 use fescuerack_core::clock;
 use fescuerack_core::route::{Ask, Listed, State, Table};
 use fescuerack_core::{claim, ledger, session};
-use fescuerack_client::{Agent, HttpStore, agent, manifest};
 use fescuerack_standin::{Engine, Pace, Platform};
 use fescuerack_wire::list::{Instance, Instances};
 use rand::SeedableRng as _;
--- a/crates/node/benches/path/world.rs
+++ b/crates/node/benches/path/world.rs
@@ -3,9 +3,9 @@
 use std::path::Path;
 
 use anyhow::Result;
+use fescuerack_client::{HttpStore, manifest};
 use fescuerack_config::Folder;
 use fescuerack_core::route::State;
-use fescuerack_client::{HttpStore, manifest};
 use fescuerack_standin::{Engine, Pace, Platform};
 use fescuerack_wire::list::Instance;
 use tokio::runtime::Runtime;
--- a/crates/node/benches/store.rs
+++ b/crates/node/benches/store.rs
@@ -10,10 +10,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use fescuerack_client::{Agent, HttpStore, agent, manifest};
 use fescuerack_config::Folder;
 use fescuerack_core::route::State;
 use fescuerack_node::{Limits, Node, Settings};
-use fescuerack_client::{Agent, HttpStore, agent, manifest};
 use fescuerack_standin::{Engine, Fault, Pace, Platform, Service};
 use fescuerack_wire::header;
 use fescuerack_wire::list::Instance;
--- a/crates/node/src/callers/attempts.rs
+++ b/crates/node/src/callers/attempts.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use fescuerack_client::Fault;
+use fescuerack_client::engine::Event;
 use fescuerack_config::key;
 use fescuerack_core::attempt::{Attempts, End, Next, Outcome, hedge};
 use fescuerack_core::clock::Instant;
 use fescuerack_core::poison::{self, Fingerprint};
 use fescuerack_core::route::Ask;
-use fescuerack_client::Fault;
-use fescuerack_client::engine::Event;
 use fescuerack_wire::chat::Completion;
 
 use super::prompt::Prompt;
--- a/crates/node/src/callers/bill.rs
+++ b/crates/node/src/callers/bill.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fescuerack_client::manifest;
 use fescuerack_config::key;
 use fescuerack_core::ledger::{Entry, Ticket};
-use fescuerack_client::manifest;
 use fescuerack_wire::chat::Usage;
 
 use super::intake::Call;
--- a/crates/node/src/callers/collect.rs
+++ b/crates/node/src/callers/collect.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use fescuerack_core::attempt::End;
 use fescuerack_client::engine::Event;
+use fescuerack_core::attempt::End;
 use fescuerack_wire::chat::{Choice, Completion, Message, Usage};
 use serde_json::{Map, Value};
 
--- a/crates/node/src/callers/service.rs
+++ b/crates/node/src/callers/service.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
+use fescuerack_client::Fault;
+use fescuerack_client::service::{self, Answer};
 use fescuerack_config::{Service, folder};
 use fescuerack_core::attempt::{Attempts, End, Next, Outcome as Run};
 use fescuerack_core::claim::{self, Name, Outcome, State, Verdict};
-use fescuerack_client::Fault;
-use fescuerack_client::service::{self, Answer};
 use fescuerack_wire::error::Kind;
 use fescuerack_wire::header;
 
--- a/crates/node/src/callers/stream.rs
+++ b/crates/node/src/callers/stream.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
+use fescuerack_client::engine::Event;
 use fescuerack_config::key;
 use fescuerack_core::attempt::Outcome;
-use fescuerack_client::engine::Event;
 use fescuerack_wire::chat::{self, Completion, Usage};
 use fescuerack_wire::error::Kind;
 use http_body_util::BodyExt as _;
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -13,9 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use fescuerack_core::clock::Instant;
 use fescuerack_client::Fault;
 use fescuerack_client::engine::{self, Attempt, Event, Failure};
+use fescuerack_core::clock::Instant;
 use fescuerack_wire::chat::Completion;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -10,10 +10,10 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use fescuerack_core::claim::{Claim, Claiming, Name, Outcome, RETENTION_MS, Recording, State};
-use fescuerack_core::clock::Instant;
 use fescuerack_client::Store as _;
 use fescuerack_client::drive::{self, Timer as _};
+use fescuerack_core::claim::{Claim, Claiming, Name, Outcome, RETENTION_MS, Recording, State};
+use fescuerack_core::clock::Instant;
 
 use crate::shared::{Shared, lock};
 use crate::stop::Stop;
--- a/crates/node/src/force.rs
+++ b/crates/node/src/force.rs
@@ -12,11 +12,11 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result, anyhow};
+use fescuerack_client::drive::Timer as _;
+use fescuerack_client::{Store as _, manifest};
 use fescuerack_config::{Catalog, Folder, Merged};
 use fescuerack_core::force::{Follower, Manifest, Seen};
 use fescuerack_core::store::Backoff;
-use fescuerack_client::drive::Timer as _;
-use fescuerack_client::{Store as _, manifest};
 use serde_json::json;
 
 use crate::aid::{self, Ask};
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -10,9 +10,9 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
-use fescuerack_core::ledger::{Book, Entry, Hold, Limits, Segment, Shelf, Ticket};
 use fescuerack_client::drive::Timer as _;
 use fescuerack_client::ledger::{self, Writer};
+use fescuerack_core::ledger::{Book, Entry, Hold, Limits, Segment, Shelf, Ticket};
 use tokio::sync::{Notify, watch};
 
 use crate::aid::{self, Ask, LARGEST_BATCH, Peer};
--- a/crates/node/src/loads.rs
+++ b/crates/node/src/loads.rs
@@ -12,11 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use fescuerack_client::engine;
 use fescuerack_config::file::Kind;
 use fescuerack_config::key;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::route::{self, score};
-use fescuerack_client::engine;
 use fescuerack_wire::load;
 
 use crate::shared::{Shared, lock};
--- a/crates/node/src/operators/changes.rs
+++ b/crates/node/src/operators/changes.rs
@@ -2,8 +2,8 @@
 
 use std::io::Read as _;
 
-use fescuerack_config::Operator;
 use fescuerack_client::admin;
+use fescuerack_config::Operator;
 use fescuerack_wire::admin::{Accepted, Error, Kind, Plan, Proposal};
 use rouille::Request;
 
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescuerack_client::order::FENCED;
+use fescuerack_client::{Fault, Store as _, Swap};
 use fescuerack_config::file::Kind;
 use fescuerack_config::key;
 use fescuerack_core::member;
 use fescuerack_core::order::{self, Engine, Grace, Holder, Permit, Plan};
 use fescuerack_core::route::State;
-use fescuerack_client::order::FENCED;
-use fescuerack_client::{Fault, Store as _, Swap};
 use fescuerack_wire::order::{Action, Order};
 
 use crate::shared::{Force, Shared, lock};
--- a/crates/node/src/running.rs
+++ b/crates/node/src/running.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use fescuerack_client::Fault;
+use fescuerack_client::service::Answer;
 use fescuerack_config::key;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::route::{Ask, Ended};
-use fescuerack_client::Fault;
-use fescuerack_client::service::Answer;
 
 use crate::shared::{Shared, lock};
 
--- a/crates/node/src/servers.rs
+++ b/crates/node/src/servers.rs
@@ -4,12 +4,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use fescuerack_client::Directory as _;
 use fescuerack_config::{Catalog, key};
 use fescuerack_core::attempt::budget;
 use fescuerack_core::num;
 use fescuerack_core::route::subset::Place;
 use fescuerack_core::route::{self, Listed, State};
-use fescuerack_client::Directory as _;
 use fescuerack_wire::list::{Instance, Instances};
 
 use crate::admission;
--- a/crates/node/src/shared.rs
+++ b/crates/node/src/shared.rs
@@ -5,13 +5,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use anyhow::Result;
+use fescuerack_client::drive::Wall;
+use fescuerack_client::{Agent, HttpDirectory, HttpStore, agent};
 use fescuerack_config::{Catalog, Names, key};
 use fescuerack_core::admission::rate::Rates;
 use fescuerack_core::attempt::pools::Pools;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::{member, route};
-use fescuerack_client::drive::Wall;
-use fescuerack_client::{Agent, HttpDirectory, HttpStore, agent};
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use tokio::runtime::Handle;
--- a/crates/node/src/versions/ratings.rs
+++ b/crates/node/src/versions/ratings.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::time::Duration;
 
+use fescuerack_client::{HttpRating, Rating as _};
 use fescuerack_config::key;
 use fescuerack_core::cascade::{Bucket, Purpose};
 use fescuerack_core::clock::Instant;
 use fescuerack_core::rollout::Event;
-use fescuerack_client::{HttpRating, Rating as _};
 use fescuerack_wire::rating;
 
 use crate::shared::{Force, Shared, lock};
--- a/crates/node/src/versions/rollouts.rs
+++ b/crates/node/src/versions/rollouts.rs
@@ -7,9 +7,9 @@
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
+use fescuerack_client::{Store as _, Swap};
 use fescuerack_core::clock::Instant;
 use fescuerack_core::rollout::{Act, Record, Step, record};
-use fescuerack_client::{Store as _, Swap};
 
 use crate::shared::{Shared, lock};
 use crate::stop::Stop;
--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -8,10 +8,10 @@
 
 use anyhow::{Context as _, Result};
 use bytes::Bytes;
+use fescuerack_client::{Fault, Store as _, Swap};
 use fescuerack_config::key;
 use fescuerack_core::poison::{Fingerprint, Record, Verdict};
 use fescuerack_core::rollout::Event;
-use fescuerack_client::{Fault, Store as _, Swap};
 
 use crate::shared::{Shared, lock};
 
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -5,9 +5,9 @@
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+use fescuerack_client::{Agent, HttpStore, agent, manifest};
 use fescuerack_config::Folder;
 use fescuerack_core::route::State;
-use fescuerack_client::{Agent, HttpStore, agent, manifest};
 use fescuerack_standin::{Engine, Pace, Platform, Service};
 use fescuerack_wire::list::Instance;
 use tokio::runtime::Runtime;
--- a/crates/node/tests/all/versions.rs
+++ b/crates/node/tests/all/versions.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use fescuerack_client::{HttpStore, manifest};
 use fescuerack_config::Folder;
 use fescuerack_core::route::State;
-use fescuerack_client::{HttpStore, manifest};
 use fescuerack_standin::Fault;
 use fescuerack_wire::{chat, header, list::Instance};
 use serde_json::json;
--- a/crates/standin/tests/all/manifest.rs
+++ b/crates/standin/tests/all/manifest.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use fescuerack_config::Folder;
-use fescuerack_core::force::{Manifest, Wish};
 use fescuerack_client::HttpStore;
 use fescuerack_client::manifest::{self, Applied};
+use fescuerack_config::Folder;
+use fescuerack_core::force::{Manifest, Wish};
 use fescuerack_standin::{Fault, Platform};
 use tokio::runtime::Runtime;
 
