--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,7 +1,7 @@
 //! Following the store: one read of everything, then one waiting call at a time.
 //!
 //! A burst of changes is one call, since after a change the node pauses for
-//! [`GATHER_MS`] before it asks again. While the store does not answer, the node
+//! a quarter of a second before it asks again. While the store does not answer, the node
 //! goes on with what it knows and asks a peer for what is newer.
 
 use std::rc::Rc;
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -71,10 +71,13 @@
                 settings.metrics,
             )
         };
+        let peers = bind("peers", peers).await?;
+        // A port of zero is chosen by the system, and peers must hear which.
+        node.settings.borrow_mut().peers = peers.local_addr()?;
         Ok(Self {
             callers: bind("callers", callers).await?,
             readiness: bind("readiness", readiness).await?,
-            peers: bind("peers", peers).await?,
+            peers,
             metrics: match metrics {
                 Some(address) => Some(bind("metrics", address).await?),
                 None => None,
@@ -82,6 +85,15 @@
         })
     }
 
+    /// Addresses for callers and for readiness, with the ports in use.
+    ///
+    /// # Errors
+    ///
+    /// When the system does not tell.
+    pub fn addresses(&self) -> std::io::Result<(SocketAddr, SocketAddr)> {
+        Ok((self.callers.local_addr()?, self.readiness.local_addr()?))
+    }
+
     /// Serves until a stop is asked for on `stop` and everything has ended.
     pub async fn run(self, node: Rc<Node>, mut stop: watch::Receiver<Option<Instant>>) {
         let (phase, phases) = watch::channel(Phase::Serving);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -55,13 +55,8 @@
     );
     let node = Rc::new(Node::new(settings, platform)?);
     let front = Front::new(&node).await?;
-    tokio::task::spawn_local(follow::run(node.clone()));
-    tokio::task::spawn_local(member::run(node.clone()));
-    tokio::task::spawn_local(peer::run(node.clone()));
-    tokio::task::spawn_local(peer::share_load(node.clone()));
-    tokio::task::spawn_local(trials::run(node.clone()));
     let (stop, stopped) = watch::channel(None);
-    let serving = front.run(node.clone(), stopped);
+    let serving = start(front, node.clone(), stopped);
     let signals = signals(&node, &stop, reload, logs);
     tokio::select! {
         () = serving => Ok(()),
@@ -69,6 +64,17 @@
     }
 }
 
+/// Starts all tasks of a node and serves until a stop is asked for on `stopped`.
+pub async fn start(front: Front, node: Rc<Node>, stopped: watch::Receiver<Option<Instant>>) {
+    tokio::task::spawn_local(follow::run(node.clone()));
+    tokio::task::spawn_local(member::run(node.clone()));
+    tokio::task::spawn_local(peer::run(node.clone()));
+    tokio::task::spawn_local(peer::share_load(node.clone()));
+    tokio::task::spawn_local(trials::run(node.clone()));
+    tokio::task::spawn_local(sweep(node.clone()));
+    front.run(node, stopped).await;
+}
+
 async fn signals(
     node: &Node,
     stop: &watch::Sender<Option<Instant>>,
@@ -87,7 +93,7 @@
                 stop.send_replace(Some(now()));
             }
             _ = hangup.recv() => read_again(node, &reload),
-            () = tokio::time::sleep(SWEEP) => sweep(node, logs),
+            () = tokio::time::sleep(SWEEP) => note_dropped(node, logs),
         }
     }
 }
@@ -105,15 +111,21 @@
     }
 }
 
-/// Drops what has run out.
-fn sweep(node: &Node, logs: &Logs) {
-    let gone = node.view.borrow_mut().sweep(now());
-    if gone > 0 {
-        tracing::info!(event = "servers-not-back", count = gone);
+/// Drops what has run out, until the process ends.
+async fn sweep(node: Rc<Node>) {
+    loop {
+        tokio::time::sleep(SWEEP).await;
+        let gone = node.view.borrow_mut().sweep(now());
+        if gone > 0 {
+            tracing::info!(event = "servers-not-back", count = gone);
+        }
+        node.pool.sweep();
+        let connections = i64::try_from(node.pool.opened()).unwrap_or(i64::MAX);
+        node.metrics.connections.set(connections);
     }
-    node.pool.sweep(|_| true);
-    let connections = i64::try_from(node.pool.opened()).unwrap_or(i64::MAX);
-    node.metrics.connections.set(connections);
+}
+
+fn note_dropped(node: &Node, logs: &Logs) {
     let dropped = i64::try_from(logs.dropped()).unwrap_or(i64::MAX);
     node.metrics.log_lines_dropped.set(dropped);
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -140,16 +140,15 @@
         });
     }
 
-    /// Closes idle connections that no request would trust any more, and those to
-    /// addresses that `keeps` rejects.
-    pub fn sweep(&self, keeps: impl Fn(SocketAddr) -> bool) {
+    /// Closes idle connections that no request would trust any more.
+    pub fn sweep(&self) {
         let now = now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|address, list| {
+        idle.retain(|_, list| {
             list.retain(|connection| {
                 !connection.sender.is_closed() && now < connection.idle_since.plus_millis(KEPT_MS)
             });
-            !list.is_empty() && keeps(*address)
+            !list.is_empty()
         });
     }
 
