Explain a request from its log lines; a budget of lines; a moment for the first configuration

- Each kind of log line has a budget a second; what is left out is counted.
- A route's time-out on the last attempt is answered 504, not 502.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod digest;
 mod dump;
+mod explain;
 mod history;
 mod ledger;
 mod organisation;
@@ -58,6 +59,8 @@
     Top(top::Top),
     /// Prints the whole state of a process as JSON.
     Dump(dump::Dump),
+    /// Tells the story of one request from the log lines of instances.
+    Explain(explain::Explain),
     /// Prints the digest of a key or a token, or makes a new one.
     Digest(digest::Digest),
     /// Replays a load through the decisions, to try a threshold.
@@ -88,6 +91,7 @@
             Command::Ledger(ledger) => ledger.execute(output),
             Command::Top(top) => top.execute(output),
             Command::Dump(dump) => dump.execute(),
+            Command::Explain(explain) => explain.execute(),
             Command::Digest(digest) => digest.execute(),
             Command::Replay(replay) => replay.execute(),
             Command::Demo(demo) => demo.execute(),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -11,6 +11,7 @@
 mod exit;
 mod live;
 mod print;
+mod story;
 
 use std::process::ExitCode;
 
--- a/crates/core/src/routed/health.rs
+++ b/crates/core/src/routed/health.rs
@@ -36,8 +36,8 @@
     Good,
     /// Failed, or broke off.
     Failed,
-    /// Could not be reached, or did not answer in time: left out at once.
-    Silent,
+    /// Could not be reached: left out at once.
+    Unreached,
 }
 
 /// The health of one server as this node has seen it.
@@ -71,7 +71,7 @@
             }
             return false;
         }
-        let out = outcome == Outcome::Silent || self.failures >= FAILING;
+        let out = outcome == Outcome::Unreached || self.failures >= FAILING;
         if out && self.is_in(now) {
             self.out_ms = (self.out_ms * 2).clamp(FIRST_MS, LONGEST_MS);
             self.out_until = Some(now.plus_millis(self.out_ms));
--- a/crates/core/tests/all/routed/health.rs
+++ b/crates/core/tests/all/routed/health.rs
@@ -37,15 +37,15 @@
     assert!(left_out(0.14) < 0.01, "{}", left_out(0.14));
 }
 
-/// A silent server costs each attempt a time-out. One is enough; each time it fails
-/// again it stays out for longer.
+/// A server that cannot be reached costs each attempt a time-out. One is enough; each
+/// time it fails again it stays out for longer.
 #[test]
-fn observe_silent_server_is_left_out_for_longer_each_time() {
+fn observe_unreachable_server_is_left_out_for_longer_each_time() {
     let mut health = Health::default();
     let mut now = Instant::from_millis(0);
     let mut waits = Vec::new();
     for _ in 0..5 {
-        assert!(health.observe(now, Outcome::Silent));
+        assert!(health.observe(now, Outcome::Unreached));
         let from = now;
         while !health.is_in(now) {
             now = now.plus_millis(100);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -99,7 +99,9 @@
         .pool
         .send(pick.address, request, job.route.is_repeatable());
     let Ok(sent) = tokio::time::timeout_at(deadline(until), sent).await else {
-        note(node, job, &pick, began, Some(Outcome::Silent), "silent", "");
+        // A busy server is silent as well; leaving it out at once would put its work
+        // on the others, which then fall silent in turn.
+        note(node, job, &pick, began, Some(Outcome::Failed), "silent", "");
         return Tried::Silent;
     };
     match sent {
@@ -109,7 +111,7 @@
                 job,
                 &pick,
                 began,
-                Some(Outcome::Silent),
+                Some(Outcome::Unreached),
                 "unreached",
                 &reason,
             );
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
@@ -30,6 +31,11 @@
 
 /// Milliseconds that a caller is thought to wait if neither it nor the route says.
 const WAIT_MS: u64 = 60_000;
+/// Milliseconds that a request waits for a process that is starting: reading the store
+/// takes about ten.
+const STARTING_MS: u64 = 200;
+/// Time between looks at whether the process has started.
+const STARTING_LOOK: Duration = Duration::from_millis(5);
 /// Bytes of an answer that is read whole before it is passed on.
 const MOST_WHOLE: usize = 32 << 20;
 /// Tries at servers that could not be reached; no byte left for them.
@@ -47,6 +53,7 @@
     let ask = node.platform.ask(request.headers());
     let id = ask.id.clone();
     let mut deadline = arrived.plus_millis(ask.wait_ms.unwrap_or(WAIT_MS));
+    wait_for_configuration(&node, arrived).await;
     let mut name: Arc<str> = Arc::from("");
     let result = match admit(&node, &request, &ask) {
         Ok(admitted) => {
@@ -65,6 +72,16 @@
     finish(&node, result, &id, &name, arrived, deadline)
 }
 
+/// Waits a moment for the first configuration. Callers reach a process that has just
+/// started some milliseconds before it has read the store; refused, they come back much
+/// later and with one try less.
+async fn wait_for_configuration(node: &Node, arrived: Instant) {
+    let until = arrived.plus_millis(STARTING_MS);
+    while !node.view.borrow().is_ready() && now() < until {
+        tokio::time::sleep(STARTING_LOOK).await;
+    }
+}
+
 fn finish(
     node: &Node,
     result: Result<Response<Answer>, Refusal>,
@@ -305,7 +322,12 @@
                 course.sent += 1;
                 let may_repeat = job.route.is_repeatable();
                 if !may_repeat || !further(node, job, service, course.sent, "failed") {
-                    return Err(Refusal::Unknown);
+                    let is_over = now() >= job.deadline;
+                    return Err(if is_over {
+                        Refusal::Late
+                    } else {
+                        Refusal::Unknown
+                    });
                 }
             }
             Tried::Headed(headed) => {
@@ -339,7 +361,7 @@
         Kind::Streaming => STREAM_PATIENCE,
         Kind::Idempotent | Kind::NonIdempotent => PLAIN_PATIENCE,
     };
-    let target = std::time::Duration::from_millis(target_ms);
+    let target = Duration::from_millis(target_ms);
     (now() + target.mul_f64(part)).min(job.deadline)
 }
 
--- /dev/null
+++ b/crates/gateway/tests/all/logs.rs
@@ -0,0 +1,34 @@
+//! The budget of log lines.
+
+use fescuerack_gateway::logs::{A_SECOND, Budget};
+use tracing::Callsite;
+use tracing::callsite::Identifier;
+use tracing::metadata::Metadata;
+use tracing::subscriber::Interest;
+
+struct Site(u8);
+
+impl Callsite for Site {
+    fn set_interest(&self, _: Interest) {}
+
+    fn metadata(&self) -> &Metadata<'_> {
+        unreachable!("only its identity is used, {}", self.0)
+    }
+}
+
+static STORM: Site = Site(1);
+static OTHER: Site = Site(2);
+
+/// A service fails and each request writes the same line. The storm must cost a bounded
+/// number of lines and none of another kind.
+#[test]
+fn take_a_storm_of_one_kind_leaves_the_others() {
+    let budget = Budget::new();
+    let storm = Identifier(&STORM);
+    let passed = (0..10 * A_SECOND)
+        .filter(|_| budget.take(storm.clone()))
+        .count();
+    let most = usize::try_from(2 * A_SECOND).expect("few");
+    assert!((1..=most).contains(&passed), "{passed}");
+    assert!(budget.take(Identifier(&OTHER)));
+}
--- /dev/null
+++ b/crates/gateway/tests/all/metrics.rs
@@ -0,0 +1,36 @@
+//! The list of metrics in the docs.
+
+use fescuerack_gateway::metrics::Metrics;
+
+/// Whoever is on call looks a name up in the docs; one that is served and not listed,
+/// or listed and not served, is of no use.
+#[test]
+fn text_lists_what_the_docs_list() {
+    let metrics = Metrics::new().expect("metrics");
+    metrics.requests.with_label_values(&["r", "answered"]).inc();
+    metrics.first.with_label_values(&["r"]).observe(0.1);
+    metrics.attempts.with_label_values(&["s", "head"]).inc();
+    metrics.further.with_label_values(&["s", "weak"]).inc();
+    metrics.dropped_answers.with_label_values(&["r"]).inc();
+    metrics
+        .store
+        .with_label_values(&["watch", "answered"])
+        .inc();
+    let text = metrics.text().expect("text");
+    let served: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').next())
+        .collect();
+    let page = include_str!("../../../../docs/METRICS.md");
+    let listed: Vec<&str> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `fescuerack_"))
+        .filter_map(|line| line.split('`').next())
+        .collect();
+    for name in &served {
+        let short = name.trim_start_matches("fescuerack_");
+        assert!(listed.contains(&short), "{name} is not listed");
+    }
+    assert_eq!(served.len(), listed.len(), "{listed:?}");
+}
--- /dev/null
+++ b/crates/gateway/tests/all/refusal.rs
@@ -0,0 +1,52 @@
+//! Answers of the gateway's own.
+
+use fescuerack_core::clock::Instant;
+use fescuerack_gateway::refusal::Refusal;
+use hyper::header::RETRY_AFTER;
+use rstest::rstest;
+
+const NOW: Instant = Instant::from_millis(50_000);
+
+/// A crowd is refused in the same moment. Told one time they would all be back in one
+/// moment; told a time beyond what they have left, they would not come at all.
+#[rstest]
+#[case::short(900)]
+#[case::long(25_000)]
+fn answer_return_times_spread_within_the_time_left(#[case] left_ms: u64) {
+    let deadline = NOW.plus_millis(left_ms);
+    let mut seconds: Vec<f64> = (0..100_u8)
+        .map(|step| {
+            let response = Refusal::NotRun.answer(NOW, deadline, f64::from(step) / 100.0);
+            let value = response.headers()[RETRY_AFTER]
+                .to_str()
+                .expect("text")
+                .to_owned();
+            value.parse().expect("seconds")
+        })
+        .collect();
+    seconds.sort_by(f64::total_cmp);
+    let third = Instant(left_ms * 1_000)
+        .since(Instant::ORIGIN)
+        .as_secs_f64()
+        / 3.0;
+    assert!(seconds[99] <= third, "{} of {third}", seconds[99]);
+    assert!(seconds[99] > 2.0 * seconds[0]);
+}
+
+/// Only what has certainly not run may say so.
+#[rstest]
+#[case(Refusal::NotRun, 503, true)]
+#[case(Refusal::NotReady, 503, true)]
+#[case(Refusal::Unknown, 502, false)]
+#[case(Refusal::Late, 504, false)]
+#[case(Refusal::NoRoute, 404, false)]
+#[case(Refusal::NoKey, 401, false)]
+fn answer_status_says_what_is_known(
+    #[case] refusal: Refusal,
+    #[case] status: u16,
+    #[case] says_when: bool,
+) {
+    let response = refusal.answer(NOW, NOW.plus_millis(1_000), 0.5);
+    assert_eq!(response.status().as_u16(), status);
+    assert_eq!(response.headers().contains_key(RETRY_AFTER), says_when);
+}
