--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -259,16 +259,18 @@
 fn take_reply(node: &Node, peer: &str, reply: &Reply) {
     if !reply.items.is_empty() {
         let mut view = node.view.borrow_mut();
-        let before = view.revision;
+        let mut news = 0;
         for item in &reply.items {
-            view.apply(now(), &*node.platform, item);
+            news += u32::from(view.apply(now(), &*node.platform, item));
+        }
+        if news > 0 {
+            tracing::info!(
+                event = "learned-from-peer",
+                peer,
+                news,
+                followed = view.revision
+            );
         }
-        tracing::info!(
-            event = "learned-from-peer",
-            peer,
-            before,
-            revision = view.revision
-        );
     }
     follow::note_view(node);
     let mut evidence = node.evidence.borrow_mut();
