In a large availability zone two nodes watch the store for the others

Change: zones with more than four nodes choose two watchers by hash; the others ask these, hear how long ago the store answered them, and watch for themselves when none is fresh. Smaller zones are as before.

--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -13,6 +13,7 @@
 //!   until then;
 //! - [`session`]: which sessions stay on the version that they began on;
 //! - [`vanish`]: which backend servers are gone when the store has been away;
+//! - [`watcher`]: which nodes watch the store for the others;
 //! - [`crash`]: which requests crash the backend servers that run them.
 
 pub mod budget;
@@ -24,3 +25,4 @@
 pub mod tier;
 pub mod trial;
 pub mod vanish;
+pub mod watcher;
--- a/crates/core/tests/all/routed/mod.rs
+++ b/crates/core/tests/all/routed/mod.rs
@@ -9,3 +9,4 @@
 mod tier;
 mod trial;
 mod vanish;
+mod watcher;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -3,16 +3,21 @@
 //! A burst of changes is one call, since after a change the node pauses for
 //! a quarter of a second before it asks again. While the store does not answer, the node
 //! goes on with what it knows and asks a peer for what is newer.
+//!
+//! In a large availability zone a few nodes watch and the others ask those
+//! ([`watcher`]); a node that finds none of them fresh watches for itself.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use fescuerack_core::routed::watcher;
 use rand::RngExt as _;
 
 use crate::clock::now;
 use crate::edge::{Answer, Call, Item, Page};
 use crate::node::Node;
-use crate::peer;
+use crate::peer::{self, News};
 use crate::store::Fault;
 
 /// Milliseconds that a watch waits. A watch on a connection that went silent is
@@ -27,57 +32,145 @@
 const PROBE_MS: u64 = 50;
 /// Milliseconds between tries while the store is away.
 const RETRY_MS: u64 = 350;
+/// Milliseconds for which a node watches for itself after no watcher was fresh.
+const OWN_MS: u64 = 3_000;
 /// Everything in the store concerns the gateway.
 const ALL: &str = "";
 
+/// How a step of following ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// The node goes on from its revision.
+    On,
+    /// The history that it would go on from is gone.
+    Gone,
+}
+
 /// Follows the store until the process ends.
 pub async fn run(node: Rc<Node>) {
+    let mut has_read = false;
+    let mut own_until = now();
     loop {
-        if let Err(fault) = read_all(&node).await {
-            note_fault(&node, "range", &fault);
-            recover(&node).await;
+        if !has_read {
+            has_read = read(&node).await;
             continue;
         }
-        watch(&node).await;
+        let watchers = watchers(&node);
+        if now() >= own_until && watchers.iter().all(|(name, _)| *name != own_name(&node)) {
+            if follow_watcher(&node, &watchers).await {
+                continue;
+            }
+            if !watchers.is_empty() {
+                own_until = now().plus_millis(OWN_MS);
+            }
+        }
+        has_read = watch(&node, !watchers.is_empty()).await == Step::On;
     }
 }
 
-/// Watches until the history that the node would go on from is gone.
-async fn watch(node: &Rc<Node>) {
-    loop {
-        let (after, is_away) = {
-            let view = node.view.borrow();
-            (view.revision, view.outage.is_away())
-        };
-        let call = Call::Watch {
-            prefix: ALL,
-            after,
-            wait_ms: if is_away { PROBE_MS } else { WAIT_MS },
-        };
-        match answer(node, &call, is_away).await {
-            Ok(Answer::Page(page)) => {
-                note_answer(node, "watch");
-                let has_news = !page.items.is_empty();
-                take(node, &page);
-                if has_news {
-                    tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
-                }
-            }
-            Ok(Answer::Gone) => {
-                note_answer(node, "watch");
-                tracing::info!(event = "history-gone", after);
-                return;
-            }
-            Ok(other) => {
-                tracing::error!(event = "store-odd-answer", call = "watch", answer = ?other);
-                recover(node).await;
+async fn read(node: &Rc<Node>) -> bool {
+    match read_all(node).await {
+        Ok(()) => true,
+        Err(fault) => {
+            note_fault(node, "range", &fault);
+            recover(node).await;
+            false
+        }
+    }
+}
+
+fn own_name(node: &Node) -> String {
+    node.settings.borrow().instance.clone()
+}
+
+/// The nodes that watch for this node's availability zone.
+fn watchers(node: &Node) -> Vec<(String, SocketAddr)> {
+    let view = node.view.borrow();
+    let settings = node.settings.borrow();
+    let nodes = view.nodes.iter();
+    let nodes = nodes.map(|(name, peer)| (name.as_str(), peer.zone.as_str()));
+    watcher::choose(&settings.zone, nodes)
+        .into_iter()
+        .map(|name| (name.to_owned(), view.nodes[name].address))
+        .collect()
+}
+
+/// Asks the watchers in turn; returns whether one of them is fresh.
+async fn follow_watcher(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> bool {
+    for (name, address) in watchers {
+        let after = node.view.borrow().revision;
+        match peer::news(node, *address, after).await {
+            Ok(news) if news.is_whole && news.age_ms <= watcher::FRESH_MS => {
+                take_news(node, &news);
+                return true;
             }
-            Err(fault) => {
-                note_fault(node, "watch", &fault);
-                recover(node).await;
+            Ok(news) => tracing::info!(
+                event = "watcher-stale",
+                peer = name,
+                age_ms = news.age_ms,
+                whole = news.is_whole,
+                after
+            ),
+            Err(error) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
+        }
+    }
+    false
+}
+
+fn take_news(node: &Node, news: &News) {
+    let mut view = node.view.borrow_mut();
+    for item in &news.items {
+        view.apply(now(), &*node.platform, item);
+    }
+    view.revision = view.revision.max(news.revision);
+    let is_back = view.outage.answer(now());
+    drop(view);
+    if is_back {
+        tracing::info!(event = "store-regained", call = "watcher");
+    }
+    note_view(node);
+}
+
+/// Makes one waiting call at the store; `for_others` if other nodes ask this one.
+async fn watch(node: &Rc<Node>, for_others: bool) -> Step {
+    let (after, is_away) = {
+        let view = node.view.borrow();
+        (view.revision, view.outage.is_away())
+    };
+    let wait_ms = match (is_away, for_others) {
+        (true, _) => PROBE_MS,
+        (false, true) => watcher::WAIT_MS,
+        (false, false) => WAIT_MS,
+    };
+    let call = Call::Watch {
+        prefix: ALL,
+        after,
+        wait_ms,
+    };
+    match answer(node, &call, is_away).await {
+        Ok(Answer::Page(page)) => {
+            note_answer(node, "watch");
+            let has_news = !page.items.is_empty();
+            take(node, &page);
+            if has_news {
+                tokio::time::sleep(Duration::from_millis(GATHER_MS)).await;
             }
         }
+        Ok(Answer::Gone) => {
+            note_answer(node, "watch");
+            tracing::info!(event = "history-gone", after);
+            return Step::Gone;
+        }
+        Ok(other) => {
+            tracing::error!(event = "store-odd-answer", call = "watch", answer = ?other);
+            recover(node).await;
+        }
+        Err(fault) => {
+            note_fault(node, "watch", &fault);
+            recover(node).await;
+        }
     }
+    Step::On
 }
 
 /// Makes a call; while the store is away a peer is asked at the same time, so that
@@ -139,6 +232,7 @@
 }
 
 fn note_answer(node: &Node, kind: &str) {
+    node.store_answered.set(now());
     node.metrics
         .store
         .with_label_values(&[kind, "answered"])
@@ -159,9 +253,10 @@
     }
 }
 
-/// Brings the gauges up to what is in force.
+/// Brings the gauges and those who ask this node up to what is in force.
 pub fn note_view(node: &Node) {
     let view = node.view.borrow();
+    node.changes.send_replace(view.revision);
     let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
     node.metrics.revision.set(gauge(view.revision));
     let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -9,7 +9,7 @@
 use crate::edge::{Answer, Call};
 use crate::node::Node;
 use crate::store::Fault;
-use crate::view::NODES;
+use crate::view::{NODES, Peer};
 
 /// Milliseconds that the lease lasts: three renewals may fail.
 const LEASE_MS: u64 = 16_000;
@@ -31,21 +31,21 @@
 }
 
 async fn enter(node: &Node) -> Result<Option<u64>, Fault> {
-    let (key, address, ttl_ms) = {
+    let (key, value, ttl_ms) = {
         let settings = node.settings.borrow();
         let key = format!("{NODES}{}", settings.instance);
-        (
-            key,
-            settings.peers.to_string(),
-            settings.lease_ms.max(LEASE_MS),
-        )
+        let peer = Peer {
+            address: settings.peers,
+            zone: settings.zone.clone(),
+        };
+        (key, peer.value(), settings.lease_ms.max(LEASE_MS))
     };
     let Answer::Done(lease) = node.store.call(&Call::Grant { ttl_ms }).await? else {
         return Ok(None);
     };
     let put = Call::Put {
         key: &key,
-        value: &address,
+        value: &value,
         revision: None,
         lease: Some(lease),
     };
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::budget::Budget;
 use fescuerack_core::routed::crash::Suspects;
 use fescuerack_core::routed::load::{Hub, Others};
@@ -13,6 +14,9 @@
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
+use tokio::sync::watch;
+
+use crate::clock::now;
 use crate::edge::Platform;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
@@ -70,6 +74,10 @@
     pub hub: RefCell<Hub>,
     /// Usual times until the head.
     pub usual: RefCell<HashMap<u64, Usual>>,
+    /// Tells that the view has followed the store up to a revision.
+    pub changes: watch::Sender<u64>,
+    /// When the store last answered, to this node or to the watcher that it asked.
+    pub store_answered: Cell<Instant>,
     /// Whether the process is stopping.
     pub is_stopping: Cell<bool>,
     /// Metrics.
@@ -101,9 +109,18 @@
             others: RefCell::default(),
             hub: RefCell::default(),
             usual: RefCell::default(),
+            changes: watch::Sender::new(0),
+            store_answered: Cell::new(Instant::ORIGIN),
             is_stopping: Cell::new(false),
             metrics: Metrics::new()?,
             random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
         })
     }
+
+    /// Milliseconds since the store last answered.
+    #[must_use]
+    pub fn store_age_ms(&self) -> u64 {
+        let age = now().since(self.store_answered.get());
+        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+    }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -8,6 +8,8 @@
 //! - the store does not answer this node: it asks any peer for what is newer;
 //! - requests run: each node tells the hub of its group what it has on each server
 //!   ([`load`]);
+//! - an availability zone is large: most of its nodes ask those that watch the store
+//!   ([`watcher`]);
 //! - a roll-out runs: each node tells the collector of its service, which all
 //!   nodes work out alike from the list of nodes, once a second.
 
@@ -21,7 +23,7 @@
 use bytes::Bytes;
 use fescuerack_core::routed::session::Recent;
 use fescuerack_core::routed::trial::{self, Counts};
-use fescuerack_core::routed::{home, load};
+use fescuerack_core::routed::{home, load, watcher};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -39,6 +41,10 @@
 
 /// Path of an exchange.
 const PATH: &str = "/exchange";
+/// Path on which a watcher is asked.
+const FOLLOW: &str = "/follow";
+/// What a question to a watcher gets besides its wait there.
+const WATCHER_MARGIN: Duration = Duration::from_millis(300);
 /// Path on which a hub is told of work.
 const LOAD: &str = "/load";
 /// Longest time that an exchange may take.
@@ -113,6 +119,53 @@
     }
 }
 
+/// What a node asks a watcher.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+struct Question {
+    /// Revision that it would go on from.
+    after: u64,
+}
+
+/// What a watcher answers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// Items that changed.
+    pub items: Vec<Item>,
+    /// Revision up to which the watcher has followed the store.
+    pub revision: u64,
+    /// Milliseconds since the store last answered the watcher.
+    pub age_ms: u64,
+    /// Whether the watcher remembers every change since the asked revision.
+    pub is_whole: bool,
+}
+
+/// Asks a watcher for what changed after `after`; waits there for news.
+///
+/// # Errors
+///
+/// When no answer comes in time.
+pub async fn news(node: &Node, address: SocketAddr, after: u64) -> anyhow::Result<News> {
+    let patience = Duration::from_millis(watcher::ASK_MS) + WATCHER_MARGIN;
+    let question = Question { after };
+    tokio::time::timeout(patience, ask(node, address, FOLLOW, &question)).await?
+}
+
+/// Waits for news and tells them.
+async fn tell_news(node: &Node, question: Question) -> News {
+    let mut changes = node.changes.subscribe();
+    let wait = Duration::from_millis(watcher::ASK_MS);
+    let has_news = changes.wait_for(|revision| *revision > question.after);
+    // Without news the answer says how fresh the watcher is.
+    let _ = tokio::time::timeout(wait, has_news).await;
+    let view = node.view.borrow();
+    News {
+        items: view.since(question.after),
+        revision: view.revision,
+        age_ms: node.store_age_ms(),
+        is_whole: view.remembers(question.after),
+    }
+}
+
 /// What a node tells its hub.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Work {
@@ -176,12 +229,12 @@
         .max(1);
     let group = |name: &str| home::hash(name.as_bytes()) % groups;
     let mine = group(&own);
-    let (name, address) = view
+    let (name, peer) = view
         .nodes
         .iter()
         .filter(|(name, _)| group(name) == mine)
         .max_by_key(|(name, _)| home::mix(home::hash(name.as_bytes())))?;
-    (*name != own).then(|| (name.clone(), *address))
+    (*name != own).then(|| (name.clone(), peer.address))
 }
 
 /// The node that gathers the counts of a service; `None` if it is this one.
@@ -190,8 +243,8 @@
     let view = node.view.borrow();
     let own = node.settings.borrow().instance.clone();
     let rank = |name: &str| home::mix(home::hash(name.as_bytes()) ^ home::hash(service.as_bytes()));
-    let (name, address) = view.nodes.iter().max_by_key(|(name, _)| rank(name))?;
-    (*name != own).then(|| (name.clone(), *address))
+    let (name, peer) = view.nodes.iter().max_by_key(|(name, _)| rank(name))?;
+    (*name != own).then(|| (name.clone(), peer.address))
 }
 
 fn others(node: &Node) -> Vec<(String, SocketAddr)> {
@@ -199,7 +252,7 @@
     let view = node.view.borrow();
     let others = view.nodes.iter().filter(|(name, _)| **name != own);
     others
-        .map(|(name, address)| (name.clone(), *address))
+        .map(|(name, peer)| (name.clone(), peer.address))
         .collect()
 }
 
@@ -335,6 +388,10 @@
             let sum = node.hub.borrow_mut().tell(now(), &work.node, work.table);
             serde_json::to_vec(&sum)
         }),
+        FOLLOW => match serde_json::from_slice(&body) {
+            Ok(question) => serde_json::to_vec(&tell_news(&node, question).await),
+            Err(error) => Err(error),
+        },
         _ => return Ok(plain(StatusCode::NOT_FOUND)),
     };
     match answer {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -57,6 +57,31 @@
     pub is_halted: bool,
 }
 
+/// Another node's entry, or this node's own.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Where it listens for nodes.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: String,
+}
+
+impl Peer {
+    /// Returns the entry's value in the store.
+    #[must_use]
+    pub fn value(&self) -> String {
+        format!("{} {}", self.address, self.zone)
+    }
+
+    fn new(value: &str) -> Option<Self> {
+        let (address, zone) = value.split_once(' ')?;
+        Some(Self {
+            address: address.parse().ok()?,
+            zone: zone.to_owned(),
+        })
+    }
+}
+
 /// The view.
 #[derive(Debug, Default)]
 pub struct View {
@@ -66,8 +91,8 @@
     pub servers: HashMap<Arc<str>, Server>,
     /// Roll-outs by service.
     pub orders: BTreeMap<Arc<str>, Order>,
-    /// Other nodes and their addresses.
-    pub nodes: BTreeMap<String, SocketAddr>,
+    /// All nodes by name, this one included once it has heard of its own entry.
+    pub nodes: BTreeMap<String, Peer>,
     /// Outages of the store.
     pub outage: Outage,
     /// Revision up to which the store was followed without a gap. Items that were
@@ -75,6 +100,8 @@
     /// still to be heard.
     pub revision: u64,
     items: HashMap<String, Item>,
+    /// Highest revision of a removal that is no longer remembered.
+    forgotten: u64,
 }
 
 impl View {
@@ -127,6 +154,12 @@
         self.revision = self.revision.max(revision);
     }
 
+    /// Whether [`since`](Self::since) tells every change after `revision`.
+    #[must_use]
+    pub const fn remembers(&self, revision: u64) -> bool {
+        revision >= self.forgotten
+    }
+
     /// Returns the items that changed after `revision`.
     #[must_use]
     pub fn since(&self, revision: u64) -> Vec<Item> {
@@ -163,6 +196,7 @@
         }
         revisions.sort_unstable();
         let oldest = revisions[revisions.len() - REMOVED / 2];
+        self.forgotten = oldest;
         self.items
             .retain(|_, item| item.value.is_some() || item.revision >= oldest);
     }
@@ -296,9 +330,9 @@
         let Some(name) = item.key.strip_prefix(NODES) else {
             return;
         };
-        let address = item.value.as_deref().and_then(|value| value.parse().ok());
-        match address {
-            Some(address) => self.nodes.insert(name.to_owned(), address),
+        let peer = item.value.as_deref().and_then(Peer::new);
+        match peer {
+            Some(peer) => self.nodes.insert(name.to_owned(), peer),
             None => self.nodes.remove(name),
         };
     }
