Doubt answers less while the large model's engines are pressed

Change: the confidence below which an answer is asked for again falls with the mean work of the engines that would run the large model.

--- a/crates/core/src/routed/tier.rs
+++ b/crates/core/src/routed/tier.rs
@@ -17,6 +17,14 @@
 /// have room: 0.719 of a quiet day's worth at 50, 0.701 at 40, 0.704 at 60.
 pub const THRESHOLD: u8 = 50;
 
+/// Pressure up to which the threshold stands: less than a long prompt at each server.
+pub const CALM: f64 = 25.0;
+/// Pressure from which only [`LEAST`] of it stands: four long prompts at each server, so
+/// that another waits for two seconds and more.
+pub const FULL: f64 = 130.0;
+/// Part of the threshold that stands whatever the pressure.
+pub const LEAST: f64 = 0.3;
+
 /// Returns the model to ask first, as an index into a list ordered by size.
 #[must_use]
 pub const fn first(models: usize) -> Option<usize> {
@@ -26,13 +34,20 @@
 /// Returns the model to ask next when `model` has answered with `confidence`, or
 /// `None` when the answer should stand.
 ///
-/// `room` is the share of the larger model's time that is left, from 0 to 1.
+/// `pressure` is the mean work, in requests of usual size, of the servers that would run
+/// the larger model.
 #[must_use]
-pub fn next(models: usize, model: usize, confidence: Option<u8>, room: f64) -> Option<usize> {
+pub fn next(models: usize, model: usize, confidence: Option<u8>, pressure: f64) -> Option<usize> {
     let largest = models.checked_sub(1)?;
     if model >= largest {
         return None;
     }
-    let doubted = f64::from(confidence?) < f64::from(THRESHOLD) * room.clamp(0.0, 1.0);
+    let doubted = f64::from(confidence?) < f64::from(THRESHOLD) * room(pressure);
     doubted.then_some(largest)
 }
+
+/// Part of the threshold that stands under `pressure`.
+fn room(pressure: f64) -> f64 {
+    let over = (pressure - CALM) / (FULL - CALM);
+    1.0 - over.clamp(0.0, 1.0) * (1.0 - LEAST)
+}
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -7,6 +7,7 @@
 
 use fescuerack_core::routed::home::{self, Candidate};
 
+use crate::attempt::Job;
 use crate::catalog::{Kind, Route};
 use crate::clock::now;
 use crate::edge::{Ask, Progress, State};
@@ -204,6 +205,30 @@
     })
 }
 
+/// Mean work, in requests of usual size, of the servers that would run a request on the
+/// model at `rank`; `None` if there is none.
+#[must_use]
+pub fn pressure(node: &Node, job: &Job, service: &Arc<str>, rank: usize) -> Option<f64> {
+    let now = now();
+    let view = node.view.borrow();
+    let others = node.others.borrow();
+    let models = &job.route.models;
+    let mut listed = eligible(node, &view, service, Some(&models[rank]), job.session, &[]);
+    listed.sort_by_key(|server| home::mix(server.identity));
+    let is_light = reading(&job.ask, Some((rank, models.len()))) < LIGHT;
+    let count = listed.len();
+    let loads: Vec<f64> = listed
+        .iter()
+        .enumerate()
+        .filter(|(place, _)| home::suits(*place, count, is_light))
+        .map(|(_, server)| server.work + others.work(now, server.identity))
+        .collect();
+    let servers = u32::try_from(loads.len())
+        .ok()
+        .filter(|servers| *servers > 0)?;
+    Some(loads.iter().sum::<f64>() / f64::from(servers))
+}
+
 /// Servers that may run the request: listed as ready, of an allowed version, with
 /// the model.
 fn eligible<'a>(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -410,27 +410,15 @@
     let status = headed.answered.response.status();
     if let Some(rank) = course.model
         && status.is_success()
-        && let Some(next) = tier::next(job.route.models.len(), rank, headed.head.confidence, 1.0)
+        && let Some(next) = doubted(node, job, service, rank, headed.head.confidence)
         && further(node, job, service, course.sent, "weak")
     {
-        tracing::info!(
-            event = "weak-answer",
-            id = job.ask.id,
-            model = rank,
-            next,
-            confidence = headed.head.confidence
-        );
         node.metrics
             .dropped_answers
             .with_label_values(&[&*job.route.name])
             .inc();
-        count(
-            node,
-            job,
-            &headed.pick,
-            course.model,
-            Ended::Well(headed.head_ms),
-        );
+        let ended = Ended::Well(headed.head_ms);
+        count(node, job, &headed.pick, course.model, ended);
         course.model = Some(next);
         return Judged::Again;
     }
@@ -442,6 +430,28 @@
     whole(node, job, service, course, headed).await
 }
 
+/// The model to ask because the answer of the model at `rank` is doubted.
+fn doubted(
+    node: &Node,
+    job: &Job,
+    service: &Arc<str>,
+    rank: usize,
+    confidence: Option<u8>,
+) -> Option<usize> {
+    let models = job.route.models.len();
+    let pressure = pick::pressure(node, job, service, models.checked_sub(1)?).unwrap_or_default();
+    let next = tier::next(models, rank, confidence, pressure);
+    tracing::info!(
+        event = "judged-answer",
+        id = job.ask.id,
+        model = rank,
+        confidence,
+        pressure,
+        next
+    );
+    next
+}
+
 /// Reads a plain answer whole, so that one that breaks off can be asked for again.
 async fn whole(
     node: &Rc<Node>,
