Nodes that others watch for try a lost store less often; threshold by pressure from 30 to 75

Change: a node whose zone has watchers asks these first and tries the store itself every 0.8 to 2.4 s.

--- a/crates/core/src/routed/tier.rs
+++ b/crates/core/src/routed/tier.rs
@@ -18,12 +18,12 @@
 pub const THRESHOLD: u8 = 50;
 
 /// Pressure up to which the threshold stands: less than a long prompt at each server.
-pub const CALM: f64 = 25.0;
+pub const CALM: f64 = 30.0;
 /// Pressure from which only [`LEAST`] of it stands: four long prompts at each server, so
 /// that another waits for two seconds and more.
-pub const FULL: f64 = 130.0;
+pub const FULL: f64 = 75.0;
 /// Part of the threshold that stands whatever the pressure.
-pub const LEAST: f64 = 0.3;
+pub const LEAST: f64 = 0.2;
 
 /// Returns the model to ask first, as an index into a list ordered by size.
 #[must_use]
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -32,6 +32,9 @@
 const PROBE_MS: u64 = 50;
 /// Milliseconds between tries while the store is away.
 const RETRY_MS: u64 = 350;
+/// Milliseconds between tries of a node that others watch for: the watchers' tries
+/// suffice, but for a node that cannot reach them.
+const PATIENT_RETRY_MS: u64 = 1_600;
 /// Milliseconds for which a node watches for itself after no watcher was fresh.
 const OWN_MS: u64 = 3_000;
 /// Everything in the store concerns the gateway.
@@ -56,7 +59,10 @@
             continue;
         }
         let watchers = watchers(&node);
-        if now() >= own_until && watchers.iter().all(|(name, _)| *name != own_name(&node)) {
+        let is_away = node.view.borrow().outage.is_away();
+        if (is_away || now() >= own_until)
+            && watchers.iter().all(|(name, _)| *name != own_name(&node))
+        {
             if follow_watcher(&node, &watchers).await {
                 continue;
             }
@@ -64,7 +70,7 @@
                 own_until = now().plus_millis(OWN_MS);
             }
         }
-        has_read = watch(&node, !watchers.is_empty()).await == Step::On;
+        has_read = watch(&node, &watchers).await == Step::On;
     }
 }
 
@@ -73,7 +79,7 @@
         Ok(()) => true,
         Err(fault) => {
             note_fault(node, "range", &fault);
-            recover(node).await;
+            recover(node, RETRY_MS).await;
             false
         }
     }
@@ -131,13 +137,15 @@
     note_view(node);
 }
 
-/// Makes one waiting call at the store; `for_others` if other nodes ask this one.
-async fn watch(node: &Rc<Node>, for_others: bool) -> Step {
+/// Makes one waiting call at the store, in short waits in a zone that has `watchers`.
+async fn watch(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> Step {
+    let own = own_name(node);
+    let is_watched_for = !watchers.is_empty() && watchers.iter().all(|(name, _)| *name != own);
     let (after, is_away) = {
         let view = node.view.borrow();
         (view.revision, view.outage.is_away())
     };
-    let wait_ms = match (is_away, for_others) {
+    let wait_ms = match (is_away, !watchers.is_empty()) {
         (true, _) => PROBE_MS,
         (false, true) => watcher::WAIT_MS,
         (false, false) => WAIT_MS,
@@ -163,11 +171,16 @@
         }
         Ok(other) => {
             tracing::error!(event = "store-odd-answer", call = "watch", answer = ?other);
-            recover(node).await;
+            recover(node, RETRY_MS).await;
         }
         Err(fault) => {
             note_fault(node, "watch", &fault);
-            recover(node).await;
+            let retry_ms = if is_watched_for {
+                PATIENT_RETRY_MS
+            } else {
+                RETRY_MS
+            };
+            recover(node, retry_ms).await;
         }
     }
     Step::On
@@ -226,9 +239,9 @@
 }
 
 /// Waits a little, not as long as the others do.
-async fn recover(node: &Rc<Node>) {
-    let spread = node.random.borrow_mut().random_range(0..RETRY_MS);
-    tokio::time::sleep(Duration::from_millis(RETRY_MS / 2 + spread)).await;
+async fn recover(node: &Rc<Node>, retry_ms: u64) {
+    let spread = node.random.borrow_mut().random_range(0..retry_ms);
+    tokio::time::sleep(Duration::from_millis(retry_ms / 2 + spread)).await;
 }
 
 fn note_answer(node: &Node, kind: &str) {
