A slow version and one that fails under load are found on trial

Change: time between events is compared with the old version's; the share goes to so few servers that they are at least as busy as they will be.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -40,12 +40,35 @@
 /// How long answers usually take, by route, model and version's side.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Usual {
-    /// Mean of milliseconds until the head.
-    pub head_ms: f64,
-    /// Answers in the mean, up to a bound.
+    /// Until the head.
+    pub head: Mean,
+    /// Between events.
+    pub event: Mean,
+}
+
+/// A mean in which the newest values weigh most.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Mean {
+    /// Milliseconds.
+    pub millis: f64,
+    /// Values in the mean, up to a bound.
     pub count: u32,
 }
 
+impl Mean {
+    /// Weight of the newest value, once there are many.
+    const NEWEST: f64 = 0.1;
+    /// Values that are counted at most.
+    const MOST: u32 = 1_000;
+
+    /// Takes in a value.
+    pub fn add(&mut self, millis: f64) {
+        self.count = (self.count + 1).min(Self::MOST);
+        let weight = (1.0 / f64::from(self.count)).max(Self::NEWEST);
+        self.millis += weight * (millis - self.millis);
+    }
+}
+
 /// One node. Everything runs on one thread, so that state needs no lock.
 pub struct Node {
     /// Settings.
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -263,11 +263,26 @@
         .copied()
         .collect();
     if prefers_new(node, order, session) && !new.is_empty() {
-        return new;
+        let is_trial = order.progress != Some(Progress::Completed);
+        return if is_trial {
+            on_trial(node, order, new)
+        } else {
+            new
+        };
     }
     old
 }
 
+/// The servers of a version on trial that get its share of the traffic, healthy ones
+/// first; all nodes agree on them.
+fn on_trial<'a>(node: &Node, order: &Order, mut new: Vec<&'a Server>) -> Vec<&'a Server> {
+    let now = now();
+    let busy = trials::trial(node, order).servers(new.len());
+    new.sort_by_key(|server| (!server.health.is_in(now), home::mix(server.identity)));
+    new.truncate(busy);
+    new
+}
+
 fn prefers_new(node: &Node, order: &Order, session: u64) -> bool {
     match order.progress {
         Some(Progress::Completed) => true,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescuerack_core::clock::Instant;
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use hyper::Response;
@@ -22,12 +23,14 @@
 use crate::node::Node;
 use crate::pick;
 use crate::request;
-use crate::trials::Ended;
+use crate::trials::{Ended, Pace};
 
 /// Frames that wait for a slow caller before the server is made to wait.
 const FRAMES: usize = 16;
 /// How many times the longest pause on time a server may be silent between events.
 const SILENCE: f64 = 1.6;
+/// Events from which the time between them says something.
+const FEWEST_EVENTS: u32 = 4;
 /// Milliseconds of silence that are borne where the route states no longest pause.
 const SILENCE_MS: u64 = 5_000;
 
@@ -117,15 +120,15 @@
         loop {
             let pick = headed.pick.clone();
             let head_ms = headed.head_ms;
+            let (headed_at, events) = (now(), self.splitter.count());
             match self.part(headed, sender).await {
                 Part::Done => {
-                    request::count(
-                        &self.node,
-                        &self.job,
-                        &pick,
-                        self.model,
-                        Ended::Well(head_ms),
-                    );
+                    let pace = Pace {
+                        head_ms,
+                        event_ms: self.event_ms(headed_at, events),
+                    };
+                    let ended = Ended::Well(pace);
+                    request::count(&self.node, &self.job, &pick, self.model, ended);
                     self.node.suspects.borrow_mut().ended_well(self.job.digest);
                     return Ok("whole");
                 }
@@ -184,6 +187,13 @@
         Part::Done
     }
 
+    /// Milliseconds between the events since `from`, when `before` had been passed on.
+    fn event_ms(&self, from: Instant, before: u64) -> Option<f64> {
+        let events = u32::try_from(self.splitter.count() - before).ok()?;
+        let passed = now().since(from).as_secs_f64() * 1_000.0;
+        (events >= FEWEST_EVENTS).then(|| passed / f64::from(events))
+    }
+
     fn silence(&self) -> Duration {
         let route = &self.job.route;
         if !route.resumable {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -27,7 +27,7 @@
 use crate::pick::{self, Pick};
 use crate::refusal::Refusal;
 use crate::relay;
-use crate::trials::{self, Ended};
+use crate::trials::{self, Ended, Pace};
 
 /// Milliseconds that a caller is thought to wait if neither it nor the route says.
 const WAIT_MS: u64 = 60_000;
@@ -417,7 +417,10 @@
             .dropped_answers
             .with_label_values(&[&*job.route.name])
             .inc();
-        let ended = Ended::Well(headed.head_ms);
+        let ended = Ended::Well(Pace {
+            head_ms: headed.head_ms,
+            event_ms: None,
+        });
         count(node, job, &headed.pick, course.model, ended);
         course.model = Some(next);
         return Judged::Again;
@@ -463,7 +466,10 @@
     let (mut head, body) = headed.answered.response.into_parts();
     let collected = Limited::new(body, MOST_WHOLE).collect().await;
     let ended = if collected.is_ok() && !head.status.is_server_error() {
-        Ended::Well(headed.head_ms)
+        Ended::Well(Pace {
+            head_ms: headed.head_ms,
+            event_ms: None,
+        })
     } else {
         Ended::Badly
     };
