Ask the watchers before each try while the store is away, with short pauses

Nodes that the store turns away learn from watchers and peers, so asking those must not become rarer. Change: back to asking watchers while the store is away, and the same short pause for all nodes. The metrics of the gateway have a page of their own, since a test compares the other page with the node's counters.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -32,13 +32,10 @@
 const PROBE_MS: u64 = 50;
 /// Milliseconds between tries while the store is away.
 const RETRY_MS: u64 = 350;
-/// Milliseconds between tries of a node that others watch for: the watchers' tries
-/// suffice, but for a node that cannot reach them.
-const PATIENT_RETRY_MS: u64 = 800;
-/// Milliseconds for which a node watches for itself after no watcher was fresh. Asking two
-/// watchers that do not answer takes 1.4 s, in which the node does not hear that the store
-/// is back; with a try of its own and the pause after it that must stay rare.
-const OWN_MS: u64 = 6_000;
+/// Milliseconds for which a node watches for itself after no watcher was fresh. While the
+/// store is away it asks the watchers before each try of its own: the store may turn this
+/// node away and serve them.
+const OWN_MS: u64 = 3_000;
 /// Everything in the store concerns the gateway.
 const ALL: &str = "";
 
@@ -61,7 +58,10 @@
             continue;
         }
         let watchers = watchers(&node);
-        if now() >= own_until && watchers.iter().all(|(name, _)| *name != own_name(&node)) {
+        let is_away = node.view.borrow().outage.is_away();
+        if (is_away || now() >= own_until)
+            && watchers.iter().all(|(name, _)| *name != own_name(&node))
+        {
             if follow_watcher(&node, &watchers).await {
                 continue;
             }
@@ -78,7 +78,7 @@
         Ok(()) => true,
         Err(fault) => {
             note_fault(node, "range", &fault);
-            recover(node, RETRY_MS).await;
+            recover(node).await;
             false
         }
     }
@@ -138,8 +138,6 @@
 
 /// Makes one waiting call at the store, in short waits in a zone that has `watchers`.
 async fn watch(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> Step {
-    let own = own_name(node);
-    let is_watched_for = !watchers.is_empty() && watchers.iter().all(|(name, _)| *name != own);
     let (after, is_away) = {
         let view = node.view.borrow();
         (view.revision, view.outage.is_away())
@@ -170,16 +168,11 @@
         }
         Ok(other) => {
             tracing::error!(event = "store-odd-answer", call = "watch", answer = ?other);
-            recover(node, RETRY_MS).await;
+            recover(node).await;
         }
         Err(fault) => {
             note_fault(node, "watch", &fault);
-            let retry_ms = if is_watched_for {
-                PATIENT_RETRY_MS
-            } else {
-                RETRY_MS
-            };
-            recover(node, retry_ms).await;
+            recover(node).await;
         }
     }
     Step::On
@@ -238,9 +231,9 @@
 }
 
 /// Waits a little, not as long as the others do.
-async fn recover(node: &Rc<Node>, retry_ms: u64) {
-    let spread = node.random.borrow_mut().random_range(0..retry_ms);
-    tokio::time::sleep(Duration::from_millis(retry_ms / 2 + spread)).await;
+async fn recover(node: &Rc<Node>) {
+    let spread = node.random.borrow_mut().random_range(0..RETRY_MS);
+    tokio::time::sleep(Duration::from_millis(RETRY_MS / 2 + spread)).await;
 }
 
 fn note_answer(node: &Node, kind: &str) {
--- a/crates/gateway/tests/all/metrics.rs
+++ b/crates/gateway/tests/all/metrics.rs
@@ -22,7 +22,7 @@
         .filter_map(|line| line.strip_prefix("# TYPE "))
         .filter_map(|line| line.split(' ').next())
         .collect();
-    let page = include_str!("../../../../docs/METRICS.md");
+    let page = include_str!("../../../../docs/METRICS-GATEWAY.md");
     let listed: Vec<&str> = page
         .lines()
         .filter_map(|line| line.strip_prefix("| `fescuerack_"))
