--- a/crates/core/src/routed/budget.rs
+++ b/crates/core/src/routed/budget.rs
@@ -4,7 +4,7 @@
 //! once more, so that the service gets twice its load just when it can bear
 //! least. The bound holds over all nodes together and a sliding window, yet no
 //! message is spent on it: each node takes a fixed part of its own requests and
-//! its part of the fixed allowance. The sum over nodes then stays below the
+//! its part of the fixed slack. The sum over nodes then stays below the
 //! bound whatever the nodes know of each other, as long as none of them
 //! underestimates their number by more than [`CAUTION`].
 
@@ -13,7 +13,7 @@
 use crate::clock::Instant;
 
 /// Factor by which the number of nodes may be underestimated: nodes that start
-/// are counted only once they are seen. Half of the allowance covers a doubling.
+/// are counted only once they are seen. Half of the slack covers a doubling.
 pub const CAUTION: f64 = 2.0;
 /// Part of the ratio that is used; the rest covers that windows of different
 /// nodes do not end at the same moment.
--- /dev/null
+++ b/crates/gateway/src/intake.rs
@@ -0,0 +1,126 @@
+//! Taking in a caller's request: its route, its key, and its body within limits.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use fescuerack_core::clock::Instant;
+use fescuerack_core::routed::home;
+use http_body_util::{BodyExt as _, Limited};
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::header::HOST;
+
+use crate::attempt::Job;
+use crate::catalog::{Catalog, Limits, Organisation, Route};
+use crate::clock::deadline;
+use crate::edge::Ask;
+use crate::node::Node;
+use crate::pick;
+use crate::refusal::Refusal;
+
+/// A request whose head may be served.
+pub struct Admitted {
+    /// Route.
+    pub route: Arc<Route>,
+    organisation: Option<Arc<str>>,
+    priority: Option<u32>,
+    limits: Limits,
+}
+
+/// Finds the route and the organisation of a request by its head.
+///
+/// # Errors
+///
+/// When no configuration is known yet, no route matches or the key is not known.
+pub fn admit(node: &Node, request: &Request<Incoming>, ask: &Ask) -> Result<Admitted, Refusal> {
+    let catalog = node
+        .view
+        .borrow()
+        .catalog
+        .clone()
+        .ok_or(Refusal::NotReady)?;
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok())
+        .or(request.uri().host())
+        .unwrap_or_default();
+    let route = catalog
+        .route(host, request.uri().path())
+        .ok_or(Refusal::NoRoute)?
+        .clone();
+    let organisation = authorise(&catalog, &route, ask)?;
+    Ok(Admitted {
+        route,
+        priority: organisation.as_ref().and_then(|one| one.priority),
+        organisation: organisation.map(|one| one.name.clone()),
+        limits: catalog.limits,
+    })
+}
+
+fn authorise(
+    catalog: &Catalog,
+    route: &Route,
+    ask: &Ask,
+) -> Result<Option<Arc<Organisation>>, Refusal> {
+    let organisation = ask
+        .key
+        .as_deref()
+        .and_then(|key| catalog.organisation(key))
+        .cloned();
+    if organisation.is_none() && !route.public && !catalog.organisations.is_empty() {
+        return Err(Refusal::NoKey);
+    }
+    Ok(organisation)
+}
+
+/// Reads the body of a request until `until`.
+///
+/// # Errors
+///
+/// When the body is too large, breaks off or does not come in time.
+pub async fn read(
+    request: Request<Incoming>,
+    admitted: Admitted,
+    ask: Ask,
+    arrived: Instant,
+    until: Instant,
+) -> Result<Job, Refusal> {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, admitted.limits.body_bytes).collect();
+    let body = match tokio::time::timeout_at(deadline(until), body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            return Err(Refusal::TooLarge);
+        }
+        Ok(Err(_)) => return Err(Refusal::NoBody),
+        // Nothing was sent to any server.
+        Err(_) => return Err(Refusal::NotRun),
+    };
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str())
+        .parse()
+        .map_err(|_| Refusal::NoBody)?;
+    let organisation = admitted.organisation;
+    Ok(Job {
+        session: pick::session(&ask, organisation.as_deref()),
+        digest: digest(organisation.as_deref(), head.uri.path(), &body),
+        route: admitted.route,
+        organisation,
+        priority: admitted.priority,
+        ask,
+        method: head.method,
+        target,
+        headers: head.headers,
+        body,
+        arrived,
+        deadline: until,
+    })
+}
+
+fn digest(organisation: Option<&str>, path: &str, body: &Bytes) -> u64 {
+    let caller = home::hash(organisation.unwrap_or_default().as_bytes());
+    home::mix(home::mix(caller ^ home::hash(path.as_bytes())) ^ home::hash(body))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! and formats an adapter supplies. [`process`] starts the tasks of a
 //! [`node`]: [`front`] listens, [`follow`] keeps the [`view`] of what is in force,
 //! [`member`] and [`peer`] find and tell other nodes, [`trials`] judges roll-outs.
-//! A request goes through [`request`], which takes one [`attempt`] after another at
+//! A request is taken in by [`intake`] and goes through [`request`], which takes one [`attempt`] after another at
 //! servers that [`pick`] names, and [`relay`] for streams. All of them use one
 //! client, [`upstream`]. What is decided under load is in `fescuerack_core::routed`.
 
@@ -17,6 +17,7 @@
 pub mod follow;
 pub mod front;
 pub mod headers;
+pub mod intake;
 pub mod logs;
 pub mod member;
 pub mod metrics;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -8,21 +8,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::{home, tier};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use hyper::header::HOST;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use rand::RngExt as _;
 
 use crate::attempt::{self, Headed, Job, NotRun, Tried};
 use crate::body::Answer;
-use crate::catalog::{Catalog, Kind, Limits, Route};
+use crate::catalog::Kind;
 use crate::clock::{deadline, now};
-use crate::edge::Ask;
 use crate::headers;
+use crate::intake;
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::refusal::Refusal;
@@ -55,13 +53,13 @@
     let mut deadline = arrived.plus_millis(ask.wait_ms.unwrap_or(WAIT_MS));
     wait_for_configuration(&node, arrived).await;
     let mut name: Arc<str> = Arc::from("");
-    let result = match admit(&node, &request, &ask) {
+    let result = match intake::admit(&node, &request, &ask) {
         Ok(admitted) => {
             name = admitted.route.name.clone();
             if let Some(timeout_ms) = admitted.route.timeout_ms {
                 deadline = deadline.min(arrived.plus_millis(timeout_ms));
             }
-            match read(request, admitted, ask, arrived, deadline).await {
+            match intake::read(request, admitted, ask, arrived, deadline).await {
                 Ok(job) => route(&node, Rc::new(job)).await,
                 Err(refusal) => Err(refusal),
             }
@@ -123,101 +121,6 @@
     response
 }
 
-struct Admitted {
-    route: Arc<Route>,
-    organisation: Option<Arc<str>>,
-    priority: Option<u32>,
-    limits: Limits,
-}
-
-fn admit(node: &Node, request: &Request<Incoming>, ask: &Ask) -> Result<Admitted, Refusal> {
-    let catalog = node
-        .view
-        .borrow()
-        .catalog
-        .clone()
-        .ok_or(Refusal::NotReady)?;
-    let host = request
-        .headers()
-        .get(HOST)
-        .and_then(|host| host.to_str().ok())
-        .or(request.uri().host())
-        .unwrap_or_default();
-    let route = catalog
-        .route(host, request.uri().path())
-        .ok_or(Refusal::NoRoute)?
-        .clone();
-    let organisation = authorise(&catalog, &route, ask)?;
-    Ok(Admitted {
-        route,
-        priority: organisation.as_ref().and_then(|one| one.priority),
-        organisation: organisation.map(|one| one.name.clone()),
-        limits: catalog.limits,
-    })
-}
-
-fn authorise(
-    catalog: &Catalog,
-    route: &Route,
-    ask: &Ask,
-) -> Result<Option<Arc<crate::catalog::Organisation>>, Refusal> {
-    let organisation = ask
-        .key
-        .as_deref()
-        .and_then(|key| catalog.organisation(key))
-        .cloned();
-    if organisation.is_none() && !route.public && !catalog.organisations.is_empty() {
-        return Err(Refusal::NoKey);
-    }
-    Ok(organisation)
-}
-
-async fn read(
-    request: Request<Incoming>,
-    admitted: Admitted,
-    ask: Ask,
-    arrived: Instant,
-    until: Instant,
-) -> Result<Job, Refusal> {
-    let (head, body) = request.into_parts();
-    let body = Limited::new(body, admitted.limits.body_bytes).collect();
-    let body = match tokio::time::timeout_at(deadline(until), body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::TooLarge);
-        }
-        Ok(Err(_)) => return Err(Refusal::NoBody),
-        // Nothing was sent to any server.
-        Err(_) => return Err(Refusal::NotRun),
-    };
-    let target = head
-        .uri
-        .path_and_query()
-        .map_or("/", |target| target.as_str())
-        .parse()
-        .map_err(|_| Refusal::NoBody)?;
-    let organisation = admitted.organisation;
-    Ok(Job {
-        session: pick::session(&ask, organisation.as_deref()),
-        digest: digest(organisation.as_deref(), head.uri.path(), &body),
-        route: admitted.route,
-        organisation,
-        priority: admitted.priority,
-        ask,
-        method: head.method,
-        target,
-        headers: head.headers,
-        body,
-        arrived,
-        deadline: until,
-    })
-}
-
-fn digest(organisation: Option<&str>, path: &str, body: &Bytes) -> u64 {
-    let caller = home::hash(organisation.unwrap_or_default().as_bytes());
-    home::mix(home::mix(caller ^ home::hash(path.as_bytes())) ^ home::hash(body))
-}
-
 /// How far a request has come.
 #[derive(Default)]
 struct Course {
