--- a/crates/core/src/routed/trial.rs
+++ b/crates/core/src/routed/trial.rs
@@ -36,8 +36,8 @@
 /// of sessions, a second apart.
 const BEGIN_MS: u64 = 2_500;
 /// Standard errors by which the new version must be worse to be rejected. With
-/// a look each second for half a minute on three routes, 3.3 rejects a good
-/// version about once in 100.
+/// a look each second for half a minute on three routes, 3.3 rejects at most three
+/// of 100 good versions in the model of the tests.
 const SURE: f64 = 3.3;
 /// Difference of the share of bad answers below which a version is not rejected.
 const WORSE: f64 = 0.08;
