A version on trial is loaded before it is completed; a crash is one failure

The played version fails half of its answers from 32 concurrent requests on; sessions that go on halve the share in the first half. The crash of the one server on trial counted once a request and rolled good versions back; a restarted node took a running order for a new one.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -38,6 +38,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the instant `millis` milliseconds earlier, or the origin.
+    #[must_use]
+    pub const fn minus_millis(self, millis: u64) -> Self {
+        Self(self.0.saturating_sub(millis.saturating_mul(1000)))
+    }
+
     /// Returns the instant `millis` milliseconds later.
     #[must_use]
     pub const fn plus_millis(self, millis: u64) -> Self {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -260,6 +260,7 @@
     tracing::info!(
         event = "attempt",
         id = job.ask.id,
+        session = format!("{:016x}", job.session),
         route = &*job.route.name,
         server = &*pick.id,
         version = &*pick.version,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -55,6 +55,9 @@
     loop {
         if !has_read {
             has_read = read(&node).await;
+            if has_read {
+                peer::join_trials(&node).await;
+            }
             continue;
         }
         let watchers = watchers(&node);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -1,7 +1,7 @@
 //! One node: its settings, what it knows, and its handles.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -24,7 +24,7 @@
 use crate::upstream::Pool;
 use crate::view::View;
 
-/// What this node has counted of one roll-out, and what it has heard of others.
+/// What this node has seen of one roll-out, and what it has heard of others.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     /// Version on trial.
@@ -35,6 +35,9 @@
     pub heard: BTreeMap<String, Counts>,
     /// Sum that a peer has told.
     pub told: Counts,
+    /// Servers of the version that broke off what they ran, by a short hash, seen by any
+    /// node.
+    pub crashed: BTreeSet<u32>,
 }
 
 /// How long answers usually take, by route, model and version's side.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -13,7 +13,7 @@
 //! - a roll-out runs: each node tells the collector of its service, which all
 //!   nodes work out alike from the list of nodes, once a second.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 
 use bytes::Bytes;
 use fescuerack_core::routed::session::Recent;
-use fescuerack_core::routed::trial::{self, Counts};
+use fescuerack_core::routed::trial::{self, Counts, Stage};
 use fescuerack_core::routed::{home, load, watcher};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
@@ -59,6 +59,12 @@
 struct Told {
     version: String,
     counts: Counts,
+    /// Milliseconds since the order.
+    #[serde(default)]
+    age_ms: u64,
+    /// Servers of the version that broke off what they ran, by a short hash.
+    #[serde(default)]
+    crashed: BTreeSet<u32>,
     /// Sessions that stay on the old version though their hash would move them.
     #[serde(default)]
     sessions: Vec<u64>,
@@ -97,17 +103,8 @@
 pub async fn run(node: Rc<Node>) {
     loop {
         tokio::time::sleep(Duration::from_millis(TELL_MS)).await;
-        let services: Vec<Arc<str>> = {
-            let view = node.view.borrow();
-            let running = view.orders.values().filter(|order| {
-                order
-                    .progress
-                    .is_none_or(|progress| progress == crate::edge::Progress::Running)
-            });
-            running.map(|order| order.rollout.service.clone()).collect()
-        };
         let mut asked: Vec<SocketAddr> = Vec::new();
-        for service in services {
+        for service in on_trial(&node) {
             let Some((name, address)) = collector(&node, &service) else {
                 continue;
             };
@@ -119,6 +116,31 @@
     }
 }
 
+/// Asks, once this node has read the store, how far running roll-outs are. A node that
+/// started while one runs knows neither its age nor which sessions go on, and would move
+/// sessions until it hears of them.
+pub async fn join_trials(node: &Rc<Node>) {
+    trials::open(node);
+    for service in on_trial(node) {
+        match collector(node, &service) {
+            Some((name, address)) => exchange(node, &name, address, false).await,
+            // This node is to gather the counts; any other has some of them.
+            None => catch_up(node).await,
+        }
+    }
+}
+
+/// Services with a roll-out that is not decided.
+fn on_trial(node: &Node) -> Vec<Arc<str>> {
+    let view = node.view.borrow();
+    let running = view.orders.values().filter(|order| {
+        order
+            .progress
+            .is_none_or(|progress| progress == crate::edge::Progress::Running)
+    });
+    running.map(|order| order.rollout.service.clone()).collect()
+}
+
 /// What a node asks a watcher.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 struct Question {
@@ -275,6 +297,8 @@
         let told = Told {
             version: evidence.version.clone(),
             counts: evidence.own.clone(),
+            age_ms: age_ms(node, service),
+            crashed: evidence.crashed.clone(),
             sessions: staying(node, service, &node.recent.borrow()),
         };
         (service.to_string(), told)
@@ -332,7 +356,9 @@
             && known.version == told.version
         {
             known.told.clone_from(&told.counts);
+            known.crashed.extend(&told.crashed);
             hear_sessions(node, &told.sessions);
+            hear_age(node, service, told.age_ms);
         }
     }
     drop(evidence);
@@ -346,7 +372,26 @@
         return Vec::new();
     };
     let trial = trials::trial(node, order);
-    recent.going_on(now(), |session| trial.includes(session))
+    recent.going_on(now(), |session| trial.includes(Stage::Sampled, session))
+}
+
+/// Milliseconds since the order for `service`, as far as this node knows.
+fn age_ms(node: &Node, service: &str) -> u64 {
+    let view = node.view.borrow();
+    let age = view
+        .orders
+        .get(service)
+        .map(|order| now().since(order.given));
+    age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Takes in how long ago a peer says that the order for `service` was given. A node that
+/// was restarted while a roll-out runs would otherwise begin it anew: send sessions back
+/// to the old version, and decide after the time is over.
+fn hear_age(node: &Node, service: &str, age_ms: u64) {
+    if let Some(order) = node.view.borrow_mut().orders.get_mut(service) {
+        order.given = order.given.min(now().minus_millis(age_ms));
+    }
 }
 
 fn hear_sessions(node: &Node, sessions: &[u64]) {
@@ -415,12 +460,16 @@
             continue;
         }
         known.heard.insert(message.node.clone(), told.counts);
+        known.crashed.extend(&told.crashed);
         hear_sessions(node, &told.sessions);
+        hear_age(node, &service, told.age_ms);
         let mut sessions = staying(node, &service, &node.recent.borrow());
         sessions.extend(staying(node, &service, &node.recent_elsewhere.borrow()));
         let sum = Told {
             version: told.version,
             counts: sum(&known.own, &known.heard),
+            age_ms: age_ms(node, &service),
+            crashed: known.crashed.clone(),
             sessions,
         };
         rollouts.insert(service, sum);
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use fescuerack_core::routed::home::{self, Candidate};
+use fescuerack_core::routed::trial::Stage;
 
 use crate::attempt::Job;
 use crate::catalog::{Kind, Route};
@@ -277,7 +278,8 @@
 /// first; all nodes agree on them.
 fn on_trial<'a>(node: &Node, order: &Order, mut new: Vec<&'a Server>) -> Vec<&'a Server> {
     let now = now();
-    let busy = trials::trial(node, order).servers(new.len());
+    let trial = trials::trial(node, order);
+    let busy = trial.servers(trial.stage(now), new.len());
     new.sort_by_key(|server| (!server.health.is_in(now), home::mix(server.identity)));
     new.truncate(busy);
     new
@@ -290,10 +292,12 @@
         Some(Progress::Running) | None => {
             let now = now();
             let trial = trials::trial(node, order);
-            let is_moved = trial.has_begun(now) && trial.includes(session);
+            let stage = trial.stage(now);
+            let is_moved = trial.includes(stage, session);
             let goes_on = node.recent.borrow().goes_on(now, session)
                 || node.recent_elsewhere.borrow().goes_on(now, session);
-            !order.is_halted && is_moved && !goes_on
+            let must_stay = goes_on && stage < Stage::Loaded;
+            !order.is_halted && is_moved && !must_stay
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -134,7 +134,7 @@
                 }
                 Part::Left => return Ok("caller-left"),
                 Part::Broken(reason) => {
-                    request::count(&self.node, &self.job, &pick, self.model, Ended::Badly);
+                    request::count(&self.node, &self.job, &pick, self.model, Ended::Broken);
                     self.node
                         .suspects
                         .borrow_mut()
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -217,7 +217,11 @@
                 }
             }
             Tried::Unknown | Tried::Silent => {
-                count(node, job, &pick, course.model, Ended::Badly);
+                let ended = match tried {
+                    Tried::Silent => Ended::Silently,
+                    _ => Ended::Broken,
+                };
+                count(node, job, &pick, course.model, ended);
                 if matches!(tried, Tried::Unknown) {
                     node.suspects.borrow_mut().crashed(now(), job.digest);
                 }
@@ -368,13 +372,13 @@
 ) -> Judged {
     let (mut head, body) = headed.answered.response.into_parts();
     let collected = Limited::new(body, MOST_WHOLE).collect().await;
-    let ended = if collected.is_ok() && !head.status.is_server_error() {
-        Ended::Well(Pace {
+    let ended = match &collected {
+        Err(_) => Ended::Broken,
+        Ok(_) if head.status.is_server_error() => Ended::Badly,
+        Ok(_) => Ended::Well(Pace {
             head_ms: headed.head_ms,
             event_ms: None,
-        })
-    } else {
-        Ended::Badly
+        }),
     };
     count(node, job, &headed.pick, course.model, ended);
     drop(headed.running);
@@ -405,14 +409,7 @@
 pub fn count(node: &Node, job: &Job, pick: &Pick, model: Option<usize>, ended: Ended) {
     let model = u64::try_from(model.unwrap_or_default()).unwrap_or_default();
     let kind = home::mix(home::hash(job.route.name.as_bytes()) ^ model);
-    trials::count(
-        node,
-        &pick.service,
-        &pick.version,
-        &job.route.name,
-        kind,
-        ended,
-    );
+    trials::count(node, pick, &job.route.name, kind, ended);
 }
 
 /// Status and headers of an answer that is relayed.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -44,11 +44,9 @@
 pub struct Order {
     /// What was ordered.
     pub rollout: Rollout,
-    /// When this node heard of the order.
-    pub heard: Instant,
-    /// Whether the order was there when the node started, so that its age is not
-    /// known.
-    pub is_inherited: bool,
+    /// When the order was given, as far as this node or a peer knows: a node that starts
+    /// while a roll-out runs hears of the order late.
+    pub given: Instant,
     /// How far it is, as far as the store says.
     pub progress: Option<Progress>,
     /// Revision of the record of its progress; zero if there is none.
@@ -316,8 +314,7 @@
             .get(&rollout.service)
             .map_or(0, |known| known.revision);
         let order = Order {
-            heard: now,
-            is_inherited: self.revision == 0,
+            given: now,
             progress: None,
             revision,
             is_halted: false,
