While the store is away, the store and all watchers are asked at once

Cause: a node behind watchers asked them one after the other (0.7 s each) and then the store (1.05 s), so it could learn 2.8 s after the return that the store is back; with watchers that hang, each round took that long. Change: follow::seek asks all at once and takes whichever is fresh.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,6 +13,7 @@
 
 use fescuerack_core::routed::watcher;
 use rand::RngExt as _;
+use tokio::task::JoinSet;
 
 use crate::clock::now;
 use crate::edge::{Answer, Call, Item, Page};
@@ -33,7 +34,7 @@
 /// Milliseconds between tries while the store is away.
 const RETRY_MS: u64 = 350;
 /// Milliseconds for which a node watches for itself after no watcher was fresh. While the
-/// store is away it asks the watchers before each try of its own: the store may turn this
+/// store is away it asks the watchers beside each try of its own: the store may turn this
 /// node away and serve them.
 const OWN_MS: u64 = 3_000;
 /// Everything in the store concerns the gateway.
@@ -61,18 +62,53 @@
             continue;
         }
         let watchers = watchers(&node);
+        let others_watch =
+            !watchers.is_empty() && watchers.iter().all(|(name, _)| *name != own_name(&node));
         let is_away = node.view.borrow().outage.is_away();
-        if (is_away || now() >= own_until)
-            && watchers.iter().all(|(name, _)| *name != own_name(&node))
-        {
+        let step = if others_watch && is_away {
+            seek(&node, &watchers).await
+        } else if others_watch && now() >= own_until {
             if follow_watcher(&node, &watchers).await {
                 continue;
             }
-            if !watchers.is_empty() {
-                own_until = now().plus_millis(OWN_MS);
+            own_until = now().plus_millis(OWN_MS);
+            watch(&node, &watchers).await
+        } else {
+            watch(&node, &watchers).await
+        };
+        has_read = step == Step::On;
+    }
+}
+
+/// Asks the store and all watchers at once, and goes on with whichever answers. While the
+/// store is away, watchers may be silent as well: asked one after the other, with the
+/// store in turn, a node learned up to 2.8 s after its return that it was back.
+async fn seek(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> Step {
+    let mut asked = JoinSet::new();
+    for (name, address) in watchers.iter().cloned() {
+        let node = node.clone();
+        asked.spawn_local(async move { fresh_news(&node, &name, address).await });
+    }
+    let first_fresh = async {
+        while let Some(answer) = asked.join_next().await {
+            if let Ok(Some(news)) = answer {
+                return Some(news);
             }
         }
-        has_read = watch(&node, &watchers).await == Step::On;
+        None
+    };
+    tokio::pin!(first_fresh);
+    let own = watch(node, watchers);
+    tokio::pin!(own);
+    tokio::select! {
+        news = &mut first_fresh => match news {
+            Some(news) => {
+                take_news(node, &news);
+                Step::On
+            }
+            None => own.await,
+        },
+        step = &mut own => step,
     }
 }
 
@@ -106,25 +142,31 @@
 /// Asks the watchers in turn; returns whether one of them is fresh.
 async fn follow_watcher(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> bool {
     for (name, address) in watchers {
-        let after = node.view.borrow().revision;
-        match peer::news(node, *address, after).await {
-            Ok(news) if news.is_whole && news.age_ms <= watcher::FRESH_MS => {
-                take_news(node, &news);
-                return true;
-            }
-            Ok(news) => tracing::info!(
-                event = "watcher-stale",
-                peer = name,
-                age_ms = news.age_ms,
-                whole = news.is_whole,
-                after
-            ),
-            Err(error) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
+        if let Some(news) = fresh_news(node, name, *address).await {
+            take_news(node, &news);
+            return true;
         }
     }
     false
 }
 
+/// What a watcher knows, unless it is silent or does not know better than this node.
+async fn fresh_news(node: &Node, name: &str, address: SocketAddr) -> Option<News> {
+    let after = node.view.borrow().revision;
+    match peer::news(node, address, after).await {
+        Ok(news) if news.is_whole && news.age_ms <= watcher::FRESH_MS => return Some(news),
+        Ok(news) => tracing::info!(
+            event = "watcher-stale",
+            peer = name,
+            age_ms = news.age_ms,
+            whole = news.is_whole,
+            after
+        ),
+        Err(error) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
+    }
+    None
+}
+
 fn take_news(node: &Node, news: &News) {
     let mut view = node.view.borrow_mut();
     for item in &news.items {
