--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,6 +42,10 @@
     sent: u32,
     tried: Vec<Arc<str>>,
     splitter: Splitter,
+    /// Milliseconds of the longest pause between two events.
+    pause_ms: f64,
+    /// When the last event was passed on.
+    passed: Option<Instant>,
 }
 
 /// How one server's part of a stream ended.
@@ -74,6 +78,8 @@
         sent,
         tried: Vec::new(),
         splitter: Splitter::new(job.ask.last_event),
+        pause_ms: 0.0,
+        passed: None,
     };
     let task = tokio::task::spawn_local(stream.run(headed, sender));
     let body = Answer::Relayed(Relayed::new(channel, task.abort_handle()));
@@ -107,6 +113,7 @@
             outcome,
             events = self.splitter.count(),
             attempts = self.sent,
+            pause_ms = self.pause_ms,
             ms = now().since(self.job.arrived).as_secs_f64() * 1_000.0
         );
     }
@@ -178,7 +185,11 @@
                 Ok(whole) => whole,
                 Err(error) => return Part::Broken(error.to_string()),
             };
-            if !whole.is_empty() && sender.send_data(whole).await.is_err() {
+            if whole.is_empty() {
+                continue;
+            }
+            self.note_pause();
+            if sender.send_data(whole).await.is_err() {
                 return Part::Left;
             }
         }
@@ -187,6 +198,14 @@
         Part::Done
     }
 
+    fn note_pause(&mut self) {
+        let now = now();
+        if let Some(passed) = self.passed.replace(now) {
+            let pause_ms = now.since(passed).as_secs_f64() * 1_000.0;
+            self.pause_ms = self.pause_ms.max(pause_ms);
+        }
+    }
+
     /// Milliseconds between the events since `from`, when `before` had been passed on.
     fn event_ms(&self, from: Instant, before: u64) -> Option<f64> {
         let events = u32::try_from(self.splitter.count() - before).ok()?;
