--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -17,8 +17,9 @@
 
 use crate::clock::now;
 use crate::edge::{Answer, Call, Item, Page};
+use crate::news::{self, News};
 use crate::node::Node;
-use crate::peer::{self, News};
+use crate::peer;
 use crate::store::Fault;
 
 /// Milliseconds that a watch waits. A watch on a connection that went silent is
@@ -149,7 +150,7 @@
 /// What a watcher knows, unless it is silent or does not know better than this node.
 async fn fresh_news(node: &Node, name: &str, address: SocketAddr) -> Option<News> {
     let after = node.view.borrow().revision;
-    match peer::news(node, address, after).await {
+    match news::ask(node, address, after).await {
         Ok(news) if news.is_whole && news.age_ms <= watcher::FRESH_MS => return Some(news),
         Ok(news) => tracing::info!(
             event = "watcher-stale",
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,25 +3,31 @@
 //! A process has one thread and runs on a [`Platform`](edge::Platform), whose names
 //! and formats an adapter supplies. [`process`] starts the tasks of a
 //! [`node`]: [`front`] listens, [`follow`] keeps the [`view`] of what is in force,
-//! [`member`] and [`peer`] find and tell other nodes, [`share`] tells them what runs where, [`trials`] judges roll-outs.
-//! A request is taken in by [`intake`] and goes through [`request`], which takes one [`attempt`] after another at
-//! servers that [`pick`] names, and [`relay`] for streams. All of them use one
-//! client, [`upstream`]. What is decided under load is in `fescuerack_core::routed`.
+//! [`member`] and [`peer`] find and tell other nodes, [`share`] tells them what runs
+//! where and [`news`] what a watcher has heard; [`trials`] judges roll-outs.
+//! A request is taken in by [`intake`] and goes through [`request`], which takes one
+//! [`attempt`] after another at servers that [`pick`] names; [`course`] says how far it may
+//! go, [`judge`] what becomes of an answer, and [`relay`] passes streams on. All of them
+//! use one client, [`upstream`]. What is decided under load is in
+//! `fescuerack_core::routed`.
 
 pub mod attempt;
 pub mod body;
 pub mod catalog;
 pub mod clock;
+pub mod course;
 pub mod edge;
 pub mod events;
 pub mod follow;
 pub mod front;
 pub mod headers;
 pub mod intake;
+pub mod judge;
 pub mod logs;
 pub mod member;
 pub mod metrics;
 pub mod net;
+pub mod news;
 pub mod node;
 pub mod peer;
 pub mod pick;
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,72 @@
+//! Asking a watcher of the store for news, and telling them as one; see
+//! [`watcher`](fescuerack_core::routed::watcher).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use fescuerack_core::routed::watcher;
+use serde::{Deserialize, Serialize};
+
+use crate::edge::Item;
+use crate::node::Node;
+use crate::peer;
+
+/// Path on which a watcher is asked.
+pub const PATH: &str = "/follow";
+/// What a question to a watcher gets besides its wait there.
+const MARGIN: Duration = Duration::from_millis(300);
+
+/// What a node asks a watcher.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Question {
+    /// Revision that it would go on from.
+    after: u64,
+}
+
+/// What a watcher answers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct News {
+    /// Items that changed.
+    pub items: Vec<Item>,
+    /// Revision up to which the watcher has followed the store.
+    pub revision: u64,
+    /// Milliseconds since the store last answered the watcher.
+    pub age_ms: u64,
+    /// Whether the watcher remembers every change since the asked revision.
+    pub is_whole: bool,
+}
+
+/// Asks a watcher for what changed after `after`; waits there for news.
+///
+/// # Errors
+///
+/// When no answer comes in time.
+pub async fn ask(node: &Node, address: SocketAddr, after: u64) -> anyhow::Result<News> {
+    let patience = Duration::from_millis(watcher::ASK_MS) + MARGIN;
+    let question = Question { after };
+    tokio::time::timeout(patience, peer::ask(node, address, PATH, &question)).await?
+}
+
+/// Waits for news and tells them.
+pub async fn tell(node: &Node, question: Question) -> News {
+    if node.store_age_ms() > watcher::FRESH_MS {
+        // Whoever asks must look elsewhere, and soon.
+        return known_since(node, question);
+    }
+    let mut changes = node.changes.subscribe();
+    let wait = Duration::from_millis(watcher::ASK_MS);
+    let has_news = changes.wait_for(|revision| *revision > question.after);
+    // Without news the answer says how fresh the watcher is.
+    let _ = tokio::time::timeout(wait, has_news).await;
+    known_since(node, question)
+}
+
+fn known_since(node: &Node, question: Question) -> News {
+    let view = node.view.borrow();
+    News {
+        items: view.since(question.after),
+        revision: view.revision,
+        age_ms: node.store_age_ms(),
+        is_whole: view.remembers(question.after),
+    }
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -21,9 +21,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use fescuerack_core::routed::home;
 use fescuerack_core::routed::session::Recent;
 use fescuerack_core::routed::trial::{self, Counts, Stage};
-use fescuerack_core::routed::{home, watcher};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
@@ -35,6 +35,7 @@
 use crate::clock::now;
 use crate::edge::Item;
 use crate::follow;
+use crate::news;
 use crate::node::Node;
 use crate::share;
 use crate::trials;
@@ -42,10 +43,6 @@
 
 /// Path of an exchange.
 const PATH: &str = "/exchange";
-/// Path on which a watcher is asked.
-const FOLLOW: &str = "/follow";
-/// What a question to a watcher gets besides its wait there.
-const WATCHER_MARGIN: Duration = Duration::from_millis(300);
 /// Longest time that an exchange may take.
 pub const PATIENCE: Duration = Duration::from_millis(700);
 /// Bytes that a message has at most.
@@ -140,61 +137,6 @@
     running.map(|order| order.rollout.service.clone()).collect()
 }
 
-/// What a node asks a watcher.
-#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
-struct Question {
-    /// Revision that it would go on from.
-    after: u64,
-}
-
-/// What a watcher answers.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct News {
-    /// Items that changed.
-    pub items: Vec<Item>,
-    /// Revision up to which the watcher has followed the store.
-    pub revision: u64,
-    /// Milliseconds since the store last answered the watcher.
-    pub age_ms: u64,
-    /// Whether the watcher remembers every change since the asked revision.
-    pub is_whole: bool,
-}
-
-/// Asks a watcher for what changed after `after`; waits there for news.
-///
-/// # Errors
-///
-/// When no answer comes in time.
-pub async fn news(node: &Node, address: SocketAddr, after: u64) -> anyhow::Result<News> {
-    let patience = Duration::from_millis(watcher::ASK_MS) + WATCHER_MARGIN;
-    let question = Question { after };
-    tokio::time::timeout(patience, ask(node, address, FOLLOW, &question)).await?
-}
-
-/// Waits for news and tells them.
-async fn tell_news(node: &Node, question: Question) -> News {
-    if node.store_age_ms() > watcher::FRESH_MS {
-        // Whoever asks must look elsewhere, and soon.
-        return known_since(node, question);
-    }
-    let mut changes = node.changes.subscribe();
-    let wait = Duration::from_millis(watcher::ASK_MS);
-    let has_news = changes.wait_for(|revision| *revision > question.after);
-    // Without news the answer says how fresh the watcher is.
-    let _ = tokio::time::timeout(wait, has_news).await;
-    known_since(node, question)
-}
-
-fn known_since(node: &Node, question: Question) -> News {
-    let view = node.view.borrow();
-    News {
-        items: view.since(question.after),
-        revision: view.revision,
-        age_ms: node.store_age_ms(),
-        is_whole: view.remembers(question.after),
-    }
-}
-
 /// The node that gathers the counts of a service; `None` if it is this one.
 #[must_use]
 pub fn collector(node: &Node, service: &str) -> Option<(String, SocketAddr)> {
@@ -374,8 +316,8 @@
             .and_then(|work| serde_json::to_vec(&share::tell_hub(&node, work))),
         share::GROUP => serde_json::from_slice(&body)
             .and_then(|work| serde_json::to_vec(&share::tell_top(&node, work))),
-        FOLLOW => match serde_json::from_slice(&body) {
-            Ok(question) => serde_json::to_vec(&tell_news(&node, question).await),
+        news::PATH => match serde_json::from_slice(&body) {
+            Ok(question) => serde_json::to_vec(&news::tell(&node, question).await),
             Err(error) => Err(error),
         },
         _ => return Ok(plain(StatusCode::NOT_FOUND)),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -19,10 +19,11 @@
 use crate::attempt::{self, Headed, Job, NotRun, Tried};
 use crate::body::{Answer, Cut, Relayed};
 use crate::clock::{deadline, now};
+use crate::course;
 use crate::events::Splitter;
+use crate::judge;
 use crate::node::Node;
 use crate::pick;
-use crate::request;
 use crate::trials::{Ended, Pace};
 
 /// Frames that wait for a slow caller before the server is made to wait.
@@ -83,7 +84,7 @@
     };
     let task = tokio::task::spawn_local(stream.run(headed, sender));
     let body = Answer::Relayed(Relayed::new(channel, task.abort_handle()));
-    request::relayed(status, headers, body)
+    judge::relayed(status, headers, body)
 }
 
 impl Stream {
@@ -135,13 +136,13 @@
                         event_ms: self.event_ms(headed_at, events),
                     };
                     let ended = Ended::Well(pace);
-                    request::count(&self.node, &self.job, &pick, self.model, ended);
+                    judge::count(&self.node, &self.job, &pick, self.model, ended);
                     self.node.suspects.borrow_mut().ended_well(self.job.digest);
                     return Ok("whole");
                 }
                 Part::Left => return Ok("caller-left"),
                 Part::Broken(reason) => {
-                    request::count(&self.node, &self.job, &pick, self.model, Ended::Broken);
+                    judge::count(&self.node, &self.job, &pick, self.model, Ended::Broken);
                     self.node
                         .suspects
                         .borrow_mut()
@@ -230,7 +231,7 @@
             return None;
         }
         loop {
-            if !request::further(&self.node, &self.job, &self.service, self.sent, "resume") {
+            if !course::further(&self.node, &self.job, &self.service, self.sent, "resume") {
                 return None;
             }
             self.sent += 1;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,23 +9,22 @@
 use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::routed::{home, tier};
-use http_body_util::{BodyExt as _, Limited};
+use fescuerack_core::routed::tier;
 use hyper::body::Incoming;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{Request, Response};
 use rand::RngExt as _;
 
-use crate::attempt::{self, Headed, Job, NotRun, Tried};
+use crate::attempt::{self, Job, NotRun, Tried};
 use crate::body::Answer;
 use crate::catalog::Kind;
 use crate::clock::{deadline, now};
-use crate::headers;
+use crate::course::{Course, further};
 use crate::intake;
+use crate::judge::{self, Judged};
 use crate::node::Node;
-use crate::pick::{self, Pick};
+use crate::pick;
 use crate::refusal::Refusal;
-use crate::relay;
-use crate::trials::{self, Ended, Pace};
+use crate::trials::Ended;
 
 /// Milliseconds that a caller is thought to wait if neither it nor the route says.
 const WAIT_MS: u64 = 60_000;
@@ -34,8 +33,6 @@
 const STARTING_MS: u64 = 200;
 /// Time between looks at whether the process has started.
 const STARTING_LOOK: Duration = Duration::from_millis(5);
-/// Bytes of an answer that is read whole before it is passed on.
-const MOST_WHOLE: usize = 32 << 20;
 /// Tries at servers that could not be reached; no byte left for them.
 const UNREACHED: u32 = 3;
 /// Part of a repeatable plain call's target after which another server is asked: a
@@ -121,21 +118,6 @@
     response
 }
 
-/// How far a request has come.
-#[derive(Default)]
-struct Course {
-    /// Servers that must not be asked again.
-    tried: Vec<Arc<str>>,
-    /// Attempts that reached a server.
-    sent: u32,
-    /// Tries at servers that could not be reached.
-    unreached: u32,
-    /// Whether an attempt may have run.
-    may_have_run: bool,
-    /// Index of the model to ask.
-    model: Option<usize>,
-}
-
 async fn route(node: &Rc<Node>, job: Rc<Job>) -> Result<Response<Answer>, Refusal> {
     if node.suspects.borrow().is_refused(now(), job.digest) {
         tracing::warn!(
@@ -221,7 +203,7 @@
                     Tried::Silent => Ended::Silently,
                     _ => Ended::Broken,
                 };
-                count(node, job, &pick, course.model, ended);
+                judge::count(node, job, &pick, course.model, ended);
                 if matches!(tried, Tried::Unknown) {
                     node.suspects.borrow_mut().crashed(now(), job.digest);
                 }
@@ -239,7 +221,7 @@
             }
             Tried::Headed(headed) => {
                 course.sent += 1;
-                match judge(node, job, service, course, *headed).await {
+                match judge::judge(node, job, service, course, *headed).await {
                     Judged::Answer(response) => return Ok(response),
                     Judged::Refuse(refusal) => return Err(refusal),
                     Judged::Again => {}
@@ -271,153 +253,3 @@
     let target = Duration::from_millis(target_ms);
     (now() + target.mul_f64(part)).min(job.deadline)
 }
-
-/// Takes a further attempt from the route's attempts and the service's budget.
-pub fn further(node: &Node, job: &Job, service: &Arc<str>, sent: u32, reason: &str) -> bool {
-    if sent >= job.route.attempts {
-        return false;
-    }
-    let bound = node.settings.borrow().retries;
-    let nodes = node.view.borrow().node_count();
-    let is_taken = node
-        .budgets
-        .borrow_mut()
-        .entry(service.clone())
-        .or_default()
-        .take(now(), &bound, nodes);
-    let word = if is_taken { reason } else { "over-budget" };
-    node.metrics
-        .further
-        .with_label_values(&[&**service, word])
-        .inc();
-    tracing::info!(
-        event = "further-attempt",
-        id = job.ask.id,
-        reason,
-        taken = is_taken,
-        sent,
-        nodes
-    );
-    is_taken
-}
-
-enum Judged {
-    Answer(Response<Answer>),
-    Refuse(Refusal),
-    Again,
-}
-
-async fn judge(
-    node: &Rc<Node>,
-    job: &Rc<Job>,
-    service: &Arc<str>,
-    course: &mut Course,
-    headed: Headed,
-) -> Judged {
-    let status = headed.answered.response.status();
-    if let Some(rank) = course.model
-        && status.is_success()
-        && let Some(next) = doubted(node, job, service, rank, headed.head.confidence)
-        && further(node, job, service, course.sent, "weak")
-    {
-        node.metrics
-            .dropped_answers
-            .with_label_values(&[&*job.route.name])
-            .inc();
-        let ended = Ended::Well(Pace {
-            head_ms: headed.head_ms,
-            event_ms: None,
-        });
-        count(node, job, &headed.pick, course.model, ended);
-        course.model = Some(next);
-        return Judged::Again;
-    }
-    let is_stream = job.route.kind == Kind::Streaming && status.is_success();
-    if is_stream {
-        let model = course.model;
-        return Judged::Answer(relay::begin(node, job, service, headed, model, course.sent));
-    }
-    whole(node, job, service, course, headed).await
-}
-
-/// The model to ask because the answer of the model at `rank` is doubted.
-fn doubted(
-    node: &Node,
-    job: &Job,
-    service: &Arc<str>,
-    rank: usize,
-    confidence: Option<u8>,
-) -> Option<usize> {
-    let models = job.route.models.len();
-    let pressure = pick::pressure(node, job, service, models.checked_sub(1)?).unwrap_or_default();
-    let next = tier::next(models, rank, confidence, pressure);
-    tracing::info!(
-        event = "judged-answer",
-        id = job.ask.id,
-        model = rank,
-        confidence,
-        pressure,
-        next
-    );
-    next
-}
-
-/// Reads a plain answer whole, so that one that breaks off can be asked for again.
-async fn whole(
-    node: &Rc<Node>,
-    job: &Rc<Job>,
-    service: &Arc<str>,
-    course: &mut Course,
-    headed: Headed,
-) -> Judged {
-    let (mut head, body) = headed.answered.response.into_parts();
-    let collected = Limited::new(body, MOST_WHOLE).collect().await;
-    let ended = match &collected {
-        Err(_) => Ended::Broken,
-        Ok(_) if head.status.is_server_error() => Ended::Badly,
-        Ok(_) => Ended::Well(Pace {
-            head_ms: headed.head_ms,
-            event_ms: None,
-        }),
-    };
-    count(node, job, &headed.pick, course.model, ended);
-    drop(headed.running);
-    match collected {
-        Ok(body) => {
-            node.pool.keep(headed.answered.connection);
-            let may_repeat = job.route.is_repeatable() && head.status.is_server_error();
-            if may_repeat && further(node, job, service, course.sent, "error") {
-                course.tried.push(headed.pick.id.clone());
-                return Judged::Again;
-            }
-            node.suspects.borrow_mut().ended_well(job.digest);
-            headers::strip(&mut head.headers);
-            Judged::Answer(Response::from_parts(head, Answer::whole(body.to_bytes())))
-        }
-        Err(error) => {
-            tracing::info!(event = "answer-broken", id = job.ask.id, server = &*headed.pick.id, reason = %error);
-            course.tried.push(headed.pick.id.clone());
-            if job.route.is_repeatable() && further(node, job, service, course.sent, "broken") {
-                return Judged::Again;
-            }
-            Judged::Refuse(Refusal::Unknown)
-        }
-    }
-}
-
-/// Counts how an attempt ended for a roll-out of the service.
-pub fn count(node: &Node, job: &Job, pick: &Pick, model: Option<usize>, ended: Ended) {
-    let model = u64::try_from(model.unwrap_or_default()).unwrap_or_default();
-    let kind = home::mix(home::hash(job.route.name.as_bytes()) ^ model);
-    trials::count(node, pick, &job.route.name, kind, ended);
-}
-
-/// Status and headers of an answer that is relayed.
-#[must_use]
-pub fn relayed(status: StatusCode, mut headers: HeaderMap, body: Answer) -> Response<Answer> {
-    headers::strip(&mut headers);
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
