Servers that fail part of their requests are found by all nodes together

Change: ends of attempts within 3 s go through the hubs; a server that surely fails more than the others of its service is left out by all, one in three at most; silence does not count. In the model of the tests a sound server is left out once in ten minutes at most.

--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -4,7 +4,8 @@
 //! The decisions on the way of such a request are here, each without network:
 //!
 //! - [`home`]: which backend server runs an attempt;
-//! - [`health`]: which backend servers are left out for a while;
+//! - [`health`]: which backend servers a node leaves out for a while;
+//! - [`grey`]: which ones all nodes leave out, by what they saw together;
 //! - [`load`]: what other nodes have running on each backend server;
 //! - [`tier`]: which of a route's models answers, and when a weak answer is
 //!   asked for again of a stronger one;
@@ -18,6 +19,7 @@
 
 pub mod budget;
 pub mod crash;
+pub mod grey;
 pub mod health;
 pub mod home;
 pub mod load;
--- a/crates/core/tests/all/routed/mod.rs
+++ b/crates/core/tests/all/routed/mod.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod crash;
+mod grey;
 mod health;
 mod home;
 mod load;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::health::Outcome;
+use fescuerack_core::routed::load;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
@@ -246,6 +247,14 @@
     let mut running = 0;
     if let Some(server) = view.servers.get_mut(&pick.id) {
         running = server.running;
+        // Silence may be a busy server's.
+        if let Some(outcome) = outcome
+            && word != "silent"
+        {
+            let short = load::short(server.identity);
+            let is_failure = outcome != Outcome::Good;
+            node.ends.borrow_mut().observe(ended, short, is_failure);
+        }
         if let Some(outcome) = outcome
             && server.health.observe(ended, outcome)
         {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,7 +8,8 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::budget::Budget;
 use fescuerack_core::routed::crash::Suspects;
-use fescuerack_core::routed::load::{Hub, Others};
+use fescuerack_core::routed::grey::{Grey, Window};
+use fescuerack_core::routed::load::Others;
 use fescuerack_core::routed::session::Recent;
 use fescuerack_core::routed::trial::Counts;
 use rand::SeedableRng as _;
@@ -20,6 +21,7 @@
 use crate::edge::Platform;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
+use crate::share::Hubs;
 use crate::store::Store;
 use crate::upstream::Pool;
 use crate::view::View;
@@ -96,10 +98,14 @@
     pub recent_elsewhere: RefCell<Recent>,
     /// Work of other nodes by server.
     pub others: RefCell<Others>,
+    /// How attempts on servers ended here.
+    pub ends: RefCell<Window>,
+    /// Servers that all nodes leave out.
+    pub grey: RefCell<Grey>,
     /// What the nodes of its group have told this node as their hub.
-    pub hub: RefCell<Hub>,
+    pub hub: RefCell<Hubs>,
     /// What hubs have told this node as the top.
-    pub top: RefCell<Hub>,
+    pub top: RefCell<Hubs>,
     /// Usual times until the head.
     pub usual: RefCell<HashMap<u64, Usual>>,
     /// Tells that the view has followed the store up to a revision.
@@ -135,6 +141,8 @@
             recent: RefCell::default(),
             recent_elsewhere: RefCell::default(),
             others: RefCell::default(),
+            ends: RefCell::default(),
+            grey: RefCell::default(),
             hub: RefCell::default(),
             top: RefCell::default(),
             usual: RefCell::default(),
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use fescuerack_core::routed::home::{self, Candidate};
+use fescuerack_core::routed::load;
 use fescuerack_core::routed::trial::Stage;
 
 use crate::attempt::Job;
@@ -178,7 +179,7 @@
             load: server.work + others.work(now, server.identity),
             places: server.listed.places,
             is_near: *server.listed.zone == *settings.zone,
-            is_healthy: server.health.is_in(now),
+            is_healthy: is_healthy(node, server),
             is_suited: route.models.len() < 2 || home::suits(rank, count, is_small),
         })
         .collect();
@@ -280,11 +281,18 @@
     let now = now();
     let trial = trials::trial(node, order);
     let busy = trial.servers(trial.stage(now), new.len());
-    new.sort_by_key(|server| (!server.health.is_in(now), home::mix(server.identity)));
+    new.sort_by_key(|server| (!is_healthy(node, server), home::mix(server.identity)));
     new.truncate(busy);
     new
 }
 
+/// Whether neither this node nor all of them leave the server out.
+fn is_healthy(node: &Node, server: &Server) -> bool {
+    let now = now();
+    let grey = node.grey.borrow();
+    server.health.is_in(now) && !grey.is_out(now, load::short(server.identity))
+}
+
 fn prefers_new(node: &Node, order: &Order, session: u64) -> bool {
     match order.progress {
         Some(Progress::Completed) => true,
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -1,11 +1,13 @@
-//! Telling other nodes what this one has running, through hubs; see
-//! [`load`](fescuerack_core::routed::load).
+//! Telling other nodes, through hubs, what this one has running and how its attempts ended;
+//! see [`load`](fescuerack_core::routed::load) and [`grey`](fescuerack_core::routed::grey).
 
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use fescuerack_core::routed::load::{self, Duty, Table};
+use fescuerack_core::routed::grey::Ends;
+use fescuerack_core::routed::load::{self, Duty, Hub, Table};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::now;
@@ -17,12 +19,53 @@
 /// Path on which the top is told by hubs.
 pub const GROUP: &str = "/load/group";
 
-/// Work that a node, or a group, has on servers.
+/// What a node, or a group, has on servers.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Tables {
+    /// Work.
+    load: Table,
+    /// Ends of attempts within the window.
+    #[serde(default)]
+    ends: Table,
+}
+
+/// What a node tells its hub, or a hub the top.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Work {
     /// The node that tells.
     node: String,
-    table: Table,
+    tables: Tables,
+}
+
+/// What a hub has been told.
+#[derive(Clone, Debug, Default)]
+pub struct Hubs {
+    load: Hub,
+    ends: Hub,
+}
+
+impl Hubs {
+    /// Takes in what a node tells and answers with the sum of all others.
+    fn tell(&mut self, work: Work) -> Tables {
+        Tables {
+            load: self.load.tell(now(), &work.node, work.tables.load),
+            ends: self.ends.tell(now(), &work.node, work.tables.ends),
+        }
+    }
+
+    /// Sum of the group, for the top.
+    fn group(&mut self) -> Tables {
+        Tables {
+            load: self.load.group(now()),
+            ends: self.ends.group(now()),
+        }
+    }
+
+    /// Takes in the sum of the other groups.
+    fn hear(&mut self, elsewhere: Tables) {
+        self.load.hear(now(), elsewhere.load);
+        self.ends.hear(now(), elsewhere.ends);
+    }
 }
 
 /// What this node does, with the address of the one that it tells.
@@ -37,38 +80,80 @@
     let mut was_idle = true;
     loop {
         tokio::time::sleep(Duration::from_millis(load::TELL_MS)).await;
-        let table = own_work(&node);
+        let tables = own(&node);
         let role = role(&node);
         // The last telling says that nothing runs any more. A hub goes on: its group may
         // have work.
-        let is_idle = table.is_empty() && matches!(role, Role::Member(_));
+        let has_nothing = tables.load.is_empty() && tables.ends.is_empty();
+        let is_idle = has_nothing && matches!(role, Role::Member(_));
         if is_idle && was_idle {
             continue;
         }
         was_idle = is_idle;
         let work = Work {
             node: node.settings.borrow().instance.clone(),
-            table,
+            tables,
         };
         match role {
             Role::Member(hub) => {
                 if let Some(others) = tell(&node, hub, MEMBER, &work).await {
-                    node.others.borrow_mut().hear(now(), &others);
+                    hear(&node, &others);
                 }
             }
             Role::Hub(top) => {
-                let others = tell_hub(&node, work);
-                node.others.borrow_mut().hear(now(), &others);
+                hear(&node, &tell_hub(&node, work));
                 let group = group(&node);
                 if let Some(elsewhere) = tell(&node, top, GROUP, &group).await {
-                    node.hub.borrow_mut().hear(now(), elsewhere);
+                    node.hub.borrow_mut().hear(elsewhere);
                 }
             }
             Role::Top => {
-                let others = tell_hub(&node, work);
-                node.others.borrow_mut().hear(now(), &others);
+                hear(&node, &tell_hub(&node, work));
                 let elsewhere = tell_top(&node, group(&node));
-                node.hub.borrow_mut().hear(now(), elsewhere);
+                node.hub.borrow_mut().hear(elsewhere);
+            }
+        }
+    }
+}
+
+fn own(node: &Node) -> Tables {
+    Tables {
+        load: own_work(node),
+        ends: node.ends.borrow_mut().table(now()),
+    }
+}
+
+/// Takes in what all others have told.
+fn hear(node: &Node, others: &Tables) {
+    node.others.borrow_mut().hear(now(), &others.load);
+    let own = node.ends.borrow_mut().table(now());
+    let mut seen: HashMap<u32, u32> = HashMap::new();
+    for &(server, ends) in own.iter().chain(&others.ends) {
+        let sum = seen.entry(server).or_default();
+        *sum = sum.saturating_add(ends);
+    }
+    let seen: HashMap<u32, Ends> = seen
+        .into_iter()
+        .map(|(server, ends)| (server, Ends::unpack(ends)))
+        .collect();
+    let view = node.view.borrow();
+    let mut services: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
+    for server in view.servers.values() {
+        let servers = services.entry(&server.listed.service).or_default();
+        servers.push(load::short(server.identity));
+    }
+    for (service, servers) in services {
+        let left_out = node.grey.borrow_mut().judge(now(), &servers, &seen);
+        for server in view.servers.values() {
+            let short = load::short(server.identity);
+            if left_out.contains(&short) {
+                tracing::warn!(
+                    event = "server-left-out-by-all",
+                    server = &*server.listed.id,
+                    service,
+                    failed = seen[&short].failed,
+                    of = seen[&short].all
+                );
             }
         }
     }
@@ -84,7 +169,7 @@
 fn group(node: &Node) -> Work {
     Work {
         node: node.settings.borrow().instance.clone(),
-        table: node.hub.borrow_mut().group(now()),
+        tables: node.hub.borrow_mut().group(),
     }
 }
 
@@ -102,9 +187,9 @@
     }
 }
 
-async fn tell(node: &Node, address: SocketAddr, path: &str, work: &Work) -> Option<Table> {
+async fn tell(node: &Node, address: SocketAddr, path: &str, work: &Work) -> Option<Tables> {
     match tokio::time::timeout(peer::PATIENCE, peer::ask(node, address, path, work)).await {
-        Ok(Ok(table)) => return Some(table),
+        Ok(Ok(tables)) => return Some(tables),
         Ok(Err(error)) => {
             tracing::info!(event = "hub-failed", peer = %address, path, reason = %error);
         }
@@ -116,15 +201,12 @@
     None
 }
 
-/// Takes in as a hub what a node of the group tells, and answers with the work of all
-/// others.
-pub fn tell_hub(node: &Node, work: Work) -> Table {
-    let mut hub = node.hub.borrow_mut();
-    hub.tell(now(), &work.node, work.table)
+/// Takes in as a hub what a node of the group tells, and answers with what all others have.
+pub fn tell_hub(node: &Node, work: Work) -> Tables {
+    node.hub.borrow_mut().tell(work)
 }
 
-/// Takes in as the top what a hub tells, and answers with the work of the other groups.
-pub fn tell_top(node: &Node, work: Work) -> Table {
-    let mut top = node.top.borrow_mut();
-    top.tell(now(), &work.node, work.table)
+/// Takes in as the top what a hub tells, and answers with what the other groups have.
+pub fn tell_top(node: &Node, work: Work) -> Tables {
+    node.top.borrow_mut().tell(work)
 }
