The age of a roll-out is heard for the same order only

Read in the diff: a version that is ordered again would have taken the age of the order before from a peer that had not heard of the new one yet, and be given up at once. The order's revision goes with its age. No test: the gap is some milliseconds wide and the stand-in cannot hold it open.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -55,9 +55,9 @@
 struct Told {
     version: String,
     counts: Counts,
-    /// Milliseconds since the order.
+    /// Revision of the order, and milliseconds since it.
     #[serde(default)]
-    age_ms: u64,
+    order: (u64, u64),
     /// Servers of the version that broke off what they ran, by a short hash.
     #[serde(default)]
     crashed: BTreeSet<u32>,
@@ -175,7 +175,7 @@
         let told = Told {
             version: evidence.version.clone(),
             counts: evidence.own.clone(),
-            age_ms: age_ms(node, service),
+            order: order(node, service),
             crashed: evidence.crashed.clone(),
             sessions: staying(node, service, &node.recent.borrow()),
         };
@@ -241,7 +241,7 @@
             known.told.clone_from(&told.counts);
             known.crashed.extend(&told.crashed);
             hear_sessions(node, &told.sessions);
-            hear_age(node, service, told.age_ms);
+            hear_order(node, service, told.order);
         }
     }
     drop(evidence);
@@ -258,21 +258,25 @@
     recent.going_on(now(), |session| trial.includes(Stage::Sampled, session))
 }
 
-/// Milliseconds since the order for `service`, as far as this node knows.
-fn age_ms(node: &Node, service: &str) -> u64 {
+/// Revision of the order for `service`, and milliseconds since it as far as this node knows.
+fn order(node: &Node, service: &str) -> (u64, u64) {
     let view = node.view.borrow();
-    let age = view
-        .orders
-        .get(service)
-        .map(|order| now().since(order.given));
-    age.map_or(0, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    let order = view.orders.get(service);
+    order.map_or((0, 0), |order| {
+        let age = now().since(order.given).as_millis();
+        (order.ordered, u64::try_from(age).unwrap_or(u64::MAX))
+    })
 }
 
 /// Takes in how long ago a peer says that the order for `service` was given. A node that
 /// was restarted while a roll-out runs would otherwise begin it anew: send sessions back
-/// to the old version, and decide after the time is over.
-fn hear_age(node: &Node, service: &str, age_ms: u64) {
-    if let Some(order) = node.view.borrow_mut().orders.get_mut(service) {
+/// to the old version, and decide after the time is over. The age of an order before is
+/// not taken for that of this one, or a version that is ordered again would be given up at
+/// once.
+fn hear_order(node: &Node, service: &str, (ordered, age_ms): (u64, u64)) {
+    if let Some(order) = node.view.borrow_mut().orders.get_mut(service)
+        && order.ordered == ordered
+    {
         order.given = order.given.min(now().minus_millis(age_ms));
     }
 }
@@ -345,13 +349,13 @@
         known.heard.insert(message.node.clone(), told.counts);
         known.crashed.extend(&told.crashed);
         hear_sessions(node, &told.sessions);
-        hear_age(node, &service, told.age_ms);
+        hear_order(node, &service, told.order);
         let mut sessions = staying(node, &service, &node.recent.borrow());
         sessions.extend(staying(node, &service, &node.recent_elsewhere.borrow()));
         let sum = Told {
             version: told.version,
             counts: sum(&known.own, &known.heard),
-            age_ms: age_ms(node, &service),
+            order: order(node, &service),
             crashed: known.crashed.clone(),
             sessions,
         };
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -44,6 +44,8 @@
 pub struct Order {
     /// What was ordered.
     pub rollout: Rollout,
+    /// Revision of the order in the store: the same version may be ordered again.
+    pub ordered: u64,
     /// When the order was given, as far as this node or a peer knows: a node that starts
     /// while a roll-out runs hears of the order late.
     pub given: Instant,
@@ -204,7 +206,7 @@
             Change::Catalog(catalog) => self.take_catalog(catalog),
             Change::Server(listed) => self.take_server(listed),
             Change::ServerGone(id) => self.lose_server(now, &id),
-            Change::Rollout(rollout) => self.take_rollout(now, rollout),
+            Change::Rollout(rollout) => self.take_rollout(now, rollout, item.revision),
             Change::RolloutGone(service) => {
                 self.orders.remove(&service);
                 tracing::info!(
@@ -302,7 +304,7 @@
         }
     }
 
-    fn take_rollout(&mut self, now: Instant, rollout: Rollout) {
+    fn take_rollout(&mut self, now: Instant, rollout: Rollout, ordered: u64) {
         tracing::info!(
             event = "rollout-ordered",
             service = &*rollout.service,
@@ -314,6 +316,7 @@
             .get(&rollout.service)
             .map_or(0, |known| known.revision);
         let order = Order {
+            ordered,
             given: now,
             progress: None,
             revision,
