--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,11 +5,11 @@
 //! [`node`]: [`front`] listens, [`follow`] keeps the [`view`] of what is in force,
 //! [`member`] and [`peer`] find and tell other nodes, [`share`] tells them what runs
 //! where and [`news`] what a watcher has heard; [`trials`] judges roll-outs.
-//! A request is taken in by [`intake`] and goes through [`request`], which takes one
-//! [`attempt`] after another at servers that [`pick`] names; [`course`] says how far it may
-//! go, [`judge`] what becomes of an answer, and [`relay`] passes streams on. All of them
-//! use one client, [`upstream`]. What is decided under load is in
-//! `fescuerack_core::routed`.
+//! Messages between nodes go by [`message`]. A request is taken in by [`intake`] and goes
+//! through [`request`], which takes one [`attempt`] after another at servers that [`pick`]
+//! names; [`course`] says how far it may go, [`judge`] what becomes of an answer, and
+//! [`relay`] passes streams on. All of them use one client, [`upstream`]. What is decided
+//! under load is in `fescuerack_core::routed`.
 
 pub mod attempt;
 pub mod body;
@@ -25,6 +25,7 @@
 pub mod judge;
 pub mod logs;
 pub mod member;
+pub mod message;
 pub mod metrics;
 pub mod net;
 pub mod news;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -8,8 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::edge::Item;
+use crate::message;
 use crate::node::Node;
-use crate::peer;
 
 /// Path on which a watcher is asked.
 pub const PATH: &str = "/follow";
@@ -44,7 +44,7 @@
 pub async fn ask(node: &Node, address: SocketAddr, after: u64) -> anyhow::Result<News> {
     let patience = Duration::from_millis(watcher::ASK_MS) + MARGIN;
     let question = Question { after };
-    tokio::time::timeout(patience, peer::ask(node, address, PATH, &question)).await?
+    tokio::time::timeout(patience, message::ask(node, address, PATH, &question)).await?
 }
 
 /// Waits for news and tells them.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -26,27 +26,21 @@
 use fescuerack_core::routed::trial::{self, Counts, Stage};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::HOST;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use rand::RngExt as _;
-use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 use crate::clock::now;
 use crate::edge::Item;
 use crate::follow;
+use crate::message;
 use crate::news;
 use crate::node::Node;
 use crate::share;
 use crate::trials;
-use crate::upstream::Sent;
 
 /// Path of an exchange.
 const PATH: &str = "/exchange";
-/// Longest time that an exchange may take.
-pub const PATIENCE: Duration = Duration::from_millis(700);
-/// Bytes that a message has at most.
-const MOST: usize = 4 << 20;
 /// Milliseconds between two tellings of a running roll-out's counts.
 const TELL_MS: u64 = 1_000;
 
@@ -157,8 +151,8 @@
 }
 
 async fn exchange(node: &Rc<Node>, name: &str, address: SocketAddr, wants_items: bool) {
-    let message = message(node, wants_items);
-    match tokio::time::timeout(PATIENCE, ask(node, address, PATH, &message)).await {
+    let told = told(node, wants_items);
+    match tokio::time::timeout(message::PATIENCE, message::ask(node, address, PATH, &told)).await {
         Ok(Ok(reply)) => take_reply(node, name, &reply),
         Ok(Err(error)) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
         Err(_) => tracing::info!(
@@ -169,7 +163,7 @@
     }
 }
 
-fn message(node: &Node, wants_items: bool) -> Message {
+fn told(node: &Node, wants_items: bool) -> Message {
     let evidence = node.evidence.borrow();
     let rollouts = evidence.iter().map(|(service, evidence)| {
         let told = Told {
@@ -190,32 +184,6 @@
     }
 }
 
-/// Sends a message to a peer and reads its answer.
-///
-/// # Errors
-///
-/// When no answer comes that can be read.
-pub async fn ask<R: DeserializeOwned>(
-    node: &Node,
-    address: SocketAddr,
-    path: &str,
-    message: &impl Serialize,
-) -> anyhow::Result<R> {
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header(HOST, address.to_string())
-        .body(Full::new(Bytes::from(serde_json::to_vec(message)?)))?;
-    let answered = match node.pool.send(address, request, true).await {
-        Sent::Answered(answered) => answered,
-        Sent::NotSent(reason) | Sent::Broken(reason) => anyhow::bail!(reason),
-    };
-    let body = Limited::new(answered.response.into_body(), MOST);
-    let body = body.collect().await.map_err(anyhow::Error::from_boxed)?;
-    node.pool.keep(answered.connection);
-    Ok(serde_json::from_slice(&body.to_bytes())?)
-}
-
 fn take_reply(node: &Node, peer: &str, reply: &Reply) {
     if !reply.items.is_empty() {
         let mut view = node.view.borrow_mut();
@@ -306,7 +274,10 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let path = request.uri().path().to_owned();
-    let body = match Limited::new(request.into_body(), MOST).collect().await {
+    let body = match Limited::new(request.into_body(), message::MOST)
+        .collect()
+        .await
+    {
         Ok(body) => body.to_bytes(),
         Err(error) => {
             tracing::info!(event = "peer-message-broken", reason = %error);
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -11,8 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::now;
+use crate::message;
 use crate::node::Node;
-use crate::peer;
 
 /// Path on which a hub is told by the nodes of its group.
 pub const MEMBER: &str = "/load";
@@ -127,34 +127,35 @@
 fn hear(node: &Node, others: &Tables) {
     node.others.borrow_mut().hear(now(), &others.load);
     let own = node.ends.borrow_mut().table(now());
-    let mut seen: HashMap<u32, u32> = HashMap::new();
+    let mut sums: HashMap<u32, u32> = HashMap::new();
     for &(server, ends) in own.iter().chain(&others.ends) {
-        let sum = seen.entry(server).or_default();
+        let sum = sums.entry(server).or_default();
         *sum = sum.saturating_add(ends);
     }
-    let seen: HashMap<u32, Ends> = seen
-        .into_iter()
-        .map(|(server, ends)| (server, Ends::unpack(ends)))
-        .collect();
+    let seen = sums.into_iter();
+    let seen = seen.map(|(server, ends)| (server, Ends::unpack(ends)));
+    judge(node, &seen.collect());
+}
+
+/// Leaves out the servers that fail more than the others of their service.
+fn judge(node: &Node, seen: &HashMap<u32, Ends>) {
     let view = node.view.borrow();
-    let mut services: BTreeMap<&str, Vec<u32>> = BTreeMap::new();
+    // In order, so that all nodes leave out the same ones of several.
+    let mut services: BTreeMap<&str, BTreeMap<u32, &str>> = BTreeMap::new();
     for server in view.servers.values() {
         let servers = services.entry(&server.listed.service).or_default();
-        servers.push(load::short(server.identity));
+        servers.insert(load::short(server.identity), &server.listed.id);
     }
-    for (service, servers) in services {
-        let left_out = node.grey.borrow_mut().judge(now(), &servers, &seen);
-        for server in view.servers.values() {
-            let short = load::short(server.identity);
-            if left_out.contains(&short) {
-                tracing::warn!(
-                    event = "server-left-out-by-all",
-                    server = &*server.listed.id,
-                    service,
-                    failed = seen[&short].failed,
-                    of = seen[&short].all
-                );
-            }
+    for (service, names) in services {
+        let servers: Vec<u32> = names.keys().copied().collect();
+        for server in node.grey.borrow_mut().judge(now(), &servers, seen) {
+            tracing::warn!(
+                event = "server-left-out-by-all",
+                server = names[&server],
+                service,
+                failed = seen[&server].failed,
+                of = seen[&server].all
+            );
         }
     }
 }
@@ -188,7 +189,7 @@
 }
 
 async fn tell(node: &Node, address: SocketAddr, path: &str, work: &Work) -> Option<Tables> {
-    match tokio::time::timeout(peer::PATIENCE, peer::ask(node, address, path, work)).await {
+    match tokio::time::timeout(message::PATIENCE, message::ask(node, address, path, work)).await {
         Ok(Ok(tables)) => return Some(tables),
         Ok(Err(error)) => {
             tracing::info!(event = "hub-failed", peer = %address, path, reason = %error);
