--- a/crates/core/tests/all/routed/trial.rs
+++ b/crates/core/tests/all/routed/trial.rs
@@ -207,3 +207,23 @@
     let at = ORDERED.plus_millis(9_000);
     assert_eq!(trial().judge(at, &evidence), verdict);
 }
+
+/// In a burst the answers of both versions are slow. Slowness was counted for the new version
+/// alone, so a good one was rolled back whenever a burst fell into its trial.
+#[rstest]
+#[case::both_slow(120, Verdict::Hold)]
+#[case::only_the_new_one(0, Verdict::Reject)]
+fn judge_slow_answers_are_compared_with_the_old_version(
+    #[case] old_slow: u32,
+    #[case] verdict: Verdict,
+) {
+    let side = |all, slow| Count { all, bad: 0, slow };
+    let pair = Pair {
+        old: side(300, old_slow),
+        new: side(40, 20),
+    };
+    let counts = Counts::from([("r".to_owned(), pair)]);
+    let evidence = Evidence { counts, crashed: 0 };
+    let at = ORDERED.plus_millis(9_000);
+    assert_eq!(trial().judge(at, &evidence), verdict);
+}
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -19,6 +19,7 @@
 mod process;
 mod proxy;
 mod touch;
+mod unread;
 mod world;
 
 #[path = "../../../../platform/tests/all/standin/http.rs"]
--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -18,7 +18,7 @@
     pub callers: SocketAddr,
     name: String,
     settings: PathBuf,
-    log: PathBuf,
+    log: Option<PathBuf>,
     child: Option<Child>,
 }
 
@@ -32,7 +32,7 @@
 }
 
 impl Process {
-    /// Starts a node at the loopback address `ip` with its files in `folder`.
+    /// Creates a node at the loopback address `ip` with its files in `folder`.
     pub fn new(number: usize, ip: Ipv4Addr, store: SocketAddr, folder: &Path) -> Self {
         let name = format!("n{number}");
         let settings = folder.join(format!("{name}.yaml"));
@@ -46,27 +46,36 @@
              platform: {{address: '{store}', ttl_min_ms: 1000}}\n"
         );
         std::fs::write(&settings, text).expect("write the settings");
-        let mut process = Self {
+        Self {
             callers: SocketAddr::from((ip, CALLERS)),
-            log: folder.join(format!("{name}.log")),
+            log: Some(folder.join(format!("{name}.log"))),
             name,
             settings,
             child: None,
-        };
-        process.start();
-        process
+        }
+    }
+
+    /// The same with a log that goes into a pipe which nobody reads.
+    pub fn with_unread_log(mut self) -> Self {
+        self.log = None;
+        self
     }
 
     /// Starts the process, if it does not run.
     pub fn start(&mut self) {
-        let log = File::options().create(true).append(true).open(&self.log);
-        let log = log.expect("open the log");
+        let log = || match &self.log {
+            Some(path) => {
+                let log = File::options().create(true).append(true).open(path);
+                Stdio::from(log.expect("open the log"))
+            }
+            None => Stdio::piped(),
+        };
         let command = Command::new(env!("CARGO_BIN_EXE_fescuerackd"))
             .args(["gateway", "--settings"])
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stderr(log.try_clone().expect("a second handle"))
-            .stdout(log)
+            .stderr(log())
+            .stdout(log())
             .spawn();
         self.child = Some(command.expect("start the program"));
     }
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -53,6 +53,17 @@
     firsts: Cell<u64>,
 }
 
+/// Loopback addresses of one run alone: others may run beside it, here and in other
+/// processes.
+pub fn addresses() -> [Ipv4Addr; NODES] {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let first = RUNS.fetch_add(1, Ordering::Relaxed) % MOST_RUNS * 8 + 1;
+    std::array::from_fn(|number| {
+        let last = first + u8::try_from(number).expect("few nodes");
+        Ipv4Addr::new(127, high.max(1), low, last)
+    })
+}
+
 /// Plays `steps`; returns the broken promises, and how much was seen.
 pub fn play(seed: u64, steps: &[Step]) -> (Vec<String>, Tally) {
     let folder = tempfile::tempdir().expect("a folder");
@@ -120,14 +131,11 @@
         }
         let mut store_links = Vec::new();
         let mut processes = Vec::new();
-        // Addresses of this run alone: others may run beside it, here and in other processes.
-        let [.., high, low] = std::process::id().to_be_bytes();
-        let first = RUNS.fetch_add(1, Ordering::Relaxed) % MOST_RUNS * 8 + 1;
-        for number in 0..NODES {
+        for (number, ip) in addresses().into_iter().enumerate() {
             let link = Proxy::new(store.address).await;
-            let last = first + u8::try_from(number).expect("few nodes");
-            let ip = Ipv4Addr::new(127, high.max(1), low, last);
-            processes.push(RefCell::new(Process::new(number, ip, link.address, folder)));
+            let mut process = Process::new(number, ip, link.address, folder);
+            process.start();
+            processes.push(RefCell::new(process));
             store_links.push(link);
         }
         let nodes = processes.iter().map(|one| one.borrow().callers).collect();
@@ -377,7 +385,7 @@
 }
 
 /// Writes the configuration of a version, which has a route and a key of its own.
-fn configure(store: &Store, version: u64) {
+pub fn configure(store: &Store, version: u64) {
     let route = |prefix: &str, kind: &str, service: &str| {
         json!({
             "name": prefix, "hostname": "shop.example", "prefix": prefix, "kind": kind,
