--- a/crates/core/src/routed/trial.rs
+++ b/crates/core/src/routed/trial.rs
@@ -9,7 +9,7 @@
 //!   so few of its servers ([`Trial::servers`]) that each is somewhat busier than the old
 //!   ones. Which sessions go there follows from a hash, so nodes agree without a message
 //!   and a session stays.
-//! - Then it gets most of the rest of the exposure, on servers that are [`PRESSED`] times
+//! - Then it gets most of the rest of the exposure, on servers that are `PRESSED` times
 //!   as busy as they will be. Sessions that go on keep the first half's share to about
 //!   half of what was meant, and a version that fails on busy servers only showed none of
 //!   its failures there: 58 answers, none bad, and one in two once everything went there.
