--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -1,5 +1,5 @@
 //! Asking a watcher of the store for news, and telling them as one; see
-//! [`watcher`](fescuerack_core::routed::watcher).
+//! [`watcher`].
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,12 +6,11 @@
 //! heard, and its own suspicions. Nodes exchange only while there is a reason:
 //!
 //! - the store does not answer this node: it asks any peer for what is newer;
-//! - requests run: each node tells the hub of its group what it has on each server
-//!   ([`load`]);
-//! - an availability zone is large: most of its nodes ask those that watch the store
-//!   ([`watcher`]);
 //! - a roll-out runs: each node tells the collector of its service, which all
 //!   nodes work out alike from the list of nodes, once a second.
+//!
+//! Nodes also tell hubs what runs where ([`share`]) and ask those that watch the store
+//! ([`news`]); this module answers all of it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -1,5 +1,5 @@
 //! Telling other nodes, through hubs, what this one has running and how its attempts ended;
-//! see [`load`](fescuerack_core::routed::load) and [`grey`](fescuerack_core::routed::grey).
+//! see [`load`] and [`grey`](fescuerack_core::routed::grey).
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
