--- a/crates/core/src/routed/grey.rs
+++ b/crates/core/src/routed/grey.rs
@@ -7,7 +7,8 @@
 //!
 //! So nodes tell each other, with their [`load`](super::load), how many attempts on each server
 //! ended and failed within the last [`WINDOW_MS`]. A server whose share of failures is surely
-//! above that of the **other servers of its service in the same seconds** is left out by all for
+//! above that of the **other servers of its service and version in the same seconds** is
+//! left out by all for
 //! a while that doubles each time. A service that fails everywhere leaves nobody out. Silence
 //! does not count: a busy server is silent too, and leaving it out would make the others so.
 
@@ -123,7 +124,7 @@
 }
 
 impl Grey {
-    /// Judges the servers of one service by what all nodes have seen; returns those that are
+    /// Judges the servers of one service and version by what all nodes have seen; returns those that are
     /// left out from now on.
     pub fn judge(&mut self, now: Instant, servers: &[u32], seen: &HashMap<u32, Ends>) -> Vec<u32> {
         self.out
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -137,22 +137,26 @@
     judge(node, &seen.collect());
 }
 
-/// Leaves out the servers that fail more than the others of their service.
+/// Leaves out the servers that fail more than the others of their service and version. A
+/// version on trial is judged by [`trials`](crate::trials): left out here, its one loaded
+/// server would stop to show what it does under load.
 fn judge(node: &Node, seen: &HashMap<u32, Ends>) {
     let view = node.view.borrow();
     // In order, so that all nodes leave out the same ones of several.
-    let mut services: BTreeMap<&str, BTreeMap<u32, &str>> = BTreeMap::new();
+    let mut alike: BTreeMap<(&str, &str), BTreeMap<u32, &str>> = BTreeMap::new();
     for server in view.servers.values() {
-        let servers = services.entry(&server.listed.service).or_default();
+        let listed = &server.listed;
+        let servers = alike.entry((&listed.service, &listed.version)).or_default();
         servers.insert(load::short(server.identity), &server.listed.id);
     }
-    for (service, names) in services {
+    for ((service, version), names) in alike {
         let servers: Vec<u32> = names.keys().copied().collect();
         for server in node.grey.borrow_mut().judge(now(), &servers, seen) {
             tracing::warn!(
                 event = "server-left-out-by-all",
                 server = names[&server],
                 service,
+                version,
                 failed = seen[&server].failed,
                 of = seen[&server].all
             );
