--- a/crates/core/src/routed/grey.rs
+++ b/crates/core/src/routed/grey.rs
@@ -8,9 +8,9 @@
 //! So nodes tell each other, with their [`load`](super::load), how many attempts on each server
 //! ended and failed within the last [`WINDOW_MS`]. A server whose share of failures is surely
 //! above that of the **other servers of its service and version in the same seconds** is
-//! left out by all for
-//! a while that doubles each time. A service that fails everywhere leaves nobody out. Silence
-//! does not count: a busy server is silent too, and leaving it out would make the others so.
+//! left out by all for a while that doubles each time. A service that fails everywhere leaves
+//! nobody out. Silence does not count: a busy server is silent too, and leaving it out would
+//! make the others so.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
