A server's life goes by identifier and start; unreadable entries name no server

Change: the hash by which servers are known everywhere covers the start as well, so nothing of an earlier life, told early or late, concerns the new one; requests of the earlier life no longer change its counts, kept connections are closed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -152,7 +152,7 @@
     if head.is_not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another server has this address now; the entry is of the one before.
-            pick::replace(&node.view, &pick.id);
+            pick::replace(&node.view, &pick);
         }
         note(node, job, &pick, began, None, "not-run", status.as_str());
         node.pool.discard(answered);
@@ -245,7 +245,9 @@
     let mut view = node.view.borrow_mut();
     let revision = view.revision;
     let mut running = 0;
-    if let Some(server) = view.servers.get_mut(&pick.id) {
+    let server = view.servers.get_mut(&pick.id);
+    // How a request ended in an earlier life says nothing of the new one.
+    if let Some(server) = server.filter(|server| server.identity == pick.identity) {
         running = server.running;
         // Silence may be a busy server's.
         if let Some(outcome) = outcome
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -49,7 +49,7 @@
 /// What the gateway tells a backend server besides the caller's own headers.
 #[derive(Clone, Debug)]
 pub struct Order<'a> {
-    /// Incarnation of the server that is meant.
+    /// Identifier of the server that is meant.
     pub server: &'a str,
     /// Milliseconds that are left.
     pub left_ms: Option<u64>,
@@ -178,7 +178,7 @@
 /// One backend server in the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listed {
-    /// Its incarnation; a new one for each start.
+    /// Its identifier. A server that starts again may keep it.
     pub id: Arc<str>,
     /// Service.
     pub service: Arc<str>,
@@ -194,6 +194,8 @@
     pub state: State,
     /// Models that it holds; empty if the list does not say.
     pub models: Vec<Arc<str>>,
+    /// When it started, in Unix milliseconds by its own clock; `None` if the list does not say.
+    pub started_ms: Option<u64>,
 }
 
 /// An operator's order to bring in a version.
@@ -238,6 +240,8 @@
     Server(Listed),
     /// A backend server is no longer listed.
     ServerGone(Arc<str>),
+    /// The entry of a backend server cannot be read, for the reason given; there is none to use.
+    ServerUnreadable(Arc<str>, String),
     /// A roll-out was ordered.
     Rollout(Rollout),
     /// The order for a roll-out of the service was withdrawn.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -316,12 +316,16 @@
 
 /// Brings the gauges and those who ask this node up to what is in force.
 pub fn note_view(node: &Node) {
+    for address in node.view.borrow_mut().take_restarted() {
+        node.pool.forget(address);
+    }
     let view = node.view.borrow();
     node.changes.send_replace(view.revision);
     let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
     node.metrics.revision.set(gauge(view.revision));
     let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
     node.metrics.configuration.set(gauge(version));
+    node.metrics.unreadable.set(gauge(view.unreadable));
     node.metrics
         .nodes
         .set(i64::try_from(view.node_count()).unwrap_or(i64::MAX));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub revision: IntGauge,
     /// Version of the configuration in force.
     pub configuration: IntGauge,
+    /// Entries of the store that could not be read.
+    pub unreadable: IntGauge,
     /// Nodes known.
     pub nodes: IntGauge,
     /// Connections opened to backend servers, peers and the store.
@@ -94,6 +96,10 @@
             in_progress: gauge("fescuerack_in_progress", "Requests in progress")?,
             revision: gauge("fescuerack_revision", "Highest revision heard of")?,
             configuration: gauge("fescuerack_configuration", "Version of the configuration")?,
+            unreadable: gauge(
+                "fescuerack_unreadable_entries",
+                "Entries of the store that could not be read so far",
+            )?,
             nodes: gauge("fescuerack_nodes", "Nodes known")?,
             connections: gauge("fescuerack_connections_opened", "Connections opened")?,
             log_lines_dropped: gauge("fescuerack_log_lines_dropped", "Log lines left out")?,
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -33,8 +33,10 @@
 /// The server that was picked.
 #[derive(Clone, Debug)]
 pub struct Pick {
-    /// Its incarnation.
+    /// Its identifier.
     pub id: Arc<str>,
+    /// Hash of its identifier and start.
+    pub identity: u64,
     /// Its address.
     pub address: SocketAddr,
     /// Its version.
@@ -49,28 +51,38 @@
 pub struct Running {
     node: Rc<Node>,
     id: Arc<str>,
+    identity: u64,
     work: f64,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        if let Some(server) = self.node.view.borrow_mut().servers.get_mut(&self.id) {
+        let work = self.work;
+        self.change(|server| {
             server.running = server.running.saturating_sub(1);
-            server.work = (server.work - self.work).max(0.0);
-        }
+            server.work = (server.work - work).max(0.0);
+        });
     }
 }
 
 impl Running {
     /// Notes that the first of the answer is there: the prompt has been read.
     pub fn settle(&mut self) {
-        let rest = self.work * ANSWERING;
-        if let Some(server) = self.node.view.borrow_mut().servers.get_mut(&self.id) {
-            server.work = (server.work - self.work + rest).max(0.0);
-        }
+        let (before, rest) = (self.work, self.work * ANSWERING);
+        self.change(|server| server.work = (server.work - before + rest).max(0.0));
         self.work = rest;
     }
 
+    /// Changes what is counted on the server, unless it has started again since: a request that
+    /// ran in its earlier life would be taken off the work of the new one.
+    fn change(&self, change: impl FnOnce(&mut Server)) {
+        let mut view = self.node.view.borrow_mut();
+        let server = view.servers.get_mut(&self.id);
+        if let Some(server) = server.filter(|server| server.identity == self.identity) {
+            change(server);
+        }
+    }
+
     /// Counts a request on `pick`.
     #[must_use]
     pub fn new(node: &Rc<Node>, pick: &Pick, work: f64) -> Self {
@@ -81,6 +93,7 @@
         Self {
             node: node.clone(),
             id: pick.id.clone(),
+            identity: pick.identity,
             work,
         }
     }
@@ -200,6 +213,7 @@
     }
     Some(Pick {
         id: server.listed.id.clone(),
+        identity: server.identity,
         address: server.listed.address,
         version: server.listed.version.clone(),
         service: service.clone(),
@@ -311,8 +325,10 @@
 }
 
 /// Marks a server as one that another has taken the place of.
-pub fn replace(view: &RefCell<View>, id: &str) {
-    if let Some(server) = view.borrow_mut().servers.get_mut(id) {
+pub fn replace(view: &RefCell<View>, pick: &Pick) {
+    if let Some(server) = view.borrow_mut().servers.get_mut(&pick.id)
+        && server.identity == pick.identity
+    {
         server.is_replaced = true;
     }
 }
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -10,7 +10,7 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::trial::{self, Stage, Trial, Verdict};
-use fescuerack_core::routed::{home, load};
+use fescuerack_core::routed::load;
 
 use crate::clock::now;
 use crate::edge::{Answer, Call, Progress, Status};
@@ -104,9 +104,7 @@
     };
     if ended == Ended::Broken {
         if is_new {
-            known
-                .crashed
-                .insert(load::short(home::hash(pick.id.as_bytes())));
+            known.crashed.insert(load::short(pick.identity));
         }
         return;
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -167,6 +167,11 @@
         });
     }
 
+    /// Closes idle connections to `address`, where a server has started again.
+    pub fn forget(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes idle connections that no request would trust any more.
     pub fn sweep(&self) {
         let now = now();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -25,7 +25,9 @@
 pub struct Server {
     /// Its entry in the list.
     pub listed: Listed,
-    /// Hash of its incarnation.
+    /// Hash of its identifier and start. Whatever is known or told of a server goes by this, so
+    /// nothing of an earlier life is held against, or credited to, one that started again under
+    /// the same identifier, also when a peer's word about that life comes later.
     pub identity: u64,
     /// How its attempts end.
     pub health: Health,
@@ -87,7 +89,7 @@
 pub struct View {
     /// Configuration in force.
     pub catalog: Option<Arc<Catalog>>,
-    /// Backend servers by incarnation.
+    /// Backend servers by identifier.
     pub servers: HashMap<Arc<str>, Server>,
     /// Roll-outs by service.
     pub orders: BTreeMap<Arc<str>, Order>,
@@ -99,6 +101,10 @@
     /// heard of from peers or written here do not move it: what lies between is
     /// still to be heard.
     pub revision: u64,
+    /// Entries that could not be read so far.
+    pub unreadable: u64,
+    /// Addresses at which a server started again, for [`take_restarted`](Self::take_restarted).
+    restarted: Vec<SocketAddr>,
     items: HashMap<String, Item>,
     /// Highest revision of a removal that is no longer remembered.
     forgotten: u64,
@@ -206,6 +212,12 @@
             Change::Catalog(catalog) => self.take_catalog(catalog),
             Change::Server(listed) => self.take_server(listed),
             Change::ServerGone(id) => self.lose_server(now, &id),
+            Change::ServerUnreadable(id, reason) => {
+                self.note_unreadable(item, &reason);
+                // The server may still run, but nothing says as what: what it was before is not
+                // what the entry says now.
+                self.servers.remove(&id);
+            }
             Change::Rollout(rollout) => self.take_rollout(now, rollout, item.revision),
             Change::RolloutGone(service) => {
                 self.orders.remove(&service);
@@ -237,17 +249,26 @@
                 }
             }
             Change::Own => self.take_own(item),
-            Change::Unreadable(reason) => {
-                tracing::error!(
-                    event = "unreadable-item",
-                    key = item.key,
-                    revision = item.revision,
-                    reason
-                );
-            }
+            Change::Unreadable(reason) => self.note_unreadable(item, &reason),
         }
     }
 
+    fn note_unreadable(&mut self, item: &Item, reason: &str) {
+        self.unreadable += 1;
+        tracing::error!(
+            event = "unreadable-item",
+            key = item.key,
+            revision = item.revision,
+            reason
+        );
+    }
+
+    /// Returns the addresses at which a server has started again since the last call:
+    /// connections from before lead nowhere.
+    pub fn take_restarted(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.restarted)
+    }
+
     fn take_catalog(&mut self, catalog: Arc<Catalog>) {
         let before = self.catalog.as_ref().map_or(0, |known| known.version);
         tracing::info!(
@@ -269,12 +290,22 @@
             state = ?listed.state
         );
         if let Some(known) = self.servers.get_mut(&listed.id) {
-            known.gone_at = None;
-            known.listed = listed;
-            return;
+            if known.listed.started_ms == listed.started_ms {
+                known.gone_at = None;
+                known.listed = listed;
+                return;
+            }
+            tracing::info!(
+                event = "server-restarted",
+                server = &*listed.id,
+                before_ms = known.listed.started_ms,
+                started_ms = listed.started_ms,
+                running = known.running
+            );
+            self.restarted.push(known.listed.address);
         }
         let server = Server {
-            identity: home::hash(listed.id.as_bytes()),
+            identity: identity(&listed),
             health: Health::default(),
             running: 0,
             work: 0.0,
@@ -337,3 +368,11 @@
         };
     }
 }
+
+/// Hash by which a server's life is known, alike on all nodes.
+fn identity(listed: &Listed) -> u64 {
+    let id = home::hash(listed.id.as_bytes());
+    listed
+        .started_ms
+        .map_or(id, |started_ms| home::mix(id ^ home::mix(started_ms)))
+}
