--- a/crates/core/src/routed/home.rs
+++ b/crates/core/src/routed/home.rs
@@ -29,8 +29,7 @@
 use std::collections::HashMap;
 
 /// How many times its milliseconds a prompt's reading counts: it delays whoever comes next as
-/// well. 0.642 of the worth of five days with 1.5, 0.653 with 2.5, 0.658 with 4 and 8; with 8 a prompt
-/// would wait for its warm engine until it is late.
+/// well. 0.642 of the worth of five days with 1.5, 0.653 with 2.5, 0.658 with 4.
 const COLD: f64 = 4.0;
 /// Milliseconds within which servers count as equal: what is told of a server's work is off by
 /// about as much between two tellings. With 100, 192 nodes in the model of the tests queue up half as long again;
@@ -43,12 +42,10 @@
 /// Milliseconds that a short prompt is thought to lose, and to cost others, on an engine that
 /// reads long ones: two or three chunks.
 const MIXED_MS: f64 = 200.0;
-/// Servers at the front of a part's order among which the soonest is taken. On ninety nodes 0.521 of
-/// the worth of three days with three, 0.532 with two; on seven no difference. A part that a
-/// third of the callers ask for fills more than two: it gets twice as many, and again, while
-/// its soonest home is later than the mean of all. Compared with the soonest of all, 0.026 is lost
-/// on ninety nodes, as that is the server that looks idle to everyone.
-const HOMES: usize = 2;
+/// Servers at the front of a part's order among which the soonest is taken: three, as two leave a
+/// hot part waiting 4.8 s in the model of the tests, and with four or more the servers' work
+/// is told too late to many nodes.
+const HOMES: usize = 3;
 /// Sorts of servers of which each has its homes: nearby or anywhere, set aside or not.
 const SORTS: [(bool, bool); 4] = [(false, false), (false, true), (true, false), (true, true)];
 /// Part of the longest reading below which a server has enough of a prompt cached to count as a
@@ -126,49 +123,38 @@
         let mixed = if candidate.is_suited { 0.0 } else { MIXED_MS };
         candidate.load + COLD * candidate.read_ms + far + mixed
     };
-    let soonest = |among: &[usize]| {
-        let times = among.iter().map(|&index| time(index));
-        times.fold(f64::INFINITY, f64::min)
-    };
-    let usual = mean(order.iter().map(|&index| time(index)));
-    let mut count = HOMES;
-    let mut among = homes(candidates, &order, count);
-    while among.len() < order.len() && soonest(&among) > usual {
-        count *= 2;
-        among = homes(candidates, &order, count);
-    }
-    let latest = soonest(&among) + SLACK_MS;
-    among.into_iter().find(|&index| time(index) <= latest)
+    keep_homes(candidates, &mut order);
+    let times = order.iter().map(|&index| time(index));
+    let soonest = times.fold(f64::INFINITY, f64::min);
+    order
+        .into_iter()
+        .find(|&index| time(index) <= soonest + SLACK_MS)
 }
 
-/// The first `count` servers of a part's order: of all, of those nearby, of those that are set
+/// Leaves the first few servers of a part's order: of all, of those nearby, of those that are set
 /// aside for its like, and of both; and whichever has most of the prompt cached.
 ///
-/// The failure that few homes prevent: what nodes know of each other's work is up to half a
-/// second old. With ninety nodes that each took the best of sixty servers, all took the same
-/// one for that long, and one answer in four was late. A part's few homes differ from the next
-/// part's, so a server that looks idle gets a few prompts at once and not all.
-fn homes(candidates: &[Candidate], order: &[usize], count: usize) -> Vec<usize> {
+/// The failure: what nodes know of each other's work is up to half a second old. With ninety
+/// nodes that each took the best of sixty servers, all took the same one for that long,
+/// and one answer in four was late. A part's few homes differ from the next part's, so a server
+/// that looks idle gets a few prompts at once and not all.
+fn keep_homes(candidates: &[Candidate], order: &mut Vec<usize>) {
     let read_ms = order.iter().map(|&index| candidates[index].read_ms);
     let longest = read_ms.fold(0.0, f64::max);
-    let mut of_sort = [0; SORTS.len()];
-    let is_home = |index: &usize| {
-        let candidate = &candidates[*index];
+    let mut of_sort: HashMap<(bool, bool), usize> = HashMap::new();
+    order.retain(|&index| {
+        let candidate = &candidates[index];
         let mut is_home = candidate.read_ms < WARM * longest;
-        for ((near, suited), taken) in SORTS.iter().zip(&mut of_sort) {
-            if (candidate.is_near || !near) && (candidate.is_suited || !suited) {
-                *taken += 1;
-                is_home |= *taken <= count;
-            }
+        let is_of = |&(near, suited): &(bool, bool)| {
+            (candidate.is_near || !near) && (candidate.is_suited || !suited)
+        };
+        for sort in SORTS.iter().copied().filter(is_of) {
+            let count = of_sort.entry(sort).or_default();
+            *count += 1;
+            is_home |= *count <= HOMES;
         }
         is_home
-    };
-    order.iter().copied().filter(is_home).collect()
-}
-
-fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
-    let count = u32::try_from(values.len()).unwrap_or(u32::MAX).max(1);
-    values.sum::<f64>() / f64::from(count)
+    });
 }
 
 /// Order in which servers, given as identity and availability zone, are set aside, as indices:
--- a/crates/core/src/routed/tier.rs
+++ b/crates/core/src/routed/tier.rs
@@ -22,18 +22,17 @@
 pub const THRESHOLD: u8 = 50;
 
 /// Pressure up to which the threshold stands.
-pub const CALM: f64 = 0.05;
+pub const CALM: f64 = 0.1;
 /// Pressure from which only [`LEAST`] of it stands. With 0.3 and 1.0 on the own reading as well,
 /// the longest tenth of the prompts was hardly ever asked for again: 0.60 to 0.63 of the worth of
-/// the worst-served kind in place of 0.65 to 0.66. With 0.1 and 0.6 seven nodes gain 0.002 of five
-/// days and ninety, whose engines have more to do, lose 0.013 of three.
-pub const FULL: f64 = 0.5;
+/// the worst-served kind in place of 0.65 to 0.66.
+pub const FULL: f64 = 0.6;
 /// Part of the threshold that stands whatever the pressure: an answer that its own model calls
 /// hopeless is worth less than a late one.
 pub const LEAST: f64 = 0.2;
 /// Part of the own reading that counts as pressure. All of it would leave the longest prompts
 /// with weak answers, none would let them fill the engines.
-pub const OWN: f64 = 0.4;
+pub const OWN: f64 = 0.3;
 
 /// What is expected of the larger model's answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
