--- a/crates/core/src/routed/load.rs
+++ b/crates/core/src/routed/load.rs
@@ -31,7 +31,7 @@
 /// Milliseconds in which what was heard counts for half: prompts are read and done.
 const HALF_MS: f64 = 600.0;
 
-/// Work by the hash of a server's identity, in hundredths of a millisecond or plain call.
+/// Work by the hash of a server's identity, in hundredths of a usual request.
 pub type Table = Vec<(u32, u32)>;
 
 /// Work of others as this node knows it.
@@ -104,7 +104,7 @@
     (identity >> 32) as u32
 }
 
-/// Returns work, in milliseconds of an engine or plain calls, as it stands in tables.
+/// Returns work as it stands in tables.
 #[must_use]
 #[expect(
     clippy::cast_possible_truncation,
--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -7,8 +7,6 @@
 //! - [`health`]: which backend servers a node leaves out for a while;
 //! - [`grey`]: which ones all nodes leave out, by what they saw together;
 //! - [`load`]: what other nodes have running on each backend server;
-//! - [`pace`]: how long engines take to the first token, learned from answers;
-//! - [`warm`]: what is believed to be cached on each engine;
 //! - [`tier`]: which of a route's models answers, and when a weak answer is
 //!   asked for again of a stronger one;
 //! - [`budget`]: how many further attempts one node may make;
@@ -25,10 +23,8 @@
 pub mod health;
 pub mod home;
 pub mod load;
-pub mod pace;
 pub mod session;
 pub mod tier;
 pub mod trial;
 pub mod vanish;
-pub mod warm;
 pub mod watcher;
--- a/crates/core/tests/all/routed/load.rs
+++ b/crates/core/tests/all/routed/load.rs
@@ -7,8 +7,8 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 
-/// Milliseconds that an engine reads one long prompt.
-const PROMPT: f64 = 125.0;
+/// Work of one long prompt, in requests of usual size.
+const PROMPT: f64 = 20.0;
 
 const NOW: Instant = Instant::from_millis(10_000);
 
@@ -165,25 +165,21 @@
                 .map(|(index, &identity)| home::Candidate {
                     identity,
                     load: work[node][index] + others[node].work(now, identity),
-                    read_ms: PROMPT,
                     places: 64,
                     is_near: true,
                     is_healthy: true,
                     is_suited: true,
                 })
                 .collect();
-            let prompt = home::Prompt {
-                part: home::mix(random.random_range(0..100)),
-                is_short: false,
-            };
-            let taken = home::choose(&candidates, Some(prompt), 0).expect("a server");
+            let part = home::mix(random.random_range(0..100));
+            let taken = home::choose(&candidates, Some(part), 0).expect("a server");
             found.push(work.iter().map(|mine| mine[taken]).sum::<f64>() / PROMPT);
             work[node][taken] += PROMPT;
         }
-        // Each server does a millisecond's work a millisecond, whoever's it is.
+        // Each server does a fixed amount a millisecond, whoever's it is.
         for index in 0..servers.len() {
             let sum: f64 = work.iter().map(|mine| mine[index]).sum();
-            let left = (sum - 1.0).max(0.0);
+            let left = (sum - 0.16).max(0.0);
             let part = if sum > 0.0 { left / sum } else { 0.0 };
             for mine in &mut work {
                 mine[index] *= part;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,16 +6,16 @@
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::health::Outcome;
-use fescuerack_core::routed::{load, tier};
+use fescuerack_core::routed::load;
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
-use crate::catalog::{Kind, Route};
+use crate::catalog::Route;
 use crate::clock::{deadline, now};
 use crate::edge::{Ask, Head, Order};
 use crate::headers;
 use crate::node::Node;
-use crate::pick::{self, Pick, Prompt, Running};
+use crate::pick::{self, Pick, Running};
 use crate::upstream::{Answered, Sent};
 
 /// A caller's request, read whole.
@@ -91,11 +91,11 @@
     last_event: Option<u64>,
     until: Instant,
 ) -> Tried {
-    let mut running = Running::new(node, &pick);
-    let prompt = Prompt::new(&job.route, &job.ask, model.map(|(_, name)| name));
-    prompt.note_read(node, &pick);
+    let models = job.route.models.len();
+    let work = pick::work(&job.ask, model.map(|(rank, _)| (rank, models)));
+    let mut running = Running::new(node, &pick, work);
     let began = now();
-    let request = request(node, job, &pick, model, last_event);
+    let request = request(node, job, &pick, model.map(|(_, name)| name), last_event);
     let sent = node
         .pool
         .send(pick.address, request, job.route.is_repeatable());
@@ -132,10 +132,6 @@
         }
         Sent::Answered(answered) => {
             running.settle();
-            let is_read = answered.response.status().is_success();
-            if is_read && job.route.kind == Kind::Streaming {
-                prompt.learn(node, &pick, now().since(began).as_secs_f64() * 1_000.0);
-            }
             judge(node, job, pick, began, answered, running)
         }
     }
@@ -210,7 +206,7 @@
     node: &Node,
     job: &Job,
     pick: &Pick,
-    model: Option<(usize, &str)>,
+    model: Option<&str>,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let left = job.deadline.since(now()).as_millis();
@@ -218,11 +214,8 @@
         server: &pick.id,
         left_ms: Some(u64::try_from(left).unwrap_or(u64::MAX)),
         organisation: job.organisation.as_deref(),
-        priority: Some(tier::rank(
-            job.priority.unwrap_or(job.route.priority),
-            model.map(|(rank, _)| rank),
-        )),
-        model: model.map(|(_, name)| name),
+        priority: Some(job.priority.unwrap_or(job.route.priority)),
+        model,
         last_event,
     };
     let mut request = Request::new(Full::new(job.body.clone()));
@@ -284,9 +277,6 @@
         version = &*pick.version,
         near = pick.is_near,
         running,
-        unread = pick.estimate.tokens,
-        ahead_ms = pick.estimate.ahead_ms,
-        expected_ms = pick.estimate.head_ms,
         revision,
         ms = ended.since(began).as_secs_f64() * 1_000.0,
         outcome = word,
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -90,9 +90,6 @@
     /// Requests that one of its servers runs at once, if it is a model engine.
     #[serde(default)]
     pub batch: Option<u32>,
-    /// Tokens that the memory of one of its servers holds, if it is a model engine.
-    #[serde(default)]
-    pub memory_tokens: Option<u64>,
 }
 
 /// An organisation and the keys of its callers.
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -75,18 +75,14 @@
     confidence: Option<u8>,
 ) -> Option<usize> {
     let models = job.route.models.len();
-    let prospect = pick::prospect(node, job, service, models.checked_sub(1)?)?;
-    let next = tier::next(models, rank, confidence, &prospect);
+    let pressure = pick::pressure(node, job, service, models.checked_sub(1)?).unwrap_or_default();
+    let next = tier::next(models, rank, confidence, pressure);
     tracing::info!(
         event = "judged-answer",
         id = job.ask.id,
         model = rank,
         confidence,
-        pressure = prospect.pressure(),
-        room = prospect.room(),
-        passed_ms = prospect.passed_ms,
-        expected_ms = prospect.head_ms,
-        target_ms = prospect.target_ms,
+        pressure,
         next
     );
     next
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms, served as text.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds in seconds of latency buckets: from a plain call to a long stream.
@@ -9,9 +9,6 @@
     0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 3.0, 5.0, 10.0, 25.0,
 ];
 
-/// Upper bounds of buckets of what was seen in parts of what was expected.
-const PARTS: &[f64] = &[0.25, 0.5, 0.67, 0.8, 1.0, 1.25, 1.5, 2.0, 4.0];
-
 /// All metrics of a node. Labels are routes, models, services, kinds and outcomes,
 /// so the number of series is bounded by the configuration.
 #[derive(Debug)]
@@ -21,8 +18,6 @@
     pub requests: IntCounterVec,
     /// Seconds until a request's answer began, by route.
     pub first: HistogramVec,
-    /// Time to the heads of prompts' answers, in parts of what was expected.
-    pub head_error: Histogram,
     /// Attempts by service and outcome.
     pub attempts: IntCounterVec,
     /// Further attempts by service and reason.
@@ -71,14 +66,7 @@
         );
         let first = HistogramVec::new(options.buckets(SECONDS.to_vec()), &["route"])?;
         registry.register(Box::new(first.clone()))?;
-        let options = HistogramOpts::new(
-            "fescuerack_head_over_expected",
-            "Time to the heads of prompts' answers, in parts of what was expected",
-        );
-        let head_error = Histogram::with_opts(options.buckets(PARTS.to_vec()))?;
-        registry.register(Box::new(head_error.clone()))?;
         Ok(Self {
-            head_error,
             requests: counter(
                 "fescuerack_requests_total",
                 "Requests by route and outcome",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,10 +10,8 @@
 use fescuerack_core::routed::crash::Suspects;
 use fescuerack_core::routed::grey::{Grey, Window};
 use fescuerack_core::routed::load::Others;
-use fescuerack_core::routed::pace::Pace;
 use fescuerack_core::routed::session::Recent;
 use fescuerack_core::routed::trial::Counts;
-use fescuerack_core::routed::warm::Contents;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
 
@@ -100,10 +98,6 @@
     pub recent_elsewhere: RefCell<Recent>,
     /// Work of other nodes by server.
     pub others: RefCell<Others>,
-    /// How long engines take to read.
-    pub pace: RefCell<Pace>,
-    /// What is believed to be cached on them.
-    pub warm: RefCell<Contents>,
     /// How attempts on servers ended here.
     pub ends: RefCell<Window>,
     /// Servers that all nodes leave out.
@@ -147,8 +141,6 @@
             recent: RefCell::default(),
             recent_elsewhere: RefCell::default(),
             others: RefCell::default(),
-            pace: RefCell::default(),
-            warm: RefCell::default(),
             ends: RefCell::default(),
             grey: RefCell::default(),
             hub: RefCell::default(),
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -4,14 +4,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use fescuerack_core::routed::home::{self, Candidate};
 use fescuerack_core::routed::load;
-use fescuerack_core::routed::pace::Reading;
-use fescuerack_core::routed::tier::Prospect;
 use fescuerack_core::routed::trial::Stage;
-use fescuerack_core::routed::warm::Part;
 
 use crate::attempt::Job;
 use crate::catalog::{Kind, Route};
@@ -21,33 +17,18 @@
 use crate::trials;
 use crate::view::{Order, Server, View};
 
-/// How much heavier a request to the largest model is thought to be than one to the smallest,
-/// until answers have told.
+/// Prompt tokens that weigh as much as a request without any: a chunk that an
+/// engine reads between two steps.
+const TOKENS: f64 = 4_096.0;
+/// How much heavier a request to the largest model weighs than one to the smallest.
 const LARGEST: f64 = 10.0;
+
 /// Part of a request's work that is left once its prompt has been read: producing
 /// tokens shares each step with all other requests on the engine.
 const ANSWERING: f64 = 0.1;
-/// Milliseconds of an engine that a request takes besides reading, for each time that its model
-/// is as heavy as the smallest: a few steps.
-const STEPS_MS: f64 = 10.0;
-/// Prompts that are read within so many milliseconds, with nothing cached, are short: a few
-/// chunks, so that what runs beside them waits for no longer than a pause that nobody notices.
-const SHORT_MS: f64 = 150.0;
-
-/// What is expected of a request on the server that was picked.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Estimate {
-    /// Prompt tokens that are not believed to be cached there.
-    pub tokens: f64,
-    /// Milliseconds of other work there.
-    pub ahead_ms: f64,
-    /// Milliseconds of reading.
-    pub read_ms: f64,
-    /// Milliseconds until the head of the answer.
-    pub head_ms: f64,
-    /// Work that the request brings: milliseconds of an engine, or one plain call.
-    pub work: f64,
-}
+/// Prompts whose reading weighs less than this many tokens of the smallest model are
+/// light.
+const LIGHT: f64 = 15_000.0;
 
 /// The server that was picked.
 #[derive(Clone, Debug)]
@@ -64,8 +45,6 @@
     pub service: Arc<str>,
     /// Whether it is in this node's availability zone.
     pub is_near: bool,
-    /// What is expected there.
-    pub estimate: Estimate,
 }
 
 /// Counts a request as running on a server until dropped.
@@ -106,8 +85,7 @@
 
     /// Counts a request on `pick`.
     #[must_use]
-    pub fn new(node: &Rc<Node>, pick: &Pick) -> Self {
-        let work = pick.estimate.work;
+    pub fn new(node: &Rc<Node>, pick: &Pick, work: f64) -> Self {
         if let Some(server) = node.view.borrow_mut().servers.get_mut(&pick.id) {
             server.running += 1;
             server.work += work;
@@ -121,66 +99,17 @@
     }
 }
 
-/// A prompt as one model reads it.
-pub struct Prompt {
-    /// Hash of the model.
-    model: u64,
-    /// How many times as heavy as the smallest model the model is thought to be.
-    heaviness: f64,
-    parts: Vec<Part>,
+/// Work that a request brings, in requests of usual size.
+#[must_use]
+pub fn work(ask: &Ask, model: Option<(usize, usize)>) -> f64 {
+    (1.0 + f64::from(ask.tokens.0) / TOKENS) * heaviness(model)
 }
 
-impl Prompt {
-    /// Reads a request for `model`, the one that the caller names if there is none.
-    #[must_use]
-    pub fn new(route: &Route, ask: &Ask, model: Option<&str>) -> Self {
-        let rank = route.models.iter().position(|one| Some(&**one) == model);
-        let name = model.or(ask.model.as_deref()).unwrap_or_default();
-        let model = home::hash(name.as_bytes());
-        let part = |part: &crate::edge::Part| Part {
-            key: load::short(home::mix(part.id ^ model)),
-            tokens: part.tokens,
-        };
-        Self {
-            model,
-            heaviness: heaviness(rank.map(|rank| (rank, route.models.len()))),
-            parts: ask.parts.iter().map(part).collect(),
-        }
-    }
-
-    /// What is known of how engines read it.
-    #[must_use]
-    pub fn reading(&self, node: &Node) -> Reading {
-        node.pace.borrow().reading(self.model, self.heaviness)
-    }
-
-    /// Notes that the server of `pick` reads it.
-    pub fn note_read(&self, node: &Node, pick: &Pick) {
-        let capacity = node
-            .view
-            .borrow()
-            .catalog
-            .as_ref()
-            .and_then(|catalog| catalog.services.get(&pick.service)?.memory_tokens);
-        let server = load::short(pick.identity);
-        let mut warm = node.warm.borrow_mut();
-        warm.read(now(), server, &self.parts, capacity);
-    }
-
-    /// Takes in the milliseconds after which the head came from the server of `pick`.
-    pub fn learn(&self, node: &Node, pick: &Pick, head_ms: f64) {
-        let Estimate {
-            tokens, ahead_ms, ..
-        } = pick.estimate;
-        let mut pace = node.pace.borrow_mut();
-        pace.learn(self.model, self.heaviness, ahead_ms, tokens, head_ms);
-        node.metrics
-            .head_error
-            .observe(head_ms / pick.estimate.head_ms.max(1.0));
-    }
+/// Prompt tokens, weighed by how long the model takes to read one.
+fn reading(ask: &Ask, model: Option<(usize, usize)>) -> f64 {
+    f64::from(ask.tokens.0) * heaviness(model)
 }
 
-/// How many times as heavy as the smallest a model is thought to be, by its rank.
 fn heaviness(model: Option<(usize, usize)>) -> f64 {
     match model {
         Some((rank, models)) if models > 1 => {
@@ -244,66 +173,16 @@
     model: Option<&str>,
     session: u64,
     tried: &[Arc<str>],
-) -> Option<Pick> {
-    let pick = weigh(node, route, ask, service, model, session, tried)?;
-    let view = node.view.borrow();
-    let order = view.orders.get(service);
-    let is_trial = order.is_some_and(|order| order.rollout.version == pick.version);
-    if !is_trial && route.kind == Kind::Streaming {
-        let mut recent = node.recent.borrow_mut();
-        recent.note(now(), session, node.settings.borrow().session_ms);
-    }
-    Some(pick)
-}
-
-/// What is expected of the model at `rank`, if it were asked now; `None` if no server has it.
-#[must_use]
-pub fn prospect(node: &Node, job: &Job, service: &Arc<str>, rank: usize) -> Option<Prospect> {
-    let model = &*job.route.models[rank];
-    let pick = weigh(
-        node,
-        &job.route,
-        &job.ask,
-        service,
-        Some(model),
-        job.session,
-        &[],
-    )?;
-    let target = job.route.target_ms.map(Duration::from_millis);
-    let target = target.unwrap_or_else(|| job.deadline.since(job.arrived));
-    Some(Prospect {
-        passed_ms: now().since(job.arrived).as_secs_f64() * 1_000.0,
-        ahead_ms: pick.estimate.ahead_ms,
-        read_ms: pick.estimate.read_ms,
-        head_ms: pick.estimate.head_ms,
-        target_ms: target.as_secs_f64() * 1_000.0,
-    })
-}
-
-/// Puts the servers that may run the request to [`home::choose`].
-fn weigh(
-    node: &Node,
-    route: &Route,
-    ask: &Ask,
-    service: &Arc<str>,
-    model: Option<&str>,
-    session: u64,
-    tried: &[Arc<str>],
 ) -> Option<Pick> {
     let now = now();
     let view = node.view.borrow();
     let settings = node.settings.borrow();
     let others = node.others.borrow();
-    let warm = node.warm.borrow();
-    let listed = arrange(&eligible(node, &view, service, model, session, tried));
-    let prompt = Prompt::new(route, ask, model);
-    let reading = prompt.reading(node);
-    let all_tokens = ask.tokens.0;
-    let tokens = |server: &Server| {
-        let cached = warm.cached(load::short(server.identity), &prompt.parts);
-        f64::from(all_tokens.saturating_sub(cached))
-    };
-    let is_short = reading.read_ms(f64::from(all_tokens)) < SHORT_MS;
+    let mut listed: Vec<&Server> = eligible(node, &view, service, model, session, tried);
+    listed.sort_by_key(|server| home::mix(server.identity));
+    let rank = route.models.iter().position(|one| Some(&**one) == model);
+    let sized = rank.map(|rank| (rank, route.models.len()));
+    let is_small = reading(ask, sized) < LIGHT;
     let count = listed.len();
     let candidates: Vec<Candidate> = listed
         .iter()
@@ -311,53 +190,59 @@
         .map(|(rank, server)| Candidate {
             identity: server.identity,
             load: server.work + others.work(now, server.identity),
-            read_ms: reading.read_ms(tokens(server)),
             places: server.listed.places,
             is_near: *server.listed.zone == *settings.zone,
             is_healthy: is_healthy(node, server),
-            is_suited: route.models.len() < 2 || home::suits(rank, count, is_short),
+            is_suited: route.models.len() < 2 || home::suits(rank, count, is_small),
         })
         .collect();
-    let draw = home::hash(ask.id.as_bytes());
-    let of_prompt = match route.kind {
-        Kind::Streaming => Some(home::Prompt {
-            part: home::mix(shared_part(ask).unwrap_or(draw) ^ prompt.model),
-            is_short,
-        }),
+    let part = match route.kind {
+        Kind::Streaming => shared_part(ask)
+            .map(|part| home::mix(part ^ home::hash(model.unwrap_or_default().as_bytes()))),
         Kind::Idempotent | Kind::NonIdempotent => None,
     };
-    let index = home::choose(&candidates, of_prompt, draw)?;
-    let (server, candidate) = (listed[index], candidates[index]);
-    let tokens = tokens(server);
-    let work = match of_prompt {
-        Some(_) => candidate.read_ms + STEPS_MS * prompt.heaviness,
-        None => 1.0,
-    };
+    let index = home::choose(&candidates, part, home::hash(ask.id.as_bytes()))?;
+    let server = listed[index];
+    let is_trial = view
+        .orders
+        .get(service)
+        .is_some_and(|order| order.rollout.version == server.listed.version);
+    if !is_trial && route.kind == Kind::Streaming {
+        let mut recent = node.recent.borrow_mut();
+        recent.note(now, session, settings.session_ms);
+    }
     Some(Pick {
         id: server.listed.id.clone(),
         identity: server.identity,
         address: server.listed.address,
         version: server.listed.version.clone(),
         service: service.clone(),
-        is_near: candidate.is_near,
-        estimate: Estimate {
-            tokens,
-            ahead_ms: candidate.load,
-            read_ms: candidate.read_ms,
-            head_ms: reading.head_ms(candidate.load, tokens),
-            work,
-        },
+        is_near: candidates[index].is_near,
     })
 }
 
-/// Servers in the order in which some of them are set aside.
-fn arrange<'a>(servers: &[&'a Server]) -> Vec<&'a Server> {
-    let places: Vec<(u64, &str)> = servers
+/// Mean work, in requests of usual size, of the servers that would run a request on the
+/// model at `rank`; `None` if there is none.
+#[must_use]
+pub fn pressure(node: &Node, job: &Job, service: &Arc<str>, rank: usize) -> Option<f64> {
+    let now = now();
+    let view = node.view.borrow();
+    let others = node.others.borrow();
+    let models = &job.route.models;
+    let mut listed = eligible(node, &view, service, Some(&models[rank]), job.session, &[]);
+    listed.sort_by_key(|server| home::mix(server.identity));
+    let is_light = reading(&job.ask, Some((rank, models.len()))) < LIGHT;
+    let count = listed.len();
+    let loads: Vec<f64> = listed
         .iter()
-        .map(|server| (server.identity, &*server.listed.zone))
+        .enumerate()
+        .filter(|(place, _)| home::suits(*place, count, is_light))
+        .map(|(_, server)| server.work + others.work(now, server.identity))
         .collect();
-    let order = home::order(&places);
-    order.into_iter().map(|index| servers[index]).collect()
+    let servers = u32::try_from(loads.len())
+        .ok()
+        .filter(|servers| *servers > 0)?;
+    Some(loads.iter().sum::<f64>() / f64::from(servers))
 }
 
 /// Servers that may run the request: listed as ready, of an allowed version, with
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -1,5 +1,5 @@
-//! Telling other nodes, through hubs, what this one has running, how its attempts ended and what
-//! it had read; see [`load`], [`grey`](fescuerack_core::routed::grey) and [`warm`].
+//! Telling other nodes, through hubs, what this one has running and how its attempts ended;
+//! see [`load`] and [`grey`](fescuerack_core::routed::grey).
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -8,7 +8,6 @@
 
 use fescuerack_core::routed::grey::Ends;
 use fescuerack_core::routed::load::{self, Duty, Hub, Table};
-use fescuerack_core::routed::warm::{self, Told};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::now;
@@ -28,9 +27,6 @@
     /// Ends of attempts within the window.
     #[serde(default)]
     ends: Table,
-    /// Parts of prompts that servers have read anew.
-    #[serde(default)]
-    read: Vec<Told>,
 }
 
 /// What a node tells its hub, or a hub the top.
@@ -46,7 +42,6 @@
 pub struct Hubs {
     load: Hub,
     ends: Hub,
-    read: warm::Hub,
 }
 
 impl Hubs {
@@ -55,7 +50,6 @@
         Tables {
             load: self.load.tell(now(), &work.node, work.tables.load),
             ends: self.ends.tell(now(), &work.node, work.tables.ends),
-            read: self.read.tell(now(), &work.node, work.tables.read),
         }
     }
 
@@ -64,7 +58,6 @@
         Tables {
             load: self.load.group(now()),
             ends: self.ends.group(now()),
-            read: self.read.group(now()),
         }
     }
 
@@ -72,7 +65,6 @@
     fn hear(&mut self, elsewhere: Tables) {
         self.load.hear(now(), elsewhere.load);
         self.ends.hear(now(), elsewhere.ends);
-        self.read.hear(now(), elsewhere.read);
     }
 }
 
@@ -92,8 +84,7 @@
         let role = role(&node);
         // The last telling says that nothing runs any more. A hub goes on: its group may
         // have work.
-        let has_nothing =
-            tables.load.is_empty() && tables.ends.is_empty() && tables.read.is_empty();
+        let has_nothing = tables.load.is_empty() && tables.ends.is_empty();
         let is_idle = has_nothing && matches!(role, Role::Member(_));
         if is_idle && was_idle {
             continue;
@@ -129,14 +120,12 @@
     Tables {
         load: own_work(node),
         ends: node.ends.borrow_mut().table(now()),
-        read: node.warm.borrow().fresh(now()),
     }
 }
 
 /// Takes in what all others have told.
 fn hear(node: &Node, others: &Tables) {
     node.others.borrow_mut().hear(now(), &others.load);
-    node.warm.borrow_mut().hear(now(), &others.read);
     let own = node.ends.borrow_mut().table(now());
     let mut sums: HashMap<u32, u32> = HashMap::new();
     for &(server, ends) in own.iter().chain(&others.ends) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -33,7 +33,7 @@
     pub health: Health,
     /// Own requests on it.
     pub running: u32,
-    /// Their work: milliseconds of an engine for prompts, requests for plain calls.
+    /// Their work, in requests of usual size.
     pub work: f64,
     /// When it counts as gone, if its entry vanished during an outage.
     pub gone_at: Option<Instant>,
