--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::routed::trial::{self, Stage, Trial, Verdict};
 use fescuerack_core::routed::load;
+use fescuerack_core::routed::trial::{self, Stage, Trial, Verdict};
 
 use crate::clock::now;
 use crate::edge::{Answer, Call, Progress, Status};
