--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -20,6 +20,29 @@
 /// Bytes that a message has at most.
 pub const MOST: usize = 4 << 20;
 
+/// Which way a message goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Direction {
+    /// To this node.
+    In,
+    /// From this node.
+    Out,
+}
+
+/// Counts the bytes of a message. A node whose link is full of messages answers others late, and
+/// only this tells it from one that is short of processor time.
+pub fn note_bytes(node: &Node, path: &str, direction: Direction, bytes: usize) {
+    let direction = match direction {
+        Direction::In => "in",
+        Direction::Out => "out",
+    };
+    let counter = node
+        .metrics
+        .peer_bytes
+        .with_label_values(&[path, direction]);
+    counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+}
+
 /// Sends a message to a peer and reads its answer.
 ///
 /// # Errors
@@ -32,11 +55,13 @@
     message: &impl Serialize,
     patience: Duration,
 ) -> anyhow::Result<R> {
+    let body = Bytes::from(serde_json::to_vec(message)?);
+    note_bytes(node, path, Direction::Out, body.len());
     let request = Request::builder()
         .method(Method::POST)
         .uri(path)
         .header(HOST, address.to_string())
-        .body(Full::new(Bytes::from(serde_json::to_vec(message)?)))?;
+        .body(Full::new(body))?;
     let sent = tokio::time::timeout(patience, node.pool.send(address, request, true)).await;
     let answered = match sent.context("no answer in time")? {
         Sent::Answered(answered) => answered,
@@ -44,5 +69,6 @@
     };
     let body = upstream::collect(answered.response.into_body(), MOST).await?;
     node.pool.keep(answered.connection);
+    note_bytes(node, path, Direction::In, body.len());
     Ok(serde_json::from_slice(&body)?)
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub dropped_answers: IntCounterVec,
     /// Calls to the store by kind and outcome.
     pub store: IntCounterVec,
+    /// Bytes of messages between nodes, by path and direction.
+    pub peer_bytes: IntCounterVec,
     /// Requests in progress.
     pub in_progress: IntGauge,
     /// Highest revision of the store that was heard of.
@@ -93,6 +95,11 @@
                 "Calls to the store by kind and outcome",
                 &["kind", "outcome"],
             )?,
+            peer_bytes: counter(
+                "fescuerack_peer_bytes_total",
+                "Bytes of messages between nodes by path and direction",
+                &["path", "direction"],
+            )?,
             in_progress: gauge("fescuerack_in_progress", "Requests in progress")?,
             revision: gauge("fescuerack_revision", "Highest revision heard of")?,
             configuration: gauge("fescuerack_configuration", "Version of the configuration")?,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -32,7 +32,7 @@
 use crate::clock::now;
 use crate::edge::Item;
 use crate::follow;
-use crate::message;
+use crate::message::{self, Direction};
 use crate::news;
 use crate::node::Node;
 use crate::share;
@@ -278,6 +278,7 @@
             return Ok(plain(StatusCode::BAD_REQUEST));
         }
     };
+    let received = body.len();
     let answer = match path.as_str() {
         PATH => serde_json::from_slice(&body)
             .and_then(|message| serde_json::to_vec(&reply(&node, message))),
@@ -292,7 +293,11 @@
         _ => return Ok(plain(StatusCode::NOT_FOUND)),
     };
     match answer {
-        Ok(body) => Ok(Response::new(Full::new(Bytes::from(body)))),
+        Ok(body) => {
+            message::note_bytes(&node, &path, Direction::In, received);
+            message::note_bytes(&node, &path, Direction::Out, body.len());
+            Ok(Response::new(Full::new(Bytes::from(body))))
+        }
         Err(error) => {
             tracing::warn!(event = "peer-message-unreadable", path, reason = %error);
             Ok(plain(StatusCode::BAD_REQUEST))
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -13,6 +13,7 @@
 use fescuerack_core::routed::vanish::Outage;
 
 use crate::catalog::Catalog;
+use crate::clock;
 use crate::edge::{Change, Item, Listed, Platform, Progress, Rollout, State};
 
 /// Prefix of the keys under which nodes enter themselves.
@@ -124,7 +125,19 @@
             return false;
         }
         self.items.insert(item.key.clone(), item.clone());
-        self.take(now, platform.change(item), item);
+        let began = clock::now();
+        let change = platform.change(item);
+        let decode_ms = clock::now().since(began).as_secs_f64() * 1_000.0;
+        if let Change::Catalog(_) = &change {
+            let bytes = item.value.as_ref().map_or(0, String::len);
+            tracing::info!(
+                event = "configuration-decoded",
+                revision = item.revision,
+                bytes,
+                decode_ms
+            );
+        }
+        self.take(now, change, item);
         true
     }
 
--- a/crates/gateway/tests/all/metrics.rs
+++ b/crates/gateway/tests/all/metrics.rs
@@ -16,6 +16,10 @@
         .store
         .with_label_values(&["watch", "answered"])
         .inc();
+    metrics
+        .peer_bytes
+        .with_label_values(&["/follow", "out"])
+        .inc();
     let text = metrics.text().expect("text");
     let served: Vec<&str> = text
         .lines()
