Watchers, hubs and collectors are the nodes with the largest links

Cause, the same as of the late configuration: who tells twenty others was chosen by hash alone, so it fell on the smallest machines (10 Mbit/s, 0.12 of a core), since they are the most. Change: a node's entry says what its link carries; the larger goes first, the hash decides among equals. Entries of programs from before count as zero and are read as before.

--- a/crates/core/src/routed/load.rs
+++ b/crates/core/src/routed/load.rs
@@ -20,6 +20,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::home;
+use super::rank::{Member, Rank};
 use crate::clock::Instant;
 
 /// Milliseconds between two tellings: about the time that a long prompt is read in.
@@ -60,33 +61,32 @@
     Top,
 }
 
-/// Returns what `own` does, of `nodes` with their availability zones. All nodes that know the
-/// same others agree.
+/// Returns what `own` does, of `nodes`. All nodes that know the same others agree.
 #[must_use]
-pub fn duty<'a>(own: &str, nodes: &[(&'a str, &'a str)]) -> Duty<'a> {
+pub fn duty<'a>(own: &str, nodes: &[Member<'a>]) -> Duty<'a> {
     // Few nodes form one group: what they hear is a telling fresher.
     let place = |zone: &'a str| if nodes.len() <= GROUP { "" } else { zone };
     let mut sizes: BTreeMap<&str, usize> = BTreeMap::new();
-    for (_, zone) in nodes {
-        *sizes.entry(place(zone)).or_default() += 1;
+    for member in nodes {
+        *sizes.entry(place(member.zone)).or_default() += 1;
     }
-    let mut hubs: BTreeMap<(&str, u64), &'a str> = BTreeMap::new();
+    let mut hubs: BTreeMap<(&str, u64), Member<'a>> = BTreeMap::new();
     let mut group_of_own = None;
-    for &(name, zone) in nodes {
-        let zone = place(zone);
+    for member in nodes {
+        let zone = place(member.zone);
         let parts = u64::try_from(sizes[zone].div_ceil(GROUP)).unwrap_or(1);
-        let group = (zone, home::hash(name.as_bytes()) % parts);
-        if name == own {
+        let group = (zone, home::hash(member.name.as_bytes()) % parts);
+        if member.name == own {
             group_of_own = Some(group);
         }
-        let hub = hubs.entry(group).or_insert(name);
-        if rank(name) > rank(hub) {
-            *hub = name;
+        let hub = hubs.entry(group).or_insert(*member);
+        if rank(member) > rank(hub) {
+            *hub = *member;
         }
     }
-    let top = hubs.values().copied().max_by_key(|hub| rank(hub));
-    let hub = group_of_own.map(|group| hubs[&group]);
-    match (hub, top) {
+    let top = hubs.values().max_by_key(|hub| rank(hub));
+    let hub = group_of_own.map(|group| hubs[&group].name);
+    match (hub, top.map(|top| top.name)) {
         (Some(hub), _) if hub != own => Duty::Member(hub),
         (Some(_), Some(top)) if top != own => Duty::Hub(top),
         // A node that has not heard of itself yet tells nobody.
@@ -94,8 +94,8 @@
     }
 }
 
-fn rank(name: &str) -> u64 {
-    home::mix(home::hash(name.as_bytes()))
+fn rank(member: &Member) -> Rank {
+    member.rank(home::hash(b"hub"))
 }
 
 /// Returns the short name of a server in tables.
--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -14,6 +14,7 @@
 //!   until then;
 //! - [`session`]: which sessions stay on the version that they began on;
 //! - [`vanish`]: which backend servers are gone when the store has been away;
+//! - [`rank`]: which nodes do something for the others;
 //! - [`watcher`]: which nodes watch the store for the others;
 //! - [`crash`]: which requests crash the backend servers that run them.
 
@@ -23,6 +24,7 @@
 pub mod health;
 pub mod home;
 pub mod load;
+pub mod rank;
 pub mod session;
 pub mod tier;
 pub mod trial;
--- a/crates/core/src/routed/watcher.rs
+++ b/crates/core/src/routed/watcher.rs
@@ -9,7 +9,10 @@
 //! short waits and says how long ago the store last answered it; a node that hears more
 //! than [`FRESH_MS`] asks the other watcher, and then the store itself.
 
+use std::cmp::Reverse;
+
 use super::home;
+use super::rank::Member;
 
 /// Nodes of an availability zone that each watch for themselves.
 pub const FEW: usize = 4;
@@ -34,16 +37,13 @@
 /// Returns the nodes that watch for `zone`, in the order in which they are asked;
 /// empty where each node watches for itself. All nodes that know the same others agree.
 #[must_use]
-pub fn choose<'a>(zone: &str, nodes: impl Iterator<Item = (&'a str, &'a str)>) -> Vec<&'a str> {
-    let mut names: Vec<&str> = nodes
-        .filter(|(_, its_zone)| *its_zone == zone)
-        .map(|(name, _)| name)
-        .collect();
-    if names.len() <= FEW {
+pub fn choose<'a>(zone: &str, nodes: impl Iterator<Item = Member<'a>>) -> Vec<&'a str> {
+    let mut members: Vec<Member> = nodes.filter(|member| member.zone == zone).collect();
+    if members.len() <= FEW {
         return Vec::new();
     }
     let salt = home::hash(b"watcher");
-    names.sort_by_key(|name| home::mix(home::hash(name.as_bytes()) ^ salt));
-    names.truncate(WATCHERS);
-    names
+    members.sort_by_key(|member| Reverse(member.rank(salt)));
+    members.truncate(WATCHERS);
+    members.into_iter().map(|member| member.name).collect()
 }
--- a/crates/core/tests/all/routed/load.rs
+++ b/crates/core/tests/all/routed/load.rs
@@ -3,6 +3,7 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::home;
 use fescuerack_core::routed::load::{self, Duty, GROUP, Hub, Others};
+use fescuerack_core::routed::rank::Member;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 use rstest::rstest;
@@ -79,19 +80,23 @@
             (0..count).map(move |number| (format!("n{zone}-{number}"), format!("z{zone}")))
         })
         .collect();
-    let nodes: Vec<(&str, &str)> = names
+    let nodes: Vec<Member> = names
         .iter()
-        .map(|(name, zone)| (&**name, &**zone))
+        .map(|(name, zone)| Member {
+            name,
+            zone,
+            link_mbps: 10,
+        })
         .collect();
     let duties: Vec<Duty> = nodes
         .iter()
-        .map(|(name, _)| load::duty(name, &nodes))
+        .map(|member| load::duty(member.name, &nodes))
         .collect();
     let tops: Vec<usize> = (0..nodes.len())
         .filter(|&node| duties[node] == Duty::Top)
         .collect();
     assert_eq!(tops.len(), 1);
-    let top = nodes[tops[0]].0;
+    let top = nodes[tops[0]].name;
     let mut found = 1;
     for (node, duty) in duties.iter().enumerate() {
         match duty {
@@ -103,10 +108,10 @@
             Duty::Member(hub) => {
                 let at = nodes
                     .iter()
-                    .position(|(name, _)| name == hub)
+                    .position(|member| member.name == *hub)
                     .expect("a node");
                 assert!(!matches!(duties[at], Duty::Member(_)), "a hub tells a hub");
-                let is_near = nodes[at].1 == nodes[node].1;
+                let is_near = nodes[at].zone == nodes[node].zone;
                 assert!(
                     is_near || nodes.len() <= GROUP,
                     "the hub is in another zone"
--- a/crates/core/tests/all/routed/watcher.rs
+++ b/crates/core/tests/all/routed/watcher.rs
@@ -1,5 +1,6 @@
 //! Who watches the store.
 
+use fescuerack_core::routed::rank::Member;
 use fescuerack_core::routed::watcher::{self, FEW, WATCHERS};
 
 fn nodes(count: usize) -> Vec<(String, String)> {
@@ -9,10 +10,12 @@
 }
 
 fn chosen(nodes: &[(String, String)], zone: &str) -> Vec<String> {
-    let pairs = nodes
-        .iter()
-        .map(|(name, zone)| (name.as_str(), zone.as_str()));
-    let names = watcher::choose(zone, pairs);
+    let members = nodes.iter().map(|(name, zone)| Member {
+        name,
+        zone,
+        link_mbps: 10,
+    });
+    let names = watcher::choose(zone, members);
     names.into_iter().map(str::to_owned).collect()
 }
 
@@ -43,3 +46,21 @@
     assert_eq!(after[0], before[1]);
     assert_eq!(after.len(), WATCHERS);
 }
+
+/// A change was late everywhere because the two that watch for twenty had the smallest links.
+#[test]
+fn choose_the_largest_links_go_first() {
+    let nodes = nodes(91);
+    let members = nodes.iter().map(|(name, zone)| Member {
+        name,
+        zone,
+        link_mbps: if ["n41", "n77"].contains(&name.as_str()) {
+            200
+        } else {
+            10
+        },
+    });
+    let mut names = watcher::choose("z1", members);
+    names.sort_unstable();
+    assert_eq!(names, ["n41", "n77"]);
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -132,9 +132,7 @@
 pub fn watchers(node: &Node) -> Vec<(String, SocketAddr)> {
     let view = node.view.borrow();
     let settings = node.settings.borrow();
-    let nodes = view.nodes.iter();
-    let nodes = nodes.map(|(name, peer)| (name.as_str(), peer.zone.as_str()));
-    watcher::choose(&settings.zone, nodes)
+    watcher::choose(&settings.zone, view.members())
         .into_iter()
         .map(|name| (name.to_owned(), view.nodes[name].address))
         .collect()
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -37,6 +37,7 @@
         let peer = Peer {
             address: settings.peers,
             zone: settings.zone.clone(),
+            link_mbps: settings.link_mbps,
         };
         (key, peer.value(), settings.lease_ms.max(LEASE_MS))
     };
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -144,9 +144,10 @@
 pub fn collector(node: &Node, service: &str) -> Option<(String, SocketAddr)> {
     let view = node.view.borrow();
     let own = node.settings.borrow().instance.clone();
-    let rank = |name: &str| home::mix(home::hash(name.as_bytes()) ^ home::hash(service.as_bytes()));
-    let (name, peer) = view.nodes.iter().max_by_key(|(name, _)| rank(name))?;
-    (*name != own).then(|| (name.clone(), peer.address))
+    let salt = home::hash(service.as_bytes());
+    let member = view.members().max_by_key(|member| member.rank(salt))?;
+    let address = view.nodes[member.name].address;
+    (member.name != own).then(|| (member.name.to_owned(), address))
 }
 
 fn others(node: &Node) -> Vec<(String, SocketAddr)> {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,6 +12,8 @@
     pub instance: String,
     /// Availability zone.
     pub zone: String,
+    /// What the instance's link carries, in megabits a second; zero if that is not known.
+    pub link_mbps: u32,
     /// Region by availability zone.
     pub regions: HashMap<String, String>,
     /// Address for callers.
--- a/crates/gateway/src/share.rs
+++ b/crates/gateway/src/share.rs
@@ -181,10 +181,7 @@
 fn role(node: &Node) -> Role {
     let view = node.view.borrow();
     let settings = node.settings.borrow();
-    let nodes = view.nodes.iter();
-    let nodes: Vec<(&str, &str)> = nodes
-        .map(|(name, peer)| (name.as_str(), peer.zone.as_str()))
-        .collect();
+    let nodes: Vec<_> = view.members().collect();
     match load::duty(&settings.instance, &nodes) {
         Duty::Member(hub) => Role::Member(view.nodes[hub].address),
         Duty::Hub(top) => Role::Hub(view.nodes[top].address),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -10,6 +10,7 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::health::Health;
 use fescuerack_core::routed::home;
+use fescuerack_core::routed::rank::Member;
 use fescuerack_core::routed::vanish::Outage;
 
 use crate::catalog::Catalog;
@@ -68,20 +69,24 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: String,
+    /// What its link carries, in megabits a second; zero if it does not say.
+    pub link_mbps: u32,
 }
 
 impl Peer {
     /// Returns the entry's value in the store.
     #[must_use]
     pub fn value(&self) -> String {
-        format!("{} {}", self.address, self.zone)
+        format!("{} {} {}", self.address, self.zone, self.link_mbps)
     }
 
     fn new(value: &str) -> Option<Self> {
-        let (address, zone) = value.split_once(' ')?;
+        let mut words = value.split(' ');
         Some(Self {
-            address: address.parse().ok()?,
-            zone: zone.to_owned(),
+            address: words.next()?.parse().ok()?,
+            zone: words.next()?.to_owned(),
+            // A program from before does not say.
+            link_mbps: words.next().map_or(Some(0), |link| link.parse().ok())?,
         })
     }
 }
@@ -246,6 +251,15 @@
         before - self.servers.len()
     }
 
+    /// All nodes as they have entered themselves.
+    pub fn members(&self) -> impl Iterator<Item = Member<'_>> {
+        self.nodes.iter().map(|(name, peer)| Member {
+            name,
+            zone: &peer.zone,
+            link_mbps: peer.link_mbps,
+        })
+    }
+
     /// Number of nodes, this one included.
     #[must_use]
     pub fn node_count(&self) -> usize {
