--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -5,6 +5,8 @@
 
 use serde::Deserialize;
 
+use crate::routes::Routes;
+
 /// What a route's requests may be exposed to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -134,7 +136,7 @@
     /// Version of the configuration.
     pub version: u64,
     /// Routes.
-    pub routes: Vec<Arc<Route>>,
+    pub routes: Routes,
     /// Services by name.
     #[serde(default)]
     pub services: HashMap<Arc<str>, Service>,
@@ -154,12 +156,7 @@
             let is_port = port.bytes().all(|byte| byte.is_ascii_digit());
             if is_port { name } else { host }
         });
-        self.routes
-            .iter()
-            .filter(|route| {
-                route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
-            })
-            .max_by_key(|route| route.prefix.len())
+        self.routes.find(host, path)
     }
 
     /// Finds the organisation that holds `key`.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod request;
+pub mod routes;
 pub mod settings;
 pub mod share;
 pub mod store;
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod logs;
 mod metrics;
 mod refusal;
+mod routes;
