--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -7,12 +7,8 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::ensure;
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use rand::RngExt as _;
 use rand::seq::SliceRandom as _;
 use serde::{Deserialize, Serialize};
@@ -20,12 +16,12 @@
 
 use crate::apart;
 use crate::clock::now;
-use crate::difference;
 use crate::edge::{Answer as Stored, Call, Item};
 use crate::follow;
 use crate::large::{Awaited, Notice};
 use crate::message;
 use crate::node::Node;
+use crate::piece::Piece;
 
 /// Path on which a node is asked for a large item.
 pub const PATH: &str = "/large";
@@ -66,17 +62,6 @@
     Busy,
 }
 
-/// A value as its difference from another one.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Piece {
-    /// What it gives.
-    notice: Notice,
-    /// Revision of the value that it refers to; zero for none.
-    base: u64,
-    /// The difference, in base64.
-    frame: Arc<str>,
-}
-
 /// What this node has told of large items.
 #[derive(Debug, Default)]
 pub struct Desk {
@@ -163,25 +148,11 @@
         let base = base.unwrap_or_default().to_owned();
         (item.clone(), base, base_revision)
     };
-    let piece = apart::run(move || write(&item, &base, base_revision)).await??;
+    let piece = apart::run(move || Piece::new(&item, &base, base_revision)).await??;
     node.desk.keep(piece.clone());
     Ok(Some(piece))
 }
 
-fn write(item: &Item, base: &str, base_revision: u64) -> anyhow::Result<Piece> {
-    let value = item.value.as_deref().unwrap_or_default();
-    Ok(Piece {
-        notice: Notice {
-            key: item.key.clone(),
-            revision: item.revision,
-            length: value.len(),
-            digest: difference::digest(value),
-        },
-        base: base_revision,
-        frame: STANDARD.encode(difference::encode(base, value)?).into(),
-    })
-}
-
 /// Takes in notices from a peer at `teller`.
 pub fn hear(node: &Node, notices: &[Notice], teller: SocketAddr) {
     let mut view = node.view.borrow_mut();
@@ -284,31 +255,10 @@
 
 /// Puts the value together and takes it in.
 async fn take(node: &Node, awaited: &Awaited, piece: &Piece) -> anyhow::Result<()> {
-    let Notice {
-        key,
-        revision,
-        length,
-        digest,
-    } = &piece.notice;
-    ensure!(*key == awaited.notice.key, "it is of {key}");
-    ensure!(
-        *revision >= awaited.notice.revision,
-        "it is of revision {revision}"
-    );
-    ensure!(*length <= message::MOST, "it has {length} bytes");
-    let value = {
+    let item = {
         let view = node.view.borrow();
-        let base = match piece.base {
-            0 => "",
-            base => view.value(key, base).unwrap_or_default(),
-        };
-        let frame = STANDARD.decode(&*piece.frame)?;
-        difference::decode(base, &frame, *length, *digest)?
-    };
-    let item = Item {
-        key: key.clone(),
-        value: Some(value),
-        revision: *revision,
+        let base = view.value(&awaited.notice.key, piece.base);
+        piece.item(&awaited.notice, base.unwrap_or_default())?
     };
     follow::take_items(node, &[item]).await;
     follow::note_view(node);
@@ -371,6 +321,8 @@
         peer = "store"
     );
     follow::take_items(node, &[item]).await;
+    // What the store has is what there is, whatever a peer has told.
+    node.view.borrow_mut().large.settle(&awaited.notice);
     follow::note_view(node);
     true
 }
--- a/crates/gateway/src/large.rs
+++ b/crates/gateway/src/large.rs
@@ -107,6 +107,14 @@
         true
     }
 
+    /// Takes in that `notice` needs nothing more.
+    pub fn settle(&mut self, notice: &Notice) {
+        let awaited = self.awaited.get(&notice.key);
+        if awaited.is_some_and(|awaited| awaited.notice == *notice) {
+            self.awaited.remove(&notice.key);
+        }
+    }
+
     /// An item that is to be fetched.
     #[must_use]
     pub fn next(&self) -> Option<Awaited> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod node;
 pub mod peer;
 pub mod pick;
+pub mod piece;
 pub mod process;
 pub mod refusal;
 pub mod relay;
