--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use crate::arrival::Sort;
 use crate::catalog::Catalog;
 
 /// One part of a prompt that other requests may share.
@@ -284,6 +285,22 @@
     Unreadable(String),
 }
 
+impl Change {
+    /// Returns what kind of change it is.
+    #[must_use]
+    pub const fn sort(&self) -> Sort {
+        match self {
+            Self::Catalog(_) => Sort::Configuration,
+            Self::Server(_) | Self::ServerGone(_) => Sort::Server,
+            Self::Rollout(_) | Self::RolloutGone(_) | Self::Status(_) | Self::StatusGone(_) => {
+                Sort::Rollout
+            }
+            Self::Own => Sort::Node,
+            Self::ServerUnreadable(..) | Self::Unreadable(_) => Sort::Unreadable,
+        }
+    }
+}
+
 /// Names, formats and calls of a platform.
 pub trait Platform: Send + Sync + 'static {
     /// Reads a caller's headers.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -168,6 +168,10 @@
 }
 
 async fn take_news(node: &Node, news: &News, teller: SocketAddr) {
+    for arrival in &news.arrivals {
+        let at = now().minus_millis(arrival.age_ms);
+        node.arrivals.borrow_mut().note(arrival.revision, at);
+    }
     take_items(node, &news.items).await;
     let mut view = node.view.borrow_mut();
     view.revision = view.revision.max(news.revision);
@@ -271,6 +275,7 @@
     note_answer(node, "range");
     let revision = revision.unwrap_or_default();
     tracing::info!(event = "store-read", items = items.len(), revision);
+    node.arrivals.borrow_mut().note(revision, now());
     let mut decoded = Vec::new();
     for item in items.iter().filter(|item| apart::suits(item)) {
         decoded.extend(apart::decode(node, item.clone()).await);
@@ -308,6 +313,7 @@
 }
 
 async fn take(node: &Node, page: &Page) {
+    node.arrivals.borrow_mut().note(page.revision, now());
     take_items(node, &page.items).await;
     let mut view = node.view.borrow_mut();
     view.revision = view.revision.max(page.revision);
@@ -348,6 +354,7 @@
     for address in node.view.borrow_mut().take_restarted() {
         node.pool.forget(address);
     }
+    note_ages(node);
     let view = node.view.borrow();
     node.changes.send_replace(view.revision);
     let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
@@ -359,3 +366,17 @@
         .nodes
         .set(i64::try_from(view.node_count()).unwrap_or(i64::MAX));
 }
+
+/// Counts how old what came in force is; of what a node reads when it starts that is not known.
+fn note_ages(node: &Node) {
+    let fresh = node.view.borrow_mut().take_fresh();
+    let arrivals = node.arrivals.borrow();
+    for (sort, revision) in fresh {
+        let Some(came) = arrivals.at(revision) else {
+            continue;
+        };
+        let age = now().since(came).as_secs_f64();
+        let ages = node.metrics.age.with_label_values(&[sort.name()]);
+        ages.observe(age);
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! under load is in `fescuerack_core::routed`.
 
 pub mod apart;
+pub mod arrival;
 pub mod attempt;
 pub mod body;
 pub mod catalog;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub store: IntCounterVec,
     /// Bytes of messages between nodes, by path and direction.
     pub peer_bytes: IntCounterVec,
+    /// Seconds from when the first node heard of a change until it was in force, by sort.
+    pub age: HistogramVec,
     /// Seconds from the notice of a large item until it was in force.
     pub large_seconds: Histogram,
     /// Requests in progress.
@@ -76,7 +78,14 @@
         );
         let large_seconds = Histogram::with_opts(options.buckets(SECONDS.to_vec()))?;
         registry.register(Box::new(large_seconds.clone()))?;
+        let options = HistogramOpts::new(
+            "fescuerack_change_age_seconds",
+            "Seconds from when the first node heard of a change until it was in force",
+        );
+        let age = HistogramVec::new(options.buckets(SECONDS.to_vec()), &["sort"])?;
+        registry.register(Box::new(age.clone()))?;
         Ok(Self {
+            age,
             large_seconds,
             requests: counter(
                 "fescuerack_requests_total",
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -7,6 +7,8 @@
 use fescuerack_core::routed::watcher;
 use serde::{Deserialize, Serialize};
 
+use crate::arrival::Arrival;
+use crate::clock::now;
 use crate::edge::Item;
 use crate::large::Notice;
 use crate::message;
@@ -36,6 +38,9 @@
     /// Large items that changed.
     #[serde(default)]
     pub large: Vec<Notice>,
+    /// When the changes came to the node that heard of them first.
+    #[serde(default)]
+    pub arrivals: Vec<Arrival>,
     /// Revision up to which the watcher has followed the store.
     pub revision: u64,
     /// Milliseconds since the store last answered the watcher.
@@ -82,6 +87,7 @@
     News {
         items,
         large,
+        arrivals: node.arrivals.borrow().since(now(), question.after),
         revision: view.revision,
         age_ms: node.store_age_ms(),
         is_whole: view.remembers(question.after),
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,6 +16,7 @@
 
 use tokio::sync::{Notify, watch};
 
+use crate::arrival::Arrivals;
 use crate::clock::now;
 use crate::edge::Platform;
 use crate::fetch::Desk;
@@ -108,6 +109,8 @@
     pub top: RefCell<Hubs>,
     /// Usual times until the head.
     pub usual: RefCell<HashMap<u64, Usual>>,
+    /// When changes of the store came.
+    pub arrivals: RefCell<Arrivals>,
     /// What this node has told of large items.
     pub desk: Desk,
     /// Tells that a large item is awaited.
@@ -150,6 +153,7 @@
             hub: RefCell::default(),
             top: RefCell::default(),
             usual: RefCell::default(),
+            arrivals: RefCell::default(),
             desk: Desk::default(),
             awaits: Notify::new(),
             changes: watch::Sender::new(0),
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -13,6 +13,7 @@
 use fescuerack_core::routed::rank::Member;
 use fescuerack_core::routed::vanish::Outage;
 
+use crate::arrival::Sort;
 use crate::catalog::Catalog;
 use crate::edge::{Change, Item, Listed, Platform, Progress, Rollout, State};
 use crate::large::{Large, Notice};
@@ -111,6 +112,8 @@
     pub large: Large,
     /// Entries that could not be read so far.
     pub unreadable: u64,
+    /// What came in force since the last [`take_fresh`](Self::take_fresh).
+    fresh: Vec<(Sort, u64)>,
     /// Addresses at which a server started again, for [`take_restarted`](Self::take_restarted).
     restarted: Vec<SocketAddr>,
     items: HashMap<String, Item>,
@@ -138,6 +141,7 @@
         if item.revision <= self.revision_of(&item.key) {
             return false;
         }
+        self.fresh.push((change.sort(), item.revision));
         let before = self.items.insert(item.key.clone(), item.clone());
         self.large.note(before, item);
         self.take(now, change, item);
@@ -329,6 +333,11 @@
         );
     }
 
+    /// Returns what has come in force since the last call, with its revision.
+    pub fn take_fresh(&mut self) -> Vec<(Sort, u64)> {
+        std::mem::take(&mut self.fresh)
+    }
+
     /// Returns the addresses at which a server has started again since the last call:
     /// connections from before lead nowhere.
     pub fn take_restarted(&mut self) -> Vec<SocketAddr> {
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway's parts without a network.
 
+mod arrival;
 mod difference;
 mod events;
 mod large;
--- a/crates/gateway/tests/all/metrics.rs
+++ b/crates/gateway/tests/all/metrics.rs
@@ -20,6 +20,7 @@
         .peer_bytes
         .with_label_values(&["/follow", "out"])
         .inc();
+    metrics.age.with_label_values(&["server"]).observe(0.1);
     let text = metrics.text().expect("text");
     let served: Vec<&str> = text
         .lines()
