--- a/crates/core/src/routed/watcher.rs
+++ b/crates/core/src/routed/watcher.rs
@@ -2,14 +2,17 @@
 //!
 //! The pattern: each change wakes the waiting call of every node, and each call is
 //! paid for; with 91 nodes the calls cost a tenth of what the whole day is worth. So in
-//! an availability zone with more than [`FEW`] nodes, [`WATCHERS`] of them watch and the
-//! others ask these, which costs bytes within the zone only.
+//! a region with large availability zones, those of more than [`FEW`] nodes, [`WATCHERS`] nodes watch
+//! the store. [`WATCHERS`] nodes of each such zone, its hubs, ask these, and the others ask
+//! the hubs of their zone, which costs bytes within the zone only. With watchers in each of four
+//! zones, three quarters of all calls were theirs.
 //!
 //! A watcher may be cut off from the store without knowing it yet. So it watches in
-//! short waits and says how long ago the store last answered it; a node that hears more
-//! than [`FRESH_MS`] asks the other watcher, and then the store itself.
+//! short waits and says how long ago the store last answered it, and so do hubs; a node that hears
+//! more than [`FRESH_MS`] asks the next one, and then the store itself.
 
 use std::cmp::Reverse;
+use std::collections::HashMap;
 
 use super::home;
 use super::rank::Member;
@@ -19,7 +22,7 @@
 /// Nodes that watch for the others: a second covers the loss of the first.
 pub const WATCHERS: usize = 2;
 /// Milliseconds that a watcher's own call waits at the store.
-pub const WAIT_MS: u64 = 600;
+pub const WAIT_MS: u64 = 400;
 /// Milliseconds for which changes gather at a watcher before its next call. Servers' entries
 /// change several times a second in a large fleet and each change ends a call;
 /// with 250 the watchers alone made 1,400 calls in 44 s.
@@ -29,19 +32,65 @@
 pub const OWN_MS: u64 = 1_000;
 /// Milliseconds that a node's question waits at a watcher.
 pub const ASK_MS: u64 = 400;
-/// Milliseconds since the store's last answer up to which a watcher is believed: its
-/// wait, and a store that is slow. With the question's own wait a node knows within
-/// 1.5 s that it must ask elsewhere.
-pub const FRESH_MS: u64 = 1_000;
+/// Milliseconds since the store's last answer up to which a watcher or a hub is believed: the watcher's
+/// wait, the hub's question, and 0.4 s for a store that is slow. With the question's own wait a
+/// node knows within 1.7 s that it must ask elsewhere.
+pub const FRESH_MS: u64 = 1_200;
 
-/// Returns the nodes that watch for `zone`, in the order in which they are asked;
-/// empty where each node watches for itself. All nodes that know the same others agree.
+/// How a node hears of changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Role<'a> {
+    /// It watches the store for itself: its availability zone has few nodes.
+    Alone,
+    /// It watches the store for its region.
+    Watcher,
+    /// It asks these, in this order.
+    Follower(Vec<&'a str>),
+}
+
+/// Returns how `own` hears of changes, a node of `zone`; `is_near` tells which zones are in its
+/// region. All nodes that know the same others agree.
+#[must_use]
+pub fn role<'a>(
+    own: &str,
+    zone: &str,
+    members: &[Member<'a>],
+    is_near: impl Fn(&str) -> bool,
+) -> Role<'a> {
+    let hubs = choose(zone, members.iter().copied());
+    if hubs.is_empty() {
+        return Role::Alone;
+    }
+    let mut sizes: HashMap<&str, usize> = HashMap::new();
+    for member in members {
+        *sizes.entry(member.zone).or_default() += 1;
+    }
+    let region = members
+        .iter()
+        .filter(|member| is_near(member.zone) && sizes[member.zone] > FEW);
+    let watchers = first(region.copied().collect());
+    if watchers.contains(&own) {
+        Role::Watcher
+    } else if hubs.contains(&own) {
+        Role::Follower(watchers)
+    } else {
+        Role::Follower(hubs)
+    }
+}
+
+/// Returns the hubs of `zone`, in the order in which they are asked; empty where each node watches
+/// for itself.
 #[must_use]
 pub fn choose<'a>(zone: &str, nodes: impl Iterator<Item = Member<'a>>) -> Vec<&'a str> {
-    let mut members: Vec<Member> = nodes.filter(|member| member.zone == zone).collect();
+    let members: Vec<Member> = nodes.filter(|member| member.zone == zone).collect();
     if members.len() <= FEW {
         return Vec::new();
     }
+    first(members)
+}
+
+/// The first of `members` in the order of links; in a region they are the first of their zone too.
+fn first(mut members: Vec<Member<'_>>) -> Vec<&str> {
     let salt = home::hash(b"watcher");
     members.sort_by_key(|member| Reverse(member.rank(salt)));
     members.truncate(WATCHERS);
--- a/crates/core/tests/all/routed/watcher.rs
+++ b/crates/core/tests/all/routed/watcher.rs
@@ -1,7 +1,7 @@
 //! Who watches the store.
 
 use fescuerack_core::routed::rank::Member;
-use fescuerack_core::routed::watcher::{self, FEW, WATCHERS};
+use fescuerack_core::routed::watcher::{self, FEW, Role, WATCHERS};
 
 fn nodes(count: usize) -> Vec<(String, String)> {
     (0..count)
@@ -64,3 +64,84 @@
     names.sort_unstable();
     assert_eq!(names, ["n41", "n77"]);
 }
+
+fn members(nodes: &[(String, String)]) -> Vec<Member<'_>> {
+    let members = nodes.iter().map(|(name, zone)| Member {
+        name,
+        zone,
+        link_mbps: 10,
+    });
+    members.collect()
+}
+
+/// Who watches, and who asks whom, with all zones in one region but those of `far`.
+fn roles<'a>(members: &[Member<'a>], far: &[&str]) -> Vec<Role<'a>> {
+    let role = |member: &Member| {
+        let is_near = |zone: &str| far.contains(&zone) == far.contains(&member.zone);
+        watcher::role(member.name, member.zone, members, is_near)
+    };
+    members.iter().map(role).collect()
+}
+
+fn watching(roles: &[Role]) -> usize {
+    roles.iter().filter(|role| **role == Role::Watcher).count()
+}
+
+/// Every change wakes every watch: two in the region, however many zones and nodes it has.
+#[test]
+fn role_two_watch_for_a_region() {
+    for count in [40, 91, 340] {
+        let nodes = nodes(count);
+        assert_eq!(watching(&roles(&members(&nodes), &[])), WATCHERS);
+        assert_eq!(
+            watching(&roles(&members(&nodes), &["z0", "z2"])),
+            2 * WATCHERS
+        );
+    }
+}
+
+/// From each node the way to the store has two steps at most, and only hubs ask beyond
+/// their zone: nobody asks a node that asks back, and bytes stay near.
+#[test]
+fn role_ways_end_at_the_store() {
+    let nodes = nodes(91);
+    let members = members(&nodes);
+    let roles = roles(&members, &[]);
+    let at = |name: &str| {
+        let at = members.iter().position(|member| member.name == name);
+        at.expect("a member")
+    };
+    for (own, role) in roles.iter().enumerate() {
+        let Role::Follower(asked) = role else {
+            continue;
+        };
+        assert_eq!(asked.len(), WATCHERS);
+        let hubs = watcher::choose(members[own].zone, members.iter().copied());
+        for name in asked {
+            let next = &roles[at(name)];
+            if *next == Role::Watcher {
+                continue;
+            }
+            assert_eq!(members[at(name)].zone, members[own].zone);
+            assert!(!hubs.contains(&members[own].name), "a hub asks a watcher");
+            let Role::Follower(last) = next else {
+                panic!("{name} is alone");
+            };
+            assert!(last.iter().all(|name| roles[at(name)] == Role::Watcher));
+        }
+    }
+}
+
+/// A region of one large zone and small ones: the small ones do without, and their nodes, which
+/// watch in long waits, are not asked.
+#[test]
+fn role_small_zones_watch_for_themselves() {
+    let mut nodes = nodes(4);
+    nodes.extend((4..20).map(|number| (format!("n{number}"), "z1".to_owned())));
+    let members = members(&nodes);
+    let roles = roles(&members, &[]);
+    for (member, role) in members.iter().zip(&roles) {
+        assert_eq!(*role == Role::Alone, member.zone != "z1", "{}", member.name);
+    }
+    assert_eq!(watching(&roles), WATCHERS);
+}
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -17,7 +17,7 @@
 use crate::apart;
 use crate::clock::now;
 use crate::edge::{Answer as Stored, Call, Item};
-use crate::follow;
+use crate::follow::{self, Source};
 use crate::large::{Awaited, Notice};
 use crate::message;
 use crate::node::Node;
@@ -211,10 +211,10 @@
 
 /// The watchers in any order, so that they share the work, then some peers.
 fn sources(node: &Node, awaited: &Awaited) -> Vec<SocketAddr> {
-    let mut watchers: Vec<SocketAddr> = follow::watchers(node)
-        .into_iter()
-        .map(|(_, address)| address)
-        .collect();
+    let mut watchers: Vec<SocketAddr> = match follow::source(node) {
+        Source::Others(others) => others.into_iter().map(|(_, address)| address).collect(),
+        Source::Store | Source::StoreForOthers => Vec::new(),
+    };
     if !watchers.contains(&awaited.teller) {
         watchers.push(awaited.teller);
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fescuerack_core::routed::watcher;
+use fescuerack_core::routed::watcher::{self, Role};
 use rand::RngExt as _;
 use tokio::task::JoinSet;
 
@@ -60,20 +60,18 @@
             }
             continue;
         }
-        let watchers = watchers(&node);
-        let others_watch =
-            !watchers.is_empty() && watchers.iter().all(|(name, _)| *name != own_name(&node));
+        let source = source(&node);
         let is_away = node.view.borrow().outage.is_away();
-        let step = if others_watch && is_away {
-            seek(&node, &watchers).await
-        } else if others_watch && now() >= own_until {
-            if follow_watcher(&node, &watchers).await {
-                continue;
+        let step = match &source {
+            Source::Others(watchers) if is_away => seek(&node, &source, watchers).await,
+            Source::Others(watchers) if now() >= own_until => {
+                if follow_watcher(&node, watchers).await {
+                    continue;
+                }
+                own_until = now().plus_millis(watcher::OWN_MS);
+                watch(&node, &source).await
             }
-            own_until = now().plus_millis(watcher::OWN_MS);
-            watch(&node, &watchers).await
-        } else {
-            watch(&node, &watchers).await
+            _ => watch(&node, &source).await,
         };
         has_read = step == Step::On;
     }
@@ -82,7 +80,7 @@
 /// Asks the store and all watchers at once, and goes on with whichever answers. While the
 /// store is away, watchers may be silent as well: asked one after the other, with the
 /// store in turn, a node learned up to 2.8 s after its return that it was back.
-async fn seek(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> Step {
+async fn seek(node: &Rc<Node>, source: &Source, watchers: &[(String, SocketAddr)]) -> Step {
     let mut asked = JoinSet::new();
     for (name, address) in watchers.iter().cloned() {
         let node = node.clone();
@@ -100,7 +98,7 @@
         None
     };
     tokio::pin!(first_fresh);
-    let own = watch(node, watchers);
+    let own = watch(node, source);
     tokio::pin!(own);
     tokio::select! {
         news = &mut first_fresh => match news {
@@ -125,18 +123,33 @@
     }
 }
 
-fn own_name(node: &Node) -> String {
-    node.settings.borrow().instance.clone()
+/// Where a node hears of changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store, for this node alone.
+    Store,
+    /// The store, for others as well.
+    StoreForOthers,
+    /// Other nodes, by name and address, in this order.
+    Others(Vec<(String, SocketAddr)>),
 }
 
-/// The nodes that watch for this node's availability zone.
-pub fn watchers(node: &Node) -> Vec<(String, SocketAddr)> {
+/// Where this node hears of changes.
+pub fn source(node: &Node) -> Source {
     let view = node.view.borrow();
     let settings = node.settings.borrow();
-    watcher::choose(&settings.zone, view.members())
-        .into_iter()
-        .map(|name| (name.to_owned(), view.nodes[name].address))
-        .collect()
+    let members: Vec<_> = view.members().collect();
+    let region = settings.regions.get(&settings.zone);
+    let is_near = |zone: &str| settings.regions.get(zone) == region;
+    match watcher::role(&settings.instance, &settings.zone, &members, is_near) {
+        Role::Alone => Source::Store,
+        Role::Watcher => Source::StoreForOthers,
+        Role::Follower(names) => {
+            let others = names.into_iter();
+            let others = others.map(|name| (name.to_owned(), view.nodes[name].address));
+            Source::Others(others.collect())
+        }
+    }
 }
 
 /// Asks the watchers in turn; returns whether one of them is fresh.
@@ -168,6 +181,10 @@
 }
 
 async fn take_news(node: &Node, news: &News, teller: SocketAddr) {
+    // Those who follow this node hear how fresh the store's own answer is, not this one's.
+    let answered = now().minus_millis(news.age_ms);
+    node.store_answered
+        .set(answered.max(node.store_answered.get()));
     for arrival in &news.arrivals {
         let at = now().minus_millis(arrival.age_ms);
         node.arrivals.borrow_mut().note(arrival.revision, at);
@@ -184,22 +201,17 @@
     note_view(node);
 }
 
-/// Makes one waiting call at the store, in short waits in a zone that has `watchers`.
-async fn watch(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> Step {
+/// Makes one waiting call at the store, in short waits where others depend on how fresh it is.
+async fn watch(node: &Rc<Node>, source: &Source) -> Step {
     let (after, is_away) = {
         let view = node.view.borrow();
         (view.revision, view.outage.is_away())
     };
-    let wait_ms = match (is_away, !watchers.is_empty()) {
-        (true, _) => PROBE_MS,
-        (false, true) => watcher::WAIT_MS,
-        (false, false) => WAIT_MS,
-    };
-    let gather_ms = if watchers.is_empty() {
-        GATHER_MS
-    } else {
-        watcher::GATHER_MS
+    let (wait_ms, gather_ms) = match source {
+        Source::Store => (WAIT_MS, GATHER_MS),
+        Source::StoreForOthers | Source::Others(_) => (watcher::WAIT_MS, watcher::GATHER_MS),
     };
+    let wait_ms = if is_away { PROBE_MS } else { wait_ms };
     let call = Call::Watch {
         prefix: ALL,
         after,
