A watcher that had no fresh news is asked last for four seconds

Cause: the entry of a dark watcher stays for the 16 s of its lease; asked first each time, it made every change 0.7 s late behind it, and with hubs in between for whole zones.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,10 +7,12 @@
 //! In a large availability zone a few nodes watch and the others ask those
 //! ([`watcher`]); a node that finds none of them fresh watches for itself.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::watcher::{self, Role};
 use rand::RngExt as _;
 use tokio::task::JoinSet;
@@ -36,6 +38,9 @@
 const PROBE_MS: u64 = 50;
 /// Milliseconds between tries while the store is away.
 const RETRY_MS: u64 = 350;
+/// Milliseconds for which a watcher that had no fresh news is asked last: most outages of a node are over
+/// by then, and one question in so long is lost on one that stays dark.
+const AVOID_MS: u64 = 4_000;
 /// Everything in the store concerns the gateway.
 const ALL: &str = "";
 
@@ -52,6 +57,7 @@
 pub async fn run(node: Rc<Node>) {
     let mut has_read = false;
     let mut own_until = now();
+    let mut failed = Failed::default();
     loop {
         if !has_read {
             has_read = read(&node).await;
@@ -65,7 +71,7 @@
         let step = match &source {
             Source::Others(watchers) if is_away => seek(&node, &source, watchers).await,
             Source::Others(watchers) if now() >= own_until => {
-                if follow_watcher(&node, watchers).await {
+                if follow_watcher(&node, watchers, &mut failed).await {
                     continue;
                 }
                 own_until = now().plus_millis(watcher::OWN_MS);
@@ -152,13 +158,37 @@
     }
 }
 
+/// Watchers that had no fresh news lately. The entry of one that is dark stays until its lease lapses;
+/// asked first each time, it makes every change most of a second late until then.
+#[derive(Debug, Default)]
+struct Failed(HashMap<SocketAddr, Instant>);
+
+impl Failed {
+    fn note(&mut self, address: SocketAddr) {
+        self.0.insert(address, now().plus_millis(AVOID_MS));
+    }
+
+    /// The watchers with those that failed lately at the end.
+    fn last(&mut self, watchers: &[(String, SocketAddr)]) -> Vec<(String, SocketAddr)> {
+        self.0.retain(|_, until| now() < *until);
+        let mut watchers = watchers.to_vec();
+        watchers.sort_by_key(|(_, address)| self.0.contains_key(address));
+        watchers
+    }
+}
+
 /// Asks the watchers in turn; returns whether one of them is fresh.
-async fn follow_watcher(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> bool {
-    for (name, address) in watchers {
-        if let Some(news) = fresh_news(node, name, *address).await {
-            take_news(node, &news, *address).await;
+async fn follow_watcher(
+    node: &Rc<Node>,
+    watchers: &[(String, SocketAddr)],
+    failed: &mut Failed,
+) -> bool {
+    for (name, address) in failed.last(watchers) {
+        if let Some(news) = fresh_news(node, &name, address).await {
+            take_news(node, &news, address).await;
             return true;
         }
+        failed.note(address);
     }
     false
 }
