--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::task::AbortHandle;
 
-use crate::fetch::Place;
+use crate::publisher::Place;
 
 /// Why a body ended before its end. The connection is then cut, so that what the
 /// caller has does not look whole.
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -1,30 +1,26 @@
-//! Fetching large items from other nodes, and telling them.
+//! Fetching large items from other nodes.
 //!
 //! A node that heard of a [large](crate::large) item asks those that have it, one at a time and
 //! beside everything else that it does: the watchers of its availability zone, then any peers, and the
-//! store itself only when none of them has given it for [`PEERS_MS`].
+//! store itself only when none of them has given it for 0.8 s.
 
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use rand::RngExt as _;
 use rand::seq::SliceRandom as _;
-use serde::{Deserialize, Serialize};
-use tokio::sync::Mutex;
 
-use crate::apart;
 use crate::clock::now;
 use crate::edge::{Answer as Stored, Call, Item};
-use crate::follow::{self, Source};
+use crate::force;
 use crate::large::{Awaited, Notice};
 use crate::message;
 use crate::node::Node;
 use crate::piece::Piece;
+use crate::publisher::{Answer, PATH, Question};
+use crate::source::{self, Source};
 
-/// Path on which a node is asked for a large item.
-pub const PATH: &str = "/large";
 /// Longest wait for the head of an answer. A node that has the item answers in milliseconds; one that
 /// is dark, frozen or short of link must not hold the change up.
 const HEAD: Duration = Duration::from_millis(300);
@@ -35,123 +31,6 @@
 const PAUSE_MS: std::ops::Range<u64> = 40..120;
 /// Peers that are asked besides the watchers in each round.
 const OTHERS: usize = 2;
-/// Answers that a node gives at a time. All at once end at the same late moment, and small news
-/// gets one part of the link in as many as there are connections.
-const AT_ONCE: usize = 4;
-/// Differences that are kept for the next who asks.
-const KEPT: usize = 4;
-
-/// What a node asks for.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Question {
-    key: String,
-    /// Revision that is needed at least.
-    revision: u64,
-    /// Revision of the value that the asking node has; zero for none.
-    base: u64,
-}
-
-/// What the asked node says.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Answer {
-    /// The value.
-    Found(Piece),
-    /// It has no value of that revision.
-    Behind,
-    /// It is telling others.
-    Busy,
-}
-
-/// What this node has told of large items.
-#[derive(Debug, Default)]
-pub struct Desk {
-    kept: RefCell<Vec<Piece>>,
-    places: Rc<Cell<usize>>,
-    /// Held while a piece is written.
-    writing: Mutex<()>,
-}
-
-/// One of the answers that a node gives at a time, until it is dropped.
-#[derive(Debug)]
-pub struct Place(Rc<Cell<usize>>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-impl Desk {
-    /// A place for one more answer, if there is one.
-    fn place(&self) -> Option<Place> {
-        let taken = self.places.get();
-        (taken < AT_ONCE).then(|| {
-            self.places.set(taken + 1);
-            Place(self.places.clone())
-        })
-    }
-
-    fn find(&self, item: &Item, base: u64) -> Option<Piece> {
-        let is_same = |piece: &&Piece| {
-            let notice = &piece.notice;
-            (notice.key.as_str(), notice.revision, piece.base)
-                == (item.key.as_str(), item.revision, base)
-        };
-        self.kept.borrow().iter().find(is_same).cloned()
-    }
-
-    fn keep(&self, piece: Piece) {
-        let mut kept = self.kept.borrow_mut();
-        if kept.len() >= KEPT {
-            kept.remove(0);
-        }
-        kept.push(piece);
-    }
-}
-
-/// Answers a question; the place is held until the answer has left.
-pub async fn tell(node: &Node, question: &Question) -> (Answer, Option<Place>) {
-    let is_here = {
-        let view = node.view.borrow();
-        view.item(&question.key, question.revision).is_some()
-    };
-    if !is_here {
-        return (Answer::Behind, None);
-    }
-    let Some(place) = node.desk.place() else {
-        return (Answer::Busy, None);
-    };
-    // Many ask for the same at once; the first one's piece is there for the others.
-    let _writing = node.desk.writing.lock().await;
-    match find_or_write(node, question).await {
-        Ok(Some(piece)) => (Answer::Found(piece), Some(place)),
-        Ok(None) => (Answer::Behind, None),
-        Err(error) => {
-            tracing::error!(event = "large-item-not-told", key = question.key, reason = %error);
-            (Answer::Behind, None)
-        }
-    }
-}
-
-/// The piece that answers a question; `None` if the item was removed meanwhile.
-async fn find_or_write(node: &Node, question: &Question) -> anyhow::Result<Option<Piece>> {
-    let (item, base, base_revision) = {
-        let view = node.view.borrow();
-        let Some(item) = view.item(&question.key, question.revision) else {
-            return Ok(None);
-        };
-        let base = view.large.former(&question.key, question.base);
-        let base_revision = base.map_or(0, |_| question.base);
-        if let Some(piece) = node.desk.find(item, base_revision) {
-            return Ok(Some(piece));
-        }
-        let base = base.unwrap_or_default().to_owned();
-        (item.clone(), base, base_revision)
-    };
-    let piece = apart::run(move || Piece::new(&item, &base, base_revision)).await??;
-    node.desk.keep(piece.clone());
-    Ok(Some(piece))
-}
 
 /// Takes in notices from a peer at `teller`.
 pub fn hear(node: &Node, notices: &[Notice], teller: SocketAddr) {
@@ -211,7 +90,7 @@
 
 /// The watchers in any order, so that they share the work, then some peers.
 fn sources(node: &Node, awaited: &Awaited) -> Vec<SocketAddr> {
-    let mut watchers: Vec<SocketAddr> = match follow::source(node) {
+    let mut watchers: Vec<SocketAddr> = match source::source(node) {
         Source::Others(others) => others.into_iter().map(|(_, address)| address).collect(),
         Source::Store | Source::StoreForOthers => Vec::new(),
     };
@@ -260,8 +139,8 @@
         let base = view.value(&awaited.notice.key, piece.base);
         piece.item(&awaited.notice, base.unwrap_or_default())?
     };
-    follow::take_items(node, &[item]).await;
-    follow::note_view(node);
+    force::take_items(node, &[item]).await;
+    force::note_view(node);
     Ok(())
 }
 
@@ -320,9 +199,9 @@
         bytes = item.value.as_ref().map_or(0, String::len),
         peer = "store"
     );
-    follow::take_items(node, &[item]).await;
+    force::take_items(node, &[item]).await;
     // What the store has is what there is, whatever a peer has told.
     node.view.borrow_mut().large.settle(&awaited.notice);
-    follow::note_view(node);
+    force::note_view(node);
     true
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,13 +7,11 @@
 //! In a large availability zone a few nodes watch and the others ask those
 //! ([`watcher`]); a node that finds none of them fresh watches for itself.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use fescuerack_core::clock::Instant;
-use fescuerack_core::routed::watcher::{self, Role};
+use fescuerack_core::routed::watcher;
 use rand::RngExt as _;
 use tokio::task::JoinSet;
 
@@ -21,9 +19,11 @@
 use crate::clock::now;
 use crate::edge::{Answer, Call, Item, Page};
 use crate::fetch;
+use crate::force;
 use crate::news::{self, News};
 use crate::node::Node;
 use crate::peer;
+use crate::source::{self, Failed, Source};
 use crate::store::Fault;
 
 /// Milliseconds that a watch waits. A watch on a connection that went silent is
@@ -38,9 +38,6 @@
 const PROBE_MS: u64 = 50;
 /// Milliseconds between tries while the store is away.
 const RETRY_MS: u64 = 350;
-/// Milliseconds for which a watcher that had no fresh news is asked last: most outages of a node are over
-/// by then, and one question in so long is lost on one that stays dark.
-const AVOID_MS: u64 = 4_000;
 /// Everything in the store concerns the gateway.
 const ALL: &str = "";
 
@@ -66,7 +63,7 @@
             }
             continue;
         }
-        let source = source(&node);
+        let source = source::source(&node);
         let is_away = node.view.borrow().outage.is_away();
         let step = match &source {
             Source::Others(watchers) if is_away => seek(&node, &source, watchers).await,
@@ -129,54 +126,6 @@
     }
 }
 
-/// Where a node hears of changes.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Source {
-    /// The store, for this node alone.
-    Store,
-    /// The store, for others as well.
-    StoreForOthers,
-    /// Other nodes, by name and address, in this order.
-    Others(Vec<(String, SocketAddr)>),
-}
-
-/// Where this node hears of changes.
-pub fn source(node: &Node) -> Source {
-    let view = node.view.borrow();
-    let settings = node.settings.borrow();
-    let members: Vec<_> = view.members().collect();
-    let region = settings.regions.get(&settings.zone);
-    let is_near = |zone: &str| settings.regions.get(zone) == region;
-    match watcher::role(&settings.instance, &settings.zone, &members, is_near) {
-        Role::Alone => Source::Store,
-        Role::Watcher => Source::StoreForOthers,
-        Role::Follower(names) => {
-            let others = names.into_iter();
-            let others = others.map(|name| (name.to_owned(), view.nodes[name].address));
-            Source::Others(others.collect())
-        }
-    }
-}
-
-/// Watchers that had no fresh news lately. The entry of one that is dark stays until its lease lapses;
-/// asked first each time, it makes every change most of a second late until then.
-#[derive(Debug, Default)]
-struct Failed(HashMap<SocketAddr, Instant>);
-
-impl Failed {
-    fn note(&mut self, address: SocketAddr) {
-        self.0.insert(address, now().plus_millis(AVOID_MS));
-    }
-
-    /// The watchers with those that failed lately at the end.
-    fn last(&mut self, watchers: &[(String, SocketAddr)]) -> Vec<(String, SocketAddr)> {
-        self.0.retain(|_, until| now() < *until);
-        let mut watchers = watchers.to_vec();
-        watchers.sort_by_key(|(_, address)| self.0.contains_key(address));
-        watchers
-    }
-}
-
 /// Asks the watchers in turn; returns whether one of them is fresh.
 async fn follow_watcher(
     node: &Rc<Node>,
@@ -219,7 +168,7 @@
         let at = now().minus_millis(arrival.age_ms);
         node.arrivals.borrow_mut().note(arrival.revision, at);
     }
-    take_items(node, &news.items).await;
+    force::take_items(node, &news.items).await;
     let mut view = node.view.borrow_mut();
     view.revision = view.revision.max(news.revision);
     let is_back = view.outage.answer(now());
@@ -228,7 +177,7 @@
     if is_back {
         tracing::info!(event = "store-regained", call = "watcher");
     }
-    note_view(node);
+    force::note_view(node);
 }
 
 /// Makes one waiting call at the store, in short waits where others depend on how fresh it is.
@@ -328,39 +277,17 @@
     }
     view.replace(now(), &*node.platform, &items, revision);
     drop(view);
-    note_view(node);
+    force::note_view(node);
     Ok(())
 }
 
-/// Takes in items, the small ones at once. Whoever follows them sets the revision afterwards: a
-/// node that follows this one would else go on without the large ones.
-pub async fn take_items(node: &Node, items: &[Item]) {
-    let (large, small): (Vec<&Item>, Vec<&Item>) =
-        items.iter().partition(|item| apart::suits(item));
-    for item in small {
-        let mut view = node.view.borrow_mut();
-        view.apply(now(), &*node.platform, item);
-    }
-    for item in large {
-        take_large(node, item.clone()).await;
-    }
-}
-
-/// Takes in an item that is decoded apart.
-async fn take_large(node: &Node, item: Item) {
-    if let Some(decoded) = apart::decode(node, item).await {
-        let mut view = node.view.borrow_mut();
-        view.apply_change(now(), &decoded.item, decoded.change);
-    }
-}
-
 async fn take(node: &Node, page: &Page) {
     node.arrivals.borrow_mut().note(page.revision, now());
-    take_items(node, &page.items).await;
+    force::take_items(node, &page.items).await;
     let mut view = node.view.borrow_mut();
     view.revision = view.revision.max(page.revision);
     drop(view);
-    note_view(node);
+    force::note_view(node);
 }
 
 /// Waits a little, not as long as the others do.
@@ -390,35 +317,3 @@
         tracing::warn!(event = "store-lost", call = kind, reason = %fault, revision = view.revision);
     }
 }
-
-/// Brings the gauges and those who ask this node up to what is in force.
-pub fn note_view(node: &Node) {
-    for address in node.view.borrow_mut().take_restarted() {
-        node.pool.forget(address);
-    }
-    note_ages(node);
-    let view = node.view.borrow();
-    node.changes.send_replace(view.revision);
-    let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
-    node.metrics.revision.set(gauge(view.revision));
-    let version = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
-    node.metrics.configuration.set(gauge(version));
-    node.metrics.unreadable.set(gauge(view.unreadable));
-    node.metrics
-        .nodes
-        .set(i64::try_from(view.node_count()).unwrap_or(i64::MAX));
-}
-
-/// Counts how old what came in force is; of what a node reads when it starts that is not known.
-fn note_ages(node: &Node) {
-    let fresh = node.view.borrow_mut().take_fresh();
-    let arrivals = node.arrivals.borrow();
-    for (sort, revision) in fresh {
-        let Some(came) = arrivals.at(revision) else {
-            continue;
-        };
-        let age = now().since(came).as_secs_f64();
-        let ages = node.metrics.age.with_label_values(&[sort.name()]);
-        ages.observe(age);
-    }
-}
--- a/crates/gateway/src/large.rs
+++ b/crates/gateway/src/large.rs
@@ -6,9 +6,9 @@
 //! that is taken away, the next configuration.
 //!
 //! So nodes tell each other small items themselves, and of a large one a [`Notice`]: key, revision
-//! and digest. Whoever lacks it [fetches](crate::fetch) the [difference](crate::difference)
+//! and digest. Whoever lacks it [fetches](crate::fetch) the [`difference`]
 //! from the value that it has, beside everything else. Values from before are kept
-//! for that, [`FORMER`] of each key.
+//! for that, four of each key.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! A process has one thread and runs on a [`Platform`](edge::Platform), whose names
 //! and formats an adapter supplies. [`process`] starts the tasks of a
-//! [`node`]: [`front`] listens, [`follow`] keeps the [`view`] of what is in force,
-//! [`member`] and [`peer`] find and tell other nodes, [`share`] tells them what runs
-//! where and [`news`] what a watcher has heard; [`fetch`] brings what is too [`large`] for that, worked on [`apart`]; [`trials`] judges roll-outs.
-//! Messages between nodes go by [`message`]. A request is taken in by [`intake`] and goes
-//! through [`request`], which takes one [`attempt`] after another at servers that [`pick`]
-//! names; [`course`] says how far it may go, [`judge`] what becomes of an answer, and
-//! [`relay`] passes streams on. All of them use one client, [`upstream`]. What is decided
-//! under load is in `fescuerack_core::routed`.
+//! [`node`]: [`front`] listens, [`follow`] hears of changes from a [`source`] and brings them
+//! in [`force`], so that the [`view`] has them. [`member`] and [`peer`] find and tell other nodes,
+//! [`share`] tells them what runs where, and [`news`] what has changed; [`fetch`] brings
+//! what is too [`large`] for that, as a [`piece`] that the [`publisher`] of another node
+//! writes, and it is worked on [`apart`].
+//! [`trials`] judges roll-outs. Messages between nodes go by [`message`].
+//!
+//! A request is taken in by [`intake`] and goes through [`request`], which takes one
+//! [`attempt`] after another at servers that [`pick`] names; [`course`] says how far it may go,
+//! [`judge`] what becomes of an answer, and [`relay`] passes streams on. All of them use one
+//! client, [`upstream`]. What is decided under load is in `fescuerack_core::routed`.
 
 pub mod apart;
 pub mod arrival;
@@ -20,9 +23,11 @@
 pub mod course;
 pub mod difference;
 pub mod edge;
+pub mod entry;
 pub mod events;
 pub mod fetch;
 pub mod follow;
+pub mod force;
 pub mod front;
 pub mod headers;
 pub mod intake;
@@ -39,12 +44,14 @@
 pub mod pick;
 pub mod piece;
 pub mod process;
+pub mod publisher;
 pub mod refusal;
 pub mod relay;
 pub mod request;
 pub mod routes;
 pub mod settings;
 pub mod share;
+pub mod source;
 pub mod store;
 pub mod trials;
 pub mod upstream;
--- a/crates/gateway/src/member.rs
+++ b/crates/gateway/src/member.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use crate::edge::{Answer, Call};
+use crate::entry::{NODES, Peer};
 use crate::node::Node;
 use crate::store::Fault;
-use crate::view::{NODES, Peer};
 
 /// Milliseconds that the lease lasts: three renewals may fail.
 const LEASE_MS: u64 = 16_000;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,8 +19,8 @@
 use crate::arrival::Arrivals;
 use crate::clock::now;
 use crate::edge::Platform;
-use crate::fetch::Desk;
 use crate::metrics::Metrics;
+use crate::publisher::Publisher;
 use crate::settings::Settings;
 use crate::share::Hubs;
 use crate::store::Store;
@@ -112,7 +112,7 @@
     /// When changes of the store came.
     pub arrivals: RefCell<Arrivals>,
     /// What this node has told of large items.
-    pub desk: Desk,
+    pub publisher: Publisher,
     /// Tells that a large item is awaited.
     pub awaits: Notify,
     /// Tells that the view has followed the store up to a revision.
@@ -154,7 +154,7 @@
             top: RefCell::default(),
             usual: RefCell::default(),
             arrivals: RefCell::default(),
-            desk: Desk::default(),
+            publisher: Publisher::default(),
             awaits: Notify::new(),
             changes: watch::Sender::new(0),
             store_answered: Cell::new(Instant::ORIGIN),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -33,11 +33,12 @@
 use crate::clock::now;
 use crate::edge::Item;
 use crate::fetch;
-use crate::follow;
+use crate::force;
 use crate::large::Notice;
 use crate::message::{self, Direction};
 use crate::news;
 use crate::node::Node;
+use crate::publisher;
 use crate::share;
 use crate::trials;
 
@@ -208,7 +209,7 @@
             );
         }
     }
-    follow::note_view(node);
+    force::note_view(node);
     let mut evidence = node.evidence.borrow_mut();
     for (service, told) in &reply.rollouts {
         if let Some(known) = evidence.get_mut(service.as_str())
@@ -301,9 +302,9 @@
             .and_then(|work| serde_json::to_vec(&share::tell_hub(&node, work))),
         share::GROUP => serde_json::from_slice(&body)
             .and_then(|work| serde_json::to_vec(&share::tell_top(&node, work))),
-        fetch::PATH => match serde_json::from_slice(&body) {
+        publisher::PATH => match serde_json::from_slice(&body) {
             Ok(question) => {
-                let (answer, taken) = fetch::tell(&node, &question).await;
+                let (answer, taken) = publisher::tell(&node, &question).await;
                 place = taken;
                 serde_json::to_vec(&answer)
             }
--- /dev/null
+++ b/crates/gateway/src/publisher.rs
@@ -0,0 +1,133 @@
+//! Telling large items to the nodes that ask for them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::Mutex;
+
+use crate::apart;
+use crate::edge::Item;
+use crate::node::Node;
+use crate::piece::Piece;
+
+/// Path on which a node is asked for a large item.
+pub const PATH: &str = "/large";
+/// Answers that a node gives at a time. All at once end at the same late moment, and small news
+/// gets one part of the link in as many as there are connections.
+const AT_ONCE: usize = 4;
+/// Differences that are kept for the next who asks.
+const KEPT: usize = 4;
+
+/// What a node asks for.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Question {
+    /// Key.
+    pub key: String,
+    /// Revision that is needed at least.
+    pub revision: u64,
+    /// Revision of the value that the asking node has; zero for none.
+    pub base: u64,
+}
+
+/// What the asked node says.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Answer {
+    /// The value.
+    Found(Piece),
+    /// It has no value of that revision.
+    Behind,
+    /// It is telling others.
+    Busy,
+}
+
+/// What this node has told of large items.
+#[derive(Debug, Default)]
+pub struct Publisher {
+    kept: RefCell<Vec<Piece>>,
+    places: Rc<Cell<usize>>,
+    /// Held while a piece is written.
+    writing: Mutex<()>,
+}
+
+/// One of the answers that a node gives at a time, until it is dropped.
+#[derive(Debug)]
+pub struct Place(Rc<Cell<usize>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl Publisher {
+    /// A place for one more answer, if there is one.
+    fn place(&self) -> Option<Place> {
+        let taken = self.places.get();
+        (taken < AT_ONCE).then(|| {
+            self.places.set(taken + 1);
+            Place(self.places.clone())
+        })
+    }
+
+    fn find(&self, item: &Item, base: u64) -> Option<Piece> {
+        let is_same = |piece: &&Piece| {
+            let notice = &piece.notice;
+            (notice.key.as_str(), notice.revision, piece.base)
+                == (item.key.as_str(), item.revision, base)
+        };
+        self.kept.borrow().iter().find(is_same).cloned()
+    }
+
+    fn keep(&self, piece: Piece) {
+        let mut kept = self.kept.borrow_mut();
+        if kept.len() >= KEPT {
+            kept.remove(0);
+        }
+        kept.push(piece);
+    }
+}
+
+/// Answers a question; the place is held until the answer has left.
+pub async fn tell(node: &Node, question: &Question) -> (Answer, Option<Place>) {
+    let is_here = {
+        let view = node.view.borrow();
+        view.item(&question.key, question.revision).is_some()
+    };
+    if !is_here {
+        return (Answer::Behind, None);
+    }
+    let Some(place) = node.publisher.place() else {
+        return (Answer::Busy, None);
+    };
+    // Many ask for the same at once; the first one's piece is there for the others.
+    let _writing = node.publisher.writing.lock().await;
+    match find_or_write(node, question).await {
+        Ok(Some(piece)) => (Answer::Found(piece), Some(place)),
+        Ok(None) => (Answer::Behind, None),
+        Err(error) => {
+            tracing::error!(event = "large-item-not-told", key = question.key, reason = %error);
+            (Answer::Behind, None)
+        }
+    }
+}
+
+/// The piece that answers a question; `None` if the item was removed meanwhile.
+async fn find_or_write(node: &Node, question: &Question) -> anyhow::Result<Option<Piece>> {
+    let (item, base, base_revision) = {
+        let view = node.view.borrow();
+        let Some(item) = view.item(&question.key, question.revision) else {
+            return Ok(None);
+        };
+        let base = view.large.former(&question.key, question.base);
+        let base_revision = base.map_or(0, |_| question.base);
+        if let Some(piece) = node.publisher.find(item, base_revision) {
+            return Ok(Some(piece));
+        }
+        let base = base.unwrap_or_default().to_owned();
+        (item.clone(), base, base_revision)
+    };
+    let piece = apart::run(move || Piece::new(&item, &base, base_revision)).await??;
+    node.publisher.keep(piece.clone());
+    Ok(Some(piece))
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -16,10 +16,9 @@
 use crate::arrival::Sort;
 use crate::catalog::Catalog;
 use crate::edge::{Change, Item, Listed, Platform, Progress, Rollout, State};
+use crate::entry::{NODES, Peer};
 use crate::large::{Large, Notice};
 
-/// Prefix of the keys under which nodes enter themselves.
-pub const NODES: &str = "fescuerack/node/";
 /// Items of removed keys that are remembered so that peers hear of the removal.
 const REMOVED: usize = 512;
 
@@ -62,35 +61,6 @@
     pub is_halted: bool,
 }
 
-/// Another node's entry, or this node's own.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Peer {
-    /// Where it listens for nodes.
-    pub address: SocketAddr,
-    /// Its availability zone.
-    pub zone: String,
-    /// What its link carries, in megabits a second; zero if it does not say.
-    pub link_mbps: u32,
-}
-
-impl Peer {
-    /// Returns the entry's value in the store.
-    #[must_use]
-    pub fn value(&self) -> String {
-        format!("{} {} {}", self.address, self.zone, self.link_mbps)
-    }
-
-    fn new(value: &str) -> Option<Self> {
-        let mut words = value.split(' ');
-        Some(Self {
-            address: words.next()?.parse().ok()?,
-            zone: words.next()?.to_owned(),
-            // A program from before does not say.
-            link_mbps: words.next().map_or(Some(0), |link| link.parse().ok())?,
-        })
-    }
-}
-
 /// The view.
 #[derive(Debug, Default)]
 pub struct View {
