--- a/crates/core/src/routed/load.rs
+++ b/crates/core/src/routed/load.rs
@@ -7,12 +7,12 @@
 //! them, the hub of its group, the work that it has on each server, and hears the
 //! sum of the others'. Messages grow with the number of nodes, not its square.
 //!
-//! Up to [`GROUP`] nodes form one group. Else a group is an availability zone, or a part of a
-//! large one, as bytes between zones cost. Hubs tell one of them, the top, the sum of their groups and hear that of
-//! the other groups, so every node knows the work of all, at most two tellings old. With
-//! sums of one group that stood for the whole, a prompt of a node in the group
-//! counted four times and those of the other groups not at all: streams on servers that
-//! were so flooded starved until their deadline.
+//! Up to [`GROUP`] nodes form one group. Else a group is an availability zone, or a part of a large
+//! one, as bytes between zones cost. Hubs tell one of them, the top, the sum of their groups and
+//! hear that of the other groups, so every node knows the work of all, at most two tellings old.
+//! With sums of one group that stood for the whole, a prompt of a node in the group counted four
+//! times and those of the other groups not at all: streams on servers that were so flooded starved
+//! until their deadline.
 //!
 //! What was heard fades with its age, and a hub that dies costs nothing but the
 //! view until the next one is agreed on.
--- a/crates/core/src/routed/watcher.rs
+++ b/crates/core/src/routed/watcher.rs
@@ -1,11 +1,11 @@
 //! Which nodes watch the store for the others.
 //!
-//! The pattern: each change wakes the waiting call of every node, and each call is
-//! paid for; with 91 nodes the calls cost a tenth of what the whole day is worth. So in
-//! a region with large availability zones, those of more than [`FEW`] nodes, [`WATCHERS`] nodes watch
-//! the store. [`WATCHERS`] nodes of each such zone, its hubs, ask these, and the others ask
-//! the hubs of their zone, which costs bytes within the zone only. With watchers in each of four
-//! zones, three quarters of all calls were theirs.
+//! The pattern: each change wakes the waiting call of every node, and each call is paid for; with
+//! 91 nodes the calls cost a tenth of what the whole day is worth. So in a region with large
+//! availability zones, those of more than [`FEW`] nodes, [`WATCHERS`] nodes watch the store.
+//! [`WATCHERS`] nodes of each such zone, its hubs, ask these, and the others ask the hubs of their
+//! zone, which costs bytes within the zone only. With watchers in each of four zones, three
+//! quarters of all calls were theirs.
 //!
 //! A watcher may be cut off from the store without knowing it yet. So it watches in
 //! short waits and says how long ago the store last answered it, and so do hubs; a node that hears
@@ -32,9 +32,9 @@
 pub const OWN_MS: u64 = 1_000;
 /// Milliseconds that a node's question waits at a watcher.
 pub const ASK_MS: u64 = 400;
-/// Milliseconds since the store's last answer up to which a watcher or a hub is believed: the watcher's
-/// wait, the hub's question, and 0.4 s for a store that is slow. With the question's own wait a
-/// node knows within 1.7 s that it must ask elsewhere.
+/// Milliseconds since the store's last answer up to which a watcher or a hub is believed: the
+/// watcher's wait, the hub's question, and 0.4 s for a store that is slow. With the question's own
+/// wait a node knows within 1.7 s that it must ask elsewhere.
 pub const FRESH_MS: u64 = 1_200;
 
 /// How a node hears of changes.
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -1,8 +1,8 @@
 //! Fetching large items from other nodes.
 //!
 //! A node that heard of a [large](crate::large) item asks those that have it, one at a time and
-//! beside everything else that it does: the watchers of its availability zone, then any peers, and the
-//! store itself only when none of them has given it for 0.8 s.
+//! beside everything else that it does: the watchers of its availability zone, then any peers, and
+//! the store itself only when none of them has given it for 0.8 s.
 
 use std::net::SocketAddr;
 use std::ops::Range;
@@ -22,16 +22,16 @@
 use crate::publisher::{Answer, PATH, Question};
 use crate::source::{self, Source};
 
-/// Longest wait for the head of an answer. A node that has the item answers in milliseconds; one that
-/// is dark, frozen or short of link must not hold the change up.
+/// Longest wait for the head of an answer. A node that has the item answers in milliseconds; one
+/// that is dark, frozen or short of link must not hold the change up.
 const HEAD: Duration = Duration::from_millis(300);
-/// Milliseconds for which peers are asked before the store is. A change must be in force within some
-/// seconds, and the whole value takes the slowest link one of them.
+/// Milliseconds for which peers are asked before the store is. A change must be in force within
+/// some seconds, and the whole value takes the slowest link one of them.
 const PEERS_MS: u64 = 800;
 /// Least and most milliseconds between two rounds: those who were told first have the item by then.
 const PAUSE_MS: Range<u64> = 40..120;
-/// The same once peers have not given it for [`PEERS_MS`]. When the store is away and nobody has the item,
-/// each round of each node costs others five questions.
+/// The same once peers have not given it for [`PEERS_MS`]. When the store is away and nobody has
+/// the item, each round of each node costs others five questions.
 const LATE_PAUSE_MS: Range<u64> = 300..600;
 /// Peers that are asked besides the watchers in each round.
 const OTHERS: usize = 2;
--- a/crates/gateway/src/large.rs
+++ b/crates/gateway/src/large.rs
@@ -22,8 +22,8 @@
 /// Bytes of a value from which on it is large: what a link of 10 Mbit/s carries in 6 ms. Entries
 /// of servers and nodes are some hundred bytes.
 pub const LARGE: usize = 8_192;
-/// Values of a key from before the one in force that are kept. Nodes ask within seconds of a change,
-/// and operators make a few in that time; with values of a megabyte at most this is 4 MB.
+/// Values of a key from before the one in force that are kept. Nodes ask within seconds of a
+/// change, and operators make a few in that time; with values of a megabyte at most this is 4 MB.
 const FORMER: usize = 4;
 
 /// Says that a large item has changed.
--- a/crates/gateway/src/routes.rs
+++ b/crates/gateway/src/routes.rs
@@ -1,8 +1,8 @@
 //! Routes, found by host and longest prefix.
 //!
 //! Each request chooses its route. Compared one after the other, 2,000 routes took 64 µs of a whole
-//! core, half a millisecond of the smallest one, for every request; looked up by prefix, once for each length that
-//! a host's prefixes have, the time does not grow with the routes.
+//! core, half a millisecond of the smallest one, for every request; looked up by prefix, once for
+//! each length that a host's prefixes have, the time does not grow with the routes.
 
 use std::borrow::Cow;
 use std::collections::{BTreeSet, HashMap};
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -9,8 +9,8 @@
 use crate::clock::now;
 use crate::node::Node;
 
-/// Milliseconds for which a watcher that had no fresh news is asked last: most outages of a node are over
-/// by then, and one question in so long is lost on one that stays dark.
+/// Milliseconds for which a watcher that had no fresh news is asked last: most outages of a node
+/// are over by then, and one question in so long is lost on one that stays dark.
 const AVOID_MS: u64 = 4_000;
 
 /// Where a node hears of changes.
@@ -42,8 +42,8 @@
     }
 }
 
-/// Watchers that had no fresh news lately. The entry of one that is dark stays until its lease lapses;
-/// asked first each time, it makes every change most of a second late until then.
+/// Watchers that had no fresh news lately. The entry of one that is dark stays until its lease
+/// lapses; asked first each time, it makes every change most of a second late until then.
 #[derive(Debug, Default)]
 pub struct Failed(HashMap<SocketAddr, Instant>);
 
