--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,8 +4,9 @@
 //! a quarter of a second before it asks again. While the store does not answer, the node
 //! goes on with what it knows and asks a peer for what is newer.
 //!
-//! In a large availability zone a few nodes watch and the others ask those
-//! ([`watcher`]); a node that finds none of them fresh watches for itself.
+//! In a region with large availability zones two nodes watch, hubs of the zones ask these and the
+//! others their hubs ([`watcher`]); a node that finds none of those that it asks fresh
+//! watches for itself.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
