A doubted answer is kept until a better one is there; streams' servers are left to read

An answer of the smallest model that its confidence made doubtful was dropped before the larger model had any; if that was full, failed or came too late, the caller got nothing though an answer was at hand. And a stream's server was left after .9 of the target without a head: engines that read long prompts are as silent as hung ones, and whoever leaves one throws away its reading and begins anew elsewhere.

Course::kept holds the doubted answer unread; it goes to the caller when no larger model's answer comes, at the latest a twentieth of the request's time before its deadline. A server of a stream is left after twice the target or half of the time that is left, at least .9 of the target as before. Dead servers still show by the connection's own probes.

--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -2,12 +2,18 @@
 
 use std::sync::Arc;
 
-use crate::attempt::Job;
+use fescuerack_core::clock::Instant;
+
+use crate::attempt::{Headed, Job};
 use crate::clock::now;
 use crate::node::Node;
 
+/// Part of a request's time that is left for passing on a kept answer. It has been made by
+/// then, so only its bytes have to reach the caller.
+const KEPT_PART: u32 = 20;
+
 /// How far a request has come.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Course {
     /// Servers that must not be asked again.
     pub tried: Vec<Arc<str>>,
@@ -19,6 +25,43 @@
     pub may_have_run: bool,
     /// Index of the model to ask.
     pub model: Option<usize>,
+    /// A doubted answer that is kept until that of a larger model is there.
+    pub kept: Option<Kept>,
+}
+
+/// An answer at hand, which the caller gets if no better one comes in time.
+///
+/// Nothing of its body is read meanwhile: its server writes on, and what it has written waits
+/// in the connection.
+pub struct Kept {
+    /// The answer.
+    pub headed: Headed,
+    /// Index of the model that made it.
+    pub model: usize,
+    /// When it goes to the caller at the latest.
+    pub until: Instant,
+}
+
+impl Kept {
+    /// Keeps the answer of `model` to `job`.
+    #[must_use]
+    pub fn new(headed: Headed, model: usize, job: &Job) -> Self {
+        let rest = job.deadline.since(job.arrived) / KEPT_PART;
+        let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            headed,
+            model,
+            until: job.deadline.minus_millis(rest_ms),
+        }
+    }
+}
+
+impl Course {
+    /// Whether the kept answer is due.
+    #[must_use]
+    pub fn is_kept_due(&self) -> bool {
+        self.kept.as_ref().is_some_and(|kept| now() >= kept.until)
+    }
 }
 
 /// Takes a further attempt from the route's attempts and the service's budget.
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -11,7 +11,7 @@
 use crate::body::Answer;
 use crate::catalog::Kind;
 use crate::clock::now;
-use crate::course::{Course, further};
+use crate::course::{Course, Kept, further};
 use crate::headers;
 use crate::node::Node;
 use crate::pick::{self, Pick};
@@ -55,6 +55,7 @@
             event_ms: None,
         });
         count(node, job, &headed.pick, course.model, ended);
+        course.kept = Some(Kept::new(headed, rank, job));
         course.model = Some(next);
         return Judged::Again;
     }
@@ -116,6 +117,9 @@
                 course.tried.push(headed.pick.id.clone());
                 return Judged::Again;
             }
+            if head.status.is_server_error() && course.kept.is_some() {
+                return Judged::Refuse(Refusal::Unknown);
+            }
             node.suspects.borrow_mut().ended_well(now(), job.digest);
             headers::strip(&mut head.headers);
             Judged::Answer(Response::from_parts(head, Answer::whole(body.to_bytes())))
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -24,6 +24,8 @@
     pub further: IntCounterVec,
     /// Answers asked for again of a larger model, by route.
     pub dropped_answers: IntCounterVec,
+    /// Weak answers that callers got since no larger model's came, by route.
+    pub fallbacks: IntCounterVec,
     /// Calls to the store by kind and outcome.
     pub store: IntCounterVec,
     /// Bytes of messages between nodes, by path and direction.
@@ -108,6 +110,11 @@
                 "Weak answers asked for again of a larger model",
                 &["route"],
             )?,
+            fallbacks: counter(
+                "fescuerack_fallback_answers_total",
+                "Weak answers given since no larger model's came",
+                &["route"],
+            )?,
             store: counter(
                 "fescuerack_store_calls_total",
                 "Calls to the store by kind and outcome",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -18,12 +18,13 @@
 use crate::body::Answer;
 use crate::catalog::Kind;
 use crate::clock::{deadline, now};
-use crate::course::{Course, further};
+use crate::course::{Course, Kept, further};
 use crate::intake;
 use crate::judge::{self, Judged};
 use crate::node::Node;
 use crate::pick;
 use crate::refusal::Refusal;
+use crate::relay;
 use crate::trials::Ended;
 
 /// Milliseconds that a caller is thought to wait if neither it nor the route says.
@@ -38,8 +39,11 @@
 /// Part of a repeatable plain call's target after which another server is asked: a
 /// server that does not answer is not told from a slow one any earlier.
 const PLAIN_PATIENCE: f64 = 2.5;
-/// Part of a stream's target after which another server is asked for the head.
+/// Part of a stream's target for which its server is left to read the prompt, at least.
 const STREAM_PATIENCE: f64 = 0.9;
+/// The same at most. An engine that reads long prompts is as silent as one that hangs, and
+/// whoever leaves it throws away what it has read.
+const STREAM_MOST_PATIENCE: f64 = 2.0;
 
 /// Answers a caller.
 pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Answer> {
@@ -139,13 +143,41 @@
     }
     let until = deadline(job.deadline);
     let steps = steps(node, &job, &service, &mut course);
-    match tokio::time::timeout_at(until, steps).await {
+    let result = match tokio::time::timeout_at(until, steps).await {
         Ok(result) => result,
         Err(_) if course.may_have_run => Err(Refusal::Late),
         Err(_) => Err(Refusal::NotRun),
+    };
+    match (result, course.kept) {
+        (Err(refusal), Some(kept)) => {
+            Ok(fall_back(node, &job, &service, kept, course.sent, refusal))
+        }
+        (result, _) => result,
     }
 }
 
+/// Answers with what a smaller model made, since no larger one's answer comes in time. A doubted
+/// answer is better for the caller than none.
+fn fall_back(
+    node: &Rc<Node>,
+    job: &Rc<Job>,
+    service: &Arc<str>,
+    kept: Kept,
+    sent: u32,
+    refusal: Refusal,
+) -> Response<Answer> {
+    tracing::info!(
+        event = "fell-back",
+        id = job.ask.id,
+        server = &*kept.headed.pick.id,
+        model = kept.model,
+        instead = refusal.word()
+    );
+    let route = &*job.route.name;
+    node.metrics.fallbacks.with_label_values(&[route]).inc();
+    relay::begin(node, job, service, kept.headed, Some(kept.model), sent)
+}
+
 async fn steps(
     node: &Rc<Node>,
     job: &Rc<Job>,
@@ -209,7 +241,7 @@
                 }
                 course.tried.push(pick.id.clone());
                 course.sent += 1;
-                let may_repeat = job.route.is_repeatable();
+                let may_repeat = job.route.is_repeatable() && !course.is_kept_due();
                 if !may_repeat || !further(node, job, service, course.sent, "failed") {
                     let is_over = now() >= job.deadline;
                     return Err(if is_over {
@@ -239,17 +271,26 @@
     }
 }
 
-/// Until when an attempt may go without a head before another server is asked.
+/// Until when an attempt may go without a head before another server is asked, or a kept answer
+/// is given.
 fn patience(job: &Job, course: &Course) -> Instant {
+    let latest = course.kept.as_ref().map_or(job.deadline, |kept| kept.until);
     let is_last = course.sent + 1 >= job.route.attempts;
     let (Some(target_ms), false, true) = (job.route.target_ms, is_last, job.route.is_repeatable())
     else {
-        return job.deadline;
-    };
-    let part = match job.route.kind {
-        Kind::Streaming => STREAM_PATIENCE,
-        Kind::Idempotent | Kind::NonIdempotent => PLAIN_PATIENCE,
+        return latest;
     };
     let target = Duration::from_millis(target_ms);
-    (now() + target.mul_f64(part)).min(job.deadline)
+    let patience = match job.route.kind {
+        Kind::Streaming => stream_patience(target, job.deadline.since(now())),
+        Kind::Idempotent | Kind::NonIdempotent => target.mul_f64(PLAIN_PATIENCE),
+    };
+    (now() + patience).min(latest)
+}
+
+/// How long the server of a stream may be silent, with `left` until the deadline: the next one
+/// needs as long.
+fn stream_patience(target: Duration, left: Duration) -> Duration {
+    let most = target.mul_f64(STREAM_MOST_PATIENCE).min(left / 2);
+    most.max(target.mul_f64(STREAM_PATIENCE))
 }
