A silent stream is waited for while another server is asked beside it

On silence another server is asked to go on beside the first; whichever has the next event first goes on, and the other is left at once. Where nobody else can be asked, the silent server is waited for until the request's time is over. Silence counts no more as a server's crash, neither in a roll-out's evidence nor against the request.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,10 +1,14 @@
 //! Relaying a stream of events, and going on at another server when it breaks.
 //!
 //! What reaches the caller ends with a whole event at any moment. When the server
-//! breaks off, falls silent or dies, and the route's streams may be resumed, the
-//! same model is asked at another server to go on after the last event. The caller
-//! keeps the first server's head. A stream that cannot go on is cut, so that it
-//! does not look whole.
+//! breaks off or dies, and the route's streams may be resumed, the same model is
+//! asked at another server to go on after the last event. The caller keeps the
+//! first server's head. A stream that cannot go on is cut, so that it does not
+//! look whole.
+//!
+//! A server that falls silent may still be at work: an engine that reads long prompts for others
+//! makes a token in half a second. So another one is asked beside it, and whichever has the next
+//! event first goes on; where no other can be asked, the silent one is waited for.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,6 +19,7 @@
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use hyper::Response;
+use hyper::body::{Frame, Incoming};
 
 use crate::attempt::{self, Headed, Job, NotRun, Tried};
 use crate::body::{Answer, Cut, Relayed};
@@ -23,12 +28,13 @@
 use crate::events::Splitter;
 use crate::judge;
 use crate::node::Node;
-use crate::pick;
+use crate::pick::{self, Pick};
 use crate::trials::{Ended, Pace};
 
 /// Frames that wait for a slow caller before the server is made to wait.
 const FRAMES: usize = 16;
-/// How many times the longest pause on time a server may be silent between events.
+/// How many times the longest pause on time a server may be silent between events before another
+/// is asked beside it.
 const SILENCE: f64 = 1.6;
 /// Events from which the time between them says something.
 const FEWEST_EVENTS: u32 = 4;
@@ -49,12 +55,17 @@
     passed: Option<Instant>,
 }
 
+/// What a server sends next: a frame, an error, or nothing more.
+type Next = Option<Result<Frame<Bytes>, hyper::Error>>;
+
 /// How one server's part of a stream ended.
 enum Part {
     /// Whole.
     Done,
-    /// The server broke off or fell silent.
+    /// The server broke off.
     Broken(String),
+    /// The server fell silent, and another goes on.
+    Overtaken(Box<Headed>),
     /// The caller has gone.
     Left,
 }
@@ -159,28 +170,49 @@
                     );
                     self.tried.push(pick.id);
                     self.splitter.drop_partial();
+                    headed = self.resume().await.ok_or(Cut::Broken)?;
+                }
+                Part::Overtaken(next) => {
+                    judge::count(&self.node, &self.job, &pick, self.model, Ended::Silently);
+                    tracing::info!(
+                        event = "stream-overtaken",
+                        id = self.job.ask.id,
+                        server = &*pick.id,
+                        by = &*next.pick.id,
+                        last = self.splitter.last()
+                    );
+                    self.splitter.drop_partial();
+                    headed = *next;
                 }
             }
-            headed = self.resume().await.ok_or(Cut::Broken)?;
         }
     }
 
     /// Passes on one server's events.
     async fn part(&mut self, headed: Headed, sender: &mut Sender<Bytes, Cut>) -> Part {
         let Headed {
-            answered, running, ..
+            answered,
+            running,
+            pick,
+            ..
         } = headed;
         let mut body = answered.response.into_body();
         let silence = self.silence();
         loop {
-            let frame = match tokio::time::timeout(silence, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Part::Broken(error.to_string()),
-                Ok(None) if self.splitter.is_partial() => {
+            let next = match tokio::time::timeout(silence, body.frame()).await {
+                Ok(next) => next,
+                Err(_) => match self.overtake(&pick, &mut body).await {
+                    Ok(next) => next,
+                    Err(headed) => return Part::Overtaken(headed),
+                },
+            };
+            let frame = match next {
+                Some(Ok(frame)) => frame,
+                Some(Err(error)) => return Part::Broken(error.to_string()),
+                None if self.splitter.is_partial() => {
                     return Part::Broken("ended within an event".to_owned());
                 }
-                Ok(None) => break,
-                Err(_) => return Part::Broken(format!("silent for {silence:?}")),
+                None => break,
             };
             let Ok(data) = frame.into_data() else {
                 continue;
@@ -202,6 +234,27 @@
         Part::Done
     }
 
+    /// Waits for what the silent server at `pick` sends next and asks another beside it; returns the
+    /// other's head if that is there first.
+    async fn overtake(&mut self, pick: &Pick, body: &mut Incoming) -> Result<Next, Box<Headed>> {
+        self.tried.push(pick.id.clone());
+        tracing::info!(
+            event = "stream-silent",
+            id = self.job.ask.id,
+            server = &*pick.id,
+            last = self.splitter.last()
+        );
+        let other = tokio::select! {
+            biased;
+            next = body.frame() => return Ok(next),
+            other = self.resume() => other,
+        };
+        match other {
+            Some(headed) => Err(Box::new(headed)),
+            None => Ok(body.frame().await),
+        }
+    }
+
     fn note_pause(&mut self) {
         let now = now();
         if let Some(passed) = self.passed.replace(now) {
