A new version is judged by the work on its servers, by slow answers before they end, and not before it has answered under load

Change. core::routed::wait learns milliseconds for a unit of work; core::routed::pace calls a first token slow at 4 times the usual and 3 times the expected time; attempts that are awaited count as slow while they wait (trials::Watched); least difference of failures .03; silence counts in the stage under load; a version that owes more than two answers for each that it gave under load is not completed, and rejected at the end of its time.

--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -9,9 +9,11 @@
 //! - [`load`]: what other nodes have running on each backend server;
 //! - [`tier`]: which of a route's models answers, and when a weak answer is
 //!   asked for again of a stronger one;
+//! - [`wait`]: how long a request waits behind the work on a server;
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`trial`]: when a new version has proved itself, and how much it gets
 //!   until then;
+//! - [`pace`]: which of its answers count as slow;
 //! - [`session`]: which sessions stay on the version that they began on;
 //! - [`vanish`]: which backend servers are gone when the store has been away;
 //! - [`rank`]: which nodes do something for the others;
@@ -24,9 +26,11 @@
 pub mod health;
 pub mod home;
 pub mod load;
+pub mod pace;
 pub mod rank;
 pub mod session;
 pub mod tier;
 pub mod trial;
 pub mod vanish;
+pub mod wait;
 pub mod watcher;
--- a/crates/core/src/routed/trial.rs
+++ b/crates/core/src/routed/trial.rs
@@ -40,15 +40,19 @@
 /// Part of the given time after which a version may be completed: a fifth of its time
 /// under load, in which requests of several seconds pile up on its servers.
 pub const PROVED: f64 = 0.75;
-/// Part of the allowed exposure that has been used by then; the rest is for the moment
+/// Part of the allowed exposure that has been used by [`PROVED`]; the rest is for the moment
 /// until all nodes know how it was decided.
 const USED: f64 = 0.9;
 /// How many times as busy as all servers will be those are that get the load. Versions that
 /// fail on servers half of whose places are taken were found in 15 of 16 plays with 3, in
 /// 6 of 8 with 2; callers of a good version saw no difference.
 const PRESSED: f64 = 3.0;
-/// Part of the given time by which the trial is decided.
+/// Part of the given time by which the trial is decided. Until then a version waits to be completed
+/// whose servers owe more than [`OWED`] answers for each that they gave under load: one that fails on
+/// busy servers would be completed before the first of its failures is there.
 pub const LAST: f64 = 0.85;
+/// Requests under load that a version may owe for each that it has answered.
+const OWED: u32 = 2;
 /// Answers of the new version without which it is not completed.
 pub const ENOUGH: u32 = 30;
 /// Milliseconds from the order to the first request on the new version: two tellings
@@ -59,7 +63,7 @@
 /// of 100 good versions in the model of the tests.
 const SURE: f64 = 3.3;
 /// Difference of the share of bad answers below which a version is not rejected.
-const WORSE: f64 = 0.08;
+const WORSE: f64 = 0.03;
 /// Bad answers without which a version is not rejected.
 const FEWEST_BAD: u32 = 4;
 /// Difference of the share of slow answers below which a version is not rejected. Its
@@ -79,6 +83,12 @@
     /// Answers that took many times as long as usual.
     #[serde(default)]
     pub slow: u32,
+    /// Answers of the stage under load.
+    #[serde(default)]
+    pub loaded: u32,
+    /// Requests of that stage that wait for an answer.
+    #[serde(default)]
+    pub waiting: u32,
 }
 
 impl Count {
@@ -89,6 +99,8 @@
             all: self.all + other.all,
             bad: self.bad + other.bad,
             slow: self.slow + other.slow,
+            loaded: self.loaded + other.loaded,
+            waiting: self.waiting + other.waiting,
         }
     }
 }
@@ -217,7 +229,9 @@
         if is_worse(&total) {
             return Verdict::Reject;
         }
-        if self.is_proved(now) && total.new.all >= ENOUGH {
+        let is_owing = total.new.waiting > OWED * total.new.loaded;
+        let has_answered = total.new.all >= ENOUGH && !is_owing;
+        if self.is_proved(now) && has_answered {
             return Verdict::Complete;
         }
         if self.passed(now) >= LAST {
--- a/crates/core/tests/all/routed/trial.rs
+++ b/crates/core/tests/all/routed/trial.rs
@@ -1,5 +1,7 @@
 //! A version on trial.
 
+use std::time::Duration;
+
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::home;
 use fescuerack_core::routed::trial::{Count, Counts, Evidence, Pair, Stage, Trial, Verdict};
@@ -97,8 +99,8 @@
     };
     let new = Count {
         all: new,
-        bad: 0,
         slow,
+        ..Count::default()
     };
     let counts = Counts::from([("r".to_owned(), Pair { old, new })]);
     trial().judge(ORDERED.plus_millis(9_000), &Evidence { counts, crashed: 0 })
@@ -217,7 +219,11 @@
     #[case] old_slow: u32,
     #[case] verdict: Verdict,
 ) {
-    let side = |all, slow| Count { all, bad: 0, slow };
+    let side = |all, slow| Count {
+        all,
+        slow,
+        ..Count::default()
+    };
     let pair = Pair {
         old: side(300, old_slow),
         new: side(40, 20),
@@ -227,3 +233,56 @@
     let at = ORDERED.plus_millis(9_000);
     assert_eq!(trial().judge(at, &evidence), verdict);
 }
+
+/// A version fails half of its answers on busy servers. Its one loaded server had so much to read
+/// that it answered almost nothing before the time came; with no failure seen it was completed, and
+/// the failures came with the first answers. What waits must be answered first; a version whose
+/// servers answer nothing under load is not completed at all.
+#[rstest]
+#[case::answered(0.76, 40, 6, Verdict::Complete)]
+#[case::most_waits(0.76, 4, 30, Verdict::Hold)]
+#[case::most_waits_to_the_end(0.86, 4, 30, Verdict::Reject)]
+#[case::nothing_came_under_load(0.76, 0, 0, Verdict::Complete)]
+fn judge_waits_for_answers_under_load(
+    #[case] passed: f64,
+    #[case] loaded: u32,
+    #[case] waiting: u32,
+    #[case] verdict: Verdict,
+) {
+    let old = Count {
+        all: 600,
+        ..Count::default()
+    };
+    let new = Count {
+        all: 60,
+        loaded,
+        waiting,
+        ..Count::default()
+    };
+    let counts = Counts::from([("r".to_owned(), Pair { old, new })]);
+    let evidence = Evidence { counts, crashed: 0 };
+    let at = ORDERED + Duration::from_secs_f64(24.0 * passed);
+    assert_eq!(trial().judge(at, &evidence), verdict);
+}
+
+/// A version fails one in fourteen of its answers, the old one none of a thousand. Four failures
+/// were taken for bad luck, since the difference was small.
+#[rstest]
+#[case::old_never_fails(0, Verdict::Reject)]
+#[case::old_fails_as_often(70, Verdict::Hold)]
+fn judge_few_failures_beside_none(#[case] old_bad: u32, #[case] verdict: Verdict) {
+    let old = Count {
+        all: 1_000,
+        bad: old_bad,
+        ..Count::default()
+    };
+    let new = Count {
+        all: 56,
+        bad: 4,
+        ..Count::default()
+    };
+    let counts = Counts::from([("r".to_owned(), Pair { old, new })]);
+    let evidence = Evidence { counts, crashed: 0 };
+    let at = ORDERED.plus_millis(9_000);
+    assert_eq!(trial().judge(at, &evidence), verdict);
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,8 +14,10 @@
 use crate::clock::{deadline, now};
 use crate::edge::{Ask, Head, Order};
 use crate::headers;
+use crate::judge;
 use crate::node::Node;
 use crate::pick::{self, Pick, Running};
+use crate::trials::{self, Watched};
 use crate::upstream::{Answered, Sent};
 
 /// A caller's request, read whole.
@@ -78,8 +80,21 @@
     pub pick: Pick,
     /// Milliseconds until the head came.
     pub head_ms: f64,
+    /// The same as the work on the server made it likely.
+    pub expected_ms: f64,
     /// Counts the request as running there.
     pub running: Running,
+    /// Shows a roll-out that the answer is slow, until it is counted.
+    pub watched: Option<Watched>,
+}
+
+/// An answer whose head is not judged yet.
+struct Coming {
+    answered: Answered,
+    running: Running,
+    watched: Option<Watched>,
+    head_ms: f64,
+    expected_ms: f64,
 }
 
 /// Sends `job` to `pick` and waits for a head until `until`.
@@ -95,6 +110,9 @@
     let work = pick::work(&job.ask, model.map(|(rank, _)| (rank, models)));
     let mut running = Running::new(node, &pick, work);
     let began = now();
+    let kind = judge::kind(job, model.map(|(rank, _)| rank));
+    let expected_ms = expected_ms(node, &pick, work);
+    let mut watched = trials::watch(node, &pick, &job.route.name, kind, expected_ms);
     let request = request(node, job, &pick, model.map(|(_, name)| name), last_event);
     let sent = node
         .pool
@@ -132,19 +150,42 @@
         }
         Sent::Answered(answered) => {
             running.settle();
-            judge(node, job, pick, began, answered, running)
+            let head_ms = now().since(began).as_secs_f64() * 1_000.0;
+            learn_wait(node, &pick, work, head_ms);
+            if let Some(watched) = &mut watched {
+                watched.head();
+            }
+            let headed = Coming {
+                answered,
+                running,
+                watched,
+                head_ms,
+                expected_ms,
+            };
+            judge(node, job, pick, began, headed)
         }
     }
 }
 
-fn judge(
-    node: &Rc<Node>,
-    job: &Job,
-    pick: Pick,
-    began: Instant,
-    answered: Answered,
-    running: Running,
-) -> Tried {
+/// Milliseconds until a head that the work on the server and the request's own make likely.
+fn expected_ms(node: &Node, pick: &Pick, work: f64) -> f64 {
+    let waits = node.waits.borrow();
+    let wait = waits.get(&pick.service).copied().unwrap_or_default();
+    wait.millis(pick.load + work)
+}
+
+/// Learns how long work takes. A version on trial teaches nothing, or a slow one would make its own
+/// answers expected.
+fn learn_wait(node: &Node, pick: &Pick, work: f64, head_ms: f64) {
+    if !pick.is_on_trial {
+        let mut waits = node.waits.borrow_mut();
+        let wait = waits.entry(pick.service.clone()).or_default();
+        wait.observe(pick.load + work, head_ms);
+    }
+}
+
+fn judge(node: &Rc<Node>, job: &Job, pick: Pick, began: Instant, coming: Coming) -> Tried {
+    let answered = &coming.answered;
     let status = answered.response.status();
     let head = node
         .platform
@@ -155,7 +196,7 @@
             pick::replace(&node.view, &pick);
         }
         note(node, job, &pick, began, None, "not-run", status.as_str());
-        node.pool.discard(answered);
+        node.pool.discard(coming.answered);
         return Tried::NotRun(NotRun::Said);
     }
     if !head.is_own {
@@ -194,11 +235,13 @@
         );
     }
     Tried::Headed(Box::new(Headed {
-        answered,
+        answered: coming.answered,
         head,
         pick,
-        head_ms: now().since(began).as_secs_f64() * 1_000.0,
-        running,
+        head_ms: coming.head_ms,
+        expected_ms: coming.expected_ms,
+        running: coming.running,
+        watched: coming.watched,
     }))
 }
 
--- a/crates/gateway/src/course.rs
+++ b/crates/gateway/src/course.rs
@@ -45,7 +45,9 @@
 impl Kept {
     /// Keeps the answer of `model` to `job`.
     #[must_use]
-    pub fn new(headed: Headed, model: usize, job: &Job) -> Self {
+    pub fn new(mut headed: Headed, model: usize, job: &Job) -> Self {
+        // It has been counted with its doubt.
+        headed.watched = None;
         let rest = job.deadline.since(job.arrived) / KEPT_PART;
         let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
         Self {
--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use fescuerack_core::routed::pace::Pace;
 use fescuerack_core::routed::{home, tier};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -17,7 +18,7 @@
 use crate::pick::{self, Pick};
 use crate::refusal::Refusal;
 use crate::relay;
-use crate::trials::{self, Ended, Pace};
+use crate::trials::{self, Ended};
 
 /// Bytes of an answer that is read whole before it is passed on.
 const MOST_WHOLE: usize = 32 << 20;
@@ -52,6 +53,7 @@
             .inc();
         let ended = Ended::Well(Pace {
             head_ms: headed.head_ms,
+            expected_ms: headed.expected_ms,
             event_ms: None,
         });
         count(node, job, &headed.pick, course.model, ended);
@@ -104,6 +106,7 @@
         Ok(_) if head.status.is_server_error() => Ended::Badly,
         Ok(_) => Ended::Well(Pace {
             head_ms: headed.head_ms,
+            expected_ms: headed.expected_ms,
             event_ms: None,
         }),
     };
@@ -137,9 +140,14 @@
 
 /// Counts how an attempt ended for a roll-out of the service.
 pub fn count(node: &Node, job: &Job, pick: &Pick, model: Option<usize>, ended: Ended) {
+    trials::count(node, pick, &job.route.name, kind(job, model), ended);
+}
+
+/// Number by which answers that usually take unlike long are told apart.
+#[must_use]
+pub fn kind(job: &Job, model: Option<usize>) -> u64 {
     let model = u64::try_from(model.unwrap_or_default()).unwrap_or_default();
-    let kind = home::mix(home::hash(job.route.name.as_bytes()) ^ model);
-    trials::count(node, pick, &job.route.name, kind, ended);
+    home::mix(home::hash(job.route.name.as_bytes()) ^ model)
 }
 
 /// Status and headers of an answer that is relayed.
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -9,10 +9,13 @@
 use fescuerack_core::routed::crash::Suspects;
 use fescuerack_core::routed::grey::{Grey, Window};
 use fescuerack_core::routed::load::Others;
+use fescuerack_core::routed::pace::Usual;
 use fescuerack_core::routed::session::Recent;
 use fescuerack_core::routed::trial::Counts;
+use fescuerack_core::routed::wait::Wait;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
+use slab::Slab;
 
 use tokio::sync::{Notify, watch};
 
@@ -24,6 +27,7 @@
 use crate::settings::Settings;
 use crate::share::Hubs;
 use crate::store::Store;
+use crate::trials::Awaited;
 use crate::upstream::Pool;
 use crate::view::View;
 
@@ -43,38 +47,6 @@
     pub crashed: BTreeSet<u32>,
 }
 
-/// How long answers usually take, by route, model and version's side.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Usual {
-    /// Until the head.
-    pub head: Mean,
-    /// Between events.
-    pub event: Mean,
-}
-
-/// A mean in which the newest values weigh most.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Mean {
-    /// Milliseconds.
-    pub millis: f64,
-    /// Values in the mean, up to a bound.
-    pub count: u32,
-}
-
-impl Mean {
-    /// Weight of the newest value, once there are many.
-    const NEWEST: f64 = 0.1;
-    /// Values that are counted at most.
-    const MOST: u32 = 1_000;
-
-    /// Takes in a value.
-    pub fn add(&mut self, millis: f64) {
-        self.count = (self.count + 1).min(Self::MOST);
-        let weight = (1.0 / f64::from(self.count)).max(Self::NEWEST);
-        self.millis += weight * (millis - self.millis);
-    }
-}
-
 /// One node. Everything runs on one thread, so that state needs no lock.
 pub struct Node {
     /// Settings.
@@ -93,6 +65,8 @@
     pub suspects: RefCell<Suspects>,
     /// Roll-outs by service.
     pub evidence: RefCell<HashMap<Arc<str>, Evidence>>,
+    /// Attempts whose answers a roll-out awaits.
+    pub awaited: RefCell<Slab<Awaited>>,
     /// Sessions served lately by versions that were not on trial.
     pub recent: RefCell<Recent>,
     /// The same of other nodes, as far as a trial would move them.
@@ -107,8 +81,10 @@
     pub hub: RefCell<Hubs>,
     /// What hubs have told this node as the top.
     pub top: RefCell<Hubs>,
-    /// Usual times until the head.
+    /// How long answers usually take, by route and model.
     pub usual: RefCell<HashMap<u64, Usual>>,
+    /// What this node has learned of how long requests wait, by service.
+    pub waits: RefCell<HashMap<Arc<str>, Wait>>,
     /// When changes of the store came.
     pub arrivals: RefCell<Arrivals>,
     /// What this node has told of large items.
@@ -145,6 +121,7 @@
             budgets: RefCell::default(),
             suspects: RefCell::default(),
             evidence: RefCell::default(),
+            awaited: RefCell::default(),
             recent: RefCell::default(),
             recent_elsewhere: RefCell::default(),
             others: RefCell::default(),
@@ -153,6 +130,7 @@
             hub: RefCell::default(),
             top: RefCell::default(),
             usual: RefCell::default(),
+            waits: RefCell::default(),
             arrivals: RefCell::default(),
             publisher: Publisher::default(),
             awaits: Notify::new(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -176,7 +176,7 @@
     let rollouts = evidence.iter().map(|(service, evidence)| {
         let told = Told {
             version: evidence.version.clone(),
-            counts: evidence.own.clone(),
+            counts: trials::own_counts(node, service, evidence),
             order: order(node, service),
             crashed: evidence.crashed.clone(),
             sessions: staying(node, service, &node.recent.borrow()),
@@ -348,7 +348,7 @@
         sessions.extend(staying(node, &service, &node.recent_elsewhere.borrow()));
         let sum = Told {
             version: told.version,
-            counts: sum(&known.own, &known.heard),
+            counts: sum(&trials::own_counts(node, &service, known), &known.heard),
             order: order(node, &service),
             crashed: known.crashed.clone(),
             sessions,
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -45,6 +45,10 @@
     pub service: Arc<str>,
     /// Whether it is in this node's availability zone.
     pub is_near: bool,
+    /// Whether its version is one that a roll-out brings in.
+    pub is_on_trial: bool,
+    /// Work on it, as far as this node knows.
+    pub load: f64,
 }
 
 /// Counts a request as running on a server until dropped.
@@ -203,11 +207,10 @@
     };
     let index = home::choose(&candidates, part, home::hash(ask.id.as_bytes()))?;
     let server = listed[index];
-    let is_trial = view
-        .orders
-        .get(service)
-        .is_some_and(|order| order.rollout.version == server.listed.version);
-    if !is_trial && route.kind == Kind::Streaming {
+    let order = view.orders.get(service);
+    let order = order.filter(|order| order.rollout.version == server.listed.version);
+    let is_on_trial = order.is_some_and(|order| order.progress != Some(Progress::Completed));
+    if order.is_none() && route.kind == Kind::Streaming {
         let mut recent = node.recent.borrow_mut();
         recent.note(now, session, settings.session_ms);
     }
@@ -218,6 +221,8 @@
         version: server.listed.version.clone(),
         service: service.clone(),
         is_near: candidates[index].is_near,
+        is_on_trial,
+        load: candidates[index].load,
     })
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
+use fescuerack_core::routed::pace::Pace;
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use hyper::Response;
@@ -29,7 +30,7 @@
 use crate::judge;
 use crate::node::Node;
 use crate::pick::{self, Pick};
-use crate::trials::{Ended, Pace};
+use crate::trials::Ended;
 
 /// Frames that wait for a slow caller before the server is made to wait.
 const FRAMES: usize = 16;
@@ -138,12 +139,13 @@
         let mut headed = headed;
         loop {
             let pick = headed.pick.clone();
-            let head_ms = headed.head_ms;
+            let (head_ms, expected_ms) = (headed.head_ms, headed.expected_ms);
             let (headed_at, events) = (now(), self.splitter.count());
             match self.part(headed, sender).await {
                 Part::Done => {
                     let pace = Pace {
                         head_ms,
+                        expected_ms,
                         event_ms: self.event_ms(headed_at, events),
                     };
                     let ended = Ended::Well(pace);
@@ -193,6 +195,7 @@
         let Headed {
             answered,
             running,
+            watched: _watched,
             pick,
             ..
         } = headed;
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -6,10 +6,12 @@
 //! replaced by whichever judges next.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::routed::load;
+use fescuerack_core::routed::pace::Pace;
 use fescuerack_core::routed::trial::{self, Stage, Trial, Verdict};
 
 use crate::clock::now;
@@ -24,25 +26,6 @@
 /// Milliseconds for which a node that is not the collector leaves a good ending to
 /// the collector.
 const DEFER_MS: u64 = 1_500;
-/// A head counts as slow from this many times the usual.
-const SLOW: f64 = 4.0;
-/// Events count as slow from this many times the usual time between them. A version that
-/// is slow by itself shows there also on idle servers, whose heads are quick.
-const SLOW_EVENTS: f64 = 3.0;
-/// Milliseconds below which no head counts as slow.
-const SLOW_MS: f64 = 400.0;
-/// Answers in the mean from which it is trusted.
-const TRUSTED: u32 = 8;
-
-/// How fast an answer came.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    /// Milliseconds until its head.
-    pub head_ms: f64,
-    /// Milliseconds between its events, if it has enough of them.
-    pub event_ms: Option<f64>,
-}
-
 /// How an answer of a service on trial ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ended {
@@ -85,6 +68,107 @@
     }
 }
 
+/// An attempt whose answer a roll-out awaits.
+///
+/// A slow version's answers end long after those of the other, and many not in the time of the
+/// trial. So an answer that is known to be slow is counted before it has ended.
+#[derive(Debug)]
+pub struct Awaited {
+    service: Arc<str>,
+    route: Arc<str>,
+    is_new: bool,
+    /// From when it is slow.
+    slow_from: Option<Instant>,
+    /// Whether it began in the stage under load and has no head.
+    waits: bool,
+}
+
+/// Keeps an attempt among those that are awaited until dropped.
+pub struct Watched {
+    node: Rc<Node>,
+    key: usize,
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        self.node.awaited.borrow_mut().try_remove(self.key);
+    }
+}
+
+impl Watched {
+    /// Notes that the head is there: later than now it does not become slow.
+    pub fn head(&mut self) {
+        if let Some(awaited) = self.node.awaited.borrow_mut().get_mut(self.key) {
+            awaited.slow_from = awaited.slow_from.filter(|from| now() >= *from);
+            awaited.waits = false;
+        }
+    }
+}
+
+/// Watches an attempt that begins, if its service has a roll-out that is not decided.
+#[must_use]
+pub fn watch(
+    node: &Rc<Node>,
+    pick: &Pick,
+    route: &Arc<str>,
+    kind: u64,
+    expected_ms: f64,
+) -> Option<Watched> {
+    let (is_new, is_loaded) = {
+        let view = node.view.borrow();
+        let order = view.orders.get(&pick.service)?;
+        let is_decided = matches!(
+            order.progress,
+            Some(Progress::Completed | Progress::RolledBack)
+        );
+        if is_decided {
+            return None;
+        }
+        let is_loaded = trial(node, order).stage(now()) == Stage::Loaded;
+        (order.rollout.version == pick.version, is_loaded)
+    };
+    let usual = node.usual.borrow().get(&kind).copied();
+    let slow_ms = usual.and_then(|usual| usual.slow_ms(expected_ms));
+    // Servers under load are slower whatever their version is.
+    let slow_ms = slow_ms.filter(|_| !is_loaded);
+    let awaited = Awaited {
+        service: pick.service.clone(),
+        route: route.clone(),
+        is_new,
+        slow_from: slow_ms.map(|millis| now() + Duration::from_secs_f64(millis / 1_000.0)),
+        waits: is_loaded,
+    };
+    let key = node.awaited.borrow_mut().insert(awaited);
+    Some(Watched {
+        node: node.clone(),
+        key,
+    })
+}
+
+/// What this node has seen of a roll-out, slow answers that have not ended included.
+#[must_use]
+pub fn own_counts(node: &Node, service: &str, known: &Evidence) -> trial::Counts {
+    let mut counts = known.own.clone();
+    let awaited = node.awaited.borrow();
+    let of_service = awaited
+        .iter()
+        .filter(|(_, awaited)| *awaited.service == *service);
+    for (_, awaited) in of_service {
+        let pair = counts.entry(awaited.route.to_string()).or_default();
+        let side = if awaited.is_new {
+            &mut pair.new
+        } else {
+            &mut pair.old
+        };
+        side.waiting += u32::from(awaited.waits);
+        if awaited.slow_from.is_some_and(|from| now() >= from) {
+            side.all += 1;
+            side.slow += 1;
+        }
+    }
+    counts
+}
+
 /// Counts how an attempt at `pick` ended, if its service has a roll-out; `kind` tells apart
 /// what usually takes unlike long.
 pub fn count(node: &Node, pick: &Pick, route: &str, kind: u64, ended: Ended) {
@@ -108,13 +192,15 @@
         }
         return;
     }
-    // Servers under load are slower whatever their version is.
+    // Servers under load are slower whatever their version is, but not silent for twice the target.
     let is_loaded = trial(node, &order).stage(now()) == Stage::Loaded;
+    let counts = ended == Ended::Silently || !is_loaded;
     let pair = known.own.entry(route.to_owned()).or_default();
     let side = if is_new { &mut pair.new } else { &mut pair.old };
     side.all += 1;
     side.bad += u32::from(ended == Ended::Badly);
-    side.slow += u32::from(is_slow && !is_loaded);
+    side.loaded += u32::from(is_loaded && ended != Ended::Silently);
+    side.slow += u32::from(is_slow && counts);
 }
 
 fn is_slow(node: &Node, kind: u64, ended: Ended) -> bool {
@@ -124,27 +210,13 @@
         Ended::Badly | Ended::Broken => return false,
     };
     let usual = node.usual.borrow();
-    let Some(usual) = usual.get(&kind) else {
-        return false;
-    };
-    let is_late =
-        usual.head.count >= TRUSTED && pace.head_ms > (usual.head.millis * SLOW).max(SLOW_MS);
-    let drags = usual.event.count >= TRUSTED
-        && pace
-            .event_ms
-            .is_some_and(|millis| millis > usual.event.millis * SLOW_EVENTS);
-    is_late || drags
+    usual.get(&kind).is_some_and(|usual| usual.is_slow(&pace))
 }
 
 fn learn(node: &Node, kind: u64, ended: Ended) {
-    let Ended::Well(pace) = ended else {
-        return;
-    };
-    let mut usual = node.usual.borrow_mut();
-    let known = usual.entry(kind).or_default();
-    known.head.add(pace.head_ms);
-    if let Some(millis) = pace.event_ms {
-        known.event.add(millis);
+    if let Ended::Well(pace) = ended {
+        let mut usual = node.usual.borrow_mut();
+        usual.entry(kind).or_default().learn(&pace);
     }
 }
 
@@ -191,7 +263,8 @@
             ..Evidence::default()
         };
     }
-    let heard = peer::sum(&known.own, &known.heard);
+    let own = own_counts(node, &order.rollout.service, known);
+    let heard = peer::sum(&own, &known.heard);
     let size = |counts: &trial::Counts| -> u32 {
         counts
             .values()
