--- a/crates/core/src/routed/grey.rs
+++ b/crates/core/src/routed/grey.rs
@@ -2,8 +2,7 @@
 //!
 //! The pattern: a server fails four in ten requests while it calls itself healthy. Each of
 //! eighty nodes sends it a request every two seconds; to each of them it looks like bad
-//! luck for several requests, and what must not be repeated is lost each time. One such
-//! server of four cost 146 of 5,090 callers their answer within six seconds.
+//! luck for several requests, and what must not be repeated is lost each time.
 //!
 //! So nodes tell each other, with their [`load`](super::load), how many attempts on each server
 //! ended and failed within the last [`WINDOW_MS`]. A server whose share of failures is surely
@@ -24,12 +23,10 @@
 const SLOT_MS: u64 = 250;
 /// Failures without which a server is not left out.
 const FEWEST: u32 = 4;
-/// Share of failures above that of the other servers from which a server is left out. With
-/// 0.2 a busy server that turned bad was found after 1.3 s and 70 failures.
+/// Share of failures above that of the other servers from which a server is left out.
 const WORSE: f64 = 0.1;
-/// Standard errors that it must be above besides. With four servers and a look each quarter
-/// of a second, 3 leaves out a sound server up to 14 times in ten minutes in the model
-/// of the tests, 4 once at most.
+/// Standard errors that it must be above besides: with four servers and a look each quarter
+/// of a second, a sound one is left out once in ten minutes at most.
 const SURE: f64 = 4.0;
 /// Milliseconds for which a server is left out at first: the window, so that it is judged
 /// anew by what it does after its return.
--- a/crates/core/src/routed/home.rs
+++ b/crates/core/src/routed/home.rs
@@ -22,13 +22,11 @@
 use std::cmp::Ordering;
 
 /// A home may have this many times the mean work of the servers that a prompt may go
-/// to. With 1.5, on 91 machines, 0.591 0.469 0.555 of the worth of three days; with 1.25 0.592
-/// 0.484 0.556; on 9 machines no difference.
+/// to.
 const OVER: f64 = 1.25;
 /// Work, in requests of usual size, that a home may have beyond that: reading the
-/// shared parts of a long prompt anew takes as long. Less scatters parts (0.632 of the
-/// standard days' worth with 3, 0.637 with 12, 0.626 with 30), and so does weighing
-/// queue against cold prompt for each server (0.610 to 0.625).
+/// shared parts of a long prompt anew takes as long. Less scatters parts, and so does weighing
+/// queue against cold prompt for each server.
 const SPARE: f64 = 12.0;
 /// Work that counts as much as leaving the own availability zone, for plain
 /// calls.
--- a/crates/core/src/routed/tier.rs
+++ b/crates/core/src/routed/tier.rs
@@ -8,13 +8,13 @@
 //!
 //! Models between the two are left out: an answer that the smallest doubts is
 //! mostly too hard for the middle one as well, and then two answers are thrown
-//! away (0.63 to 0.66 of a day's worth with three steps against 0.72 with two).
+//! away.
 //!
 //! Under load the threshold falls: a weaker answer now beats a strong one that
 //! comes too late.
 
 /// Confidence in percent below which an answer is asked for again while engines
-/// have room: 0.719 of a quiet day's worth at 50, 0.701 at 40, 0.704 at 60.
+/// have room.
 pub const THRESHOLD: u8 = 50;
 
 /// Pressure up to which the threshold stands: less than a long prompt at each server.
--- a/crates/core/src/routed/trial.rs
+++ b/crates/core/src/routed/trial.rs
@@ -11,8 +11,10 @@
 //!   and a session stays.
 //! - Then it gets most of the rest of the exposure, on servers that are `PRESSED` times
 //!   as busy as they will be. Sessions that go on keep the first half's share to about
-//!   half of what was meant, and a version that fails on busy servers only showed none of
-//!   its failures there: 58 answers, none bad, and one in two once everything went there.
+//!   half of what was meant, so a version that fails on busy servers only may show none of
+//!   its failures there.
+//! - It is not completed while its loaded servers owe most of their answers: the first
+//!   failures of such a version come with them.
 //! - Its answers are compared **by route** with those of the old version over the
 //!   same time, on counts summed over nodes. A route on which it is worse by
 //!   several standard errors and by a least difference rejects it.
@@ -43,12 +45,11 @@
 /// Part of the allowed exposure that has been used by [`PROVED`]; the rest is for the moment
 /// until all nodes know how it was decided.
 const USED: f64 = 0.9;
-/// How many times as busy as all servers will be those are that get the load. Versions that
-/// fail on servers half of whose places are taken were found in 15 of 16 plays with 3, in
-/// 6 of 8 with 2; callers of a good version saw no difference.
+/// How many times as busy as all servers will be those are that get the load: a version may fail
+/// only where half of the places are taken, as at a peak.
 const PRESSED: f64 = 3.0;
 /// Part of the given time by which the trial is decided. Until then a version waits to be completed
-/// whose servers owe more than [`OWED`] answers for each that they gave under load: one that fails on
+/// whose servers owe more than `OWED` answers for each that they gave under load: one that fails on
 /// busy servers would be completed before the first of its failures is there.
 pub const LAST: f64 = 0.85;
 /// Requests under load that a version may owe for each that it has answered.
@@ -58,17 +59,16 @@
 /// Milliseconds from the order to the first request on the new version: two tellings
 /// of sessions, a second apart.
 const BEGIN_MS: u64 = 2_500;
-/// Standard errors by which the new version must be worse to be rejected. With
-/// a look each second for half a minute on three routes, 3.3 rejects at most three
-/// of 100 good versions in the model of the tests.
+/// Standard errors by which the new version must be worse to be rejected, with a look each
+/// second for half a minute on three routes.
 const SURE: f64 = 3.3;
 /// Difference of the share of bad answers below which a version is not rejected.
 const WORSE: f64 = 0.03;
 /// Bad answers without which a version is not rejected.
 const FEWEST_BAD: u32 = 4;
 /// Difference of the share of slow answers below which a version is not rejected. Its
-/// servers on trial are busier than the old ones and their caches are cold: up to a
-/// third of a good version's answers on a route were slow (6 of 19), half of a slow one's.
+/// servers on trial are busier than the old ones and their caches are cold, so up to a
+/// third of a good version's answers on a route are slow.
 const SLOWER: f64 = 0.38;
 /// Slow answers without which a version is not rejected.
 const FEWEST_SLOW: u32 = 6;
--- a/crates/core/src/routed/wait.rs
+++ b/crates/core/src/routed/wait.rs
@@ -1,10 +1,9 @@
 //! How long a request waits for its first token behind the work on an engine.
 //!
-//! The pattern: the same work, in requests of usual size, takes one deployment's engines half as
-//! long again as another's, and other models and longer prompts change it within a day. Whether a
-//! larger model would still be on time is a matter of seconds, so a fixed amount of work stands for
-//! too short a wait on slow engines, whose callers then get late answers, and for too long a one on
-//! fast engines, whose callers get weak answers although a better one was to be had.
+//! The pattern: a server that has many times the work of the others answers as much later, and is
+//! as sound as they are. Told from a slow one it can be only by how long such work usually takes,
+//! and that differs: the same work, in requests of usual size, takes one deployment's engines twice
+//! as long as another's, and longer prompts change it within a day.
 //!
 //! Each node learns from its own answers how many milliseconds a unit of work takes. The sums fade,
 //! so that a day's change shows, and begin with a guess that a few dozen answers outweigh.
--- a/crates/core/src/routed/watcher.rs
+++ b/crates/core/src/routed/watcher.rs
@@ -1,11 +1,10 @@
 //! Which nodes watch the store for the others.
 //!
-//! The pattern: each change wakes the waiting call of every node, and each call is paid for; with
-//! 91 nodes the calls cost a tenth of what the whole day is worth. So in a region with large
+//! The pattern: each change wakes the waiting call of every node, and each call is paid for, so that
+//! calls grow with the product of nodes and changes. So in a region with large
 //! availability zones, those of more than [`FEW`] nodes, [`WATCHERS`] nodes watch the store.
 //! [`WATCHERS`] nodes of each such zone, its hubs, ask these, and the others ask the hubs of their
-//! zone, which costs bytes within the zone only. On 91 nodes, two watchers in each of four zones
-//! made 1,702 of the 4,273 calls of a day, renewals of leases included.
+//! zone, which costs bytes within the zone only.
 //!
 //! A watcher may be cut off from the store without knowing it yet. So it watches in
 //! short waits and says how long ago the store last answered it, and so do hubs; a node that hears
@@ -24,8 +23,7 @@
 /// Milliseconds that a watcher's own call waits at the store.
 pub const WAIT_MS: u64 = 400;
 /// Milliseconds for which changes gather at a watcher before its next call. Servers' entries
-/// change several times a second in a large fleet and each change ends a call;
-/// with 250 the watchers alone made 1,400 calls in 44 s.
+/// change several times a second in a large fleet and each change ends a call.
 pub const GATHER_MS: u64 = 400;
 /// Milliseconds for which a node watches for itself after no watcher was fresh. When the
 /// store tells its watchers nothing for a second, every node does so at once.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -80,11 +80,11 @@
     pub pick: Pick,
     /// Milliseconds until the head came.
     pub head_ms: f64,
-    /// The same as the work on the server made it likely.
+    /// Milliseconds until a head that the work on the server made likely.
     pub expected_ms: f64,
     /// Counts the request as running there.
     pub running: Running,
-    /// Shows a roll-out that the answer is slow, until it is counted.
+    /// Lets a roll-out know while the answer is slow, until its end is counted.
     pub watched: Option<Watched>,
 }
 
@@ -155,14 +155,14 @@
             if let Some(watched) = &mut watched {
                 watched.head();
             }
-            let headed = Coming {
+            let coming = Coming {
                 answered,
                 running,
                 watched,
                 head_ms,
                 expected_ms,
             };
-            judge(node, job, pick, began, headed)
+            judge(node, job, pick, began, coming)
         }
     }
 }
--- a/crates/gateway/src/difference.rs
+++ b/crates/gateway/src/difference.rs
@@ -11,9 +11,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 use zstd::stream::{read, write};
 
-/// Effort, the least of the library's usual range. Of 2,000 routes, one that changed is 287 bytes in
-/// 0.7 ms, and 179 in 1.0 ms at 3 or 198 in 2.1 ms at 6; 1,400 more routes, or the whole without a
-/// base, are no smaller at these.
+/// Effort, the least of the library's usual range: more makes a large change no smaller, and takes
+/// longer for a small one.
 const LEVEL: i32 = 1;
 /// Smallest and largest window that the format has, as powers of two.
 const WINDOW_LOG: std::ops::RangeInclusive<u32> = 10..=27;
