--- a/crates/gateway/src/judge.rs
+++ b/crates/gateway/src/judge.rs
@@ -120,6 +120,7 @@
                 course.tried.push(headed.pick.id.clone());
                 return Judged::Again;
             }
+            // The caller gets the kept answer in place of the larger model's failure.
             if head.status.is_server_error() && course.kept.is_some() {
                 return Judged::Refuse(Refusal::Unknown);
             }
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -83,7 +83,7 @@
     waits: bool,
 }
 
-/// Keeps an attempt among those that are awaited until dropped.
+/// An attempt's place among those that are awaited, given up when dropped.
 pub struct Watched {
     node: Rc<Node>,
     key: usize,
@@ -194,13 +194,13 @@
     }
     // Servers under load are slower whatever their version is, but not silent for twice the target.
     let is_loaded = trial(node, &order).stage(now()) == Stage::Loaded;
-    let counts = ended == Ended::Silently || !is_loaded;
+    let slow_counts = ended == Ended::Silently || !is_loaded;
     let pair = known.own.entry(route.to_owned()).or_default();
     let side = if is_new { &mut pair.new } else { &mut pair.old };
     side.all += 1;
     side.bad += u32::from(ended == Ended::Badly);
     side.loaded += u32::from(is_loaded && ended != Ended::Silently);
-    side.slow += u32::from(is_slow && counts);
+    side.slow += u32::from(is_slow && slow_counts);
 }
 
 fn is_slow(node: &Node, kind: u64, ended: Ended) -> bool {
