--- a/crates/core/tests/all/routed/trial.rs
+++ b/crates/core/tests/all/routed/trial.rs
@@ -236,8 +236,8 @@
 
 /// A version fails half of its answers on busy servers. Its one loaded server had so much to read
 /// that it answered almost nothing before the time came; with no failure seen it was completed, and
-/// the failures came with the first answers. What waits must be answered first; a version whose
-/// servers answer nothing under load is not completed at all.
+/// the failures came with the first answers. What waits must be answered first; where nothing was
+/// asked under load nothing is owed, and the answers before decide.
 #[rstest]
 #[case::answered(0.76, 40, 6, Verdict::Complete)]
 #[case::most_waits(0.76, 4, 30, Verdict::Hold)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,8 +7,9 @@
 //! look whole.
 //!
 //! A server that falls silent may still be at work: an engine that reads long prompts for others
-//! makes a token in half a second. So another one is asked beside it, and whichever has the next
-//! event first goes on; where no other can be asked, the silent one is waited for.
+//! makes a token in half a second. So another one is asked beside it. The silent one goes
+//! on if it sends anything before the other's head is there, else the other does; where no
+//! other can be asked, the silent one is waited for.
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -26,6 +26,7 @@
 /// Milliseconds for which a node that is not the collector leaves a good ending to
 /// the collector.
 const DEFER_MS: u64 = 1_500;
+
 /// How an answer of a service on trial ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Ended {
