Cold servers get few requests of all nodes together, evacuated zones none, and requests keep to their regions

Cause: nothing read what an entry says of a cold server, an order to evacuate a zone, or allowed regions.

Change: a few nodes, chosen by rendezvous of node and server, may use a cold server, each spaced in time (core::routed::warmup); a node that has just started uses none for three seconds. Zones that are given back count as cold until their entries say otherwise later. Which servers a request may go to at all is now one module (gateway::eligible), with zones and regions; a request that may run nowhere is refused at once with the counts of what barred it in the line `no-server`.

--- a/crates/core/src/routed/mod.rs
+++ b/crates/core/src/routed/mod.rs
@@ -10,6 +10,7 @@
 //! - [`tier`]: which of a route's models answers, and when a weak answer is
 //!   asked for again of a stronger one;
 //! - [`wait`]: how long a request waits behind the work on a server;
+//! - [`warmup`]: which nodes may use a server that is warming up, and how often;
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`trial`]: when a new version has proved itself, and how much it gets
 //!   until then;
@@ -33,4 +34,5 @@
 pub mod trial;
 pub mod vanish;
 pub mod wait;
+pub mod warmup;
 pub mod watcher;
--- a/crates/core/tests/all/routed/mod.rs
+++ b/crates/core/tests/all/routed/mod.rs
@@ -12,4 +12,5 @@
 mod trial;
 mod vanish;
 mod wait;
+mod warmup;
 mod watcher;
--- a/crates/gateway/src/arrival.rs
+++ b/crates/gateway/src/arrival.rs
@@ -23,6 +23,8 @@
     Server,
     /// An order for a roll-out, or a record of one.
     Rollout,
+    /// An order to evacuate an availability zone, or its withdrawal.
+    Evacuation,
     /// A node's entry.
     Node,
     /// An entry that could not be read.
@@ -37,6 +39,7 @@
             Self::Configuration => "configuration",
             Self::Server => "server",
             Self::Rollout => "rollout",
+            Self::Evacuation => "evacuation",
             Self::Node => "node",
             Self::Unreadable => "unreadable",
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,6 +27,8 @@
     pub route: Arc<Route>,
     /// Organisation of the caller.
     pub organisation: Option<Arc<str>>,
+    /// Regions that the organisation allows, besides the route's; empty if any.
+    pub allowed_regions: Vec<Arc<str>>,
     /// Rank of the organisation, if it has one.
     pub priority: Option<u32>,
     /// What the caller's headers say.
@@ -175,9 +177,9 @@
 }
 
 /// Learns how long work takes. A version on trial teaches nothing, or a slow one would make its own
-/// answers expected.
+/// answers expected, and neither does a cold server.
 fn learn_wait(node: &Node, pick: &Pick, work: f64, head_ms: f64) {
-    if !pick.is_on_trial {
+    if !pick.is_on_trial && !pick.is_cold {
         let mut waits = node.waits.borrow_mut();
         let wait = waits.entry(pick.service.clone()).or_default();
         wait.observe(pick.load + work, head_ms);
@@ -319,6 +321,7 @@
         server = &*pick.id,
         version = &*pick.version,
         near = pick.is_near,
+        cold = pick.is_cold,
         running,
         revision,
         ms = ended.since(began).as_secs_f64() * 1_000.0,
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -65,6 +65,9 @@
     /// Models to choose from, the smallest first; empty if callers name one.
     #[serde(default)]
     pub models: Vec<Arc<str>>,
+    /// Regions in which its requests may run; empty if any.
+    #[serde(default)]
+    pub allowed_regions: Vec<Arc<str>>,
 }
 
 const fn one() -> u32 {
@@ -84,7 +87,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct Service {
     /// Connections that one of its servers takes from all nodes together.
     #[serde(default)]
@@ -92,6 +95,18 @@
     /// Requests that one of its servers runs at once, if it is a model engine.
     #[serde(default)]
     pub batch: Option<u32>,
+    /// What its servers bear after a start; `None` if as much as always.
+    #[serde(default)]
+    pub warmup: Option<Warmup>,
+}
+
+/// What a server bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+pub struct Warmup {
+    /// Milliseconds for which a server is cold after its start.
+    pub lasts_ms: u64,
+    /// Requests a second from all nodes together.
+    pub per_second: f64,
 }
 
 /// An organisation and the keys of its callers.
@@ -104,6 +119,9 @@
     /// Rank that goes before a route's.
     #[serde(default)]
     pub priority: Option<u32>,
+    /// Regions in which its requests may run, besides those of the route; empty if any.
+    #[serde(default)]
+    pub allowed_regions: Vec<Arc<str>>,
 }
 
 /// What callers may send and how long they may take.
@@ -131,7 +149,7 @@
 }
 
 /// Everything that one version of the configuration says.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct Catalog {
     /// Version of the configuration.
     pub version: u64,
--- a/crates/gateway/src/edge.rs
+++ b/crates/gateway/src/edge.rs
@@ -225,6 +225,9 @@
     pub models: Vec<Arc<str>>,
     /// When it started, in Unix milliseconds by its own clock; `None` if the list does not say.
     pub started_ms: Option<u64>,
+    /// Milliseconds for which it stays cold from when the entry was written; `None` if the list
+    /// does not say.
+    pub cold_ms: Option<u64>,
 }
 
 /// An operator's order to bring in a version.
@@ -279,6 +282,13 @@
     Status(Status),
     /// The record of a roll-out was removed.
     StatusGone(Arc<str>),
+    /// The operators want no requests at the servers of an availability zone, or do again.
+    Evacuation {
+        /// Availability zone.
+        zone: Arc<str>,
+        /// Whether the order is in force.
+        is_ordered: bool,
+    },
     /// A key of the gateway's own.
     Own,
     /// The value cannot be read; what was known before stays in force.
@@ -295,6 +305,7 @@
             Self::Rollout(_) | Self::RolloutGone(_) | Self::Status(_) | Self::StatusGone(_) => {
                 Sort::Rollout
             }
+            Self::Evacuation { .. } => Sort::Evacuation,
             Self::Own => Sort::Node,
             Self::ServerUnreadable(..) | Self::Unreadable(_) => Sort::Unreadable,
         }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -22,8 +22,7 @@
 pub struct Admitted {
     /// Route.
     pub route: Arc<Route>,
-    organisation: Option<Arc<str>>,
-    priority: Option<u32>,
+    organisation: Option<Arc<Organisation>>,
     limits: Limits,
 }
 
@@ -52,8 +51,7 @@
     let organisation = authorise(&catalog, &route, ask)?;
     Ok(Admitted {
         route,
-        priority: organisation.as_ref().and_then(|one| one.priority),
-        organisation: organisation.map(|one| one.name.clone()),
+        organisation,
         limits: catalog.limits,
     })
 }
@@ -103,13 +101,21 @@
         .map_or("/", |target| target.as_str())
         .parse()
         .map_err(|_| Refusal::NoBody)?;
-    let organisation = admitted.organisation;
+    let (organisation, priority, allowed_regions) = match admitted.organisation {
+        Some(one) => (
+            Some(one.name.clone()),
+            one.priority,
+            one.allowed_regions.clone(),
+        ),
+        None => (None, None, Vec::new()),
+    };
     Ok(Job {
         session: pick::session(&ask, organisation.as_deref()),
         digest: digest(organisation.as_deref(), head.uri.path(), &body),
         route: admitted.route,
         organisation,
-        priority: admitted.priority,
+        allowed_regions,
+        priority,
         ask,
         method: head.method,
         target,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,14 +3,15 @@
 //! A process has one thread and runs on a [`Platform`](edge::Platform), whose names
 //! and formats an adapter supplies. [`process`] starts the tasks of a
 //! [`node`]: [`front`] listens, [`follow`] hears of changes from a [`source`] and brings them
-//! in [`apply`], so that the [`view`] has them. [`member`] and [`peer`] find and tell other nodes,
+//! in [`apply`], so that the [`view`] has them, each backend [`server`] among them. [`member`] and [`peer`] find and tell other nodes,
 //! [`share`] tells them what runs where, and [`news`] what has changed; [`fetch`] brings
 //! what is too [`large`] for that, as a [`piece`] that the [`publisher`] of another node
 //! writes, and it is worked on [`offload`].
 //! [`trials`] judges roll-outs. Messages between nodes go by [`message`].
 //!
 //! A request is taken in by [`intake`] and goes through [`request`], which takes one
-//! [`attempt`] after another at servers that [`pick`] names; [`course`] says how far it may go,
+//! [`attempt`] after another at servers that [`pick`] names out of the [`eligible`] ones, few of
+//! them [`warming`] up; [`course`] says how far it may go,
 //! [`judge`] what becomes of an answer, and [`relay`] passes streams on. All of them use one
 //! client, [`upstream`]. What is decided under load is in `fescuerack_core::routed`.
 
@@ -23,6 +24,7 @@
 pub mod course;
 pub mod difference;
 pub mod edge;
+pub mod eligible;
 pub mod entry;
 pub mod events;
 pub mod fetch;
@@ -50,6 +52,7 @@
 pub mod relay;
 pub mod request;
 pub mod routes;
+pub mod server;
 pub mod settings;
 pub mod share;
 pub mod source;
@@ -57,3 +60,4 @@
 pub mod trials;
 pub mod upstream;
 pub mod view;
+pub mod warming;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,12 @@
     pub dropped_answers: IntCounterVec,
     /// Weak answers that callers got since no larger model's came, by route.
     pub fallbacks: IntCounterVec,
+    /// Requests to servers that were warming up, by service.
+    pub cold_requests: IntCounterVec,
+    /// Servers that are warming up.
+    pub cold_servers: IntGauge,
+    /// Availability zones that are evacuated.
+    pub evacuated_zones: IntGauge,
     /// Calls to the store by kind and outcome.
     pub store: IntCounterVec,
     /// Bytes of messages between nodes, by path and direction.
@@ -115,6 +121,13 @@
                 "Weak answers given since no larger model's came",
                 &["route"],
             )?,
+            cold_requests: counter(
+                "fescuerack_cold_requests_total",
+                "Requests to servers that were warming up",
+                &["service"],
+            )?,
+            cold_servers: gauge("fescuerack_cold_servers", "Servers that are warming up")?,
+            evacuated_zones: gauge("fescuerack_evacuated_zones", "Zones that are evacuated")?,
             store: counter(
                 "fescuerack_store_calls_total",
                 "Calls to the store by kind and outcome",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -30,6 +30,7 @@
 use crate::trials::Awaited;
 use crate::upstream::Pool;
 use crate::view::View;
+use crate::warming::Warming;
 
 /// What this node has seen of one roll-out, and what it has heard of others.
 #[derive(Clone, Debug, Default)]
@@ -73,6 +74,8 @@
     pub recent_elsewhere: RefCell<Recent>,
     /// Work of other nodes by server.
     pub others: RefCell<Others>,
+    /// What this node may send to servers that are warming up.
+    pub warming: RefCell<Warming>,
     /// How attempts on servers ended here.
     pub ends: RefCell<Window>,
     /// Servers that all nodes leave out.
@@ -125,6 +128,7 @@
             recent: RefCell::default(),
             recent_elsewhere: RefCell::default(),
             others: RefCell::default(),
+            warming: RefCell::new(Warming::new(now())),
             ends: RefCell::default(),
             grey: RefCell::default(),
             hub: RefCell::default(),
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -6,16 +6,16 @@
 use std::sync::Arc;
 
 use fescuerack_core::routed::home::{self, Candidate};
-use fescuerack_core::routed::load;
-use fescuerack_core::routed::trial::Stage;
 
 use crate::attempt::Job;
 use crate::catalog::{Kind, Route};
 use crate::clock::now;
-use crate::edge::{Ask, Progress, State};
+use crate::edge::{Ask, Progress};
+use crate::eligible;
 use crate::node::Node;
-use crate::trials;
-use crate::view::{Order, Server, View};
+use crate::server::Server;
+use crate::view::View;
+use crate::warming;
 
 /// Prompt tokens that weigh as much as a request without any: a chunk that an
 /// engine reads between two steps.
@@ -47,6 +47,8 @@
     pub is_near: bool,
     /// Whether its version is one that a roll-out brings in.
     pub is_on_trial: bool,
+    /// Whether it is warming up.
+    pub is_cold: bool,
     /// Work on it, as far as this node knows.
     pub load: f64,
 }
@@ -167,22 +169,21 @@
     None
 }
 
-/// Picks a server of `service` that holds `model`, leaving out those in `tried`.
+/// Picks a server of `service` that holds `model` for `job`, leaving out those in `tried`.
 #[must_use]
 pub fn pick(
     node: &Node,
-    route: &Route,
-    ask: &Ask,
+    job: &Job,
     service: &Arc<str>,
     model: Option<&str>,
-    session: u64,
     tried: &[Arc<str>],
 ) -> Option<Pick> {
+    let (route, ask) = (&job.route, &job.ask);
     let now = now();
     let view = node.view.borrow();
     let settings = node.settings.borrow();
     let others = node.others.borrow();
-    let mut listed: Vec<&Server> = eligible(node, &view, service, model, session, tried);
+    let mut listed = eligible::servers(node, &view, job, service, model, tried);
     listed.sort_by_key(|server| home::mix(server.identity));
     let rank = route.models.iter().position(|one| Some(&**one) == model);
     let sized = rank.map(|rank| (rank, route.models.len()));
@@ -196,7 +197,7 @@
             load: server.work + others.work(now, server.identity),
             places: server.listed.places,
             is_near: *server.listed.zone == *settings.zone,
-            is_healthy: is_healthy(node, server),
+            is_healthy: eligible::is_healthy(node, server),
             is_suited: route.models.len() < 2 || home::suits(rank, count, is_small),
         })
         .collect();
@@ -212,8 +213,9 @@
     let is_on_trial = order.is_some_and(|order| order.progress != Some(Progress::Completed));
     if order.is_none() && route.kind == Kind::Streaming {
         let mut recent = node.recent.borrow_mut();
-        recent.note(now, session, settings.session_ms);
+        recent.note(now, job.session, settings.session_ms);
     }
+    warming::take(node, &view, server, now);
     Some(Pick {
         id: server.listed.id.clone(),
         identity: server.identity,
@@ -222,6 +224,7 @@
         service: service.clone(),
         is_near: candidates[index].is_near,
         is_on_trial,
+        is_cold: server.is_cold(now),
         load: candidates[index].load,
     })
 }
@@ -234,7 +237,7 @@
     let view = node.view.borrow();
     let others = node.others.borrow();
     let models = &job.route.models;
-    let mut listed = eligible(node, &view, service, Some(&models[rank]), job.session, &[]);
+    let mut listed = eligible::servers(node, &view, job, service, Some(&models[rank]), &[]);
     listed.sort_by_key(|server| home::mix(server.identity));
     let is_light = reading(&job.ask, Some((rank, models.len()))) < LIGHT;
     let count = listed.len();
@@ -250,85 +253,6 @@
     Some(loads.iter().sum::<f64>() / f64::from(servers))
 }
 
-/// Servers that may run the request: listed as ready, of an allowed version, with
-/// the model.
-fn eligible<'a>(
-    node: &Node,
-    view: &'a View,
-    service: &Arc<str>,
-    model: Option<&str>,
-    session: u64,
-    tried: &[Arc<str>],
-) -> Vec<&'a Server> {
-    let usable = |server: &&Server| {
-        let listed = &server.listed;
-        let holds = model.is_none_or(|model| {
-            listed.models.is_empty() || listed.models.iter().any(|held| **held == *model)
-        });
-        listed.service == *service
-            && listed.state == State::Ready
-            && server.gone_at.is_none()
-            && !server.is_replaced
-            && !tried.contains(&listed.id)
-            && holds
-    };
-    let all: Vec<&Server> = view.servers.values().filter(usable).collect();
-    let Some(order) = view.orders.get(service) else {
-        return all;
-    };
-    let is_new = |server: &&&Server| server.listed.version == order.rollout.version;
-    let new: Vec<&Server> = all.iter().filter(is_new).copied().collect();
-    let old: Vec<&Server> = all
-        .iter()
-        .filter(|server| !is_new(server))
-        .copied()
-        .collect();
-    if prefers_new(node, order, session) && !new.is_empty() {
-        let is_trial = order.progress != Some(Progress::Completed);
-        return if is_trial {
-            on_trial(node, order, new)
-        } else {
-            new
-        };
-    }
-    old
-}
-
-/// The servers of a version on trial that get its share of the traffic, healthy ones
-/// first; all nodes agree on them.
-fn on_trial<'a>(node: &Node, order: &Order, mut new: Vec<&'a Server>) -> Vec<&'a Server> {
-    let now = now();
-    let trial = trials::trial(node, order);
-    let busy = trial.servers(trial.stage(now), new.len());
-    new.sort_by_key(|server| (!is_healthy(node, server), home::mix(server.identity)));
-    new.truncate(busy);
-    new
-}
-
-/// Whether neither this node nor all of them leave the server out.
-fn is_healthy(node: &Node, server: &Server) -> bool {
-    let now = now();
-    let grey = node.grey.borrow();
-    server.health.is_in(now) && !grey.is_out(now, load::short(server.identity))
-}
-
-fn prefers_new(node: &Node, order: &Order, session: u64) -> bool {
-    match order.progress {
-        Some(Progress::Completed) => true,
-        Some(Progress::RolledBack) => false,
-        Some(Progress::Running) | None => {
-            let now = now();
-            let trial = trials::trial(node, order);
-            let stage = trial.stage(now);
-            let is_moved = trial.includes(stage, session);
-            let goes_on = node.recent.borrow().goes_on(now, session)
-                || node.recent_elsewhere.borrow().goes_on(now, session);
-            let must_stay = goes_on && stage < Stage::Loaded;
-            !order.is_halted && is_moved && !must_stay
-        }
-    }
-}
-
 /// Marks a server as one that another has taken the place of.
 pub fn replace(view: &RefCell<View>, pick: &Pick) {
     if let Some(server) = view.borrow_mut().servers.get_mut(&pick.id)
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -125,12 +125,24 @@
         if gone > 0 {
             tracing::info!(event = "servers-not-back", count = gone);
         }
+        note_cold(&node);
         node.pool.sweep();
         let connections = i64::try_from(node.pool.opened()).unwrap_or(i64::MAX);
         node.metrics.connections.set(connections);
     }
 }
 
+fn note_cold(node: &Node) {
+    let view = node.view.borrow();
+    node.warming.borrow_mut().sweep(now(), &view);
+    let cold = view.servers.values().filter(|server| server.is_cold(now()));
+    let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+    node.metrics.cold_servers.set(gauge(cold.count()));
+    node.metrics
+        .evacuated_zones
+        .set(gauge(view.evacuated.len()));
+}
+
 fn note_dropped(node: &Node, logs: &Logs) {
     let dropped = i64::try_from(logs.dropped()).unwrap_or(i64::MAX);
     node.metrics.log_lines_dropped.set(dropped);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -299,11 +299,9 @@
             let name = self.model.map(|rank| route.models[rank].clone());
             let pick = pick::pick(
                 &self.node,
-                route,
-                &self.job.ask,
+                &self.job,
                 &self.service,
                 name.as_deref(),
-                self.job.session,
                 &self.tried,
             )?;
             let named = self.model.zip(name.as_deref());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -19,6 +19,7 @@
 use crate::catalog::Kind;
 use crate::clock::{deadline, now};
 use crate::course::{Course, Kept, further};
+use crate::eligible;
 use crate::intake;
 use crate::judge::{self, Judged};
 use crate::node::Node;
@@ -189,21 +190,16 @@
             .model
             .map(|rank| (rank, job.route.models[rank].clone()));
         let name = model.as_ref().map(|(_, name)| &**name);
-        let pick = pick::pick(
-            node,
-            &job.route,
-            &job.ask,
-            service,
-            name,
-            job.session,
-            &course.tried,
-        );
-        let Some(pick) = pick else {
+        let Some(pick) = pick::pick(node, job, service, name, &course.tried) else {
+            let barred = eligible::barred(node, job, service, now());
             tracing::info!(
                 event = "no-server",
                 id = job.ask.id,
                 service = &**service,
-                tried = course.tried.len()
+                tried = course.tried.len(),
+                evacuated = barred.evacuated,
+                elsewhere = barred.elsewhere,
+                cold = barred.cold
             );
             return Err(give_up(course));
         };
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,4 +38,15 @@
     pub session_ms: u64,
     /// Part of a service's requests that a new version on trial may get.
     pub exposure: f64,
+    /// How far the rate that a service states for its cold servers may be exceeded.
+    pub warmup: Excess,
+}
+
+/// How far a rate may be exceeded before it counts as broken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Excess {
+    /// Factor on the rate.
+    pub overage: f64,
+    /// Requests beyond that.
+    pub slack: f64,
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,8 +8,6 @@
 use std::sync::Arc;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::routed::health::Health;
-use fescuerack_core::routed::home;
 use fescuerack_core::routed::rank::Instance;
 use fescuerack_core::routed::vanish::Outage;
 
@@ -18,31 +16,11 @@
 use crate::edge::{Change, Item, Listed, Platform, Progress, Rollout, State};
 use crate::entry::{NODES, Peer};
 use crate::large::{Large, Notice};
+use crate::server::Server;
 
 /// Items of removed keys that are remembered so that peers hear of the removal.
 const REMOVED: usize = 512;
 
-/// A backend server as this node sees it.
-#[derive(Clone, Debug)]
-pub struct Server {
-    /// Its entry in the list.
-    pub listed: Listed,
-    /// Hash of its identifier and start. Whatever is known or told of a server goes by this, so
-    /// nothing of an earlier life is held against, or credited to, one that started again under
-    /// the same identifier, also when a peer's word about that life comes later.
-    pub identity: u64,
-    /// How its attempts end.
-    pub health: Health,
-    /// Own requests on it.
-    pub running: u32,
-    /// Their work, in requests of usual size.
-    pub work: f64,
-    /// When it counts as gone, if its entry vanished during an outage.
-    pub gone_at: Option<Instant>,
-    /// Whether it has said itself, or by an error, that it is not this server.
-    pub is_replaced: bool,
-}
-
 /// A roll-out as this node sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -72,6 +50,8 @@
     pub orders: BTreeMap<Arc<str>, Order>,
     /// All nodes by name, this one included once it has heard of its own entry.
     pub nodes: BTreeMap<String, Peer>,
+    /// Availability zones whose servers are to get nothing, and since when this node knows.
+    pub evacuated: BTreeMap<Arc<str>, Instant>,
     /// Outages of the store.
     pub outage: Outage,
     /// Revision up to which the store was followed without a gap. Items that were
@@ -212,6 +192,9 @@
 
     /// Drops servers whose entries have not come back; returns their number.
     pub fn sweep(&mut self, now: Instant) -> usize {
+        for server in self.servers.values_mut() {
+            server.warm(now);
+        }
         let before = self.servers.len();
         self.servers
             .retain(|_, server| server.gone_at.is_none_or(|gone_at| now < gone_at));
@@ -250,7 +233,7 @@
     fn take(&mut self, now: Instant, change: Change, item: &Item) {
         match change {
             Change::Catalog(catalog) => self.take_catalog(catalog),
-            Change::Server(listed) => self.take_server(listed),
+            Change::Server(listed) => self.take_server(now, listed, item.revision),
             Change::ServerGone(id) => self.lose_server(now, &id),
             Change::ServerUnreadable(id, reason) => {
                 self.note_unreadable(item, &reason);
@@ -288,6 +271,9 @@
                     order.revision = 0;
                 }
             }
+            Change::Evacuation { zone, is_ordered } => {
+                self.take_evacuation(now, zone, is_ordered, item.revision);
+            }
             Change::Own => self.take_own(item),
             Change::Unreadable(reason) => self.note_unreadable(item, &reason),
         }
@@ -326,7 +312,7 @@
         self.catalog = Some(catalog);
     }
 
-    fn take_server(&mut self, listed: Listed) {
+    fn take_server(&mut self, now: Instant, listed: Listed, revision: u64) {
         tracing::info!(
             event = "server",
             server = &*listed.id,
@@ -336,8 +322,7 @@
         );
         if let Some(known) = self.servers.get_mut(&listed.id) {
             if known.listed.started_ms == listed.started_ms {
-                known.gone_at = None;
-                known.listed = listed;
+                known.take(now, listed, revision);
                 return;
             }
             tracing::info!(
@@ -349,18 +334,42 @@
             );
             self.restarted.push(known.listed.address);
         }
-        let server = Server {
-            identity: identity(&listed),
-            health: Health::default(),
-            running: 0,
-            work: 0.0,
-            gone_at: None,
-            is_replaced: false,
-            listed,
-        };
+        let warmup_ms = self.warmup_ms(&listed.service);
+        let server = Server::new(now, listed, warmup_ms);
         self.servers.insert(server.listed.id.clone(), server);
     }
 
+    /// Milliseconds for which servers of `service` are cold after a start.
+    fn warmup_ms(&self, service: &str) -> u64 {
+        let catalog = self.catalog.as_ref();
+        let service = catalog.and_then(|catalog| catalog.services.get(service));
+        let warmup = service.and_then(|service| service.warmup);
+        warmup.map_or(0, |warmup| warmup.lasts_ms)
+    }
+
+    /// Takes in an order to evacuate `zone`, or its withdrawal. The servers of a zone that is given
+    /// back may have gone cold meanwhile, and their entries tell so a moment later.
+    fn take_evacuation(&mut self, now: Instant, zone: Arc<str>, is_ordered: bool, revision: u64) {
+        if is_ordered {
+            tracing::info!(event = "zone-evacuated", zone = &*zone, revision);
+            self.evacuated.entry(zone).or_insert(now);
+            return;
+        }
+        if self.evacuated.remove(&zone).is_none() {
+            return;
+        }
+        tracing::info!(event = "zone-returned", zone = &*zone, revision);
+        let mut servers = std::mem::take(&mut self.servers);
+        let of_zone = servers
+            .values_mut()
+            .filter(|server| server.listed.zone == zone);
+        for server in of_zone {
+            let warmup_ms = self.warmup_ms(&server.listed.service);
+            server.cool(now, warmup_ms, revision);
+        }
+        self.servers = servers;
+    }
+
     fn lose_server(&mut self, now: Instant, id: &str) {
         let held = self.outage.holds_until(now);
         let Some(server) = self.servers.get_mut(id) else {
@@ -413,11 +422,3 @@
         };
     }
 }
-
-/// Hash by which a server's life is known, alike on all nodes.
-fn identity(listed: &Listed) -> u64 {
-    let id = home::hash(listed.id.as_bytes());
-    listed
-        .started_ms
-        .map_or(id, |started_ms| home::mix(id ^ home::mix(started_ms)))
-}
--- /dev/null
+++ b/crates/gateway/src/warming.rs
@@ -0,0 +1,111 @@
+//! What this node may send to backend servers that are warming up; see
+//! [`warmup`](fescuerack_core::routed::warmup).
+
+use std::collections::HashMap;
+
+use fescuerack_core::clock::Instant;
+use fescuerack_core::routed::warmup::{self, Limit, SETTLE_MS, Turn};
+
+use crate::node::Node;
+use crate::server::Server;
+use crate::view::View;
+
+/// Milliseconds for which a node goes by what it found out about being a user. Nodes come and go
+/// less often than servers are picked.
+const BELIEVED_MS: u64 = 500;
+
+/// Turns at the servers that are warming up, by the hash of their identity.
+#[derive(Debug)]
+pub struct Warming {
+    /// From when this node counts itself among the users.
+    settled: Instant,
+    turns: HashMap<u64, Use>,
+}
+
+/// What this node is to one server.
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    is_user: bool,
+    /// Until when that is believed.
+    until: Instant,
+    turn: Turn,
+}
+
+impl Warming {
+    /// Creates the turns of a node that starts at `now`.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            settled: now.plus_millis(SETTLE_MS),
+            turns: HashMap::new(),
+        }
+    }
+
+    /// Drops the turns at servers that are warm or gone.
+    pub fn sweep(&mut self, now: Instant, view: &View) {
+        let cold = view.servers.values().filter(|server| server.is_cold(now));
+        let cold: Vec<u64> = cold.map(|server| server.identity).collect();
+        self.turns.retain(|identity, _| cold.contains(identity));
+    }
+}
+
+/// Whether this node may send `server` a request now, as far as warming up goes.
+pub fn is_open(node: &Node, view: &View, server: &Server, now: Instant) -> bool {
+    if !server.is_cold(now) {
+        return true;
+    }
+    let Some(limit) = limit(node, view, server) else {
+        return true;
+    };
+    let mut warming = node.warming.borrow_mut();
+    if now < warming.settled {
+        return false;
+    }
+    let known = warming.turns.get(&server.identity).copied();
+    let known = known.filter(|known| now < known.until);
+    let found = known.unwrap_or_else(|| {
+        let turn = warming.turns.get(&server.identity).map(|known| known.turn);
+        let found = Use {
+            is_user: is_user(node, view, server, limit),
+            until: now.plus_millis(BELIEVED_MS),
+            turn: turn.unwrap_or_default(),
+        };
+        warming.turns.insert(server.identity, found);
+        found
+    });
+    found.is_user && found.turn.is_due(now)
+}
+
+/// Notes that a request goes to `server` now.
+pub fn take(node: &Node, view: &View, server: &Server, now: Instant) {
+    if !server.is_cold(now) {
+        return;
+    }
+    let Some(limit) = limit(node, view, server) else {
+        return;
+    };
+    let spacing_ms = limit.spacing_ms(view.node_count());
+    if let Some(found) = node.warming.borrow_mut().turns.get_mut(&server.identity) {
+        found.turn.take(now, spacing_ms);
+    }
+    let service = &*server.listed.service;
+    node.metrics
+        .cold_requests
+        .with_label_values(&[service])
+        .inc();
+}
+
+fn is_user(node: &Node, view: &View, server: &Server, limit: Limit) -> bool {
+    let settings = node.settings.borrow();
+    let names = view.nodes.keys().map(String::as_str);
+    let users = limit.users(view.node_count());
+    warmup::is_user(&settings.instance, names, server.identity, users)
+}
+
+/// What the server bears while it is cold; `None` if its service states no limit.
+fn limit(node: &Node, view: &View, server: &Server) -> Option<Limit> {
+    let catalog = view.catalog.as_ref()?;
+    let warmup = catalog.services.get(&server.listed.service)?.warmup?;
+    let excess = node.settings.borrow().warmup;
+    Some(Limit::new(warmup.per_second, excess.overage, excess.slack))
+}
