--- a/crates/core/src/routed/home.rs
+++ b/crates/core/src/routed/home.rs
@@ -9,6 +9,10 @@
 //! - **A hot part.** Its home would be flooded, so a home is passed over while it has
 //!   more work than one and a quarter times the mean and a long prompt besides; the next
 //!   in the hash order is its second home.
+//! - **Text between zones.** Each prompt that goes to a home in another availability zone costs
+//!   bytes between zones, and a short part is read anew for less. So where [`stays_near`] says so, a
+//!   part has a home in each zone too, which is taken while it has no more work than the mean
+//!   ([`choose_near`]): zones have unequal traffic, and callers must not wait for it.
 //! - **Long prompts beside short answers.** An engine reads a long prompt in chunks, and
 //!   every other request on it waits a chunk for each of its tokens. So some engines
 //!   are set aside for what is read quickly ([`suits`]). Neither sort takes the other's
@@ -32,6 +36,10 @@
 /// calls.
 const ZONE: f64 = 0.35;
 
+/// Shared tokens of a prompt from which reading them anew in each zone costs more than the text of
+/// its requests between zones.
+const LONG_TOKENS: u32 = 1_024;
+
 /// Part of the servers that is set aside for the smallest model. Its steps are ten
 /// times shorter, so that it hardly fills them, but they wait for every chunk of a
 /// prompt that a large model reads on the same server.
@@ -67,6 +75,23 @@
     }
 }
 
+/// The same for a part that [`stays_near`].
+#[must_use]
+pub fn choose_near(candidates: &[Candidate], part: u64, draw: u64) -> Option<usize> {
+    let order = by_hash(candidates, &usable(candidates), part);
+    let near = order.iter().find(|&&index| candidates[index].is_near);
+    let is_free = |index: &&usize| candidates[**index].load <= mean_load(candidates, &order);
+    near.filter(is_free)
+        .copied()
+        .or_else(|| choose(candidates, Some(part), draw))
+}
+
+/// Whether a prompt with `shared` tokens that others share too goes to a home in its own zone.
+#[must_use]
+pub const fn stays_near(shared: u32) -> bool {
+    shared < LONG_TOKENS
+}
+
 /// Healthy servers; failing those, all.
 fn usable(candidates: &[Candidate]) -> Vec<usize> {
     let healthy: Vec<usize> = (0..candidates.len())
@@ -79,17 +104,28 @@
 }
 
 fn by_part(candidates: &[Candidate], usable: &[usize], part: u64) -> Option<usize> {
+    let order = by_hash(candidates, usable, part);
+    let most = OVER * mean_load(candidates, &order) + SPARE;
+    let home = order.iter().find(|&&index| candidates[index].load < most);
+    home.or(order.first()).copied()
+}
+
+/// The suited ones of `usable`, or all of them if there are none, in the order in which they are
+/// homes of the part.
+fn by_hash(candidates: &[Candidate], usable: &[usize], part: u64) -> Vec<usize> {
     let suited = |index: &usize| candidates[*index].is_suited;
     let mut order: Vec<usize> = usable.iter().copied().filter(suited).collect();
     if order.is_empty() {
         order = usable.to_vec();
     }
     order.sort_by_key(|&index| std::cmp::Reverse(mix(candidates[index].identity ^ part)));
-    let total: f64 = order.iter().map(|&index| candidates[index].load).sum();
-    let count = u32::try_from(order.len()).unwrap_or(u32::MAX).max(1);
-    let most = OVER * total / f64::from(count) + SPARE;
-    let home = order.iter().find(|&&index| candidates[index].load < most);
-    home.or(order.first()).copied()
+    order
+}
+
+fn mean_load(candidates: &[Candidate], among: &[usize]) -> f64 {
+    let total: f64 = among.iter().map(|&index| candidates[index].load).sum();
+    let count = u32::try_from(among.len()).unwrap_or(u32::MAX).max(1);
+    total / f64::from(count)
 }
 
 /// Whether the server at `rank` of `servers` is set aside for small models
--- a/crates/core/tests/all/routed/home.rs
+++ b/crates/core/tests/all/routed/home.rs
@@ -158,3 +158,49 @@
 fn suits_few_servers_take_all() {
     assert!((0..3).all(|rank| home::suits(rank, 3, true) && home::suits(rank, 3, false)));
 }
+
+/// Guards against short prompts whose text crosses zones although a server near by could read it,
+/// and keeps one home for the part in the zone.
+#[test]
+fn choose_near_idle_zone_keeps_its_parts() {
+    let servers = servers(12);
+    for part in 0..200 {
+        let part = home::mix(part);
+        let taken = home::choose_near(&servers, part, 0).expect("a server");
+        assert!(servers[taken].is_near);
+        assert_eq!(home::choose_near(&servers, part, 7), Some(taken));
+    }
+}
+
+/// Guards against callers of a busy zone who wait while servers elsewhere are idle: a zone with twice
+/// the work of the others sends its parts out.
+#[test]
+fn choose_near_busy_zone_sends_parts_out() {
+    let mut servers = servers(12);
+    for server in &mut servers {
+        server.load = if server.is_near { 20.0 } else { 10.0 };
+    }
+    for part in 0..200 {
+        let part = home::mix(part);
+        let taken = home::choose_near(&servers, part, 0).expect("a server");
+        assert_eq!(Some(taken), home::choose(&servers, Some(part), 0));
+    }
+}
+
+/// Guards against a failing server near by that is preferred to sound ones elsewhere.
+#[test]
+fn choose_near_failing_zone_is_left() {
+    let mut servers = servers(12);
+    for server in &mut servers {
+        server.is_healthy = !server.is_near;
+    }
+    let taken = home::choose_near(&servers, home::mix(5), 0).expect("a server");
+    assert!(!servers[taken].is_near);
+}
+
+/// Guards against long parts that each zone reads anew.
+#[test]
+fn stays_near_long_parts_do_not() {
+    assert!(home::stays_near(172));
+    assert!(!home::stays_near(6_300));
+}
--- a/crates/core/tests/all/routed/warmup.rs
+++ b/crates/core/tests/all/routed/warmup.rs
@@ -9,12 +9,12 @@
     (0..nodes).map(|number| format!("n{number}")).collect()
 }
 
-fn users(limit: Limit, names: &[String], knows: impl Fn(&str, &str) -> bool) -> Vec<&String> {
+fn users(limit: Limit, names: &[String], sees: impl Fn(&str, &str) -> bool) -> Vec<&String> {
     let is_one = |own: &&String| {
         let known: Vec<&str> = names
             .iter()
             .map(String::as_str)
-            .filter(|other| knows(own, other))
+            .filter(|other| sees(own, other))
             .collect();
         is_user(own, known.iter().copied(), 17, limit.users(known.len()))
     };
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -148,6 +148,13 @@
     Some(parts[shared].id)
 }
 
+/// Tokens of the parts that other requests share.
+fn shared_tokens(ask: &Ask) -> u32 {
+    let own = ask.parts.len().saturating_sub(1);
+    let shared = ask.parts[..own].iter().map(|part| part.tokens);
+    shared.fold(0, u32::saturating_add)
+}
+
 /// Service of a route for a request, by the route's weights.
 #[must_use]
 pub fn service(route: &Route, id: &str) -> Option<Arc<str>> {
@@ -206,7 +213,13 @@
             .map(|part| home::mix(part ^ home::hash(model.unwrap_or_default().as_bytes()))),
         Kind::Idempotent | Kind::NonIdempotent => None,
     };
-    let index = home::choose(&candidates, part, home::hash(ask.id.as_bytes()))?;
+    let draw = home::hash(ask.id.as_bytes());
+    let index = match part {
+        Some(part) if home::stays_near(shared_tokens(ask)) => {
+            home::choose_near(&candidates, part, draw)
+        }
+        part => home::choose(&candidates, part, draw),
+    }?;
     let server = listed[index];
     let order = view.orders.get(service);
     let order = order.filter(|order| order.rollout.version == server.listed.version);
