--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -14,13 +14,17 @@
     "rollout-halted",
     "rollout-ordered",
     "rollout-progress",
+    "server-cold",
     "server-gone",
     "server-left-out",
+    "server-warm",
     "start",
     "stopped",
     "stopping",
     "store-lost",
     "store-regained",
+    "zone-evacuated",
+    "zone-returned",
 ];
 
 /// One log line.
--- a/crates/cli/tests/all/explain.rs
+++ b/crates/cli/tests/all/explain.rs
@@ -21,7 +21,7 @@
 }
 
 /// A caller complains with nothing but an identifier. The story must name what decided
-/// the outcome: docs/OPERATIONS.md follows these three.
+/// the outcome: docs/OPERATIONS.md follows the first three, docs/operations/cold-servers.md the last.
 #[rstest]
 #[case::refused("e6a4342eb86398a7", "outcome: not-ready", "request", "start callers=")]
 #[case::unknown(
@@ -36,6 +36,12 @@
     "server=i-bcb5e9ce98",
     "store-lost"
 )]
+#[case::barred(
+    "5b1f3a90c7d2e844",
+    "outcome: not-run",
+    "cold=1 elsewhere=0 evacuated=4",
+    "zone-evacuated"
+)]
 fn explain_names_what_decided(
     #[case] id: &str,
     #[case] outcome: &str,
--- a/crates/gateway/tests/all/metrics.rs
+++ b/crates/gateway/tests/all/metrics.rs
@@ -13,6 +13,7 @@
     metrics.further.with_label_values(&["s", "weak"]).inc();
     metrics.dropped_answers.with_label_values(&["r"]).inc();
     metrics.fallbacks.with_label_values(&["r"]).inc();
+    metrics.cold_requests.with_label_values(&["s"]).inc();
     metrics
         .store
         .with_label_values(&["watch", "answered"])
