--- a/crates/core/src/routed/warmup.rs
+++ b/crates/core/src/routed/warmup.rs
@@ -7,9 +7,9 @@
 //!
 //! So a few nodes, chosen by rendezvous of node and server, may use a warming server, each at a
 //! spacing in time. All nodes that know the same others agree without a message. Nodes that disagree
-//! for a while, since some are cut off or have lost their entries, add users; [`USED`] of the limit
-//! leaves room for two parts of the fleet that do not know each other. A node that has just started knows too few others,
-//! so it uses none for [`SETTLE_MS`].
+//! for a while, since some are cut off or have lost their entries, add users; only half of the limit
+//! is used, so that two parts of the fleet that do not know each other keep it. A node that has just
+//! started knows too few others, so it uses none for [`SETTLE_MS`].
 
 use super::home;
 use crate::clock::Instant;
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -177,6 +177,14 @@
         self.routes.find(host, path)
     }
 
+    /// Milliseconds for which servers of `service` are cold after a start; zero if they are not.
+    #[must_use]
+    pub fn warmup_ms(&self, service: &str) -> u64 {
+        let service = self.services.get(service);
+        let warmup = service.and_then(|service| service.warmup);
+        warmup.map_or(0, |warmup| warmup.lasts_ms)
+    }
+
     /// Finds the organisation that holds `key`.
     #[must_use]
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -334,19 +334,14 @@
             );
             self.restarted.push(known.listed.address);
         }
-        let warmup_ms = self.warmup_ms(&listed.service);
+        let warmup_ms = self
+            .catalog
+            .as_ref()
+            .map_or(0, |catalog| catalog.warmup_ms(&listed.service));
         let server = Server::new(now, listed, warmup_ms);
         self.servers.insert(server.listed.id.clone(), server);
     }
 
-    /// Milliseconds for which servers of `service` are cold after a start.
-    fn warmup_ms(&self, service: &str) -> u64 {
-        let catalog = self.catalog.as_ref();
-        let service = catalog.and_then(|catalog| catalog.services.get(service));
-        let warmup = service.and_then(|service| service.warmup);
-        warmup.map_or(0, |warmup| warmup.lasts_ms)
-    }
-
     /// Takes in an order to evacuate `zone`, or its withdrawal. The servers of a zone that is given
     /// back may have gone cold meanwhile, and their entries tell so a moment later.
     fn take_evacuation(&mut self, now: Instant, zone: Arc<str>, is_ordered: bool, revision: u64) {
@@ -359,15 +354,14 @@
             return;
         }
         tracing::info!(event = "zone-returned", zone = &*zone, revision);
-        let mut servers = std::mem::take(&mut self.servers);
-        let of_zone = servers
-            .values_mut()
-            .filter(|server| server.listed.zone == zone);
-        for server in of_zone {
-            let warmup_ms = self.warmup_ms(&server.listed.service);
+        let Some(catalog) = &self.catalog else {
+            return;
+        };
+        let servers = self.servers.values_mut();
+        for server in servers.filter(|server| server.listed.zone == zone) {
+            let warmup_ms = catalog.warmup_ms(&server.listed.service);
             server.cool(now, warmup_ms, revision);
         }
-        self.servers = servers;
     }
 
     fn lose_server(&mut self, now: Instant, id: &str) {
--- a/crates/gateway/src/warming.rs
+++ b/crates/gateway/src/warming.rs
@@ -1,5 +1,5 @@
 //! What this node may send to backend servers that are warming up; see
-//! [`warmup`](fescuerack_core::routed::warmup).
+//! [`warmup`].
 
 use std::collections::HashMap;
 
