--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -17,6 +17,11 @@
 /// Milliseconds that a fault lasts.
 const LASTS_MS: std::ops::Range<u64> = 200..2_500;
 
+/// Evacuations of a run.
+const EVACUATIONS: usize = 3;
+/// Draws evacuations apart from the other faults of the same seed.
+const ZONES: u64 = 0x7a6f_6e65;
+
 /// Something done to nodes, store or backend servers from outside.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -48,6 +53,10 @@
     Refuse { backend: usize },
     /// The operators change the configuration.
     Configure,
+    /// Backend servers that start again are cold for a while from now on.
+    ColdStarts,
+    /// The operators evacuate an availability zone.
+    Evacuate { zone: &'static str },
 }
 
 /// A fault and its time.
@@ -77,6 +86,26 @@
     steps
 }
 
+/// The faults of [`new`], while servers start cold and zones are evacuated.
+pub fn with_zones(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut random = Pcg64::seed_from_u64(seed ^ ZONES);
+    let mut steps = new(seed, length_ms);
+    steps.push(Step {
+        at_ms: 0,
+        lasts_ms: 0,
+        fault: Fault::ColdStarts,
+    });
+    for _ in 0..EVACUATIONS {
+        let zone = if random.random() { "a" } else { "b" };
+        steps.push(Step {
+            at_ms: random.random_range(QUIET_MS..length_ms),
+            lasts_ms: random.random_range(LASTS_MS),
+            fault: Fault::Evacuate { zone },
+        });
+    }
+    steps
+}
+
 fn fault(random: &mut Pcg64) -> Fault {
     let node = random.random_range(0..NODES);
     let backend = random.random_range(0..BACKENDS);
