--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,7 +28,7 @@
     /// Organisation of the caller.
     pub organisation: Option<Arc<str>>,
     /// Regions that the organisation allows, besides the route's; empty if any.
-    pub allowed_regions: Vec<Arc<str>>,
+    pub regions: Vec<Arc<str>>,
     /// Rank of the organisation, if it has one.
     pub priority: Option<u32>,
     /// What the caller's headers say.
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -67,7 +67,7 @@
     pub models: Vec<Arc<str>>,
     /// Regions in which its requests may run; empty if any.
     #[serde(default)]
-    pub allowed_regions: Vec<Arc<str>>,
+    pub regions: Vec<Arc<str>>,
 }
 
 const fn one() -> u32 {
@@ -121,7 +121,7 @@
     pub priority: Option<u32>,
     /// Regions in which its requests may run, besides those of the route; empty if any.
     #[serde(default)]
-    pub allowed_regions: Vec<Arc<str>>,
+    pub regions: Vec<Arc<str>>,
 }
 
 /// What callers may send and how long they may take.
--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -82,7 +82,7 @@
 
 /// Whether route and organisation both allow the server's region.
 fn is_allowed(node: &Node, job: &Job, server: &Server) -> bool {
-    let both = [&job.route.allowed_regions, &job.allowed_regions];
+    let both = [&job.route.regions, &job.regions];
     if both.iter().all(|regions| regions.is_empty()) {
         return true;
     }
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -101,12 +101,8 @@
         .map_or("/", |target| target.as_str())
         .parse()
         .map_err(|_| Refusal::NoBody)?;
-    let (organisation, priority, allowed_regions) = match admitted.organisation {
-        Some(one) => (
-            Some(one.name.clone()),
-            one.priority,
-            one.allowed_regions.clone(),
-        ),
+    let (organisation, priority, regions) = match admitted.organisation {
+        Some(one) => (Some(one.name.clone()), one.priority, one.regions.clone()),
         None => (None, None, Vec::new()),
     };
     Ok(Job {
@@ -114,7 +110,7 @@
         digest: digest(organisation.as_deref(), head.uri.path(), &body),
         route: admitted.route,
         organisation,
-        allowed_regions,
+        regions,
         priority,
         ask,
         method: head.method,
--- a/crates/gateway/tests/all/routes.rs
+++ b/crates/gateway/tests/all/routes.rs
@@ -22,7 +22,7 @@
         public: false,
         resumable: false,
         models: Vec::new(),
-        allowed_regions: Vec::new(),
+        regions: Vec::new(),
     })
 }
 
