Faults met while reading: errors of servers, refused copies, times, words

- An answer 5xx but 503 of an engine, an order or the rating service is Fault::Failed (it may have taken effect), not Refused.
- PeerCopies forgets an owner whose only copies it refused; is_empty says what it says.
- The timeline says 'earlier in the same minute' (it shows 0 to 60 s), the ledger says that dropped doubles are of all organisations, a key is measured in bytes.

Not changed, with the reason: suspects::may_run lets a request run when the store is silent, since docs/design/poison.md weighs it (innocent neighbours of a crash would be lost in an outage); poison_sent_again_costs_two_servers still has no healthy engine beside the crashing ones.

--- a/crates/cli/src/commands/ledger.rs
+++ b/crates/cli/src/commands/ledger.rs
@@ -90,7 +90,7 @@
     ];
     let table = print::table(header, rows);
     format!(
-        "{table}\n{} entries dropped as doubles of a request",
+        "{table}\n{} entries dropped as doubles of a request, of all organisations",
         ledger.duplicates
     )
 }
--- a/crates/cli/src/timeline.rs
+++ b/crates/cli/src/timeline.rs
@@ -118,7 +118,7 @@
         .collect();
     context.sort_by_key(|line| line.text("timestamp").to_owned());
     if !context.is_empty() {
-        timeline.push_str("\nmeanwhile, and in the minute before:\n");
+        timeline.push_str("\nmeanwhile, and earlier in the same minute:\n");
         for line in context {
             let _ = writeln!(timeline, "{}", line.format());
         }
@@ -128,7 +128,7 @@
 }
 
 /// Returns the line's timestamp cut off after the minutes, so that the timeline includes events
-/// from shortly before the request.
+/// from up to a minute before the request.
 fn context_start(line: &Line) -> String {
     let timestamp = line.text("timestamp");
     timestamp.get(..17).unwrap_or(timestamp).to_owned()
--- a/crates/client/src/drive.rs
+++ b/crates/client/src/drive.rs
@@ -75,7 +75,7 @@
 fn failed(fault: &Fault) -> Reply {
     match fault {
         Fault::NotSent(_) | Fault::Refused { .. } => Reply::Refused,
-        Fault::Unknown(_) | Fault::Malformed(_) => Reply::Lost,
+        Fault::Failed { .. } | Fault::Unknown(_) | Fault::Malformed(_) => Reply::Lost,
     }
 }
 
--- a/crates/client/src/engine.rs
+++ b/crates/client/src/engine.rs
@@ -142,10 +142,7 @@
     match response.status().as_u16() {
         200..300 => Ok(true),
         404 => Ok(false),
-        status => Err(Fault::Refused {
-            status,
-            message: String::new(),
-        }),
+        status => Err(Fault::from_status(status, String::new())),
     }
 }
 
@@ -187,7 +184,7 @@
     let mut body = response.into_body();
     if status != 200 {
         let message = body.read_to_string().unwrap_or_default();
-        return Err(Fault::Refused { status, message }.into());
+        return Err(Fault::from_status(status, message).into());
     }
     let reader = body.into_with_config().limit(u64::MAX).reader();
     Ok(Stream {
--- a/crates/client/src/fault.rs
+++ b/crates/client/src/fault.rs
@@ -11,7 +11,15 @@
     /// The request may have been received and may have taken effect.
     #[error("outcome unknown: {0}")]
     Unknown(String),
-    /// The server answered with an error status. Whether the call had an effect depends on the
+    /// The server reported an error of its own while it ran the call, which may have taken effect.
+    #[error("failed with status {status}: {message}")]
+    Failed {
+        /// HTTP status.
+        status: u16,
+        /// Body of the response.
+        message: String,
+    },
+    /// The server refused the call. Whether the call had an effect depends on the
     /// service: the clients of the store and of plain services return this only if it had none.
     #[error("refused with status {status}: {message}")]
     Refused {
@@ -26,6 +34,15 @@
 }
 
 impl Fault {
+    /// Classifies an answer with an error status: 5xx other than 503 is an error of the server.
+    #[must_use]
+    pub const fn from_status(status: u16, message: String) -> Self {
+        match status {
+            500..=502 | 504..=599 => Self::Failed { status, message },
+            _ => Self::Refused { status, message },
+        }
+    }
+
     /// Classifies an error of the HTTP client.
     ///
     /// Only errors that occur before the first byte is written map to [`Fault::NotSent`]. The
--- a/crates/client/src/http.rs
+++ b/crates/client/src/http.rs
@@ -66,10 +66,9 @@
 
 /// Returns the error for a response with a status other than 200.
 pub(crate) fn refused(mut response: Response) -> Fault {
-    Fault::Refused {
-        status: response.status().as_u16(),
-        message: response.body_mut().read_to_string().unwrap_or_default(),
-    }
+    let status = response.status().as_u16();
+    let message = response.body_mut().read_to_string().unwrap_or_default();
+    Fault::from_status(status, message)
 }
 
 /// Resolver that passes IP addresses through and resolves host names with the library's resolver.
--- /dev/null
+++ b/crates/client/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the clients.
+
+mod fault;
--- a/crates/core/src/ledger/peer_copies.rs
+++ b/crates/core/src/ledger/peer_copies.rs
@@ -61,6 +61,9 @@
         let freed: usize = stored.map(|(_, entry)| entry.size()).sum();
         self.bytes -= freed;
         if self.bytes + size > Self::MAX_BYTES {
+            if held.entries.is_empty() {
+                self.owners.remove(&owner);
+            }
             return false;
         }
         for (ticket, entry) in copies {
@@ -100,8 +103,7 @@
         self.owners.values().map(|owner| owner.entries.len()).sum()
     }
 
-    /// Returns whether no owner is recorded. An owner whose copies were refused
-    /// is recorded even if none is held for it.
+    /// Returns whether no copies are held.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.owners.is_empty()
--- a/crates/node/src/callers/attempts.rs
+++ b/crates/node/src/callers/attempts.rs
@@ -265,6 +265,6 @@
             AttemptOutcome::NotRun
         }
         Fault::Unknown(_) | Fault::Malformed(_) => AttemptOutcome::Unknown,
-        Fault::Refused { .. } => AttemptOutcome::Failed,
+        Fault::Refused { .. } | Fault::Failed { .. } => AttemptOutcome::Failed,
     }
 }
--- a/crates/node/src/callers/service.rs
+++ b/crates/node/src/callers/service.rs
@@ -176,7 +176,9 @@
             let end = match &result {
                 Ok(_) => AttemptOutcome::Done,
                 Err(Fault::NotSent(_) | Fault::Refused { .. }) => AttemptOutcome::NotRun,
-                Err(Fault::Unknown(_) | Fault::Malformed(_)) => AttemptOutcome::Unknown,
+                Err(Fault::Failed { .. } | Fault::Unknown(_) | Fault::Malformed(_)) => {
+                    AttemptOutcome::Unknown
+                }
             };
             running.record_service_result(&result);
             let next = attempts.end(self.shared.now(), end, false);
--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -129,7 +129,11 @@
     /// Disables the cancel call once the attempt no longer runs.
     fn track_end(&mut self, event: Option<&Result<Event, Fault>>) {
         let has_ended = match event {
-            Some(Ok(Event::End) | Err(Fault::NotSent(_) | Fault::Refused { .. })) | None => true,
+            Some(
+                Ok(Event::End)
+                | Err(Fault::NotSent(_) | Fault::Refused { .. } | Fault::Failed { .. }),
+            )
+            | None => true,
             // After the deadline, or an answer that belonged to another request,
             // the engine may still run the attempt.
             Some(Ok(Event::Part(_)) | Err(Fault::Unknown(_) | Fault::Malformed(_))) => false,
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -107,8 +107,8 @@
             }
             // The request was invalid or the server is overloaded: neither
             // means that the server is unhealthy.
-            Fault::Refused { status, .. } if *status < 500 || *status == 503 => Outcome::Ignored,
-            Fault::Refused { .. } | Fault::NotSent(_) | Fault::Unknown(_) | Fault::Malformed(_) => {
+            Fault::Refused { .. } => Outcome::Ignored,
+            Fault::Failed { .. } | Fault::NotSent(_) | Fault::Unknown(_) | Fault::Malformed(_) => {
                 Outcome::Failure
             }
         };
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -112,7 +112,7 @@
 }
 
 fn peer_key(value: &str) -> Option<String> {
-    (value.len() < MIN_KEY_BYTES).then(|| format!("must hold at least {MIN_KEY_BYTES} characters"))
+    (value.len() < MIN_KEY_BYTES).then(|| format!("must hold at least {MIN_KEY_BYTES} bytes"))
 }
 
 fn address(value: &str) -> Option<String> {
--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -143,8 +143,7 @@
         }
         // The request was invalid, the server is full, or the request never
         // reached it: none of these is a failure of the version.
-        Err(Fault::Refused { status, .. }) if *status < 500 || *status == 503 => return,
-        Err(Fault::NotSent(_)) => return,
+        Err(Fault::Refused { .. } | Fault::NotSent(_)) => return,
         Err(_) => Event::Failed(attempt.server),
         Ok(()) => {
             if lock(&shared.versions.suspects).record_survival(attempt.fingerprint) {
--- a/crates/node/tests/all/settings.rs
+++ b/crates/node/tests/all/settings.rs
@@ -59,7 +59,7 @@
 #[case::scheme("platform: 10.0.0.2:7000", "platform: http://10.0.0.2", &["node.yaml:3: platform: ", "without a scheme"])]
 #[case::empty_name("instance: entry-0", "instance: \"\"", &["node.yaml:1: instance: "])]
 #[case::missing("zone: espoo-a\n", "", &["node.yaml:", "zone"])]
-#[case::short_key("peer_key: a key for the tests", "peer_key: k", &["node.yaml:4: peer_key: must hold at least"])]
+#[case::short_key("peer_key: a key for the tests", "peer_key: k", &["node.yaml:4: peer_key: must hold at least 16 bytes"])]
 #[case::drain("  concurrency: 200", "  drain_lag_ms: 500\n  drain_deadline_ms: 400", &["node.yaml:11: limits.drain_deadline_ms: is 400; accepted is more than"])]
 #[case::syntax("instance: entry-0", "instance: [", &["node.yaml:"])]
 fn parse_error_names_line_and_accepted_values(
--- a/crates/standin/tests/all/ledger.rs
+++ b/crates/standin/tests/all/ledger.rs
@@ -426,3 +426,24 @@
         world.counts.into_iter().collect()
     });
 }
+
+/// Guards against a peer that counts as holding copies of an owner whose only copies it refused.
+#[test]
+fn is_empty_after_refused_copies() {
+    let mut copies = PeerCopies::new();
+    let entry = Entry {
+        request: "r".repeat(PeerCopies::MAX_BYTES),
+        ..Entry::default()
+    };
+    let is_held = copies.hold(
+        Instant::ORIGIN,
+        HoldRequest {
+            owner: "n1".to_owned(),
+            stored_until: Ticket(0),
+            copies: vec![(Ticket(0), entry)],
+        },
+    );
+    assert!(!is_held);
+    assert!(copies.is_empty());
+    assert_eq!(copies.len(), 0);
+}
