--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -14,9 +14,14 @@
 //! count a prompt of that group four times and prompts of the other groups not at all: streams on
 //! servers that were overloaded in this way starved until their deadline.
 //!
+//! A table has [`MAX_TABLE`] servers at most, those with the most load: the tables of a fleet of ten
+//! thousand servers would fill the link of a hub, which answers all nodes of its group with them
+//! several times a second, and a server with little load is chosen as if it had none.
+//!
 //! The weight of received load decays with its age. When a hub fails, its group only lacks the load
 //! of the peers until the nodes agree on the next hub.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 
 use super::affinity;
@@ -27,6 +32,9 @@
 pub const REPORT_INTERVAL_MS: u64 = 250;
 /// Maximum number of nodes that share a hub. A hub answers four messages a second from each.
 pub const MAX_GROUP_NODES: usize = 24;
+/// Maximum number of servers in a table: at 7 bytes each for load and attempts, 24 nodes are answered
+/// with 700 KB a second.
+pub const MAX_TABLE: usize = 512;
 /// Milliseconds after which a report expires.
 const REPORT_TTL_MS: u64 = 1_200;
 /// Half-life of received load in milliseconds: meanwhile prompts are processed and requests end.
@@ -160,7 +168,17 @@
             *sum = sum.saturating_add(load);
         }
     }
-    sums.into_iter().collect()
+    heaviest(sums.into_iter().collect())
+}
+
+/// Returns the [`MAX_TABLE`] servers with the highest values, in order of their identifiers.
+fn heaviest(mut table: Table) -> Table {
+    if table.len() > MAX_TABLE {
+        table.select_nth_unstable_by_key(MAX_TABLE, |&(_, value)| Reverse(value));
+        table.truncate(MAX_TABLE);
+        table.sort_unstable_by_key(|&(server, _)| server);
+    }
+    table
 }
 
 impl PeerLoad {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -19,9 +19,11 @@
 //! - [`lease_expiry`]: which backend servers are removed after an outage of the store;
 //! - [`rank`]: which nodes take on duties for the others;
 //! - [`watcher`]: which nodes watch the store for the others;
+//! - [`bootstrap`]: from whom a starting node gets the state of the store;
 //! - [`crash`]: which requests crash the backend servers that run them.
 
 pub mod affinity;
+pub mod bootstrap;
 pub mod budget;
 pub mod canary;
 pub mod crash;
--- a/crates/core/src/gateway/watcher.rs
+++ b/crates/core/src/gateway/watcher.rs
@@ -9,7 +9,12 @@
 //!
 //! A watcher may be cut off from the store before it detects this. It therefore watches in short
 //! calls and reports how long ago the store last answered it, and so do hubs. A node that receives
-//! an age above [`MAX_AGE_MS`] polls the next watcher or hub, and then the store itself.
+//! an age above [`MAX_AGE_MS`] polls the next watcher or hub.
+//!
+//! When the hubs of a zone are stale, because they are gone or the store refuses them, the nodes of
+//! the next ranks, its deputies, watch the store and the others poll these. So the number of nodes
+//! that call the store does not grow with the fleet then either. Only if all deputies are stale too
+//! does a node call the store itself, and all nodes together make a bounded number of these calls.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -21,6 +26,12 @@
 pub const MAX_DIRECT_NODES: usize = 4;
 /// Number of watchers of a region, and of hubs of a zone: the second covers the loss of the first.
 pub const WATCHER_COUNT: usize = 2;
+/// Number of deputies of a zone: with the hubs, they cover a store that refuses a third of the nodes
+/// but for one case in seven hundred.
+pub const DEPUTY_COUNT: usize = 4;
+/// Milliseconds between two calls to the store by nodes that have found neither a hub nor a deputy
+/// fresh, for all nodes of the fleet together: a sixth of the calls that the smallest store allows.
+const PROBE_SPACING_MS: u64 = 3;
 /// Milliseconds that a watcher's call waits at the store.
 pub const STORE_WAIT_MS: u64 = 400;
 /// Milliseconds for which changes accumulate before a watcher's next call. In a large fleet,
@@ -43,8 +54,14 @@
     Direct,
     /// It watches the store for its region.
     Watcher,
-    /// It polls these nodes, in this order.
-    Follower(Vec<&'a str>),
+    /// It polls the watchers or hubs, in this order, and then the deputies. A hub or deputy has no
+    /// deputies; it watches the store itself then.
+    Follower {
+        /// Watchers of the region, or hubs of the zone.
+        hubs: Vec<&'a str>,
+        /// Deputies of the zone.
+        deputies: Vec<&'a str>,
+    },
 }
 
 /// Returns how the node `local` of `zone` receives changes.
@@ -57,13 +74,19 @@
     members: &[Instance<'a>],
     is_in_region: impl Fn(&str) -> bool,
 ) -> Role<'a> {
-    let hubs = hubs(zone, members.iter().copied());
+    let mut hubs = ranked(zone, members.iter().copied());
     if hubs.is_empty() {
         return Role::Direct;
     }
+    let deputies = hubs.split_off(WATCHER_COUNT.min(hubs.len()));
     // A watcher is also a hub of its zone.
     if !hubs.contains(&local) {
-        return Role::Follower(hubs);
+        let deputies = if deputies.contains(&local) {
+            Vec::new()
+        } else {
+            deputies
+        };
+        return Role::Follower { hubs, deputies };
     }
     let mut sizes: HashMap<&str, usize> = HashMap::new();
     for member in members {
@@ -72,29 +95,50 @@
     let region = members
         .iter()
         .filter(|member| is_in_region(member.zone) && sizes[member.zone] > MAX_DIRECT_NODES);
-    let watchers = highest_ranked(region.copied().collect());
+    let watchers = highest_ranked(region.copied().collect(), WATCHER_COUNT);
     if watchers.contains(&local) {
         Role::Watcher
     } else {
-        Role::Follower(watchers)
+        Role::Follower {
+            hubs: watchers,
+            deputies: Vec::new(),
+        }
     }
 }
 
+/// Returns the milliseconds between two calls to the store by a node of a fleet of `nodes` nodes that
+/// has found neither a hub nor a deputy fresh.
+#[must_use]
+pub fn probe_interval_ms(nodes: usize) -> u64 {
+    u64::try_from(nodes)
+        .unwrap_or(u64::MAX)
+        .saturating_mul(PROBE_SPACING_MS)
+}
+
 /// Returns the hubs of `zone`, in the order in which they are polled; empty where each node watches
 /// the store itself.
 #[must_use]
 pub fn hubs<'a>(zone: &str, nodes: impl Iterator<Item = Instance<'a>>) -> Vec<&'a str> {
+    let mut hubs = ranked(zone, nodes);
+    hubs.truncate(WATCHER_COUNT);
+    hubs
+}
+
+/// Returns the hubs of `zone`, followed by its deputies; empty where each node watches the store
+/// itself.
+fn ranked<'a>(zone: &str, nodes: impl Iterator<Item = Instance<'a>>) -> Vec<&'a str> {
     let members: Vec<Instance> = nodes.filter(|member| member.zone == zone).collect();
     if members.len() <= MAX_DIRECT_NODES {
         return Vec::new();
     }
-    highest_ranked(members)
+    highest_ranked(members, WATCHER_COUNT + DEPUTY_COUNT)
 }
 
-/// Returns the members with the highest rank. Those of a region are also the highest of their zone.
-fn highest_ranked(mut members: Vec<Instance<'_>>) -> Vec<&str> {
+/// Returns the `count` members with the highest rank. Those of a region are also the highest of
+/// their zone.
+fn highest_ranked(mut members: Vec<Instance<'_>>, count: usize) -> Vec<&str> {
     let salt = affinity::hash(b"watcher");
     members.sort_by_cached_key(|member| Reverse(member.rank(salt)));
-    members.truncate(WATCHER_COUNT);
+    members.truncate(count);
     members.into_iter().map(|member| member.name).collect()
 }
--- a/crates/core/tests/all/gateway/load.rs
+++ b/crates/core/tests/all/gateway/load.rs
@@ -2,7 +2,7 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity;
-use fescuerack_core::gateway::load::{self, Duty, Hub, MAX_GROUP_NODES, PeerLoad};
+use fescuerack_core::gateway::load::{self, Duty, Hub, MAX_GROUP_NODES, MAX_TABLE, PeerLoad};
 use fescuerack_core::gateway::rank::Instance;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
@@ -223,3 +223,25 @@
         "{exchanged} in groups, {one_group} in one"
     );
 }
+
+/// Guards against tables that grow with the fleet until they fill the links of the hubs: a table
+/// names the servers with the most load, and what is omitted has less.
+#[rstest]
+#[case::fleet(985, 9_640)]
+#[case::twice(1_970, 19_280)]
+fn report_names_the_busiest_servers(#[case] nodes: u32, #[case] servers: u32) {
+    let mut top = Hub::default();
+    let hubs = nodes.div_ceil(u32::try_from(MAX_GROUP_NODES).expect("few"));
+    for hub in 0..hubs {
+        let busy = servers / hubs;
+        let table = (0..busy).map(|number| (hub * busy + number, 1 + number));
+        top.report(NOW, &format!("n{hub}"), table.collect());
+    }
+    top.report(NOW, "busy", vec![(servers, 5_000)]);
+    let sum = top.report(NOW, "idle", vec![]);
+    assert_eq!(sum.len(), MAX_TABLE);
+    assert!(sum.contains(&(servers, 5_000)));
+    assert!(sum.is_sorted());
+    let least = sum.iter().map(|(_, load)| *load).min();
+    assert!(least > Some(servers / hubs / 2), "{least:?}");
+}
--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions for routed requests, each under the load that it handles.
 
 mod affinity;
+mod bootstrap;
 mod budget;
 mod canary;
 mod crash;
--- a/crates/core/tests/all/gateway/watcher.rs
+++ b/crates/core/tests/all/gateway/watcher.rs
@@ -1,7 +1,10 @@
 //! Tests of the selection of the nodes that watch the store.
 
 use fescuerack_core::gateway::rank::Instance;
-use fescuerack_core::gateway::watcher::{self, MAX_DIRECT_NODES, Role, WATCHER_COUNT};
+use fescuerack_core::gateway::watcher::{
+    self, DEPUTY_COUNT, MAX_DIRECT_NODES, Role, WATCHER_COUNT,
+};
+use rstest::rstest;
 
 fn nodes(count: usize) -> Vec<(String, String)> {
     (0..count)
@@ -118,7 +121,7 @@
         position.expect("a member")
     };
     for (index, role) in roles.iter().enumerate() {
-        let Role::Follower(polled) = role else {
+        let Role::Follower { hubs: polled, .. } = role else {
             continue;
         };
         assert_eq!(polled.len(), WATCHER_COUNT);
@@ -133,7 +136,7 @@
                 !hubs.contains(&members[index].name),
                 "a hub polls a watcher"
             );
-            let Role::Follower(last) = next else {
+            let Role::Follower { hubs: last, .. } = next else {
                 panic!("{name} watches the store itself");
             };
             assert!(
@@ -162,3 +165,32 @@
     }
     assert_eq!(watcher_count(&roles), WATCHER_COUNT);
 }
+
+/// Guards against a store that refuses the hubs: if all other nodes called it, the calls would grow
+/// with the fleet.
+#[rstest]
+#[case(91)]
+#[case(985)]
+#[case(1_970)]
+fn role_of_nodes_that_may_call_the_store_does_not_grow(#[case] count: usize) {
+    let nodes = nodes(count);
+    let members: Vec<Instance> = nodes
+        .iter()
+        .map(|(name, zone)| Instance {
+            name,
+            zone,
+            link_mbps: 10,
+        })
+        .collect();
+    let callers =
+        nodes.iter().filter(
+            |(name, zone)| match watcher::role(name, zone, &members, |_| true) {
+                Role::Direct | Role::Watcher => true,
+                Role::Follower { deputies, .. } => deputies.is_empty(),
+            },
+        );
+    assert_eq!(callers.count(), 4 * (WATCHER_COUNT + DEPUTY_COUNT));
+    // Calls of all others in a second, of the 2,000 that the smallest store answers.
+    let calls = 1_000 * u64::try_from(count).expect("small") / watcher::probe_interval_ms(count);
+    assert!(calls <= 2_000 / 5, "{calls}");
+}
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -37,6 +37,7 @@
     observe_ages(node);
     let view = node.view.borrow();
     node.followed_revision.send_replace(view.revision);
+    node.snapshots.publish(view.revision);
     let gauge = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
     node.metrics.revision.set(gauge(view.revision));
     let version = view
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -28,20 +28,20 @@
 const CHUNK_BYTES: usize = 16_384;
 
 /// A buffered body that is sent in frames of bounded size, as fast as its connection accepts them.
-/// It holds its permit until the last frame.
+/// It holds its permits until the last frame.
 #[derive(Debug)]
 pub struct Paced {
     rest: Bytes,
-    permit: Option<Permit>,
+    permits: Vec<Permit>,
 }
 
 impl Paced {
     /// Creates a body that consists of `bytes`.
     #[must_use]
-    pub const fn new(bytes: Bytes, permit: Option<Permit>) -> Self {
+    pub const fn new(bytes: Bytes, permits: Vec<Permit>) -> Self {
         Self {
             rest: bytes,
-            permit,
+            permits,
         }
     }
 }
@@ -56,7 +56,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
         let body = self.get_mut();
         if body.rest.is_empty() {
-            body.permit = None;
+            body.permits.clear();
             return Poll::Ready(None);
         }
         let chunk = body.rest.split_to(CHUNK_BYTES.min(body.rest.len()));
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -23,3 +23,9 @@
 pub fn deadline(at: Instant) -> tokio::time::Instant {
     tokio::time::Instant::now() + at.since(now())
 }
+
+/// Returns the milliseconds since `at`.
+#[must_use]
+pub fn age_ms(at: Instant) -> u64 {
+    u64::try_from(now().since(at).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/gateway/src/entry.rs
+++ b/crates/gateway/src/entry.rs
@@ -1,10 +1,17 @@
 //! The entries in the store by which nodes discover each other.
+//!
+//! Each node has an entry under [`NODES`]. Under [`PROVIDERS`] are the records of the nodes that read
+//! the store for the others at a start; see [`bootstrap`](fescuerack_core::gateway::bootstrap).
 
 use std::net::SocketAddr;
 
 /// Prefix of the keys of the entries.
 pub const NODES: &str = "fescuerack/node/";
 
+/// Prefix of the keys of the records of providers. The availability zone and the number of the
+/// record follow.
+pub const PROVIDERS: &str = "fescuerack/provider/";
+
 /// The entry of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -14,13 +21,24 @@
     pub zone: String,
     /// Bandwidth of its link in megabits a second; zero if unknown.
     pub link_mbps: u32,
+    /// Lease of the entry. A process that restarts goes on with it.
+    pub lease: Option<u64>,
 }
 
 impl Peer {
     /// Returns the entry's value in the store.
     #[must_use]
     pub fn value(&self) -> String {
-        format!("{} {} {}", self.address, self.zone, self.link_mbps)
+        let Self {
+            address,
+            zone,
+            link_mbps,
+            lease,
+        } = self;
+        match lease {
+            Some(lease) => format!("{address} {zone} {link_mbps} {lease}"),
+            None => format!("{address} {zone} {link_mbps}"),
+        }
     }
 
     /// Parses the value of an entry; `None` if it is malformed.
@@ -32,6 +50,7 @@
             zone: words.next()?.to_owned(),
             // Earlier versions do not write the bandwidth.
             link_mbps: words.next().map_or(Some(0), |link| link.parse().ok())?,
+            lease: words.next().and_then(|lease| lease.parse().ok()),
         })
     }
 }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -106,7 +106,7 @@
 /// random peers of the same availability zone.
 fn sources(node: &Node, awaited: &Awaited) -> Vec<SocketAddr> {
     let mut watchers: Vec<SocketAddr> = match source::current(node) {
-        Source::Peers(peers) => peers.into_iter().map(|(_, address)| address).collect(),
+        Source::Peers(peers) => peers.hubs.into_iter().map(|(_, address)| address).collect(),
         Source::Store | Source::StoreAsWatcher => Vec::new(),
     };
     if !watchers.contains(&awaited.peer) {
@@ -190,6 +190,7 @@
     let call = StoreRequest::Range {
         prefix: key,
         after: None,
+        may_be_stale: false,
     };
     let page = match node.store.call(&call).await {
         Ok(Stored::Page(page)) => page,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,4 +1,4 @@
-//! Replication of the store: one full read, then one watch call at a time.
+//! Replication of the store: the whole state once ([`bootstrap`]), then one watch call at a time.
 //!
 //! A burst of changes costs one call, since after a change the node waits for a quarter of a second
 //! before the next watch. While the store does not answer, the node continues with its current view
@@ -12,18 +12,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::watcher;
 use rand::RngExt as _;
 use tokio::task::JoinSet;
 
 use crate::apply;
+use crate::bootstrap;
 use crate::clock::now;
 use crate::fetch;
 use crate::node::Node;
-use crate::offload::{self, Decoded};
 use crate::peer;
-use crate::platform::{Item, Page, StoreRequest, StoreResponse};
-use crate::source::{self, FailedWatchers, Source};
+use crate::platform::{Page, StoreRequest, StoreResponse};
+use crate::read;
+use crate::source::{self, FailedWatchers, Parent, Peers, Source};
 use crate::store::Fault;
 use crate::updates::{self, Updates};
 
@@ -39,8 +41,6 @@
 const OUTAGE_WATCH_WAIT_MS: u64 = 50;
 /// Mean of the milliseconds between two calls during an outage.
 const RETRY_DELAY_MS: u64 = 350;
-/// Prefix of the keys that are read and watched: all of the store concerns the gateway.
-const ALL_KEYS: &str = "";
 
 /// Result of a watch or poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,41 +53,99 @@
 
 /// Replicates the store until the process ends.
 pub async fn run(node: Rc<Node>) {
-    let mut has_read = false;
-    let mut direct_until = now();
-    let mut failed = FailedWatchers::default();
+    let mut has_history = false;
+    let mut follower = Follower::default();
     loop {
-        if !has_read {
-            has_read = read(&node).await;
-            if has_read {
-                peer::join_rollouts(&node).await;
-            }
-            continue;
+        if !has_history {
+            bootstrap::run(&node).await;
+            peer::join_rollouts(&node).await;
+            has_history = true;
         }
         let source = source::current(&node);
         let is_outage = node.view.borrow().outage.is_ongoing();
         let step = match &source {
-            Source::Peers(watchers) if is_outage => follow_any(&node, &source, watchers).await,
-            Source::Peers(watchers) if now() >= direct_until => {
-                if follow_watcher(&node, watchers, &mut failed).await {
+            Source::Peers(peers) if is_outage => {
+                let may_call = follower.may_call_store(&node, peers);
+                follow_any(&node, &source, peers, may_call).await
+            }
+            Source::Peers(peers) if now() >= follower.direct_until => {
+                if follower.follow_peers(&node, peers).await {
+                    continue;
+                }
+                if !follower.may_call_store(&node, peers) {
+                    back_off(&node).await;
                     continue;
                 }
-                direct_until = now().plus_millis(watcher::DIRECT_WATCH_MS);
+                follower.direct_until = now().plus_millis(watcher::DIRECT_WATCH_MS);
                 watch(&node, &source).await
             }
+            Source::Store if follow_parent(&node, &mut follower.failed).await => Step::Continue,
             _ => watch(&node, &source).await,
         };
-        has_read = step == Step::Continue;
+        has_history = step == Step::Continue;
     }
 }
 
-/// Calls the store and polls all watchers concurrently, and continues with the first answer.
+/// State of a node that follows other nodes.
+#[derive(Debug, Default)]
+struct Follower {
+    failed: FailedWatchers,
+    /// Until when the node watches the store itself.
+    direct_until: Instant,
+    /// When it may call the store again, if it has deputies to poll.
+    next_call: Instant,
+}
+
+impl Follower {
+    /// Polls hubs, parent and deputies in turn. Returns whether one gave a fresh response.
+    async fn follow_peers(&mut self, node: &Rc<Node>, peers: &Peers) -> bool {
+        follow_watcher(node, &peers.hubs, &mut self.failed).await
+            || follow_parent(node, &mut self.failed).await
+            || follow_watcher(node, &peers.deputies, &mut self.failed).await
+    }
+
+    /// Returns whether the node may call the store now. The nodes that others rely on always may.
+    fn may_call_store(&mut self, node: &Node, peers: &Peers) -> bool {
+        if peers.deputies.is_empty() {
+            return true;
+        }
+        if now() < self.next_call {
+            return false;
+        }
+        let interval_ms = watcher::probe_interval_ms(node.view.borrow().node_count()).max(1);
+        let jitter_ms = node.random.borrow_mut().random_range(0..interval_ms);
+        self.next_call = now().plus_millis(interval_ms / 2 + jitter_ms);
+        true
+    }
+}
+
+/// Records the node from which this one has received its state.
+pub fn set_parent(node: &Node, address: SocketAddr) {
+    node.parent.set(Some(Parent::new(now(), address)));
+}
+
+/// Polls the parent, if the node started a moment ago. Returns whether it gave a fresh response.
+async fn follow_parent(node: &Rc<Node>, failed: &mut FailedWatchers) -> bool {
+    let parent = node.parent.get().filter(|parent| now() < parent.until);
+    let Some(parent) = parent else {
+        return false;
+    };
+    let watchers = [("parent".to_owned(), parent.address)];
+    let is_fresh = follow_watcher(node, &watchers, failed).await;
+    if !is_fresh {
+        node.parent.set(None);
+    }
+    is_fresh
+}
+
+/// Polls all peers, and calls the store if it `may_call`, concurrently, and continues with the first
+/// answer.
 ///
 /// During an outage of the store, watchers may not answer either. If they and the store were called
 /// one after the other, a node would detect the end of the outage up to 2.8 s late.
-async fn follow_any(node: &Rc<Node>, source: &Source, watchers: &[(String, SocketAddr)]) -> Step {
+async fn follow_any(node: &Rc<Node>, source: &Source, peers: &Peers, may_call: bool) -> Step {
     let mut polls = JoinSet::new();
-    for (name, address) in watchers.iter().cloned() {
+    for (name, address) in peers.hubs.iter().chain(&peers.deputies).cloned() {
         let node = node.clone();
         polls.spawn_local(async move {
             let updates = fresh_updates(&node, &name, address).await?;
@@ -103,6 +161,14 @@
         None
     };
     tokio::pin!(first_fresh);
+    if !may_call {
+        let (updates, ()) = tokio::join!(&mut first_fresh, peer::catch_up(node));
+        match updates {
+            Some((updates, address)) => apply_updates(node, &updates, address).await,
+            None => back_off(node).await,
+        }
+        return Step::Continue;
+    }
     let direct = watch(node, source);
     tokio::pin!(direct);
     tokio::select! {
@@ -117,17 +183,6 @@
     }
 }
 
-async fn read(node: &Rc<Node>) -> bool {
-    match read_all(node).await {
-        Ok(()) => true,
-        Err(fault) => {
-            record_fault(node, "range", &fault);
-            back_off(node).await;
-            false
-        }
-    }
-}
-
 /// Polls the watchers in turn and applies the first fresh response. Returns whether there was one.
 async fn follow_watcher(
     node: &Rc<Node>,
@@ -202,7 +257,7 @@
         wait_ms
     };
     let call = StoreRequest::Watch {
-        prefix: ALL_KEYS,
+        prefix: read::ALL_KEYS,
         after,
         wait_ms,
     };
@@ -255,46 +310,6 @@
     }
 }
 
-/// Reads the whole store. The pages are not one snapshot, so the watch continues from the revision
-/// of the first page and receives changes made between the pages again.
-async fn read_all(node: &Rc<Node>) -> Result<(), Fault> {
-    let mut items: Vec<Item> = Vec::new();
-    let mut revision = None;
-    loop {
-        let after = items.last().map(|item| item.key.clone());
-        let call = StoreRequest::Range {
-            prefix: ALL_KEYS,
-            after: after.as_deref(),
-        };
-        match node.store.call(&call).await? {
-            StoreResponse::Page(page) => {
-                revision = revision.or(Some(page.revision));
-                items.extend(page.items);
-                if !page.has_more {
-                    break;
-                }
-            }
-            other => return Err(Fault::NotDone(format!("{other:?}"))),
-        }
-    }
-    record_answer(node, "range");
-    let revision = revision.unwrap_or_default();
-    tracing::info!(event = "store-read", items = items.len(), revision);
-    node.arrivals.borrow_mut().record(revision, now());
-    let mut decoded = Vec::new();
-    for item in items.iter().filter(|item| offload::is_needed(item)) {
-        decoded.extend(offload::decode(node, item.clone()).await);
-    }
-    let mut view = node.view.borrow_mut();
-    for Decoded { item, change } in decoded {
-        view.apply_change(now(), &item, change);
-    }
-    view.replace(now(), &*node.platform, &items, revision);
-    drop(view);
-    apply::publish_view(node);
-    Ok(())
-}
-
 async fn apply_page(node: &Node, page: &Page) {
     node.arrivals.borrow_mut().record(page.revision, now());
     apply::apply_items(node, &page.items).await;
@@ -305,12 +320,13 @@
 }
 
 /// Waits before the next call, with jitter so that the nodes do not call at the same time.
-async fn back_off(node: &Rc<Node>) {
+pub async fn back_off(node: &Rc<Node>) {
     let jitter = node.random.borrow_mut().random_range(0..RETRY_DELAY_MS);
     tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS / 2 + jitter)).await;
 }
 
-fn record_answer(node: &Node, kind: &str) {
+/// Records that the store has answered a call of `kind`.
+pub fn record_answer(node: &Node, kind: &str) {
     node.store_answered.set(now());
     node.metrics
         .store_calls
@@ -321,7 +337,8 @@
     }
 }
 
-fn record_fault(node: &Node, kind: &str, fault: &Fault) {
+/// Records that a call of `kind` to the store failed.
+pub fn record_fault(node: &Node, kind: &str, fault: &Fault) {
     node.metrics
         .store_calls
         .with_label_values(&[kind, "failed"])
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! [`process`] starts the tasks of a [`node`]:
 //!
 //! - [`listeners`] accepts connections of callers and peers.
+//! - [`bootstrap`] gets the state of the store at the start, as a [`snapshot`] from a peer or by a
+//!   full [`read`].
 //! - [`follow`] receives changes of the store from a [`source`], the store itself or a peer that is
 //!   polled for [`updates`]. [`apply`] applies them to the [`view`], which contains every backend
 //!   [`server`].
@@ -27,6 +29,7 @@
 pub mod arrival;
 pub mod attempt;
 pub mod body;
+pub mod bootstrap;
 pub mod catalog;
 pub mod clock;
 pub mod delta;
@@ -54,6 +57,7 @@
 pub mod process;
 pub mod progress;
 pub mod publisher;
+pub mod read;
 pub mod refusal;
 pub mod registration;
 pub mod relay;
@@ -62,6 +66,7 @@
 pub mod routes;
 pub mod server;
 pub mod settings;
+pub mod snapshot;
 pub mod source;
 pub mod store;
 pub mod updates;
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -1,5 +1,8 @@
 //! Exchange of load and of attempt counts with the peers, through hubs.
 //!
+//! These messages are the most frequent ones and consist of numbers, so they are encoded in binary
+//! form.
+//!
 //! [`load`] describes how hubs aggregate the reports, and
 //! [`outlier`](fescuerack_core::gateway::outlier) what the attempt counts are used for.
 
@@ -17,7 +20,7 @@
 use crate::node::Node;
 
 /// Path on which a hub receives the reports of the nodes of its group.
-pub const MEMBER_PATH: &str = "/load";
+pub const MEMBER_PATH: &str = "/load/member";
 /// Path on which the top receives the reports of the hubs.
 pub const GROUP_PATH: &str = "/load/group";
 
@@ -27,7 +30,6 @@
     /// Load.
     load: Table,
     /// Packed counts of the attempts that ended within the window.
-    #[serde(default, rename = "ends")]
     attempts: Table,
 }
 
@@ -146,6 +148,9 @@
 /// A canary version is evaluated by [`rollout`](crate::rollout): if its only loaded server were
 /// ejected here, it would no longer show how it behaves under load.
 fn detect_outliers(node: &Node, counts: &HashMap<u32, AttemptCounts>) {
+    if !counts.values().any(AttemptCounts::may_be_outlier) {
+        return;
+    }
     let view = node.view.borrow();
     // The maps are ordered, so that all nodes choose the same servers if not all can be ejected.
     let mut groups: BTreeMap<(&str, &str), BTreeMap<u32, &str>> = BTreeMap::new();
@@ -200,7 +205,7 @@
 }
 
 async fn send(node: &Node, address: SocketAddr, path: &str, report: &Report) -> Option<Tables> {
-    match message::send(node, address, path, report, message::HEAD_TIMEOUT).await {
+    match exchange(node, address, path, report).await {
         Ok(tables) => Some(tables),
         Err(error) => {
             tracing::info!(event = "hub-failed", peer = %address, path, reason = %error);
@@ -209,12 +214,38 @@
     }
 }
 
+async fn exchange(
+    node: &Node,
+    address: SocketAddr,
+    path: &str,
+    report: &Report,
+) -> anyhow::Result<Tables> {
+    let report = postcard::to_stdvec(report)?;
+    let answer = message::exchange(node, address, path, report, message::HEAD_TIMEOUT).await?;
+    Ok(postcard::from_bytes(&answer)?)
+}
+
+/// Answers an encoded report on `path`.
+///
+/// # Errors
+///
+/// When the report cannot be decoded.
+pub fn serve(node: &Node, path: &str, report: &[u8]) -> anyhow::Result<Vec<u8>> {
+    let report = postcard::from_bytes(report)?;
+    let sum = if path == GROUP_PATH {
+        receive_group_report(node, report)
+    } else {
+        receive_member_report(node, report)
+    };
+    Ok(postcard::to_stdvec(&sum)?)
+}
+
 /// Records, as a hub, the report of a node of the group and returns the sum of all other nodes.
-pub fn receive_member_report(node: &Node, report: Report) -> Tables {
+fn receive_member_report(node: &Node, report: Report) -> Tables {
     node.hub.borrow_mut().receive_report(report)
 }
 
 /// Records, as the top, the report of a hub and returns the sum of the other groups.
-pub fn receive_group_report(node: &Node, report: Report) -> Tables {
+fn receive_group_report(node: &Node, report: Report) -> Tables {
     node.top.borrow_mut().receive_report(report)
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,10 +1,11 @@
-//! Messages between nodes: JSON bodies, sent with the same HTTP client as requests to backend
+//! Messages between nodes, in JSON but for [load](crate::load_report) and
+//! [snapshots](crate::snapshot), sent with the same HTTP client as requests to backend
 //! servers.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::HOST;
@@ -44,7 +45,7 @@
     counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
 }
 
-/// Sends a message to a peer and reads the response.
+/// Sends a message to a peer and decodes the response.
 ///
 /// # Errors
 ///
@@ -56,7 +57,24 @@
     message: &impl Serialize,
     head_timeout: Duration,
 ) -> anyhow::Result<R> {
-    let body = Bytes::from(serde_json::to_vec(message)?);
+    let body = serde_json::to_vec(message)?;
+    let answer = exchange(node, address, path, body, head_timeout).await?;
+    Ok(serde_json::from_slice(&answer)?)
+}
+
+/// Sends an encoded message to a peer and returns the body of the response.
+///
+/// # Errors
+///
+/// When no head arrives within `head_timeout`, or the response cannot be read.
+pub async fn exchange(
+    node: &Node,
+    address: SocketAddr,
+    path: &str,
+    body: Vec<u8>,
+    head_timeout: Duration,
+) -> anyhow::Result<Bytes> {
+    let body = Bytes::from(body);
     count_bytes(node, path, Direction::Out, body.len());
     let request = Request::builder()
         .method(Method::POST)
@@ -68,8 +86,10 @@
         Sent::Answered(answered) => answered,
         Sent::NotSent(reason) | Sent::Broken(reason) => anyhow::bail!(reason),
     };
+    let status = answered.response.status();
     let body = upstream::collect(answered.response.into_body(), MAX_BYTES).await?;
     node.pool.keep(answered.connection);
     count_bytes(node, path, Direction::In, body.len());
-    Ok(serde_json::from_slice(&body)?)
+    ensure!(status.is_success(), "status {status}");
+    Ok(body)
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -19,13 +19,15 @@
 use tokio::sync::{Notify, watch};
 
 use crate::arrival::Arrivals;
-use crate::clock::now;
+use crate::clock::{age_ms, now};
 use crate::load_report::Aggregator;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::publisher::Publisher;
 use crate::rollout::TrackedAttempt;
 use crate::settings::Settings;
+use crate::snapshot::Snapshots;
+use crate::source::Parent;
 use crate::store::Store;
 use crate::upstream::Pool;
 use crate::view::View;
@@ -90,6 +92,10 @@
     pub arrivals: RefCell<Arrivals>,
     /// State of serving large items to other nodes.
     pub publisher: Publisher,
+    /// State of serving snapshots to nodes that start.
+    pub snapshots: Snapshots,
+    /// Node that gave this one its first state.
+    pub parent: Cell<Option<Parent>>,
     /// Notifies the fetcher that a large item is awaited.
     pub large_item_awaited: Notify,
     /// Publishes the revision up to which the view has followed the store.
@@ -136,6 +142,8 @@
             waits: RefCell::default(),
             arrivals: RefCell::default(),
             publisher: Publisher::default(),
+            snapshots: Snapshots::default(),
+            parent: Cell::new(None),
             large_item_awaited: Notify::new(),
             followed_revision: watch::Sender::new(0),
             store_answered: Cell::new(Instant::ORIGIN),
@@ -148,7 +156,6 @@
     /// Milliseconds since the store last answered.
     #[must_use]
     pub fn store_age_ms(&self) -> u64 {
-        let age = now().since(self.store_answered.get());
-        u64::try_from(age.as_millis()).unwrap_or(u64::MAX)
+        age_ms(self.store_answered.get())
     }
 }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -10,7 +10,7 @@
 //!   all nodes derive from the list of nodes in the same way.
 //!
 //! [`serve`] also answers the reports to hubs ([`load_report`]), the polls of nodes that follow
-//! this one ([`updates`]) and the requests for large items ([`publisher`]).
+//! this one ([`updates`]), and the requests for large items ([`publisher`]) and [`snapshot`]s.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
@@ -31,15 +31,17 @@
 
 use crate::apply;
 use crate::body::Paced;
-use crate::clock::now;
+use crate::clock::{age_ms, now};
 use crate::fetch;
 use crate::large::Notice;
 use crate::load_report;
 use crate::message::{self, Direction};
 use crate::node::Node;
+use crate::permits::Permit;
 use crate::platform::Item;
 use crate::publisher;
 use crate::rollout;
+use crate::snapshot;
 use crate::updates;
 
 /// Path of an exchange.
@@ -73,7 +75,11 @@
     #[serde(default)]
     takes_notices: bool,
     rollouts: BTreeMap<String, RolloutReport>,
+    /// Required by earlier versions of the program, which counted crashes without their servers.
     suspects: Vec<(u64, u32)>,
+    /// Servers that crashed while they ran a request, by the digest of the request.
+    #[serde(default)]
+    crashed: Vec<(u64, Vec<u32>)>,
 }
 
 /// The reply of an exchange.
@@ -84,7 +90,11 @@
     #[serde(default)]
     large: Vec<Notice>,
     rollouts: BTreeMap<String, RolloutReport>,
+    /// Required by earlier versions of the program, which counted crashes without their servers.
     suspects: Vec<(u64, u32)>,
+    /// Servers that crashed while they ran a request, by the digest of the request.
+    #[serde(default)]
+    crashed: Vec<(u64, Vec<u32>)>,
 }
 
 /// Asks a random peer for items that are newer than those of this node.
@@ -196,7 +206,8 @@
         wants_items,
         takes_notices: true,
         rollouts: rollouts.collect(),
-        suspects: node.suspects.borrow().local_crashes().collect(),
+        suspects: Vec::new(),
+        crashed: node.suspects.borrow().local_crashes().collect(),
     }
 }
 
@@ -229,7 +240,7 @@
         }
     }
     drop(evidence);
-    receive_suspects(node, &reply.suspects);
+    receive_suspects(node, &reply.crashed);
 }
 
 /// Returns the ongoing sessions among `recent` that the canary of `service` would move.
@@ -248,8 +259,7 @@
     let view = node.view.borrow();
     let order = view.orders.get(service);
     order.map_or((0, 0), |order| {
-        let age = now().since(order.ordered_at).as_millis();
-        (order.order_revision, u64::try_from(age).unwrap_or(u64::MAX))
+        (order.order_revision, age_ms(order.ordered_at))
     })
 }
 
@@ -274,10 +284,10 @@
     }
 }
 
-fn receive_suspects(node: &Node, suspects: &[(u64, u32)]) {
+fn receive_suspects(node: &Node, crashed: &[(u64, Vec<u32>)]) {
     let mut known = node.suspects.borrow_mut();
-    for &(fingerprint, crashes) in suspects {
-        known.receive(now(), fingerprint, crashes);
+    for (fingerprint, servers) in crashed {
+        known.receive(now(), *fingerprint, servers);
     }
 }
 
@@ -302,35 +312,14 @@
         }
     };
     let received = body.len();
-    let mut permit = None;
-    let answer = match path.as_str() {
-        PATH => serde_json::from_slice(&body)
-            .and_then(|request| serde_json::to_vec(&reply(&node, request))),
-        load_report::MEMBER_PATH => serde_json::from_slice(&body).and_then(|report| {
-            serde_json::to_vec(&load_report::receive_member_report(&node, report))
-        }),
-        load_report::GROUP_PATH => serde_json::from_slice(&body).and_then(|report| {
-            serde_json::to_vec(&load_report::receive_group_report(&node, report))
-        }),
-        publisher::PATH => match serde_json::from_slice(&body) {
-            Ok(request) => {
-                let (answer, acquired) = publisher::serve(&node, &request).await;
-                permit = acquired;
-                serde_json::to_vec(&answer)
-            }
-            Err(error) => Err(error),
-        },
-        updates::PATH => match serde_json::from_slice(&body) {
-            Ok(request) => serde_json::to_vec(&updates::serve(&node, request).await),
-            Err(error) => Err(error),
-        },
-        _ => return Ok(status_response(StatusCode::NOT_FOUND)),
-    };
+    let mut permits = Vec::new();
+    let answer = answer(&node, &path, &body, &mut permits).await;
     match answer {
-        Ok(body) => {
+        Ok(None) => Ok(status_response(StatusCode::NOT_FOUND)),
+        Ok(Some(body)) => {
             message::count_bytes(&node, &path, Direction::In, received);
             message::count_bytes(&node, &path, Direction::Out, body.len());
-            Ok(Response::new(Paced::new(Bytes::from(body), permit)))
+            Ok(Response::new(Paced::new(body, permits)))
         }
         Err(error) => {
             tracing::warn!(event = "peer-message-unreadable", path, reason = %error);
@@ -339,8 +328,42 @@
     }
 }
 
+/// Returns the body of the answer to a message, `None` if nothing is served on `path`, and adds the
+/// permits that are held until it has been sent.
+async fn answer(
+    node: &Node,
+    path: &str,
+    body: &[u8],
+    permits: &mut Vec<Permit>,
+) -> anyhow::Result<Option<Bytes>> {
+    let answer = match path {
+        PATH => serde_json::to_vec(&reply(node, serde_json::from_slice(body)?))?.into(),
+        load_report::MEMBER_PATH | load_report::GROUP_PATH => {
+            load_report::serve(node, path, body)?.into()
+        }
+        publisher::PATH => {
+            let request = serde_json::from_slice(body)?;
+            let (answer, permit) = publisher::serve(node, &request).await;
+            permits.extend(permit);
+            serde_json::to_vec(&answer)?.into()
+        }
+        updates::PATH => {
+            let request = serde_json::from_slice(body)?;
+            serde_json::to_vec(&updates::serve(node, request).await)?.into()
+        }
+        snapshot::PATH => {
+            let request = serde_json::from_slice(body)?;
+            let (answer, acquired) = snapshot::serve(node, request).await?;
+            permits.extend(acquired);
+            answer
+        }
+        _ => return Ok(None),
+    };
+    Ok(Some(answer))
+}
+
 fn reply(node: &Node, request: ExchangeRequest) -> ExchangeReply {
-    receive_suspects(node, &request.suspects);
+    receive_suspects(node, &request.crashed);
     let mut evidence = node.evidence.borrow_mut();
     let mut rollouts = BTreeMap::new();
     for (service, report) in request.rollouts {
@@ -380,7 +403,8 @@
         items,
         large,
         rollouts,
-        suspects: node.suspects.borrow().local_crashes().collect(),
+        suspects: Vec::new(),
+        crashed: node.suspects.borrow().local_crashes().collect(),
     }
 }
 
@@ -395,7 +419,7 @@
 }
 
 fn status_response(status: StatusCode) -> Response<Paced> {
-    let mut response = Response::new(Paced::new(Bytes::new(), None));
+    let mut response = Response::new(Paced::new(Bytes::new(), Vec::new()));
     *response.status_mut() = status;
     response
 }
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -3,33 +3,47 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Maximum number of large responses at a time. Without a limit all of them would complete at the
-/// same late moment. Connections share the link equally, so with four of them small updates get at
-/// least a fifth of it.
-const MAX_CONCURRENT: usize = 4;
+use tokio::sync::Notify;
 
-/// The permits of a node; counts those that are held.
+/// The permits of one kind; counts those that are held.
 #[derive(Debug, Default)]
-pub struct Permits(Rc<Cell<usize>>);
+pub struct Permits(Rc<Held>);
+
+#[derive(Debug, Default)]
+struct Held {
+    count: Cell<usize>,
+    released: Notify,
+}
 
 /// A permit, which is released on drop.
 #[derive(Debug)]
-pub struct Permit(Rc<Cell<usize>>);
+pub struct Permit(Rc<Held>);
 
 impl Permits {
-    /// Acquires a permit, if one is free.
+    /// Acquires a permit, if fewer than `max` are held.
     #[must_use]
-    pub fn try_acquire(&self) -> Option<Permit> {
-        let held = self.0.get();
-        (held < MAX_CONCURRENT).then(|| {
-            self.0.set(held + 1);
+    pub fn try_acquire(&self, max: usize) -> Option<Permit> {
+        let held = self.0.count.get();
+        (held < max).then(|| {
+            self.0.count.set(held + 1);
             Permit(self.0.clone())
         })
     }
+
+    /// Acquires a permit as soon as fewer than `max` are held.
+    pub async fn acquire(&self, max: usize) -> Permit {
+        loop {
+            if let Some(permit) = self.try_acquire(max) {
+                return permit;
+            }
+            self.0.released.notified().await;
+        }
+    }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.released.notify_one();
     }
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -105,6 +105,8 @@
         prefix: &'a str,
         /// Key after which the page begins.
         after: Option<&'a str>,
+        /// Whether the answer may be some seconds old, which costs the store less.
+        may_be_stale: bool,
     },
     /// Waits for changes of keys with a prefix.
     Watch {
@@ -144,9 +146,10 @@
     #[must_use]
     pub const fn to_static(&self) -> StoreRequest<'static> {
         match *self {
-            StoreRequest::Range { .. } => StoreRequest::Range {
+            StoreRequest::Range { may_be_stale, .. } => StoreRequest::Range {
                 prefix: "",
                 after: None,
+                may_be_stale,
             },
             StoreRequest::Watch { after, wait_ms, .. } => StoreRequest::Watch {
                 prefix: "",
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -130,6 +130,7 @@
             tracing::info!(event = "servers-not-back", count = dropped);
         }
         sweep_warming(&node);
+        node.snapshots.sweep(now());
         node.pool.sweep();
         let connections = i64::try_from(node.pool.opened()).unwrap_or(i64::MAX);
         node.metrics.connections.set(connections);
--- a/crates/gateway/src/publisher.rs
+++ b/crates/gateway/src/publisher.rs
@@ -13,6 +13,10 @@
 
 /// Path on which a node serves large items.
 pub const PATH: &str = "/large";
+/// Maximum number of large responses at a time. Without a limit all of them would complete at the
+/// same late moment. Connections share the link equally, so with four of them small updates get at
+/// least a fifth of it.
+const MAX_CONCURRENT: usize = 4;
 /// Maximum number of encoded deltas that are cached. The nodes of a zone receive a change within a
 /// second of each other, so most have one of the last few revisions as their base. At 2,000 routes
 /// the delta of one changed route has less than 1 KB and that of 1,400 new routes 21 KB.
@@ -77,7 +81,7 @@
     if !is_available {
         return (ItemResponse::Behind, None);
     }
-    let Some(permit) = node.publisher.permits.try_acquire() else {
+    let Some(permit) = node.publisher.permits.try_acquire(MAX_CONCURRENT) else {
         return (ItemResponse::Busy, None);
     };
     // Many nodes request the same delta at once; all but the first get it from the cache.
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -1,7 +1,8 @@
 //! Registration of the node: its entry in the store, by which peers discover it.
 //!
-//! The entry is bound to a lease, so that it expires when the node fails. It is only a hint for
-//! peers; no guarantee depends on it.
+//! The entry is bound to a lease, so that it expires when the node fails. A process that restarts
+//! before that goes on with the entry and its lease. It is only a hint for peers; no guarantee
+//! depends on it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,32 +21,80 @@
 
 /// Keeps the node registered until the process ends.
 pub async fn run(node: Rc<Node>) {
+    wait_for_state(&node).await;
+    let mut former = former_lease(&node);
     loop {
-        match register(&node).await {
-            Ok(Some(lease)) => renew(&node, lease).await,
-            Ok(None) => {}
-            Err(fault) => tracing::info!(event = "entry-failed", reason = %fault),
+        match renew_former(&node, former.take()).await {
+            Some(lease) => renew(&node, lease).await,
+            None => match register(&node).await {
+                Ok(Some(lease)) => renew(&node, lease).await,
+                Ok(None) => {}
+                Err(fault) => tracing::info!(event = "entry-failed", reason = %fault),
+            },
         }
         tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
     }
 }
 
+async fn wait_for_state(node: &Node) {
+    let mut followed = node.followed_revision.subscribe();
+    // The sender lives as long as the node.
+    let _ = followed.wait_for(|revision| *revision > 0).await;
+}
+
+/// Returns the entry that this process would write, without a lease.
+fn entry(node: &Node) -> Peer {
+    let settings = node.settings.borrow();
+    Peer {
+        address: settings.peers,
+        zone: settings.zone.clone(),
+        link_mbps: settings.link_mbps,
+        lease: None,
+    }
+}
+
+/// Returns the lease of the entry that an earlier process of this instance wrote, if this one would
+/// write the same.
+fn former_lease(node: &Node) -> Option<u64> {
+    let view = node.view.borrow();
+    let former = view.nodes.get(&node.settings.borrow().instance)?;
+    let lease = former.lease?;
+    let own = Peer {
+        lease: Some(lease),
+        ..entry(node)
+    };
+    (own == *former).then_some(lease)
+}
+
+/// Renews the lease of an earlier process. When a whole fleet restarts, each new entry would be sent
+/// to all nodes.
+async fn renew_former(node: &Node, lease: Option<u64>) -> Option<u64> {
+    let lease = lease?;
+    match node.store.call(&StoreRequest::Renew { lease }).await {
+        Ok(StoreResponse::Done(_)) => {
+            tracing::info!(event = "entry-renewed", lease);
+            Some(lease)
+        }
+        Ok(_) | Err(_) => None,
+    }
+}
+
 /// Writes the entry; returns its lease, or `None` if the store did not grant it or refused the
 /// entry.
 async fn register(node: &Node) -> Result<Option<u64>, Fault> {
-    let (key, value, ttl_ms) = {
+    let (key, ttl_ms) = {
         let settings = node.settings.borrow();
         let key = format!("{NODES}{}", settings.instance);
-        let peer = Peer {
-            address: settings.peers,
-            zone: settings.zone.clone(),
-            link_mbps: settings.link_mbps,
-        };
-        (key, peer.value(), settings.lease_ms.max(LEASE_TTL_MS))
+        (key, settings.lease_ms.max(LEASE_TTL_MS))
     };
     let StoreResponse::Done(lease) = node.store.call(&StoreRequest::Grant { ttl_ms }).await? else {
         return Ok(None);
     };
+    let peer = Peer {
+        lease: Some(lease),
+        ..entry(node)
+    };
+    let value = peer.value();
     let put = StoreRequest::Put {
         key: &key,
         value: &value,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,7 @@
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
+use fescuerack_core::gateway::load;
 use fescuerack_core::gateway::slowness::Timing;
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
@@ -167,10 +168,11 @@
                         self.model,
                         AnswerOutcome::Broken,
                     );
-                    self.node
-                        .suspects
-                        .borrow_mut()
-                        .record_crash(now(), self.job.fingerprint);
+                    self.node.suspects.borrow_mut().record_crash(
+                        now(),
+                        self.job.fingerprint,
+                        load::short_id(pick.identity),
+                    );
                     tracing::info!(
                         event = "stream-broken",
                         id = self.job.head.id,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::escalation;
+use fescuerack_core::gateway::{escalation, load};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use rand::RngExt as _;
@@ -253,9 +253,11 @@
                 };
                 verdict::count_outcome(node, job, &pick, progress.model, ended);
                 if matches!(outcome, AttemptResult::Unknown) {
-                    node.suspects
-                        .borrow_mut()
-                        .record_crash(now(), job.fingerprint);
+                    node.suspects.borrow_mut().record_crash(
+                        now(),
+                        job.fingerprint,
+                        load::short_id(pick.identity),
+                    );
                 }
                 progress.tried.push(pick.id.clone());
                 progress.sent += 1;
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -13,6 +13,10 @@
 /// which the entry of a node without power remains, so such a node delays four polls at most.
 const AVOIDANCE_MS: u64 = 4_000;
 
+/// Milliseconds after a start for which the parent is polled before the store: by then all nodes of
+/// the fleet have started.
+const PARENT_MS: u64 = 10_000;
+
 /// Source of changes.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -20,8 +24,17 @@
     Store,
     /// The store, as a watcher that other nodes poll.
     StoreAsWatcher,
-    /// Other nodes, by name and address, in this order.
-    Peers(Vec<(String, SocketAddr)>),
+    /// Other nodes.
+    Peers(Peers),
+}
+
+/// Other nodes that a node polls, by name and address.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Watchers or hubs, in the order in which they are polled.
+    pub hubs: Vec<(String, SocketAddr)>,
+    /// Nodes that are polled when no hub is fresh; empty for a node that watches the store then.
+    pub deputies: Vec<(String, SocketAddr)>,
 }
 
 /// Returns the source of changes of this node, given its current list of nodes.
@@ -34,10 +47,40 @@
     match watcher::role(&settings.instance, &settings.zone, &members, is_in_region) {
         Role::Direct => Source::Store,
         Role::Watcher => Source::StoreAsWatcher,
-        Role::Follower(names) => {
-            let peers = names.into_iter();
-            let peers = peers.map(|name| (name.to_owned(), view.nodes[name].address));
-            Source::Peers(peers.collect())
+        Role::Follower { hubs, deputies } => {
+            let addresses = |names: Vec<&str>| {
+                let names = names.into_iter();
+                let peers = names.map(|name| (name.to_owned(), view.nodes[name].address));
+                peers.collect()
+            };
+            Source::Peers(Peers {
+                hubs: addresses(hubs),
+                deputies: addresses(deputies),
+            })
+        }
+    }
+}
+
+/// The node that gave this one its first state.
+///
+/// While a fleet starts, a node knows few of the others, and the watchers that it derives from them
+/// may not have a state yet. If all nodes watched the store until then, each entry of a node that
+/// registers would end the calls of all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Parent {
+    /// Address on which it listens for its peers.
+    pub address: SocketAddr,
+    /// Until when it is polled before the store.
+    pub until: Instant,
+}
+
+impl Parent {
+    /// Creates the parent at `address` of a node that starts at `now`.
+    #[must_use]
+    pub const fn new(now: Instant, address: SocketAddr) -> Self {
+        Self {
+            address,
+            until: now.plus_millis(PARENT_MS),
         }
     }
 }
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -40,7 +40,7 @@
     /// When the changes arrived at the first node that received them.
     #[serde(default)]
     pub arrivals: Vec<Arrival>,
-    /// Revision up to which the watcher has followed the store.
+    /// Revision up to which these are all changes.
     pub revision: u64,
     /// Milliseconds since the store last answered the watcher.
     pub age_ms: u64,
@@ -78,16 +78,16 @@
 
 fn updates_since(node: &Node, request: PollRequest) -> Updates {
     let view = node.view.borrow();
-    let (items, large) = if request.takes_notices {
-        view.updates_since(request.after)
+    let (items, large, revision) = if request.takes_notices {
+        view.batch_since(request.after)
     } else {
-        (view.items_since(request.after), Vec::new())
+        (view.items_since(request.after), Vec::new(), view.revision)
     };
     Updates {
         items,
         large,
         arrivals: node.arrivals.borrow().since(now(), request.after),
-        revision: view.revision,
+        revision,
         age_ms: node.store_age_ms(),
         is_whole: view.has_changes_since(request.after),
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,13 +4,14 @@
 //! Changes arrive from the node's own watch, from full reads and from peers, in any order. Each key
 //! keeps the change with the highest revision; older ones are ignored.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::lease_expiry::Outage;
 use fescuerack_core::gateway::rank::Instance;
+use serde::{Deserialize, Serialize};
 
 use crate::arrival::ChangeKind;
 use crate::catalog::Catalog;
@@ -19,6 +20,8 @@
 use crate::platform::{Change, Item, Platform, Progress, Rollout, ServerEntry, ServerState};
 use crate::server::Server;
 
+/// Maximum number of items in an answer to a node that follows this one, some hundred kilobytes.
+const MAX_BATCH: usize = 512;
 /// Maximum number of tombstones, which pass the removal of keys on to peers. Above it, only about
 /// the newest half of this number is kept.
 const MAX_TOMBSTONES: usize = 512;
@@ -72,13 +75,32 @@
     items: HashMap<String, Item>,
     /// Tombstones of revisions before this one were dropped.
     pruned_before: u64,
+    /// Revisions before and of the last full read. Removals between them are unknown.
+    gap: (u64, u64),
+}
+
+/// Up to where a view is complete, and which removals it does not know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Completeness {
+    /// Revision up to which the store was followed.
+    pub revision: u64,
+    /// Tombstones of revisions before this one were dropped.
+    pub pruned_before: u64,
+    /// Removals between these revisions are unknown.
+    pub gap: (u64, u64),
 }
 
 impl View {
-    /// Whether the node has a configuration, so that requests can be routed.
+    /// Whether the node has the whole state, with a configuration, so that requests can be routed.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.catalog.is_some()
+        self.has_state() && self.catalog.is_some()
+    }
+
+    /// Whether the node has read the store or received a snapshot of it.
+    #[must_use]
+    pub const fn has_state(&self) -> bool {
+        self.revision > 0
     }
 
     /// Decodes and applies an item. Returns whether it is newer than the previous one of its key.
@@ -102,17 +124,19 @@
         true
     }
 
-    /// Applies a full read of the store as of `revision`: keys that it does not contain are
-    /// removed, except those that changed after `revision`.
-    pub fn replace(
+    /// Ends a full read of the store as of `revision`, whose items were applied: keys other than the
+    /// `listed` ones are removed, except those that changed after `revision`.
+    ///
+    /// A key that was created and removed between the former state and this read left no trace
+    /// here, so nodes that have followed the store to a revision in between must not follow this
+    /// node.
+    pub fn finish_read(
         &mut self,
         now: Instant,
         platform: &dyn Platform,
-        items: &[Item],
+        listed: &HashSet<String>,
         revision: u64,
     ) {
-        let listed: std::collections::HashSet<&str> =
-            items.iter().map(|item| item.key.as_str()).collect();
         let missing: Vec<String> = self
             .items
             .values()
@@ -128,16 +152,48 @@
             };
             self.apply(now, platform, &removed);
         }
-        for item in items {
-            self.apply(now, platform, item);
-        }
+        self.gap = (self.revision, revision.max(self.revision));
         self.revision = self.revision.max(revision);
     }
 
+    /// Ends the transfer of a snapshot, whose items were applied. The first snapshot makes this node
+    /// as complete as the one that sent it.
+    pub fn finish_snapshot(
+        &mut self,
+        now: Instant,
+        platform: &dyn Platform,
+        listed: &HashSet<String>,
+        completeness: Completeness,
+    ) {
+        let is_first = !self.has_state();
+        self.finish_read(now, platform, listed, completeness.revision);
+        self.pruned_before = self.pruned_before.max(completeness.pruned_before);
+        if is_first {
+            self.gap = completeness.gap;
+        }
+    }
+
+    /// Returns what is known of all changes up to now.
+    #[must_use]
+    pub const fn completeness(&self) -> Completeness {
+        Completeness {
+            revision: self.revision,
+            pruned_before: self.pruned_before,
+            gap: self.gap,
+        }
+    }
+
+    /// Returns all items, including tombstones.
+    #[must_use]
+    pub fn all_items(&self) -> Vec<Item> {
+        self.items.values().cloned().collect()
+    }
+
     /// Whether [`items_since`](Self::items_since) returns every change after `revision`.
     #[must_use]
     pub const fn has_changes_since(&self, revision: u64) -> bool {
-        revision >= self.pruned_before
+        let is_in_gap = revision > self.gap.0 && revision < self.gap.1;
+        revision >= self.pruned_before && !is_in_gap
     }
 
     /// Returns the item of `key`, if its revision is at least `min_revision` and it was not removed.
@@ -173,12 +229,39 @@
     /// Returns the small items that changed after `revision`, and notices of the large ones.
     #[must_use]
     pub fn updates_since(&self, revision: u64) -> (Vec<Item>, Vec<Notice>) {
-        let notices = self.large.notices_since(revision);
+        let items = self.small_since(revision);
+        (
+            items.into_iter().cloned().collect(),
+            self.large.notices_since(revision),
+        )
+    }
+
+    /// Returns the first changes after `revision`, [`MAX_BATCH`] small items at most, with the
+    /// revision up to which they are complete.
+    ///
+    /// The nodes that follow this one may all be far behind, as after an outage. Answers with all
+    /// changes since would fill this node's memory.
+    #[must_use]
+    pub fn batch_since(&self, revision: u64) -> (Vec<Item>, Vec<Notice>, u64) {
+        let mut items = self.small_since(revision);
+        let mut notices = self.large.notices_since(revision);
+        let mut until = self.revision;
+        if items.len() > MAX_BATCH {
+            items.truncate(MAX_BATCH);
+            until = items.last().map_or(until, |item| item.revision);
+            notices.retain(|notice| notice.revision <= until);
+        }
+        (items.into_iter().cloned().collect(), notices, until)
+    }
+
+    /// Returns the small items that changed after `revision`, in order.
+    fn small_since(&self, revision: u64) -> Vec<&Item> {
         let changed = self.items.values().filter(|item| item.revision > revision);
-        let small = changed.filter(|item| !self.large.has_large(&item.key));
-        let mut items: Vec<Item> = small.cloned().collect();
-        items.sort_by_key(|item| item.revision);
-        (items, notices)
+        let mut small: Vec<&Item> = changed
+            .filter(|item| !self.large.has_large(&item.key))
+            .collect();
+        small.sort_by_key(|item| item.revision);
+        small
     }
 
     /// Returns all items that changed after `revision`, including the large ones.
@@ -323,13 +406,16 @@
     }
 
     fn apply_server(&mut self, now: Instant, entry: ServerEntry, revision: u64) {
-        tracing::info!(
-            event = "server",
-            server = &*entry.id,
-            service = &*entry.service,
-            version = &*entry.version,
-            state = ?entry.state
-        );
+        // The servers of the first read are logged as one number.
+        if self.has_state() {
+            tracing::info!(
+                event = "server",
+                server = &*entry.id,
+                service = &*entry.service,
+                version = &*entry.version,
+                state = ?entry.state
+            );
+        }
         if let Some(server) = self.servers.get_mut(&entry.id) {
             if server.entry.started_ms == entry.started_ms {
                 server.update(now, entry, revision);
