Load is summed by zone before it goes to the top

Change: the hubs of a zone report to the hub of the zone, these to the top. A zone with one hub is as before. Data of other groups of a large zone is one report interval older. Tests: duty_top_answers_zones_only at 985 and 1,970 nodes; duty_all_nodes_agree follows the new level.

--- a/crates/core/src/gateway/load.rs
+++ b/crates/core/src/gateway/load.rs
@@ -8,9 +8,12 @@
 //! the number of nodes, not quadratic.
 //!
 //! Up to [`MAX_GROUP_NODES`] nodes form one group. With more nodes a group is an availability zone,
-//! or a part of a large one, since bytes between zones cost. Each hub reports the sum of its group
-//! to one of the hubs, the top, and receives the sum of the other groups. Every node thus has the
-//! load of all nodes, at most two report intervals old. Extrapolating from one group instead would
+//! or a part of a large one, since bytes between zones cost. The hubs of a zone report the sums of
+//! their groups to one of them, the hub of the zone, and receive the sum of the other groups; the
+//! hubs of the zones do the same with one of them, the top. So what crosses a zone's border does not
+//! grow with the nodes in it, and no node answers more than a group and a few hubs. Every node has
+//! the load of all nodes, two report intervals old, or three where a zone has several groups.
+//! Extrapolating from one group instead would
 //! count a prompt of that group four times and prompts of the other groups not at all: streams on
 //! servers that were overloaded in this way starved until their deadline.
 //!
@@ -63,9 +66,11 @@
 pub enum Duty<'a> {
     /// Reports to the named hub of its group.
     Member(&'a str),
-    /// Is the hub of its group and reports to the named top.
+    /// Is the hub of its group and reports to the named hub of its zone.
     Hub(&'a str),
-    /// Is the hub of its group and the top of all hubs.
+    /// Is the hub of its group and of its zone, and reports to the named top.
+    ZoneHub(&'a str),
+    /// Is the hub of its group and of its zone, and the top of all zones.
     Top,
 }
 
@@ -98,16 +103,27 @@
             *hub = *member;
         }
     }
-    let top = hubs.values().max_by_key(|hub| rank(hub));
-    let hub = local_group.map(|group| hubs[&group].name);
-    match (hub, top.map(|top| top.name)) {
-        (Some(hub), _) if hub != local => Duty::Member(hub),
-        (Some(_), Some(top)) if top != local => Duty::Hub(top),
-        // A node that is not yet in its own list of nodes reports to nobody.
+    // A node that is not yet in its own list of nodes reports to nobody.
+    let Some(group) = local_group else {
+        return Duty::Top;
+    };
+    let hub = hubs[&group].name;
+    if hub != local {
+        return Duty::Member(hub);
+    }
+    let of_zone = hubs.iter().filter(|((zone, _), _)| *zone == group.0);
+    let of_zone = of_zone.map(|(_, hub)| hub);
+    match (highest(of_zone), highest(hubs.values())) {
+        (Some(zone_hub), _) if zone_hub != local => Duty::Hub(zone_hub),
+        (_, Some(top)) if top != local => Duty::ZoneHub(top),
         _ => Duty::Top,
     }
 }
 
+fn highest<'a, 'b: 'a>(hubs: impl Iterator<Item = &'a Instance<'b>>) -> Option<&'b str> {
+    hubs.max_by_key(|hub| rank(hub)).map(|hub| hub.name)
+}
+
 fn rank(member: &Instance) -> Rank {
     member.rank(affinity::hash(b"hub"))
 }
--- a/crates/core/tests/all/gateway/load.rs
+++ b/crates/core/tests/all/gateway/load.rs
@@ -1,5 +1,7 @@
 //! Tests of the exchange of load between nodes.
 
+use std::collections::HashMap;
+
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity;
 use fescuerack_core::gateway::load::{self, Duty, Hub, MAX_GROUP_NODES, MAX_TABLE, PeerLoad};
@@ -100,10 +102,17 @@
     for (node, duty) in duties.iter().enumerate() {
         match duty {
             Duty::Top => {}
-            Duty::Hub(named) => {
+            Duty::ZoneHub(named) => {
                 assert_eq!(*named, top);
                 found += 1;
             }
+            Duty::Hub(named) => {
+                let at = nodes.iter().position(|member| member.name == *named);
+                let at = at.expect("a node");
+                assert!(matches!(duties[at], Duty::ZoneHub(_) | Duty::Top));
+                assert_eq!(nodes[at].zone, nodes[node].zone);
+                found += 1;
+            }
             Duty::Member(hub) => {
                 let at = nodes
                     .iter()
@@ -124,6 +133,47 @@
     assert_eq!(found, hubs);
 }
 
+/// Guards against a top that answers each hub of a fleet: what crosses zones, and what one node
+/// answers, does not grow with the nodes in a zone.
+#[rstest]
+#[case::fleet(985)]
+#[case::twice(1_970)]
+fn duty_top_answers_zones_only(#[case] count: usize) {
+    let names: Vec<(String, String)> = (0..count)
+        .map(|number| (format!("n{number}"), format!("z{}", number % 6)))
+        .collect();
+    let nodes: Vec<Instance> = names
+        .iter()
+        .map(|(name, zone)| Instance {
+            name,
+            zone,
+            link_mbps: 20,
+        })
+        .collect();
+    let duties = nodes.iter().map(|node| load::duty(node.name, &nodes));
+    let mut answered: HashMap<&str, usize> = HashMap::new();
+    let mut zone_hubs = 0;
+    for duty in duties {
+        let above = match duty {
+            Duty::Member(above) | Duty::Hub(above) => above,
+            Duty::ZoneHub(top) => {
+                zone_hubs += 1;
+                top
+            }
+            Duty::Top => continue,
+        };
+        *answered.entry(above).or_default() += 1;
+    }
+    assert_eq!(zone_hubs, 5);
+    // A group, which the hash may make half as large again, the hubs of a zone, and the zones.
+    let most = answered.values().max().copied();
+    let groups = count.div_ceil(6 * MAX_GROUP_NODES);
+    assert!(
+        most <= Some(MAX_GROUP_NODES * 3 / 2 + groups + 5),
+        "{most:?}"
+    );
+}
+
 /// Lets all hubs report to the top and all nodes report to their hubs at one time, and returns what
 /// each node receives.
 fn exchange(
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -21,8 +21,10 @@
 
 /// Path on which a hub receives the reports of the nodes of its group.
 pub const MEMBER_PATH: &str = "/load/member";
-/// Path on which the top receives the reports of the hubs.
+/// Path on which the hub of a zone receives the reports of the hubs of its groups.
 pub const GROUP_PATH: &str = "/load/group";
+/// Path on which the top receives the reports of the hubs of the zones.
+pub const ZONE_PATH: &str = "/load/zone";
 
 /// Values of a node or a group, by backend server.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -33,7 +35,7 @@
     attempts: Table,
 }
 
-/// The report of a node to its hub, or of a hub to the top.
+/// The report of a node to its hub, of a hub to the hub of its zone, or of that one to the top.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Report {
     /// Name of the reporting node.
@@ -41,7 +43,7 @@
     tables: Tables,
 }
 
-/// Reports that a node has received as a hub of its group, or as the top of the hubs.
+/// Reports that a node has received on one of the levels.
 #[derive(Clone, Debug, Default)]
 pub struct Aggregator {
     load: Hub,
@@ -59,7 +61,7 @@
         }
     }
 
-    /// Returns the sum of the group, to be reported to the top.
+    /// Returns the sum of all reports, to be reported to the next level.
     fn group_sum(&mut self) -> Tables {
         Tables {
             load: self.load.group_sum(now()),
@@ -78,6 +80,7 @@
 enum Role {
     Member(SocketAddr),
     Hub(SocketAddr),
+    ZoneHub(SocketAddr),
     Top,
 }
 
@@ -106,17 +109,27 @@
                     apply_peer_sums(&node, &others);
                 }
             }
-            Role::Hub(top) => {
+            Role::Hub(zone_hub) => {
                 apply_peer_sums(&node, &receive_member_report(&node, report));
                 let group = group_report(&node);
-                if let Some(other_groups) = send(&node, top, GROUP_PATH, &group).await {
+                if let Some(other_groups) = send(&node, zone_hub, GROUP_PATH, &group).await {
                     node.hub.borrow_mut().receive_other_groups(other_groups);
                 }
             }
+            Role::ZoneHub(top) => {
+                apply_peer_sums(&node, &receive_member_report(&node, report));
+                let zone = zone_report(&node);
+                if let Some(other_zones) = send(&node, top, ZONE_PATH, &zone).await {
+                    node.zone_hub.borrow_mut().receive_other_groups(other_zones);
+                }
+                receive_from_zone(&node);
+            }
             Role::Top => {
                 apply_peer_sums(&node, &receive_member_report(&node, report));
-                let other_groups = receive_group_report(&node, group_report(&node));
-                node.hub.borrow_mut().receive_other_groups(other_groups);
+                let zone = zone_report(&node);
+                let other_zones = node.top.borrow_mut().receive_report(zone);
+                node.zone_hub.borrow_mut().receive_other_groups(other_zones);
+                receive_from_zone(&node);
             }
         }
     }
@@ -193,13 +206,32 @@
     }
 }
 
+/// Records the report of the node's own group, as the hub of the zone, and returns that of the zone.
+fn zone_report(node: &Node) -> Report {
+    let group = group_report(node);
+    let mut zone_hub = node.zone_hub.borrow_mut();
+    zone_hub.receive_report(group);
+    Report {
+        node: node.settings.borrow().instance.clone(),
+        tables: zone_hub.group_sum(),
+    }
+}
+
+/// Passes what the hub of the zone has received to the node's own group.
+fn receive_from_zone(node: &Node) {
+    let group = group_report(node);
+    let other_groups = node.zone_hub.borrow_mut().receive_report(group);
+    node.hub.borrow_mut().receive_other_groups(other_groups);
+}
+
 fn role(node: &Node) -> Role {
     let view = node.view.borrow();
     let settings = node.settings.borrow();
     let nodes: Vec<_> = view.instances().collect();
     match load::duty(&settings.instance, &nodes) {
         Duty::Member(hub) => Role::Member(view.nodes[hub].address),
-        Duty::Hub(top) => Role::Hub(view.nodes[top].address),
+        Duty::Hub(zone_hub) => Role::Hub(view.nodes[zone_hub].address),
+        Duty::ZoneHub(top) => Role::ZoneHub(view.nodes[top].address),
         Duty::Top => Role::Top,
     }
 }
@@ -232,11 +264,12 @@
 /// When the report cannot be decoded.
 pub fn serve(node: &Node, path: &str, report: &[u8]) -> anyhow::Result<Vec<u8>> {
     let report = postcard::from_bytes(report)?;
-    let sum = if path == GROUP_PATH {
-        receive_group_report(node, report)
-    } else {
-        receive_member_report(node, report)
+    let level = match path {
+        GROUP_PATH => &node.zone_hub,
+        ZONE_PATH => &node.top,
+        _ => &node.hub,
     };
+    let sum = level.borrow_mut().receive_report(report);
     Ok(postcard::to_stdvec(&sum)?)
 }
 
@@ -244,8 +277,3 @@
 fn receive_member_report(node: &Node, report: Report) -> Tables {
     node.hub.borrow_mut().receive_report(report)
 }
-
-/// Records, as the top, the report of a hub and returns the sum of the other groups.
-fn receive_group_report(node: &Node, report: Report) -> Tables {
-    node.top.borrow_mut().receive_report(report)
-}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -82,7 +82,9 @@
     pub outliers: RefCell<Detector>,
     /// Reports from the nodes of its group, which this node receives as their hub.
     pub hub: RefCell<Aggregator>,
-    /// Reports from the hubs, which this node receives as the top.
+    /// Reports from the hubs of its zone, which this node receives as the hub of the zone.
+    pub zone_hub: RefCell<Aggregator>,
+    /// Reports from the hubs of the zones, which this node receives as the top.
     pub top: RefCell<Aggregator>,
     /// Usual timing of answers, by the latency class of their route and model.
     pub baselines: RefCell<HashMap<u64, Baseline>>,
@@ -137,6 +139,7 @@
             attempt_counts: RefCell::default(),
             outliers: RefCell::default(),
             hub: RefCell::default(),
+            zone_hub: RefCell::default(),
             top: RefCell::default(),
             baselines: RefCell::default(),
             waits: RefCell::default(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -338,7 +338,7 @@
 ) -> anyhow::Result<Option<Bytes>> {
     let answer = match path {
         PATH => serde_json::to_vec(&reply(node, serde_json::from_slice(body)?))?.into(),
-        load_report::MEMBER_PATH | load_report::GROUP_PATH => {
+        load_report::MEMBER_PATH | load_report::GROUP_PATH | load_report::ZONE_PATH => {
             load_report::serve(node, path, body)?.into()
         }
         publisher::PATH => {
