--- a/crates/gateway/src/bootstrap.rs
+++ b/crates/gateway/src/bootstrap.rs
@@ -7,7 +7,7 @@
 use fescuerack_core::gateway::bootstrap::{Action, Bootstrap, Provider};
 use rand::RngExt as _;
 
-use crate::clock::{deadline, now};
+use crate::clock::{age_ms, deadline, now};
 use crate::entry;
 use crate::follow;
 use crate::node::Node;
@@ -22,7 +22,13 @@
         let settings = node.settings.borrow();
         (settings.peers, settings.link_mbps)
     };
-    let mut bootstrap = Bootstrap::new(now(), local, link_mbps);
+    let started = now();
+    let source = get_state(node, Bootstrap::new(started, local, link_mbps)).await;
+    tracing::info!(event = "state", source, ms = age_ms(started));
+}
+
+/// Returns from where the state came, for the log.
+async fn get_state(node: &Rc<Node>, mut bootstrap: Bootstrap) -> &'static str {
     loop {
         let draw = node.random.borrow_mut().random();
         match bootstrap.next(now(), draw) {
@@ -33,13 +39,13 @@
                 claim(node, &mut bootstrap, draw, slot, revision).await;
             }
             Action::ReadStore => match read::read_all(node).await {
-                Ok(()) => return,
+                Ok(()) => return "store",
                 Err(_) => bootstrap.record_store_failure(now(), draw, known_peers(node, draw)),
             },
             Action::Ask(address) => match snapshot::receive(node, address).await {
                 Ok(()) => {
                     follow::set_parent(node, address);
-                    return;
+                    return "snapshot";
                 }
                 Err(refusal) => bootstrap.receive_refusal(now(), draw, address, refusal),
             },
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -298,9 +298,12 @@
 pub fn encode(items: &[Item]) -> anyhow::Result<Bytes> {
     let mut encoder = zstd::Encoder::new(Vec::new(), LEVEL)?;
     encoder.include_checksum(true)?;
+    let mut line = Vec::new();
     for item in items {
-        serde_json::to_writer(&mut encoder, item)?;
-        encoder.write_all(b"\n")?;
+        line.clear();
+        serde_json::to_writer(&mut line, item)?;
+        line.push(b'\n');
+        encoder.write_all(&line)?;
     }
     Ok(encoder.finish()?.into())
 }
