State of the exchange of load is one type with one owner

Node had six public cells of it that four modules reached into. load_exchange::Exchange owns them and is handed time and reports; load_report sends and answers. No change of behaviour; tests of outliers, routes and watchers pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -336,9 +336,7 @@
         {
             let short = load::short_id(server.identity);
             let is_failure = outcome != Outcome::Succeeded;
-            node.attempt_counts
-                .borrow_mut()
-                .observe(ended, short, is_failure);
+            node.load.record_attempt(ended, short, is_failure);
         }
         if let Some(outcome) = outcome
             && server.health.observe(ended, outcome)
--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -134,8 +134,8 @@
 /// Returns whether the server is ejected neither by this node nor by outlier detection across nodes.
 #[must_use]
 pub fn is_healthy(node: &Node, server: &Server, now: Instant) -> bool {
-    let outliers = node.outliers.borrow();
-    server.health.is_available(now) && !outliers.is_ejected(now, load::short_id(server.identity))
+    let short_id = load::short_id(server.identity);
+    server.health.is_available(now) && !node.load.is_ejected(now, short_id)
 }
 
 fn uses_new_version(node: &Node, order: &Order, session: u64) -> bool {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,8 @@
 //!   polled for [`updates`]. [`apply`] applies them to the [`view`], which contains every backend
 //!   [`server`].
 //! - [`registration`] enters the node in the store, [`peer`] exchanges state with other nodes, and
-//!   [`load_report`] publishes the load and the failures of backend servers.
+//!   [`load_report`] publishes the load and the failures of backend servers, the state of
+//!   [`load_exchange`].
 //! - [`fetch`] requests items that are too [`large`] for updates from other nodes, whose
 //!   [`publisher`] sends each as a [`delta`] against a former value. They are processed on another
 //!   thread ([`offload`]).
@@ -43,6 +44,7 @@
 pub mod intake;
 pub mod large;
 pub mod listeners;
+pub mod load_exchange;
 pub mod load_report;
 pub mod logs;
 pub mod message;
--- /dev/null
+++ b/crates/gateway/src/load_exchange.rs
@@ -0,0 +1,143 @@
+//! The load and the attempt counts that this node has observed and received.
+//!
+//! [`load`](fescuerack_core::gateway::load) describes how hubs aggregate the reports, and
+//! [`outlier`](fescuerack_core::gateway::outlier) what the attempt counts are used for.
+//! [`load_report`](crate::load_report) sends and answers the messages.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use fescuerack_core::clock::Instant;
+use fescuerack_core::gateway::load::{Hub, PeerLoad, Table};
+use fescuerack_core::gateway::outlier::{AttemptCounts, Detector, Window};
+use serde::{Deserialize, Serialize};
+
+/// Values of a node or a group, by backend server.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Tables {
+    /// Load.
+    pub load: Table,
+    /// Packed counts of the attempts that ended within the window.
+    pub attempts: Table,
+}
+
+/// The report of a node to its hub, of a hub to the hub of its zone, or of that one to the top.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Report {
+    /// Name of the reporting node.
+    pub node: String,
+    /// Its own values, or the sum of its group or zone.
+    pub tables: Tables,
+}
+
+/// Level on which reports are summed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// The nodes of a group.
+    Group,
+    /// The groups of a zone.
+    Zone,
+    /// The zones.
+    Top,
+}
+
+/// Reports that a node has received on one level.
+#[derive(Clone, Debug, Default)]
+struct Aggregator {
+    load: Hub,
+    attempts: Hub,
+}
+
+/// Load and attempt counts of this node and its peers.
+#[derive(Debug, Default)]
+pub struct Exchange {
+    peer_load: RefCell<PeerLoad>,
+    attempts: RefCell<Window>,
+    outliers: RefCell<Detector>,
+    group: RefCell<Aggregator>,
+    zone: RefCell<Aggregator>,
+    top: RefCell<Aggregator>,
+}
+
+impl Exchange {
+    /// Counts an attempt of this node on a server, given by its short identifier.
+    pub fn record_attempt(&self, now: Instant, server: u32, is_failure: bool) {
+        let mut attempts = self.attempts.borrow_mut();
+        attempts.observe(now, server, is_failure);
+    }
+
+    /// Returns the packed counts of this node's attempts within the window.
+    pub fn local_attempts(&self, now: Instant) -> Table {
+        self.attempts.borrow_mut().table(now)
+    }
+
+    /// Returns the load of the peers on a server, in requests of usual size.
+    #[must_use]
+    pub fn peer_work(&self, now: Instant, identity: u64) -> f64 {
+        self.peer_load.borrow().work(now, identity)
+    }
+
+    /// Whether all nodes have ejected a server, given by its short identifier.
+    #[must_use]
+    pub fn is_ejected(&self, now: Instant, server: u32) -> bool {
+        self.outliers.borrow().is_ejected(now, server)
+    }
+
+    /// Records a report on a level and returns the sum of all others there.
+    pub fn receive_report(&self, now: Instant, level: Level, report: Report) -> Tables {
+        let mut aggregator = self.aggregator(level).borrow_mut();
+        let Report { node, tables } = report;
+        Tables {
+            load: aggregator.load.report(now, &node, tables.load),
+            attempts: aggregator.attempts.report(now, &node, tables.attempts),
+        }
+    }
+
+    /// Returns the sum of all reports on a level, to be reported to the next one.
+    pub fn sum(&self, now: Instant, level: Level) -> Tables {
+        let mut aggregator = self.aggregator(level).borrow_mut();
+        Tables {
+            load: aggregator.load.group_sum(now),
+            attempts: aggregator.attempts.group_sum(now),
+        }
+    }
+
+    /// Records the sum of what is reported elsewhere, as received from the next level.
+    pub fn receive_others(&self, now: Instant, level: Level, others: Tables) {
+        let mut aggregator = self.aggregator(level).borrow_mut();
+        aggregator.load.receive(now, others.load);
+        aggregator.attempts.receive(now, others.attempts);
+    }
+
+    /// Records the load of all peers, and returns the attempts of all nodes by server.
+    pub fn receive_peers(&self, now: Instant, peers: &Tables) -> HashMap<u32, AttemptCounts> {
+        self.peer_load.borrow_mut().receive(now, &peers.load);
+        let mut sums: HashMap<u32, u32> = HashMap::new();
+        for &(server, counts) in self.local_attempts(now).iter().chain(&peers.attempts) {
+            let sum = sums.entry(server).or_default();
+            *sum = sum.saturating_add(counts);
+        }
+        let sums = sums.into_iter();
+        sums.map(|(server, counts)| (server, AttemptCounts::unpack(counts)))
+            .collect()
+    }
+
+    /// Compares the servers of one service and version by the attempts of all nodes, and returns
+    /// those that are ejected from now on.
+    pub fn detect_outliers(
+        &self,
+        now: Instant,
+        servers: &[u32],
+        counts: &HashMap<u32, AttemptCounts>,
+    ) -> Vec<u32> {
+        self.outliers.borrow_mut().detect(now, servers, counts)
+    }
+
+    const fn aggregator(&self, level: Level) -> &RefCell<Aggregator> {
+        match level {
+            Level::Group => &self.group,
+            Level::Zone => &self.zone,
+            Level::Top => &self.top,
+        }
+    }
+}
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -1,21 +1,19 @@
-//! Exchange of load and of attempt counts with the peers, through hubs.
+//! Messages of the [exchange](crate::load_exchange) of load and of attempt counts with the peers, through
+//! hubs.
 //!
 //! These messages are the most frequent ones and consist of numbers, so they are encoded in binary
 //! form.
-//!
-//! [`load`] describes how hubs aggregate the reports, and
-//! [`outlier`](fescuerack_core::gateway::outlier) what the attempt counts are used for.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use fescuerack_core::gateway::load::{self, Duty, Hub, Table};
+use fescuerack_core::gateway::load::{self, Duty, Table};
 use fescuerack_core::gateway::outlier::AttemptCounts;
-use serde::{Deserialize, Serialize};
 
 use crate::clock::now;
+use crate::load_exchange::{Level, Report, Tables};
 use crate::message;
 use crate::node::Node;
 
@@ -26,56 +24,6 @@
 /// Path on which the top receives the reports of the hubs of the zones.
 pub const ZONE_PATH: &str = "/load/zone";
 
-/// Values of a node or a group, by backend server.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Tables {
-    /// Load.
-    load: Table,
-    /// Packed counts of the attempts that ended within the window.
-    attempts: Table,
-}
-
-/// The report of a node to its hub, of a hub to the hub of its zone, or of that one to the top.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct Report {
-    /// Name of the reporting node.
-    node: String,
-    tables: Tables,
-}
-
-/// Reports that a node has received on one of the levels.
-#[derive(Clone, Debug, Default)]
-pub struct Aggregator {
-    load: Hub,
-    attempts: Hub,
-}
-
-impl Aggregator {
-    /// Records the report of a node and returns the sum of all others.
-    fn receive_report(&mut self, report: Report) -> Tables {
-        Tables {
-            load: self.load.report(now(), &report.node, report.tables.load),
-            attempts: self
-                .attempts
-                .report(now(), &report.node, report.tables.attempts),
-        }
-    }
-
-    /// Returns the sum of all reports, to be reported to the next level.
-    fn group_sum(&mut self) -> Tables {
-        Tables {
-            load: self.load.group_sum(now()),
-            attempts: self.attempts.group_sum(now()),
-        }
-    }
-
-    /// Records the sum of the other groups.
-    fn receive_other_groups(&mut self, other_groups: Tables) {
-        self.load.receive(now(), other_groups.load);
-        self.attempts.receive(now(), other_groups.attempts);
-    }
-}
-
 /// Role of this node, with the address of the node that it reports to.
 enum Role {
     Member(SocketAddr),
@@ -110,50 +58,70 @@
                 }
             }
             Role::Hub(zone_hub) => {
-                apply_peer_sums(&node, &receive_member_report(&node, report));
-                let group = group_report(&node);
-                if let Some(other_groups) = send(&node, zone_hub, GROUP_PATH, &group).await {
-                    node.hub.borrow_mut().receive_other_groups(other_groups);
+                receive_own(&node, report);
+                let group = sum(&node, Level::Group);
+                if let Some(others) = send(&node, zone_hub, GROUP_PATH, &group).await {
+                    node.load.receive_others(now(), Level::Group, others);
                 }
             }
             Role::ZoneHub(top) => {
-                apply_peer_sums(&node, &receive_member_report(&node, report));
+                receive_own(&node, report);
                 let zone = zone_report(&node);
-                if let Some(other_zones) = send(&node, top, ZONE_PATH, &zone).await {
-                    node.zone_hub.borrow_mut().receive_other_groups(other_zones);
+                if let Some(others) = send(&node, top, ZONE_PATH, &zone).await {
+                    node.load.receive_others(now(), Level::Zone, others);
                 }
-                receive_from_zone(&node);
+                pass_to_group(&node);
             }
             Role::Top => {
-                apply_peer_sums(&node, &receive_member_report(&node, report));
+                receive_own(&node, report);
                 let zone = zone_report(&node);
-                let other_zones = node.top.borrow_mut().receive_report(zone);
-                node.zone_hub.borrow_mut().receive_other_groups(other_zones);
-                receive_from_zone(&node);
+                let others = node.load.receive_report(now(), Level::Top, zone);
+                node.load.receive_others(now(), Level::Zone, others);
+                pass_to_group(&node);
             }
         }
     }
 }
 
+/// Records, as a hub, the report of this node itself, and applies what the others have reported.
+fn receive_own(node: &Node, report: Report) {
+    let others = node.load.receive_report(now(), Level::Group, report);
+    apply_peer_sums(node, &others);
+}
+
+/// Returns the sum of what this node has received on `level`.
+fn sum(node: &Node, level: Level) -> Report {
+    Report {
+        node: node.settings.borrow().instance.clone(),
+        tables: node.load.sum(now(), level),
+    }
+}
+
+/// Records the report of the node's own group, as the hub of the zone, and returns that of the zone.
+fn zone_report(node: &Node) -> Report {
+    let group = sum(node, Level::Group);
+    node.load.receive_report(now(), Level::Zone, group);
+    sum(node, Level::Zone)
+}
+
+/// Passes what the hub of the zone has received to the node's own group.
+fn pass_to_group(node: &Node) {
+    let group = sum(node, Level::Group);
+    let others = node.load.receive_report(now(), Level::Zone, group);
+    node.load.receive_others(now(), Level::Group, others);
+}
+
 fn local_tables(node: &Node) -> Tables {
     Tables {
         load: local_load(node),
-        attempts: node.attempt_counts.borrow_mut().table(now()),
+        attempts: node.load.local_attempts(now()),
     }
 }
 
 /// Applies the sums of all peers: records their load and runs outlier detection.
 fn apply_peer_sums(node: &Node, peers: &Tables) {
-    node.peer_load.borrow_mut().receive(now(), &peers.load);
-    let local = node.attempt_counts.borrow_mut().table(now());
-    let mut sums: HashMap<u32, u32> = HashMap::new();
-    for &(server, counts) in local.iter().chain(&peers.attempts) {
-        let sum = sums.entry(server).or_default();
-        *sum = sum.saturating_add(counts);
-    }
-    let counts = sums.into_iter();
-    let counts = counts.map(|(server, counts)| (server, AttemptCounts::unpack(counts)));
-    detect_outliers(node, &counts.collect());
+    let counts = node.load.receive_peers(now(), peers);
+    detect_outliers(node, &counts);
 }
 
 /// Ejects the servers that fail more often than the others of their service and version.
@@ -174,7 +142,7 @@
     }
     for ((service, version), names) in groups {
         let servers: Vec<u32> = names.keys().copied().collect();
-        for server in node.outliers.borrow_mut().detect(now(), &servers, counts) {
+        for server in node.load.detect_outliers(now(), &servers, counts) {
             tracing::warn!(
                 event = "server-left-out-by-all",
                 server = names[&server],
@@ -199,31 +167,6 @@
     .collect()
 }
 
-fn group_report(node: &Node) -> Report {
-    Report {
-        node: node.settings.borrow().instance.clone(),
-        tables: node.hub.borrow_mut().group_sum(),
-    }
-}
-
-/// Records the report of the node's own group, as the hub of the zone, and returns that of the zone.
-fn zone_report(node: &Node) -> Report {
-    let group = group_report(node);
-    let mut zone_hub = node.zone_hub.borrow_mut();
-    zone_hub.receive_report(group);
-    Report {
-        node: node.settings.borrow().instance.clone(),
-        tables: zone_hub.group_sum(),
-    }
-}
-
-/// Passes what the hub of the zone has received to the node's own group.
-fn receive_from_zone(node: &Node) {
-    let group = group_report(node);
-    let other_groups = node.zone_hub.borrow_mut().receive_report(group);
-    node.hub.borrow_mut().receive_other_groups(other_groups);
-}
-
 fn role(node: &Node) -> Role {
     let view = node.view.borrow();
     let settings = node.settings.borrow();
@@ -265,15 +208,10 @@
 pub fn serve(node: &Node, path: &str, report: &[u8]) -> anyhow::Result<Vec<u8>> {
     let report = postcard::from_bytes(report)?;
     let level = match path {
-        GROUP_PATH => &node.zone_hub,
-        ZONE_PATH => &node.top,
-        _ => &node.hub,
+        GROUP_PATH => Level::Zone,
+        ZONE_PATH => Level::Top,
+        _ => Level::Group,
     };
-    let sum = level.borrow_mut().receive_report(report);
+    let sum = node.load.receive_report(now(), level, report);
     Ok(postcard::to_stdvec(&sum)?)
 }
-
-/// Records, as a hub, the report of a node of the group and returns the sum of all other nodes.
-fn receive_member_report(node: &Node, report: Report) -> Tables {
-    node.hub.borrow_mut().receive_report(report)
-}
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,8 +8,6 @@
 use fescuerack_core::gateway::budget::Budget;
 use fescuerack_core::gateway::canary::Counts;
 use fescuerack_core::gateway::crash::Suspects;
-use fescuerack_core::gateway::load::PeerLoad;
-use fescuerack_core::gateway::outlier::{Detector, Window};
 use fescuerack_core::gateway::session::Recent;
 use fescuerack_core::gateway::slowness::Baseline;
 use fescuerack_core::gateway::wait::Wait;
@@ -20,7 +18,7 @@
 
 use crate::arrival::Arrivals;
 use crate::clock::{age_ms, now};
-use crate::load_report::Aggregator;
+use crate::load_exchange::Exchange;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
 use crate::publisher::Publisher;
@@ -72,20 +70,10 @@
     pub recent_sessions: RefCell<Recent>,
     /// Such sessions of other nodes, restricted to those that a canary would move.
     pub peer_sessions: RefCell<Recent>,
-    /// Load of the peers by server.
-    pub peer_load: RefCell<PeerLoad>,
+    /// Load and attempt counts of this node and its peers.
+    pub load: Exchange,
     /// Limits on requests to servers that are warming up.
     pub warming: RefCell<Warming>,
-    /// Counts of this node's recent attempts by server.
-    pub attempt_counts: RefCell<Window>,
-    /// Detector of outliers, the servers that all nodes eject.
-    pub outliers: RefCell<Detector>,
-    /// Reports from the nodes of its group, which this node receives as their hub.
-    pub hub: RefCell<Aggregator>,
-    /// Reports from the hubs of its zone, which this node receives as the hub of the zone.
-    pub zone_hub: RefCell<Aggregator>,
-    /// Reports from the hubs of the zones, which this node receives as the top.
-    pub top: RefCell<Aggregator>,
     /// Usual timing of answers, by the latency class of their route and model.
     pub baselines: RefCell<HashMap<u64, Baseline>>,
     /// Estimates of how long requests wait at a server, by service.
@@ -134,13 +122,8 @@
             tracked_attempts: RefCell::default(),
             recent_sessions: RefCell::default(),
             peer_sessions: RefCell::default(),
-            peer_load: RefCell::default(),
+            load: Exchange::default(),
             warming: RefCell::new(Warming::new(now())),
-            attempt_counts: RefCell::default(),
-            outliers: RefCell::default(),
-            hub: RefCell::default(),
-            zone_hub: RefCell::default(),
-            top: RefCell::default(),
             baselines: RefCell::default(),
             waits: RefCell::default(),
             arrivals: RefCell::default(),
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -196,7 +196,6 @@
     let now = now();
     let view = node.view.borrow();
     let settings = node.settings.borrow();
-    let others = node.peer_load.borrow();
     let servers = eligible::servers(node, &view, job, service, model, tried);
     let rank = route.models.iter().position(|name| Some(&**name) == model);
     let model_rank = rank.map(|rank| (rank, route.models.len()));
@@ -207,7 +206,7 @@
         .iter()
         .map(|server| Candidate {
             identity: server.identity,
-            load: server.work + others.work(now, server.identity),
+            load: server.work + node.load.peer_work(now, server.identity),
             slots: server.entry.slots,
             is_same_zone: *server.entry.zone == *settings.zone,
             is_healthy: eligible::is_healthy(node, server, now),
@@ -255,7 +254,6 @@
 pub fn pressure(node: &Node, job: &Job, service: &Arc<str>, rank: usize) -> Option<f64> {
     let now = now();
     let view = node.view.borrow();
-    let others = node.peer_load.borrow();
     let models = &job.route.models;
     let servers = eligible::servers(node, &view, job, service, Some(&models[rank]), &[]);
     let is_light = prefill_tokens(&job.head, Some((rank, models.len()))) < LIGHT_PREFILL_TOKENS;
@@ -263,7 +261,7 @@
     let loads: Vec<f64> = servers
         .iter()
         .filter(|server| pools.contains(server.identity, is_light))
-        .map(|server| server.work + others.work(now, server.identity))
+        .map(|server| server.work + node.load.peer_work(now, server.identity))
         .collect();
     let server_count = u32::try_from(loads.len()).ok().filter(|count| *count > 0)?;
     Some(loads.iter().sum::<f64>() / f64::from(server_count))
