--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -70,16 +70,19 @@
     }
 }
 
-/// Requests the item from each node that may have it, then from the store if it is time. Returns
-/// whether it was received.
+/// Requests the item from each node that may have it, those that failed last, then from the store if
+/// it is time. Returns whether it was received.
 async fn fetch(node: &Rc<Node>, awaited: &Awaited) -> bool {
     let mut allows_base = true;
-    for address in sources(node, awaited) {
+    let mut sources = sources(node, awaited);
+    sources.sort_by_cached_key(|address| node.failed_nodes.borrow().contains(*address));
+    for address in sources {
         let delta = match request(node, awaited, address, allows_base).await {
             Ok(ItemResponse::Found(delta)) => delta,
             Ok(ItemResponse::Behind | ItemResponse::Busy) => continue,
             Err(error) => {
                 log_failed(awaited, address, &error);
+                node.failed_nodes.borrow_mut().record(address);
                 continue;
             }
         };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -25,7 +25,7 @@
 use crate::peer;
 use crate::platform::{Page, StoreRequest, StoreResponse};
 use crate::read;
-use crate::source::{self, FailedWatchers, Parent, Peers, Source};
+use crate::source::{self, Parent, Peers, Source};
 use crate::store::Fault;
 use crate::updates::{self, Updates};
 
@@ -69,7 +69,7 @@
                 follow_any(&node, &source, peers, may_call).await
             }
             Source::Peers(peers) if now() >= follower.direct_until => {
-                if follower.follow_peers(&node, peers).await {
+                if follow_peers(&node, peers).await {
                     continue;
                 }
                 if !follower.may_call_store(&node, peers) {
@@ -79,7 +79,7 @@
                 follower.direct_until = now().plus_millis(watcher::DIRECT_WATCH_MS);
                 watch(&node, &source).await
             }
-            Source::Store if follow_parent(&node, &mut follower.failed).await => Step::Continue,
+            Source::Store if follow_parent(&node).await => Step::Continue,
             _ => watch(&node, &source).await,
         };
         has_history = step == Step::Continue;
@@ -89,7 +89,6 @@
 /// State of a node that follows other nodes.
 #[derive(Debug, Default)]
 struct Follower {
-    failed: FailedWatchers,
     /// Until when the node watches the store itself.
     direct_until: Instant,
     /// When it may call the store again, if it has deputies to poll.
@@ -97,13 +96,6 @@
 }
 
 impl Follower {
-    /// Polls hubs, parent and deputies in turn. Returns whether one gave a fresh response.
-    async fn follow_peers(&mut self, node: &Rc<Node>, peers: &Peers) -> bool {
-        follow_watcher(node, &peers.hubs, &mut self.failed).await
-            || follow_parent(node, &mut self.failed).await
-            || follow_watcher(node, &peers.deputies, &mut self.failed).await
-    }
-
     /// Returns whether the node may call the store now. The nodes that others rely on always may.
     fn may_call_store(&mut self, node: &Node, peers: &Peers) -> bool {
         if peers.deputies.is_empty() {
@@ -119,19 +111,34 @@
     }
 }
 
+/// Polls hubs, parent and deputies in turn. Returns whether one gave a fresh response.
+///
+/// They are one list, so that a node whose hubs are gone does not wait for them again before each
+/// poll of a deputy.
+async fn follow_peers(node: &Rc<Node>, peers: &Peers) -> bool {
+    let mut all = peers.hubs.clone();
+    all.extend(recent_parent(node));
+    all.extend_from_slice(&peers.deputies);
+    follow_watcher(node, &all).await
+}
+
 /// Records the node from which this one has received its state.
 pub fn set_parent(node: &Node, address: SocketAddr) {
     node.parent.set(Some(Parent::new(now(), address)));
 }
 
+/// Returns the parent, if the node started a moment ago.
+fn recent_parent(node: &Node) -> Option<(String, SocketAddr)> {
+    let parent = node.parent.get().filter(|parent| now() < parent.until)?;
+    Some(("parent".to_owned(), parent.address))
+}
+
 /// Polls the parent, if the node started a moment ago. Returns whether it gave a fresh response.
-async fn follow_parent(node: &Rc<Node>, failed: &mut FailedWatchers) -> bool {
-    let parent = node.parent.get().filter(|parent| now() < parent.until);
-    let Some(parent) = parent else {
+async fn follow_parent(node: &Rc<Node>) -> bool {
+    let Some(parent) = recent_parent(node) else {
         return false;
     };
-    let watchers = [("parent".to_owned(), parent.address)];
-    let is_fresh = follow_watcher(node, &watchers, failed).await;
+    let is_fresh = follow_watcher(node, &[parent]).await;
     if !is_fresh {
         node.parent.set(None);
     }
@@ -184,17 +191,14 @@
 }
 
 /// Polls the watchers in turn and applies the first fresh response. Returns whether there was one.
-async fn follow_watcher(
-    node: &Rc<Node>,
-    watchers: &[(String, SocketAddr)],
-    failed: &mut FailedWatchers,
-) -> bool {
-    for (name, address) in failed.ordered(watchers) {
+async fn follow_watcher(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> bool {
+    let watchers = node.failed_nodes.borrow().ordered(watchers);
+    for (name, address) in watchers {
         if let Some(updates) = fresh_updates(node, &name, address).await {
             apply_updates(node, &updates, address).await;
             return true;
         }
-        failed.record(address);
+        node.failed_nodes.borrow_mut().record(address);
     }
     false
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,7 +25,7 @@
 use crate::rollout::TrackedAttempt;
 use crate::settings::Settings;
 use crate::snapshot::Snapshots;
-use crate::source::Parent;
+use crate::source::{FailedNodes, Parent};
 use crate::store::Store;
 use crate::upstream::Pool;
 use crate::view::View;
@@ -84,6 +84,8 @@
     pub publisher: Publisher,
     /// State of serving snapshots to nodes that start.
     pub snapshots: Snapshots,
+    /// Nodes that recently failed, which are asked last.
+    pub failed_nodes: RefCell<FailedNodes>,
     /// Node that gave this one its first state.
     pub parent: Cell<Option<Parent>>,
     /// Notifies the fetcher that a large item is awaited.
@@ -129,6 +131,7 @@
             arrivals: RefCell::default(),
             publisher: Publisher::default(),
             snapshots: Snapshots::default(),
+            failed_nodes: RefCell::default(),
             parent: Cell::new(None),
             large_item_awaited: Notify::new(),
             followed_revision: watch::Sender::new(0),
--- a/crates/gateway/src/source.rs
+++ b/crates/gateway/src/source.rs
@@ -9,8 +9,8 @@
 use crate::clock::now;
 use crate::node::Node;
 
-/// Milliseconds for which a watcher that failed is polled last. This is a quarter of the 16 s for
-/// which the entry of a node without power remains, so such a node delays four polls at most.
+/// Milliseconds for which a node that failed is asked last. This is a quarter of the 16 s for
+/// which the entry of a node without power remains, so such a node delays four requests at most.
 const AVOIDANCE_MS: u64 = 4_000;
 
 /// Milliseconds after a start for which the parent is polled before the store: by then all nodes of
@@ -85,26 +85,31 @@
     }
 }
 
-/// Watchers that recently had no fresh updates.
+/// Nodes that recently failed: watchers without fresh updates, or nodes that did not answer.
 ///
-/// The entry of a watcher that does not answer remains until its lease expires. If it were polled
-/// first each time, every change would be most of a second late until then.
+/// The entry of a node that does not answer remains until its lease expires. If it were asked first
+/// each time, every change would be most of a second late until then.
 #[derive(Debug, Default)]
-pub struct FailedWatchers(HashMap<SocketAddr, Instant>);
+pub struct FailedNodes(HashMap<SocketAddr, Instant>);
 
-impl FailedWatchers {
-    /// Records that the watcher at `address` had no fresh updates.
+impl FailedNodes {
+    /// Records that the node at `address` failed.
     pub fn record(&mut self, address: SocketAddr) {
+        self.0.retain(|_, until| now() < *until);
         self.0.insert(address, now().plus_millis(AVOIDANCE_MS));
     }
 
-    /// Returns the watchers in the order in which they are polled: those that recently failed are
-    /// last.
+    /// Whether the node at `address` recently failed.
     #[must_use]
-    pub fn ordered(&mut self, watchers: &[(String, SocketAddr)]) -> Vec<(String, SocketAddr)> {
-        self.0.retain(|_, until| now() < *until);
-        let mut watchers = watchers.to_vec();
-        watchers.sort_by_key(|(_, address)| self.0.contains_key(address));
-        watchers
+    pub fn contains(&self, address: SocketAddr) -> bool {
+        self.0.get(&address).is_some_and(|until| now() < *until)
+    }
+
+    /// Returns the nodes in the order in which they are polled: those that recently failed are last.
+    #[must_use]
+    pub fn ordered(&self, nodes: &[(String, SocketAddr)]) -> Vec<(String, SocketAddr)> {
+        let mut nodes = nodes.to_vec();
+        nodes.sort_by_key(|(_, address)| self.contains(*address));
+        nodes
     }
 }
