A node whose hub is gone polls all others and the store at once

It polled one after the other: with both hubs gone it had no changes for 1.4 s. Now, when the first is not fresh, it polls the rest and, if it may, calls the store concurrently.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -59,25 +59,16 @@
         if !has_history {
             bootstrap::run(&node).await;
             peer::join_rollouts(&node).await;
-            has_history = true;
         }
         let source = source::current(&node);
         let is_outage = node.view.borrow().outage.is_ongoing();
         let step = match &source {
             Source::Peers(peers) if is_outage => {
                 let may_call = follower.may_call_store(&node, peers);
-                follow_any(&node, &source, peers, may_call).await
+                follow_any(&node, &source, &all_peers(&node, peers), may_call).await
             }
             Source::Peers(peers) if now() >= follower.direct_until => {
-                if follow_peers(&node, peers).await {
-                    continue;
-                }
-                if !follower.may_call_store(&node, peers) {
-                    back_off(&node).await;
-                    continue;
-                }
-                follower.direct_until = now().plus_millis(watcher::DIRECT_WATCH_MS);
-                watch(&node, &source).await
+                follower.follow_peers(&node, &source, peers).await
             }
             Source::Store if follow_parent(&node).await => Step::Continue,
             _ => watch(&node, &source).await,
@@ -96,6 +87,22 @@
 }
 
 impl Follower {
+    /// Polls the first peer. If it is not fresh, polls all others, and calls the store if the node
+    /// may, at the same time: a node that waited for one after the other would receive the changes
+    /// since the loss of its hubs seconds late.
+    async fn follow_peers(&mut self, node: &Rc<Node>, source: &Source, peers: &Peers) -> Step {
+        let mut all = all_peers(node, peers);
+        let others = all.split_off(1.min(all.len()));
+        if follow_watcher(node, &all).await {
+            return Step::Continue;
+        }
+        let may_call = self.may_call_store(node, peers);
+        if may_call {
+            self.direct_until = now().plus_millis(watcher::DIRECT_WATCH_MS);
+        }
+        follow_any(node, source, &others, may_call).await
+    }
+
     /// Returns whether the node may call the store now. The nodes that others rely on always may.
     fn may_call_store(&mut self, node: &Node, peers: &Peers) -> bool {
         if peers.deputies.is_empty() {
@@ -111,15 +118,12 @@
     }
 }
 
-/// Polls hubs, parent and deputies in turn. Returns whether one gave a fresh response.
-///
-/// They are one list, so that a node whose hubs are gone does not wait for them again before each
-/// poll of a deputy.
-async fn follow_peers(node: &Rc<Node>, peers: &Peers) -> bool {
+/// Returns hubs, recent parent and deputies in the order in which they are polled.
+fn all_peers(node: &Node, peers: &Peers) -> Vec<(String, SocketAddr)> {
     let mut all = peers.hubs.clone();
     all.extend(recent_parent(node));
     all.extend_from_slice(&peers.deputies);
-    follow_watcher(node, &all).await
+    node.failed_nodes.borrow().ordered(&all)
 }
 
 /// Records the node from which this one has received its state.
@@ -150,9 +154,14 @@
 ///
 /// During an outage of the store, watchers may not answer either. If they and the store were called
 /// one after the other, a node would detect the end of the outage up to 2.8 s late.
-async fn follow_any(node: &Rc<Node>, source: &Source, peers: &Peers, may_call: bool) -> Step {
+async fn follow_any(
+    node: &Rc<Node>,
+    source: &Source,
+    peers: &[(String, SocketAddr)],
+    may_call: bool,
+) -> Step {
     let mut polls = JoinSet::new();
-    for (name, address) in peers.hubs.iter().chain(&peers.deputies).cloned() {
+    for (name, address) in peers.iter().cloned() {
         let node = node.clone();
         polls.spawn_local(async move {
             let updates = fresh_updates(&node, &name, address).await?;
@@ -192,9 +201,8 @@
 
 /// Polls the watchers in turn and applies the first fresh response. Returns whether there was one.
 async fn follow_watcher(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> bool {
-    let watchers = node.failed_nodes.borrow().ordered(watchers);
-    for (name, address) in watchers {
-        if let Some(updates) = fresh_updates(node, &name, address).await {
+    for &(ref name, address) in watchers {
+        if let Some(updates) = fresh_updates(node, name, address).await {
             apply_updates(node, &updates, address).await;
             return true;
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -14,7 +14,7 @@
 use serde::de::DeserializeOwned;
 
 use crate::node::Node;
-use crate::upstream::{self, Sent};
+use crate::upstream::{self, PEER_IDLE_TIMEOUT, Sent};
 
 /// Default timeout for the head of a response. Nodes respond in milliseconds; connecting to one that
 /// is down takes longer and must not delay messages to others.
@@ -87,7 +87,8 @@
         Sent::NotSent(reason) | Sent::Broken(reason) => anyhow::bail!(reason),
     };
     let status = answered.response.status();
-    let body = upstream::collect(answered.response.into_body(), MAX_BYTES).await?;
+    let body = answered.response.into_body();
+    let body = upstream::collect(body, MAX_BYTES, PEER_IDLE_TIMEOUT).await?;
     node.pool.keep(answered.connection);
     count_bytes(node, path, Direction::In, body.len());
     ensure!(status.is_success(), "status {status}");
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -11,7 +11,7 @@
 
 use crate::offload;
 use crate::platform::{Platform, StoreRequest, StoreResponse};
-use crate::upstream::{self, Pool, Sent};
+use crate::upstream::{self, Pool, STORE_IDLE_TIMEOUT, Sent};
 
 /// Maximum size of a response in bytes. A page of items has a megabyte, or one large item.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -99,7 +99,7 @@
             Err(_) => return Err(Fault::Unknown(format!("no answer in {timeout:?}"))),
         };
         let (head, body) = answered.response.into_parts();
-        let body = upstream::collect(body, MAX_RESPONSE_BYTES).await;
+        let body = upstream::collect(body, MAX_RESPONSE_BYTES, STORE_IDLE_TIMEOUT).await;
         let body = body.map_err(|error| Fault::Unknown(error.to_string()))?;
         self.pool.keep(answered.connection);
         match self.decode(call, head.status, body).await? {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -37,24 +37,28 @@
 /// Time-out for reading an unneeded response.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(200);
 
-/// Maximum time between two frames of a body from the store or a peer. A configuration of 1,900
-/// routes is 0.6 MB, which takes half a second on an idle link of 10 Mbit/s and seconds on a shared
-/// one. A short time-out for the whole body would restart such a transfer over and over, so that it
-/// never completes.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Maximum time between two frames of a body from the store. A configuration of 1,900 routes is
+/// 0.6 MB, which takes half a second on an idle link of 10 Mbit/s and seconds on a shared one. A
+/// short time-out for the whole body would restart such a transfer over and over, so that it never
+/// completes.
+pub const STORE_IDLE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Maximum time between two frames of a body from a peer, which sends a few at a time. Other peers
+/// have the same, so a transfer that stalls is soon given up.
+pub const PEER_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time-out for a whole body from the store or a peer, even if its frames keep arriving.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Reads a body of at most `max_bytes` from the store or a peer.
+/// Reads a body of at most `max_bytes` from the store or a peer, with at most `idle` between two
+/// frames.
 ///
 /// # Errors
 ///
 /// When the body is truncated or too long, or on a time-out.
-pub async fn collect(body: Incoming, max_bytes: usize) -> anyhow::Result<Bytes> {
+pub async fn collect(body: Incoming, max_bytes: usize, idle: Duration) -> anyhow::Result<Bytes> {
     let read = async {
         let mut body = Limited::new(body, max_bytes);
         let mut bytes = BytesMut::new();
-        while let Some(frame) = tokio::time::timeout(BODY_IDLE_TIMEOUT, body.frame()).await? {
+        while let Some(frame) = tokio::time::timeout(idle, body.frame()).await? {
             let frame = frame.map_err(anyhow::Error::from_boxed)?;
             if let Ok(data) = frame.into_data() {
                 bytes.extend_from_slice(&data);
