A hub encodes changes once for all nodes that follow it, and compresses long ones

Change: an answer is a head of its own and a batch that is kept by revision; batches of 4 KB and more are compressed.

--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -27,6 +27,7 @@
 use crate::snapshot::Snapshots;
 use crate::source::{FailedNodes, Parent};
 use crate::store::Store;
+use crate::updates::Batches;
 use crate::upstream::Pool;
 use crate::view::View;
 use crate::warming::Warming;
@@ -82,6 +83,8 @@
     pub arrivals: RefCell<Arrivals>,
     /// State of serving large items to other nodes.
     pub publisher: Publisher,
+    /// Changes that were encoded for the nodes that follow this one.
+    pub batches: Batches,
     /// State of serving snapshots to nodes that start.
     pub snapshots: Snapshots,
     /// Nodes that recently failed, which are asked last.
@@ -130,6 +133,7 @@
             waits: RefCell::default(),
             arrivals: RefCell::default(),
             publisher: Publisher::default(),
+            batches: Batches::default(),
             snapshots: Snapshots::default(),
             failed_nodes: RefCell::default(),
             parent: Cell::new(None),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -349,7 +349,7 @@
         }
         updates::PATH => {
             let request = serde_json::from_slice(body)?;
-            serde_json::to_vec(&updates::serve(node, request).await)?.into()
+            updates::serve(node, request).await?
         }
         snapshot::PATH => {
             let request = serde_json::from_slice(body)?;
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -1,8 +1,16 @@
 //! Long polling of a watcher of the store for updates; see [`watcher`].
+//!
+//! A hub answers all nodes of its zone with the same changes. It encodes them once: the answer is a
+//! head, one line in JSON, and a batch of changes in JSON, compressed if it is long. When ten
+//! thousand servers register or a zone is lost, these batches fill the links of the hubs otherwise.
 
+use std::cell::RefCell;
+use std::io::Read as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
+
 use fescuerack_core::gateway::watcher;
 use serde::{Deserialize, Serialize};
 
@@ -15,6 +23,15 @@
 
 /// Path on which a watcher is polled.
 pub const PATH: &str = "/follow";
+/// Maximum number of encoded batches that are kept. Most nodes poll for the same changes, and some
+/// are a batch behind.
+const MAX_BATCHES: usize = 4;
+/// Minimum size in bytes of a batch that is compressed: some packets.
+const MIN_COMPRESSED_BYTES: usize = 4_096;
+/// Maximum size in bytes of a decoded batch.
+const MAX_DECODED_BYTES: u64 = 16 << 20;
+/// Compression level, the lowest of the library's usual range.
+const LEVEL: i32 = 1;
 /// Time that a poll may take beyond its wait at the watcher.
 const POLL_MARGIN: Duration = Duration::from_millis(300);
 
@@ -27,6 +44,58 @@
     /// would continue without these items, so they receive the items themselves.
     #[serde(default)]
     takes_notices: bool,
+    /// Whether the node accepts a head and a batch. Earlier versions of the program receive
+    /// [`Updates`] in JSON.
+    #[serde(default)]
+    takes_batch: bool,
+}
+
+/// The first line of an answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Head {
+    arrivals: Vec<Arrival>,
+    revision: u64,
+    age_ms: u64,
+    is_whole: bool,
+}
+
+/// Changes, as they follow the head.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct Batch {
+    items: Vec<Item>,
+    large: Vec<Notice>,
+}
+
+/// An encoded batch of the changes after `after` that this node had when it had followed the store
+/// to `followed`.
+#[derive(Clone, Debug)]
+struct EncodedBatch {
+    after: u64,
+    followed: u64,
+    /// Revision up to which these are all changes.
+    revision: u64,
+    bytes: Bytes,
+}
+
+/// The batches that this node has encoded last.
+#[derive(Debug, Default)]
+pub struct Batches(RefCell<Vec<EncodedBatch>>);
+
+impl Batches {
+    fn find(&self, after: u64, followed: u64) -> Option<EncodedBatch> {
+        let batches = self.0.borrow();
+        let mut batches = batches.iter();
+        let is_same = |batch: &&EncodedBatch| (batch.after, batch.followed) == (after, followed);
+        batches.find(is_same).cloned()
+    }
+
+    fn insert(&self, batch: EncodedBatch) {
+        let mut batches = self.0.borrow_mut();
+        if batches.len() >= MAX_BATCHES {
+            batches.remove(0);
+        }
+        batches.push(batch);
+    }
 }
 
 /// A watcher's response to a poll.
@@ -52,28 +121,100 @@
 ///
 /// # Errors
 ///
-/// When no response arrives in time.
+/// When no response arrives in time, or it cannot be decoded.
 pub async fn poll(node: &Node, address: SocketAddr, after: u64) -> anyhow::Result<Updates> {
     let timeout = Duration::from_millis(watcher::PEER_WAIT_MS) + POLL_MARGIN;
     let request = PollRequest {
         after,
         takes_notices: true,
+        takes_batch: true,
     };
-    message::send(node, address, PATH, &request, timeout).await
+    let request = serde_json::to_vec(&request)?;
+    decode(&message::exchange(node, address, PATH, request, timeout).await?)
 }
 
 /// Answers a poll as soon as there are updates, or after [`watcher::PEER_WAIT_MS`].
-pub async fn serve(node: &Node, request: PollRequest) -> Updates {
-    if node.store_age_ms() > watcher::MAX_AGE_MS {
-        // This node is stale: the polling node must poll another one without delay.
-        return updates_since(node, request);
+///
+/// # Errors
+///
+/// When the answer cannot be encoded.
+pub async fn serve(node: &Node, request: PollRequest) -> anyhow::Result<Bytes> {
+    // If this node is stale, the polling node must poll another one without delay.
+    if node.store_age_ms() <= watcher::MAX_AGE_MS {
+        let mut followed = node.followed_revision.subscribe();
+        let wait = Duration::from_millis(watcher::PEER_WAIT_MS);
+        let has_updates = followed.wait_for(|revision| *revision > request.after);
+        // A response without updates still reports how fresh this node is.
+        let _ = tokio::time::timeout(wait, has_updates).await;
+    }
+    if !request.takes_batch {
+        return Ok(serde_json::to_vec(&updates_since(node, request))?.into());
     }
-    let mut followed = node.followed_revision.subscribe();
-    let wait = Duration::from_millis(watcher::PEER_WAIT_MS);
-    let has_updates = followed.wait_for(|revision| *revision > request.after);
-    // A response without updates still reports how fresh this node is.
-    let _ = tokio::time::timeout(wait, has_updates).await;
-    updates_since(node, request)
+    let batch = find_or_encode(node, request.after)?;
+    let head = head(node, request.after, batch.revision);
+    let mut answer = serde_json::to_vec(&head)?;
+    answer.push(b'\n');
+    answer.extend_from_slice(&batch.bytes);
+    Ok(answer.into())
+}
+
+fn head(node: &Node, after: u64, revision: u64) -> Head {
+    Head {
+        arrivals: node.arrivals.borrow().since(now(), after),
+        revision,
+        age_ms: node.store_age_ms(),
+        is_whole: node.view.borrow().has_changes_since(after),
+    }
+}
+
+fn find_or_encode(node: &Node, after: u64) -> anyhow::Result<EncodedBatch> {
+    let view = node.view.borrow();
+    if let Some(batch) = node.batches.find(after, view.revision) {
+        return Ok(batch);
+    }
+    let (items, large, revision) = view.batch_since(after);
+    let batch = EncodedBatch {
+        after,
+        followed: view.revision,
+        revision,
+        bytes: encode_batch(&Batch { items, large })?,
+    };
+    node.batches.insert(batch.clone());
+    Ok(batch)
+}
+
+fn encode_batch(batch: &Batch) -> anyhow::Result<Bytes> {
+    let json = serde_json::to_vec(batch)?;
+    if json.len() < MIN_COMPRESSED_BYTES {
+        return Ok(json.into());
+    }
+    Ok(zstd::bulk::compress(&json, LEVEL)?.into())
+}
+
+fn decode(answer: &[u8]) -> anyhow::Result<Updates> {
+    let Some(end) = answer.iter().position(|byte| *byte == b'\n') else {
+        // An earlier version of the program answers in JSON without line breaks.
+        return Ok(serde_json::from_slice(answer)?);
+    };
+    let head: Head = serde_json::from_slice(&answer[..end])?;
+    let batch = &answer[end + 1..];
+    let is_json = batch.first() == Some(&b'{');
+    let batch: Batch = if is_json {
+        serde_json::from_slice(batch)?
+    } else {
+        let mut json = Vec::new();
+        let decoder = zstd::Decoder::new(batch)?;
+        decoder.take(MAX_DECODED_BYTES).read_to_end(&mut json)?;
+        serde_json::from_slice(&json)?
+    };
+    Ok(Updates {
+        items: batch.items,
+        large: batch.large,
+        arrivals: head.arrivals,
+        revision: head.revision,
+        age_ms: head.age_ms,
+        is_whole: head.is_whole,
+    })
 }
 
 fn updates_since(node: &Node, request: PollRequest) -> Updates {
