--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -87,20 +87,25 @@
 }
 
 impl Follower {
-    /// Polls the first peer. If it is not fresh, polls all others, and calls the store if the node
-    /// may, at the same time: a node that waited for one after the other would receive the changes
-    /// since the loss of its hubs seconds late.
+    /// Polls the first peer and, if it is not fresh, all others at once: a node that waited for one
+    /// after the other would receive the changes since the loss of its hubs seconds late. If none is
+    /// fresh, the node calls the store if it may.
     async fn follow_peers(&mut self, node: &Rc<Node>, source: &Source, peers: &Peers) -> Step {
         let mut all = all_peers(node, peers);
         let others = all.split_off(1.min(all.len()));
         if follow_watcher(node, &all).await {
             return Step::Continue;
         }
-        let may_call = self.may_call_store(node, peers);
-        if may_call {
+        if let Some((updates, address)) = poll_all(node, &others).await {
+            apply_updates(node, &updates, address).await;
+            return Step::Continue;
+        }
+        if self.may_call_store(node, peers) {
             self.direct_until = now().plus_millis(watcher::DIRECT_WATCH_MS);
+            return watch(node, source).await;
         }
-        follow_any(node, source, &others, may_call).await
+        back_off(node).await;
+        Step::Continue
     }
 
     /// Returns whether the node may call the store now. The nodes that others rely on always may.
@@ -149,17 +154,11 @@
     is_fresh
 }
 
-/// Polls all peers, and calls the store if it `may_call`, concurrently, and continues with the first
-/// answer.
-///
-/// During an outage of the store, watchers may not answer either. If they and the store were called
-/// one after the other, a node would detect the end of the outage up to 2.8 s late.
-async fn follow_any(
+/// Polls all peers at the same time, and returns the first fresh response and who gave it.
+async fn poll_all(
     node: &Rc<Node>,
-    source: &Source,
     peers: &[(String, SocketAddr)],
-    may_call: bool,
-) -> Step {
+) -> Option<(Updates, SocketAddr)> {
     let mut polls = JoinSet::new();
     for (name, address) in peers.iter().cloned() {
         let node = node.clone();
@@ -168,14 +167,26 @@
             Some((updates, address))
         });
     }
-    let first_fresh = async {
-        while let Some(answer) = polls.join_next().await {
-            if let Ok(Some(updates)) = answer {
-                return Some(updates);
-            }
+    while let Some(answer) = polls.join_next().await {
+        if let Ok(Some(fresh)) = answer {
+            return Some(fresh);
         }
-        None
-    };
+    }
+    None
+}
+
+/// Polls all peers during an outage of the store, calls the store at the same time if the node
+/// `may_call`, and continues with the first answer.
+///
+/// Watchers may not answer either. If they and the store were called one after the other, a node
+/// would detect the end of the outage up to 2.8 s late.
+async fn follow_any(
+    node: &Rc<Node>,
+    source: &Source,
+    peers: &[(String, SocketAddr)],
+    may_call: bool,
+) -> Step {
+    let first_fresh = poll_all(node, peers);
     tokio::pin!(first_fresh);
     if !may_call {
         let (updates, ()) = tokio::join!(&mut first_fresh, peer::catch_up(node));
