--- a/crates/core/src/gateway/bootstrap.rs
+++ b/crates/core/src/gateway/bootstrap.rs
@@ -8,9 +8,6 @@
 //! rest to these. So a tree forms even before the providers have read the store, and the number of
 //! sources multiplies while no node sends more than a few copies.
 //!
-//! Where the whole store is one page, as the record then says, each node reads it: that is one call,
-//! and no node waits for another.
-//!
 //! Records outlive their nodes. After a restart of the whole fleet the same nodes read the store
 //! again without any write. A record whose node does not answer, or does not become ready, is taken
 //! over by a conditional write, so one node wins however many try.
@@ -39,9 +36,6 @@
 /// Range of the random time added to it, in milliseconds: several calls to the store, so that most
 /// nodes see a claim before they try one.
 const CLAIM_JITTER_MS: u64 = 100;
-/// Maximum claim delay in milliseconds after which a node claims without another look: few nodes of
-/// a large fleet have such links.
-const MAX_UNCHECKED_DELAY_MS: u64 = 100;
 /// Mean of the milliseconds until a failed call to the store is tried again: at first, and at most.
 /// It doubles with each failure of a node that is no provider, since all nodes of a fleet call a
 /// store that is down.
@@ -68,8 +62,6 @@
     pub address: SocketAddr,
     /// Revision of the record.
     pub revision: u64,
-    /// Whether the whole store was one page when the node read it.
-    pub is_small: bool,
 }
 
 /// What a starting node does next.
@@ -173,7 +165,7 @@
     pub fn receive_providers(&mut self, now: Instant, draw: u64, providers: Vec<Provider>) {
         self.providers = providers;
         self.store_retry_ms = MIN_STORE_RETRY_MS;
-        if self.is_provider() || self.providers.iter().any(|one| one.is_small) {
+        if self.is_provider() {
             self.step = Step::ReadStore;
             return;
         }
@@ -187,14 +179,12 @@
         };
         let delay_ms = self.claim_delay_ms + draw % CLAIM_JITTER_MS;
         let claim_at = *self.claim_at.get_or_insert(now.plus_millis(delay_ms));
-        self.not_before = claim_at;
-        // After a longer wait another node may have the record, which a read tells for less.
-        let is_due = now >= claim_at || self.claim_delay_ms <= MAX_UNCHECKED_DELAY_MS;
-        self.step = if is_due {
-            Step::Claim { slot, revision }
+        if now >= claim_at {
+            self.step = Step::Claim { slot, revision };
         } else {
-            Step::Records
-        };
+            self.not_before = claim_at;
+            self.step = Step::Records;
+        }
     }
 
     /// Records that this node has written the record that it claimed, or that another one had.
--- a/crates/gateway/src/bootstrap.rs
+++ b/crates/gateway/src/bootstrap.rs
@@ -15,9 +15,6 @@
 use crate::read;
 use crate::snapshot;
 
-/// Word in the record of a provider for a store of one page.
-const SMALL: &str = "small";
-
 /// Gets the whole state of the store, from a peer or from the store itself. It also serves a node
 /// that has lost the history of the store.
 pub async fn run(node: &Rc<Node>) {
@@ -42,10 +39,7 @@
                 claim(node, &mut bootstrap, draw, slot, revision).await;
             }
             Action::ReadStore => match read::read_all(node).await {
-                Ok(pages) => {
-                    update_record(node, pages == 1).await;
-                    return "store";
-                }
+                Ok(()) => return "store",
                 Err(_) => bootstrap.record_store_failure(now(), draw, known_peers(node, draw)),
             },
             Action::Ask(address) => match snapshot::receive(node, address).await {
@@ -95,50 +89,16 @@
     }
 }
 
-/// Decodes a record: an address, and the word `small` where the store is one page.
 fn decode_record(prefix: &str, item: &Item) -> Option<Provider> {
     let slot = item.key.strip_prefix(prefix)?.parse().ok()?;
-    let mut words = item.value.as_ref()?.split(' ');
+    let address: SocketAddr = item.value.as_ref()?.parse().ok()?;
     Some(Provider {
         slot,
-        address: words.next()?.parse().ok()?,
+        address,
         revision: item.revision,
-        is_small: words.next() == Some(SMALL),
     })
 }
 
-/// Writes to the record of this node, if it has one, whether the store is small, unless it says so.
-async fn update_record(node: &Node, is_small: bool) {
-    let prefix = prefix(node);
-    let local = node.settings.borrow().peers;
-    let own = {
-        let view = node.view.borrow();
-        let records = view.items_with_prefix(&prefix);
-        let mut records = records.filter_map(|item| decode_record(&prefix, item));
-        records.find(|record| record.address == local)
-    };
-    let Some(record) = own.filter(|record| record.is_small != is_small) else {
-        return;
-    };
-    let key = format!("{prefix}{}", record.slot);
-    let value = if is_small {
-        format!("{local} {SMALL}")
-    } else {
-        local.to_string()
-    };
-    let put = StoreRequest::Put {
-        key: &key,
-        value: &value,
-        revision: Some(record.revision),
-        lease: None,
-    };
-    // Another node may have taken the record over; a later start corrects it.
-    match node.store.call(&put).await {
-        Ok(outcome) => tracing::info!(event = "provider-record", is_small, ?outcome),
-        Err(fault) => tracing::info!(event = "provider-record", is_small, reason = %fault),
-    }
-}
-
 async fn claim(node: &Rc<Node>, bootstrap: &mut Bootstrap, draw: u64, slot: usize, revision: u64) {
     let key = format!("{}{slot}", prefix(node));
     let value = node.settings.borrow().peers.to_string();
--- a/crates/gateway/src/read.rs
+++ b/crates/gateway/src/read.rs
@@ -83,18 +83,18 @@
     }
 }
 
-/// Reads the whole store and returns the number of its pages. They are not one snapshot, so the
-/// state is that of the first page, and the watch receives the changes made between the pages again.
+/// Reads the whole store. The pages are not one snapshot, so the state is that of the first page,
+/// and the watch receives the changes made between the pages again.
 ///
 /// # Errors
 ///
 /// When the store does not answer.
-pub async fn read_all(node: &Rc<Node>) -> Result<usize, Fault> {
+pub async fn read_all(node: &Rc<Node>) -> Result<(), Fault> {
     let mut load = Load::new(node);
     let mut revision = None;
     let mut after: Option<String> = None;
     let mut large = Vec::new();
-    let (mut count, mut pages) = (0, 0);
+    let mut count = 0;
     loop {
         let call = StoreRequest::Range {
             prefix: ALL_KEYS,
@@ -104,7 +104,6 @@
         let page = read_page(node, &call).await?;
         revision = revision.or(Some(page.revision));
         count += page.items.len();
-        pages += 1;
         after = page.items.last().map(|item| item.key.clone());
         let (offloaded, small): (Vec<Item>, Vec<Item>) =
             page.items.into_iter().partition(offload::is_needed);
@@ -119,7 +118,7 @@
     tracing::info!(event = "store-read", items = count, revision);
     node.arrivals.borrow_mut().record(revision, now());
     load.finish_read(revision);
-    Ok(pages)
+    Ok(())
 }
 
 /// Reads one page, and tries again if the call fails.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -183,12 +183,6 @@
         }
     }
 
-    /// Returns the items whose keys begin with `prefix`.
-    pub fn items_with_prefix(&self, prefix: &str) -> impl Iterator<Item = &Item> {
-        let items = self.items.values();
-        items.filter(move |item| item.key.starts_with(prefix))
-    }
-
     /// Returns all items, including tombstones.
     #[must_use]
     pub fn all_items(&self) -> Vec<Item> {
