After a lost history the nodes that others rely on read the store themselves

Cause, found by reading: a watcher whose history the store has forgotten asked the providers of its zone, which follow the watchers and may call a store only each 3 s at 985 nodes; all would wait for each other for up to 4 s.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -57,7 +57,7 @@
     let mut follower = Follower::default();
     loop {
         if !has_history {
-            bootstrap::run(&node).await;
+            get_state(&node).await;
             peer::join_rollouts(&node).await;
         }
         let source = source::current(&node);
@@ -77,6 +77,26 @@
     }
 }
 
+/// Gets the whole state, at the start or after the store has lost the history since this node's
+/// revision.
+///
+/// In the second case the nodes that others rely on read the store: they are few, and providers may
+/// follow them. The others take a snapshot.
+async fn get_state(node: &Rc<Node>) {
+    let is_start = !node.view.borrow().has_state();
+    let has_deputies = match source::current(node) {
+        Source::Peers(peers) => !peers.deputies.is_empty(),
+        Source::Store | Source::StoreAsWatcher => false,
+    };
+    if is_start || has_deputies {
+        bootstrap::run(node).await;
+        return;
+    }
+    while read::read_all(node).await.is_err() {
+        back_off(node).await;
+    }
+}
+
 /// State of a node that follows other nodes.
 #[derive(Debug, Default)]
 struct Follower {
