--- a/crates/gateway/src/read.rs
+++ b/crates/gateway/src/read.rs
@@ -19,7 +19,7 @@
 const PAGE_TRIES: usize = 4;
 /// Number of items that are applied before other tasks run. On an eighth of a core they take some
 /// milliseconds.
-pub const CHUNK_ITEMS: usize = 256;
+const CHUNK_ITEMS: usize = 256;
 
 /// The application of a whole state to the view, in pieces.
 pub struct Load<'a> {
@@ -37,10 +37,15 @@
         }
     }
 
-    /// Applies items that are decoded on this thread.
-    pub async fn apply_small(&mut self, items: &[Item]) {
-        self.list(items);
-        for chunk in items.chunks(CHUNK_ITEMS) {
+    /// Applies items, the large ones first: how long a server stays cold depends on the
+    /// configuration.
+    pub async fn apply(&mut self, items: Vec<Item>) {
+        let present = items.iter().filter(|item| item.value.is_some());
+        self.listed.extend(present.map(|item| item.key.clone()));
+        let (large, small): (Vec<Item>, Vec<Item>) =
+            items.into_iter().partition(offload::is_needed);
+        apply::apply_items(self.node, &large).await;
+        for chunk in small.chunks(CHUNK_ITEMS) {
             self.apply_chunk(chunk);
             tokio::task::yield_now().await;
         }
@@ -53,12 +58,6 @@
         }
     }
 
-    /// Applies items that are decoded on another thread.
-    pub async fn apply_large(&mut self, items: &[Item]) {
-        self.list(items);
-        apply::apply_items(self.node, items).await;
-    }
-
     /// Ends a read of the store as of `revision`.
     pub fn finish_read(self, revision: u64) {
         let Self { node, listed } = self;
@@ -76,11 +75,6 @@
         drop(view);
         apply::publish_view(node);
     }
-
-    fn list(&mut self, items: &[Item]) {
-        let present = items.iter().filter(|item| item.value.is_some());
-        self.listed.extend(present.map(|item| item.key.clone()));
-    }
 }
 
 /// Reads the whole store. The pages are not one snapshot, so the state is that of the first page,
@@ -93,7 +87,6 @@
     let mut load = Load::new(node);
     let mut revision = None;
     let mut after: Option<String> = None;
-    let mut large = Vec::new();
     let mut count = 0;
     loop {
         let call = StoreRequest::Range {
@@ -105,15 +98,11 @@
         revision = revision.or(Some(page.revision));
         count += page.items.len();
         after = page.items.last().map(|item| item.key.clone());
-        let (offloaded, small): (Vec<Item>, Vec<Item>) =
-            page.items.into_iter().partition(offload::is_needed);
-        large.extend(offloaded);
-        load.apply_small(&small).await;
+        load.apply(page.items).await;
         if !page.has_more {
             break;
         }
     }
-    load.apply_large(&large).await;
     let revision = revision.unwrap_or_default();
     tracing::info!(event = "store-read", items = count, revision);
     node.arrivals.borrow_mut().record(revision, now());
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -16,7 +16,7 @@
 use fescuerack_core::gateway::watcher;
 use rand::RngExt as _;
 use serde::{Deserialize, Serialize};
-use tokio::sync::{Mutex, mpsc, watch};
+use tokio::sync::{Mutex, watch};
 
 use crate::clock::{age_ms, deadline, now};
 use crate::fetch;
@@ -26,7 +26,7 @@
 use crate::offload;
 use crate::permits::{Permit, Permits};
 use crate::platform::Item;
-use crate::read::{CHUNK_ITEMS, Load};
+use crate::read::Load;
 use crate::view::Completeness;
 
 /// Path on which a node serves snapshots.
@@ -248,27 +248,13 @@
 }
 
 async fn apply(node: &Node, peer: SocketAddr, frame: Frame) -> anyhow::Result<()> {
-    let mut load = Load::new(node);
-    let mut large = Vec::new();
-    let mut count = 0;
-    let (chunks, mut receiver) = mpsc::channel(1);
     let bytes = frame.bytes.clone();
     node.snapshots.keep(frame.clone());
-    let decoding = offload::run(move || decode(&bytes, &chunks));
-    let applying = async {
-        while let Some(items) = receiver.recv().await {
-            let items: Vec<Item> = items;
-            count += items.len();
-            // The other thread is occupied until the frame has been decoded.
-            let (offloaded, small): (Vec<Item>, Vec<Item>) =
-                items.into_iter().partition(offload::is_needed);
-            large.extend(offloaded);
-            load.apply_small(&small).await;
-        }
-    };
-    let (decoded, ()) = tokio::join!(decoding, applying);
-    decoded??;
-    load.apply_large(&large).await;
+    // Nothing is applied of a damaged frame.
+    let items = offload::run(move || decode(&bytes)).await??;
+    let count = items.len();
+    let mut load = Load::new(node);
+    load.apply(items).await;
     node.store_answered
         .set(frame.answered_at.max(node.store_answered.get()));
     let revision = frame.completeness.revision;
@@ -308,21 +294,15 @@
     Ok(encoder.finish()?.into())
 }
 
-/// Decodes a frame and sends its items in chunks.
+/// Decodes a frame.
 ///
 /// # Errors
 ///
 /// When the frame is damaged.
-pub fn decode(frame: &[u8], chunks: &mpsc::Sender<Vec<Item>>) -> anyhow::Result<()> {
-    let mut lines = BufReader::new(zstd::Decoder::new(frame)?).lines();
-    loop {
-        let mut chunk = Vec::with_capacity(CHUNK_ITEMS);
-        for line in lines.by_ref().take(CHUNK_ITEMS) {
-            chunk.push(serde_json::from_str(&line?)?);
-        }
-        if chunk.is_empty() {
-            return Ok(());
-        }
-        chunks.blocking_send(chunk)?;
+pub fn decode(frame: &[u8]) -> anyhow::Result<Vec<Item>> {
+    let mut items = Vec::new();
+    for line in BufReader::new(zstd::Decoder::new(frame)?).lines() {
+        items.push(serde_json::from_str(&line?)?);
     }
+    Ok(items)
 }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -183,10 +183,14 @@
         }
     }
 
-    /// Returns all items, including tombstones.
+    /// Returns all items, including tombstones, in the order of their keys, as the store lists them.
+    ///
+    /// A node must apply them in this order: the record of a roll-out is ignored before its order.
     #[must_use]
     pub fn all_items(&self) -> Vec<Item> {
-        self.items.values().cloned().collect()
+        let mut items: Vec<Item> = self.items.values().cloned().collect();
+        items.sort_unstable_by(|left, right| left.key.cmp(&right.key));
+        items
     }
 
     /// Whether [`items_since`](Self::items_since) returns every change after `revision`.
