--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -240,7 +240,7 @@
         )
     }
 
-    /// Returns the first changes after `revision`, [`MAX_BATCH`] small items at most, with the
+    /// Returns the first changes after `revision`, `MAX_BATCH` small items at most, with the
     /// revision up to which they are complete.
     ///
     /// The nodes that follow this one may all be far behind, as after an outage. Answers with all
