--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use anyhow::Context as _;
+use anyhow::{Context as _, ensure};
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::bootstrap::{self, Receivers, Refusal};
@@ -170,11 +170,12 @@
 /// A node that starts takes any state, since it follows the changes afterwards. One that has lost
 /// the history needs a state that is not as old as its own.
 fn can_serve(node: &Node, after: u64) -> bool {
+    let view = node.view.borrow();
     if after == 0 {
-        return true;
+        return view.has_state() || node.snapshots.kept(now(), 0).is_some();
     }
     let is_fresh = node.store_age_ms() <= watcher::MAX_AGE_MS;
-    is_fresh && node.view.borrow().revision >= after
+    is_fresh && view.revision >= after
 }
 
 async fn find_or_encode(node: &Node, min_revision: u64) -> anyhow::Result<Frame> {
@@ -185,6 +186,8 @@
     }
     let (items, completeness, notices) = {
         let view = node.view.borrow();
+        // The frame of a node that is still applying it may have expired.
+        ensure!(view.has_state(), "the state is not whole yet");
         let notices = view.large.notices_since(0);
         (view.all_items(), view.completeness(), notices)
     };
