--- a/crates/core/src/gateway/bootstrap.rs
+++ b/crates/core/src/gateway/bootstrap.rs
@@ -12,8 +12,7 @@
 //! again without any write. A record whose node does not answer, or does not become ready, is taken
 //! over by a conditional write, so one node wins however many try.
 
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 use crate::clock::Instant;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -5,8 +5,8 @@
 //! and asks a peer for newer items.
 //!
 //! In a region with large availability zones only two nodes watch the store. The hubs of the zones
-//! poll these watchers, and the other nodes poll their hubs ([`watcher`]). A node for which none of
-//! them is fresh watches the store itself.
+//! poll these watchers, and the other nodes poll their hubs ([`watcher`]). If none of them is fresh,
+//! hubs and deputies watch the store themselves, and the others at a bounded rate.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
