A trace of each stream at the stand-in engines, and the logs of all processes of a failed restart

Hypotheses for one finished request too many: the stand-in counts a stream twice that was cut and resumed; a node sends an attempt twice; a peer repeats a request of a stopped node. Neither counts nor logs told them apart.

--- a/crates/node/tests/all/shutdown.rs
+++ b/crates/node/tests/all/shutdown.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdown of real processes under load.
 
+use std::collections::BTreeMap;
 use std::io::{Read as _, Write as _};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use fescuerack_client::{Agent, HttpStore, ledger};
+use fescuerack_standin::Step;
 use fescuerack_wire::{chat, header};
 use rstest::rstest;
 use serde_json::json;
@@ -120,7 +122,14 @@
     }
 }
 
-fn restart(cluster: &Cluster, load: &Load, processes: &mut [Process], index: usize, limits: &str) {
+/// Restarts a process; returns the former one, whose log is needed if the test fails.
+fn restart(
+    cluster: &Cluster,
+    load: &Load,
+    processes: &mut [Process],
+    index: usize,
+    limits: &str,
+) -> Process {
     let leaving = processes[index].callers.clone();
     processes[index].terminate();
     wait_until("readiness is withdrawn", || !processes[index].is_ready());
@@ -131,9 +140,10 @@
         .retain(|target| *target != leaving);
     let exit = processes[index].child.wait().expect("an exit");
     assert!(exit.success(), "{exit}");
-    processes[index] = cluster.start_with(&format!("entry-{index}"), limits);
-    let target = processes[index].callers.clone();
+    let restarted = cluster.start_with(&format!("entry-{index}"), limits);
+    let target = restarted.callers.clone();
     load.targets.write().expect("no panic").push(target);
+    std::mem::replace(&mut processes[index], restarted)
 }
 
 // All instances are restarted one after another under load. Guards against
@@ -154,6 +164,7 @@
         stop: AtomicBool::new(false),
         results: Results::default(),
     };
+    let mut former = Vec::new();
     std::thread::scope(|scope| {
         let clients: Vec<_> = (0..CLIENTS)
             .map(|number| {
@@ -164,7 +175,7 @@
             })
             .collect();
         for index in 0..INSTANCES {
-            restart(&cluster, &load, &mut processes, index, limits);
+            former.push(restart(&cluster, &load, &mut processes, index, limits));
         }
         load.stop.store(true, Ordering::SeqCst);
         for client in clients {
@@ -178,6 +189,24 @@
     check_counts(&cluster, &load.results);
 }
 
+/// Prints the steps of the attempts that did not simply start and finish.
+fn print_traces(cluster: &Cluster) {
+    for (number, engine) in cluster.engines.iter().enumerate() {
+        let mut by_attempt = BTreeMap::<_, Vec<_>>::new();
+        for entry in engine.trace() {
+            let steps = by_attempt.entry(entry.attempt).or_default();
+            steps.push((entry.at, entry.step));
+        }
+        let is_usual =
+            |steps: &[(Duration, Step)]| matches!(steps, [(_, Step::Started), (_, Step::Finished)]);
+        for (attempt, steps) in by_attempt {
+            if !is_usual(&steps) {
+                println!("engine {number}, attempt {attempt}: {steps:?}");
+            }
+        }
+    }
+}
+
 fn check_counts(cluster: &Cluster, results: &Results) {
     let chats = results.chats.load(Ordering::SeqCst);
     let mut bookings = results.bookings.lock().expect("no panic").clone();
@@ -190,6 +219,9 @@
         finished += counts.1;
         cancelled += counts.2;
     }
+    if (started, finished, cancelled) != (chats, chats, 0) {
+        print_traces(cluster);
+    }
     assert_eq!((started, finished, cancelled), (chats, chats, 0));
     let runs = cluster.services[0].runs();
     assert_eq!(runs.len(), bookings.len());
--- a/crates/node/tests/all/support.rs
+++ b/crates/node/tests/all/support.rs
@@ -35,6 +35,7 @@
     pub operators: String,
     pub instance: String,
     pub peers: String,
+    log: tempfile::NamedTempFile,
     _settings: tempfile::NamedTempFile,
 }
 
@@ -167,11 +168,12 @@
         let mut file = tempfile::NamedTempFile::new().expect("a temporary file");
         file.write_all(settings.as_bytes())
             .expect("settings are written");
+        let log = tempfile::NamedTempFile::new().expect("a temporary file");
         let mut child = Command::new(build.path())
             .args(["run", "--settings"])
             .arg(file.path())
             .stdout(Stdio::piped())
-            .stderr(Stdio::null())
+            .stderr(log.reopen().expect("the log is writable"))
             .spawn()
             .expect("the process starts");
         let addresses = read_addresses(&mut child);
@@ -181,6 +183,7 @@
             operators: addresses("operators"),
             instance: instance.to_owned(),
             peers: addresses("peers").trim_start_matches("http://").to_owned(),
+            log,
             _settings: file,
         }
     }
@@ -256,9 +259,14 @@
 }
 
 impl Drop for Process {
+    /// Ends the process, and prints its log if the test fails.
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(self.log.path()).unwrap_or_default();
+            println!("log of {}:\n{log}", self.instance);
+        }
     }
 }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -37,6 +37,32 @@
     pub token_ms: u64,
 }
 
+/// What happened to one attempt at an engine, for the log of a failed test.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// The attempt arrived.
+    Started,
+    /// A resumption after this many events arrived.
+    Resumed(u64),
+    /// The client closed the connection after this many events.
+    Closed(u64),
+    /// The last event was handed to the connection.
+    Finished,
+    /// The attempt was cancelled.
+    Cancelled,
+}
+
+/// A step of an attempt and its time since the engine started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TraceEntry {
+    /// Time since the engine started.
+    pub at: Duration,
+    /// Identifier of the attempt.
+    pub attempt: String,
+    /// What happened.
+    pub step: Step,
+}
+
 /// One attempt, kept so that it can be resumed or cancelled.
 #[derive(Clone, Debug)]
 struct Attempt {
@@ -67,6 +93,8 @@
     running: AtomicU64,
     work: AtomicU64,
     orders: Orders,
+    since: Instant,
+    trace: Mutex<Vec<TraceEntry>>,
 }
 
 /// A running stand-in engine.
@@ -97,6 +125,8 @@
             running: AtomicU64::new(0),
             work: AtomicU64::new(0),
             orders: Orders::default(),
+            since: Instant::now(),
+            trace: Mutex::default(),
         });
         let for_handler = Arc::clone(&shared);
         let handler: crate::Handler = Arc::new(move |request| {
@@ -159,6 +189,13 @@
         )
     }
 
+    /// Returns the steps of all attempts so far.
+    #[must_use]
+    pub fn trace(&self) -> Vec<TraceEntry> {
+        let trace = self.shared.trace.lock();
+        trace.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Returns how many connections were accepted.
     #[must_use]
     pub fn connections(&self) -> u64 {
@@ -167,6 +204,16 @@
 }
 
 impl Shared {
+    fn record_step(&self, attempt: &str, step: Step) {
+        let entry = TraceEntry {
+            at: self.since.elapsed(),
+            attempt: attempt.to_owned(),
+            step,
+        };
+        let mut trace = self.trace.lock().unwrap_or_else(PoisonError::into_inner);
+        trace.push(entry);
+    }
+
     async fn serve(self: &Arc<Self>, request: Request) -> Response {
         if self.faults.get(Fault::Down) > 0 {
             return None;
@@ -205,6 +252,7 @@
             finished: Arc::default(),
             cancelled: watch::Sender::new(false),
         };
+        self.record_step(&attempt.id, Step::Started);
         self.record(attempt.clone());
         self.started.fetch_add(1, Ordering::SeqCst);
         let delay_ms = self.faults.get(Fault::DelayMs);
@@ -216,6 +264,7 @@
     }
 
     fn resume(self: &Arc<Self>, id: &str, from: u64) -> Response {
+        self.record_step(id, Step::Resumed(from));
         let attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
         let attempt = attempts.by_id.get(id).cloned();
         drop(attempts);
@@ -230,6 +279,7 @@
         let mut attempts = self.attempts.lock().unwrap_or_else(PoisonError::into_inner);
         match attempts.by_id.remove(id) {
             Some(attempt) => {
+                self.record_step(id, Step::Cancelled);
                 if !attempt.finished.load(Ordering::SeqCst) {
                     self.cancelled.fetch_add(1, Ordering::SeqCst);
                 }
@@ -307,11 +357,15 @@
             let event = attempt.answer.event(&attempt.id, position);
             // The attempt is kept: a caller that disconnects may resume it.
             if sender.send_data(event).await.is_err() {
+                self.record_step(&attempt.id, Step::Closed(position));
                 return;
             }
         }
         let done = Bytes::from(format!("data: {}\n\n", chat::DONE));
-        if sender.send_data(done).await.is_ok() {
+        if sender.send_data(done).await.is_err() {
+            self.record_step(&attempt.id, Step::Closed(attempt.answer.events()));
+        } else {
+            self.record_step(&attempt.id, Step::Finished);
             attempt.finished.store(true, Ordering::SeqCst);
             self.finished.fetch_add(1, Ordering::SeqCst);
         }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,7 +14,7 @@
 mod service;
 mod store;
 
-pub use engine::{Engine, Pace};
+pub use engine::{Engine, Pace, Step, TraceEntry};
 pub use fault::{Fault, Faults};
 pub use faulty_store::{FaultRates, FaultyStore};
 pub use http::{Body, Handler, Request, Response, Server};
