A long watch of the store is probed, so that one the store has lost is replaced in a second

Change: while a long watch waits, the node reads its own entry (may be stale: a tenth of a read's price) once a second on another connection. No answer in 0.7 s, or a revision that the watch should have returned 0.3 s ago, ends the watch; the node goes on as in any outage, with short watches.

Test watch_swallowed_call_is_replaced (2 s, as the test of outages beside it): failed before (version 7 not active within 2 s), passes now.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -24,14 +24,14 @@
 use crate::node::Node;
 use crate::peer;
 use crate::platform::{Page, StoreRequest, StoreResponse};
+use crate::probe;
 use crate::read;
 use crate::source::{self, Parent, Peers, Source};
 use crate::store::Fault;
 use crate::updates::{self, Updates};
 
 /// Milliseconds that a watch waits at the store. A watch on a dead connection times out one second
-/// after that, so this bounds how long a node can miss changes; they must become active within some
-/// seconds.
+/// after that, unless a [`probe`] detects it earlier.
 const WATCH_WAIT_MS: u64 = 3_000;
 /// Milliseconds for which changes accumulate before the next watch.
 const BATCH_MS: u64 = 250;
@@ -304,7 +304,12 @@
         after,
         wait_ms,
     };
-    match call_store(node, &call, is_outage).await {
+    let answer = if is_outage || *source != Source::Store {
+        call_store(node, &call, is_outage).await
+    } else {
+        probe::watch(node, &call, after).await
+    };
+    match answer {
         Ok(StoreResponse::Page(page)) => {
             record_answer(node, "watch");
             let has_changes = !page.items.is_empty();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod permits;
 pub mod pick;
 pub mod platform;
+pub mod probe;
 pub mod process;
 pub mod progress;
 pub mod publisher;
