A node that awaits a large item does not wait for peers that have just failed

Callers saw: a route that was added 3 s before was unknown (404) on nodes whose two watchers had been cut off while they sent the configuration. Evidence: a log of fetch_loss_of_the_watchers_in_a_transfer_is_survived with the time at which each node has the change. Where all nodes had the notice and the watchers were gone in that moment, each round of the fetch asked both again, 0.3 s each, one after the other; the read of the store, due after 0.8 s, began at 1.8 s and the last node had the item at 2.89 s (bound 3 s).

Change: unless the store is out, nodes that failed in the last 4 s are not asked. In an outage they are asked last, as before, since the store cannot be.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -70,12 +70,21 @@
     }
 }
 
-/// Requests the item from each node that may have it, those that failed last, then from the store if
-/// it is time. Returns whether it was received.
+/// Requests the item from each node that may have it, then from the store if it is time. Returns
+/// whether it was received.
+///
+/// Nodes that failed a moment ago are asked only during an outage of the store: waiting for them
+/// would delay the read of the store.
 async fn fetch(node: &Rc<Node>, awaited: &Awaited) -> bool {
+    let is_outage = node.view.borrow().outage.is_ongoing();
     let mut allows_base = true;
     let mut sources = sources(node, awaited);
-    sources.sort_by_cached_key(|address| node.failed_nodes.borrow().contains(*address));
+    let has_failed = |address: &SocketAddr| node.failed_nodes.borrow().contains(*address);
+    if is_outage {
+        sources.sort_by_cached_key(has_failed);
+    } else {
+        sources.retain(|address| !has_failed(address));
+    }
     for address in sources {
         let delta = match request(node, awaited, address, allows_base).await {
             Ok(ItemResponse::Found(delta)) => delta,
@@ -98,7 +107,6 @@
             }
         }
     }
-    let is_outage = node.view.borrow().outage.is_ongoing();
     if is_outage || now() < awaited.since.plus_millis(PEERS_ONLY_MS) {
         return false;
     }
