Deputies call the store together with their peers, and stale deputies are polled again

Evidence, same test, the case in which no notice was out: the watchers are blocked 0.5 s after the change; all nodes find the first one silent at 0.84 s; deputies then poll the second, 0.7 s, and only then call the store; the others take the deputies' answers (their store age is 1.3 to 1.5 s, limit 1.2 s) for stale in the moment in which these change over, and wait 0.7 s for the second watcher as well.

Change: hubs and deputies poll their other peers and call the store at the same time (Follower::follow_any, which the outage used already). While a peer is silent, stale deputies are polled again. A peer that has not answered 0.1 s after one without news counts as failed, so it is asked last.

Calls: only hubs and deputies whose first hub is silent make one more call than before. The test's bound and text are as they were.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,6 +8,7 @@
 //! poll these watchers, and the other nodes poll their hubs ([`watcher`]). If none of them is fresh,
 //! hubs and deputies watch the store themselves, and the others at a bounded rate.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -39,6 +40,8 @@
 /// not answer times out only seconds later, and a node that started one just before the end of the
 /// outage would receive nothing in the meantime.
 const OUTAGE_WATCH_WAIT_MS: u64 = 50;
+/// Time after the first answer without news in which the other peers must answer.
+const STRAGGLER_DELAY: Duration = Duration::from_millis(100);
 /// Mean of the milliseconds between two calls during an outage.
 const RETRY_DELAY_MS: u64 = 350;
 
@@ -64,8 +67,7 @@
         let is_outage = node.view.borrow().outage.is_ongoing();
         let step = match &source {
             Source::Peers(peers) if is_outage => {
-                let may_call = follower.may_call_store(&node, peers);
-                follow_any(&node, &source, &all_peers(&node, peers), may_call).await
+                follower.follow_in_outage(&node, &source, peers).await
             }
             Source::Peers(peers) if now() >= follower.direct_until => {
                 follower.follow_peers(&node, &source, peers).await
@@ -108,14 +110,18 @@
 
 impl Follower {
     /// Polls the first peer and, if it is not fresh, all others at once: a node that waited for one
-    /// after the other would receive the changes since the loss of its hubs seconds late. If none is
-    /// fresh, the node calls the store if it may.
+    /// after the other would receive the changes since the loss of its hubs seconds late. Hubs and
+    /// deputies call the store at the same time, as the nodes that follow them wait for them. Any
+    /// other node calls it if no peer is fresh and it may.
     async fn follow_peers(&mut self, node: &Rc<Node>, source: &Source, peers: &Peers) -> Step {
         let mut all = all_peers(node, peers);
         let others = all.split_off(1.min(all.len()));
         if follow_watcher(node, &all).await {
             return Step::Continue;
         }
+        if peers.deputies.is_empty() {
+            return self.follow_any(node, source, &others).await;
+        }
         if let Some((updates, address)) = poll_all(node, &others).await {
             apply_updates(node, &updates, address).await;
             return Step::Continue;
@@ -128,6 +134,42 @@
         Step::Continue
     }
 
+    /// Polls all peers and calls the store at the same time, and continues with the first answer.
+    async fn follow_any(
+        &mut self,
+        node: &Rc<Node>,
+        source: &Source,
+        peers: &[(String, SocketAddr)],
+    ) -> Step {
+        tokio::select! {
+            Some((updates, address)) = poll_all(node, peers) => {
+                apply_updates(node, &updates, address).await;
+                Step::Continue
+            }
+            step = watch(node, source) => {
+                self.direct_until = now().plus_millis(watcher::DIRECT_WATCH_MS);
+                step
+            }
+        }
+    }
+
+    /// Polls all peers during an outage of the store, and calls the store at the same time if the
+    /// node may.
+    ///
+    /// Watchers may not answer either. If they and the store were called one after the other, a
+    /// node would detect the end of the outage up to 2.8 s late.
+    async fn follow_in_outage(&mut self, node: &Rc<Node>, source: &Source, peers: &Peers) -> Step {
+        let all = all_peers(node, peers);
+        if self.may_call_store(node, peers) {
+            return self.follow_any(node, source, &all).await;
+        }
+        match tokio::join!(poll_all(node, &all), peer::catch_up(node)).0 {
+            Some((updates, address)) => apply_updates(node, &updates, address).await,
+            None => back_off(node).await,
+        }
+        Step::Continue
+    }
+
     /// Returns whether the node may call the store now. The nodes that others rely on always may.
     fn may_call_store(&mut self, node: &Node, peers: &Peers) -> bool {
         if peers.deputies.is_empty() {
@@ -174,66 +216,58 @@
     is_fresh
 }
 
-/// Polls all peers at the same time, and returns the first fresh response and who gave it.
+/// Polls all peers at the same time, and returns the first fresh response and who gave it; `None`
+/// once each has answered or failed.
+///
+/// Deputies that are stale change over to the store just then, so they are polled again while
+/// another peer, which may be gone, has not answered. A peer without news answers after its wait, as
+/// all others do. One that has not answered shortly after that is asked last next time.
 async fn poll_all(
     node: &Rc<Node>,
     peers: &[(String, SocketAddr)],
 ) -> Option<(Updates, SocketAddr)> {
     let mut polls = JoinSet::new();
-    for (name, address) in peers.iter().cloned() {
+    let spawn = |polls: &mut JoinSet<_>, name: String, address: SocketAddr| {
         let node = node.clone();
         polls.spawn_local(async move {
-            let updates = fresh_updates(&node, &name, address).await?;
-            Some((updates, address))
+            let answer = poll_peer(&node, &name, address).await;
+            (name, address, answer)
         });
+    };
+    let mut unanswered: HashSet<SocketAddr> = HashSet::new();
+    for (name, address) in peers.iter().cloned() {
+        unanswered.insert(address);
+        spawn(&mut polls, name, address);
     }
-    while let Some(answer) = polls.join_next().await {
-        if let Ok(Some(fresh)) = answer {
-            return Some(fresh);
+    let first = loop {
+        let (name, address, answer) = polls.join_next().await?.ok()?;
+        unanswered.remove(&address);
+        match answer {
+            PollAnswer::Fresh(updates) => break (updates, address),
+            _ if unanswered.is_empty() => return None,
+            PollAnswer::Stale => spawn(&mut polls, name, address),
+            PollAnswer::Failed => {}
         }
-    }
-    None
-}
-
-/// Polls all peers during an outage of the store, calls the store at the same time if the node
-/// `may_call`, and continues with the first answer.
-///
-/// Watchers may not answer either. If they and the store were called one after the other, a node
-/// would detect the end of the outage up to 2.8 s late.
-async fn follow_any(
-    node: &Rc<Node>,
-    source: &Source,
-    peers: &[(String, SocketAddr)],
-    may_call: bool,
-) -> Step {
-    let first_fresh = poll_all(node, peers);
-    tokio::pin!(first_fresh);
-    if !may_call {
-        let (updates, ()) = tokio::join!(&mut first_fresh, peer::catch_up(node));
-        match updates {
-            Some((updates, address)) => apply_updates(node, &updates, address).await,
-            None => back_off(node).await,
+    };
+    if !first.0.has_news() {
+        let until = tokio::time::Instant::now() + STRAGGLER_DELAY;
+        while let Ok(Some(Ok((_, address, _)))) =
+            tokio::time::timeout_at(until, polls.join_next()).await
+        {
+            unanswered.remove(&address);
+        }
+        let mut failed = node.failed_nodes.borrow_mut();
+        for address in unanswered {
+            failed.record(address);
         }
-        return Step::Continue;
-    }
-    let direct = watch(node, source);
-    tokio::pin!(direct);
-    tokio::select! {
-        updates = &mut first_fresh => match updates {
-            Some((updates, address)) => {
-                apply_updates(node, &updates, address).await;
-                Step::Continue
-            }
-            None => direct.await,
-        },
-        step = &mut direct => step,
     }
+    Some(first)
 }
 
 /// Polls the watchers in turn and applies the first fresh response. Returns whether there was one.
 async fn follow_watcher(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> bool {
     for &(ref name, address) in watchers {
-        if let Some(updates) = fresh_updates(node, name, address).await {
+        if let PollAnswer::Fresh(updates) = poll_peer(node, name, address).await {
             apply_updates(node, &updates, address).await;
             return true;
         }
@@ -242,24 +276,38 @@
     false
 }
 
-/// Polls a watcher. Returns its updates, or `None` if it does not answer, is stale or lacks changes
-/// after this node's revision.
-async fn fresh_updates(node: &Node, name: &str, address: SocketAddr) -> Option<Updates> {
+/// Answer of a node that was polled.
+enum PollAnswer {
+    /// It follows the store and knows all changes after this node's revision.
+    Fresh(Updates),
+    /// It has not heard from the store for a while, or lacks changes after this node's revision.
+    Stale,
+    /// It did not answer in time.
+    Failed,
+}
+
+/// Polls a watcher, hub or deputy.
+async fn poll_peer(node: &Node, name: &str, address: SocketAddr) -> PollAnswer {
     let after = node.view.borrow().revision;
     match updates::poll(node, address, after).await {
         Ok(updates) if updates.is_whole && updates.age_ms <= watcher::MAX_AGE_MS => {
-            return Some(updates);
+            PollAnswer::Fresh(updates)
+        }
+        Ok(updates) => {
+            tracing::info!(
+                event = "watcher-stale",
+                peer = name,
+                age_ms = updates.age_ms,
+                whole = updates.is_whole,
+                after
+            );
+            PollAnswer::Stale
+        }
+        Err(error) => {
+            tracing::info!(event = "peer-failed", peer = name, reason = %error);
+            PollAnswer::Failed
         }
-        Ok(updates) => tracing::info!(
-            event = "watcher-stale",
-            peer = name,
-            age_ms = updates.age_ms,
-            whole = updates.is_whole,
-            after
-        ),
-        Err(error) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
     }
-    None
 }
 
 async fn apply_updates(node: &Node, updates: &Updates, peer: SocketAddr) {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -117,6 +117,14 @@
     pub is_whole: bool,
 }
 
+impl Updates {
+    /// Whether there are changes among them.
+    #[must_use]
+    pub fn has_news(&self) -> bool {
+        !self.items.is_empty() || !self.large.is_empty()
+    }
+}
+
 /// Polls a watcher for changes after the revision `after`; the poll waits there for updates.
 ///
 /// # Errors
