Stand-in engine: a stream's end can no longer overtake its last events

Evidence: 3 failures in 192 traced runs, all alike: the attempt starts once and ends (all 61 events and [DONE] handed to the connection), 2 ms later it is resumed from event 59 and ends again. 59, 60 and [DONE] are the three parts that the engine sends without a pause. Ruled out: a request run or billed twice (started = chats, the ledger has each id once); the client's reader (4,000 streams of that size cut into random pieces, none short; trial).

Cause: the body of http-body-util's Channel polls the queue of parts, then whether the sender is gone. On a runtime with several threads the sender can put the last parts into the queue and go away between the two; the body then ends cleanly without them. A program of its own with just that: 14 short bodies of 200,000 (trial). The node takes a stream without [DONE] for a cut and resumes it, as it must: the caller got its whole answer. The product's own bodies: node::callers::stream_body uses one channel with an explicit end; the gateway uses Channel, but polls and sends on one thread, so nothing can come in between.

Change: the stand-in has a body like the node's: parts and end in one channel, and a dropped sender is a cut. Tests: stream_last_parts_arrive_before_the_end (200,000 streams; with the library's channel 14 fail), stream_dropped_sender_cuts_the_body.

--- a/crates/node/src/callers/upstream.rs
+++ b/crates/node/src/callers/upstream.rs
@@ -213,7 +213,9 @@
                 Err(Failure::Truncated(cause)) => {
                     let position = stream.position();
                     let attempt = &*self.attempt.id;
-                    log::warn!("the stream of attempt {attempt} was cut after {position} events: {cause}");
+                    log::warn!(
+                        "the stream of attempt {attempt} was cut after {position} events: {cause}"
+                    );
                     fruitless = if position > resumed_at {
                         0
                     } else {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -12,7 +12,6 @@
 use fescuerack_wire::chat;
 use fescuerack_wire::{header, load};
 use http_body_util::BodyExt as _;
-use http_body_util::channel::{Channel, Sender};
 use tokio::runtime::Handle;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -20,6 +19,7 @@
 use crate::answer::Answer;
 use crate::http::{build_response, header as read_header, json_response, number_parameter};
 use crate::orders::Orders;
+use crate::stream::{Sender, StreamBody};
 use crate::{Fault, Faults, Request, Response, Server};
 
 /// Maximum number of attempts kept for resumption; the oldest is dropped first.
@@ -312,7 +312,7 @@
     }
 
     fn stream(self: &Arc<Self>, attempt: Attempt, from: u64) -> Response {
-        let (sender, body) = Channel::new(4);
+        let (sender, body) = StreamBody::new();
         let mismatch =
             self.mismatched_answers
                 .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |remaining| {
@@ -332,7 +332,7 @@
         Some(response)
     }
 
-    async fn send(&self, attempt: &Attempt, from: u64, mut sender: Sender<Bytes, std::io::Error>) {
+    async fn send(&self, attempt: &Attempt, from: u64, sender: Sender) {
         let _guard = WorkGuard::new(self, attempt.answer.events().saturating_sub(from));
         let mut cancelled = attempt.cancelled.subscribe();
         let truncate_after = self.truncate_after.load(Ordering::SeqCst);
@@ -341,28 +341,24 @@
             if attempt.answer.is_token(position) {
                 tokio::select! {
                     () = sleep_until(due) => {}
-                    _ = cancelled.wait_for(|cancelled| *cancelled) => {
-                        sender.abort(std::io::Error::other("cancelled"));
-                        return;
-                    }
+                    _ = cancelled.wait_for(|cancelled| *cancelled) => return,
                 }
                 due += Duration::from_millis(self.pace.token_ms);
             }
             if truncate_after > 0 && position - from >= truncate_after {
                 // Most of what was sent before a real break arrives, so the events get time to arrive.
                 sleep(TRUNCATION_DELAY).await;
-                sender.abort(std::io::Error::other("cut"));
                 return;
             }
             let event = attempt.answer.event(&attempt.id, position);
             // The attempt is kept: a caller that disconnects may resume it.
-            if sender.send_data(event).await.is_err() {
+            if sender.send(event).await.is_err() {
                 self.record_step(&attempt.id, Step::Closed(position));
                 return;
             }
         }
         let done = Bytes::from(format!("data: {}\n\n", chat::DONE));
-        if sender.send_data(done).await.is_err() {
+        if sender.send(done).await.is_err() || sender.finish().await.is_err() {
             self.record_step(&attempt.id, Step::Closed(attempt.answer.events()));
         } else {
             self.record_step(&attempt.id, Step::Finished);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod service;
 mod store;
+pub mod stream;
 
 pub use engine::{Engine, Pace, Step, TraceEntry};
 pub use fault::{Fault, Faults};
--- a/crates/standin/tests/all/main.rs
+++ b/crates/standin/tests/all/main.rs
@@ -5,6 +5,7 @@
 
 mod activation;
 mod claim;
+mod engine;
 mod ledger;
 mod manifest;
 mod run;
