--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -216,42 +216,31 @@
     is_fresh
 }
 
-/// Polls all peers at the same time, and returns the first fresh response and who gave it; `None`
-/// once each has answered or failed.
+/// Polls all peers at the same time, and returns the first fresh response and who gave it.
 ///
-/// Deputies that are stale change over to the store just then, so they are polled again while
-/// another peer, which may be gone, has not answered. A peer without news answers after its wait, as
-/// all others do. One that has not answered shortly after that is asked last next time.
+/// A peer without news answers after its wait, as all others do. One that has not answered shortly
+/// after that is asked last next time.
 async fn poll_all(
     node: &Rc<Node>,
     peers: &[(String, SocketAddr)],
 ) -> Option<(Updates, SocketAddr)> {
     let mut polls = JoinSet::new();
-    let spawn = |polls: &mut JoinSet<_>, name: String, address: SocketAddr| {
-        let node = node.clone();
-        polls.spawn_local(async move {
-            let answer = poll_peer(&node, &name, address).await;
-            (name, address, answer)
-        });
-    };
     let mut unanswered: HashSet<SocketAddr> = HashSet::new();
     for (name, address) in peers.iter().cloned() {
         unanswered.insert(address);
-        spawn(&mut polls, name, address);
+        let node = node.clone();
+        polls.spawn_local(async move { (address, fresh_updates(&node, &name, address).await) });
     }
     let first = loop {
-        let (name, address, answer) = polls.join_next().await?.ok()?;
+        let (address, updates) = polls.join_next().await?.ok()?;
         unanswered.remove(&address);
-        match answer {
-            PollAnswer::Fresh(updates) => break (updates, address),
-            _ if unanswered.is_empty() => return None,
-            PollAnswer::Stale => spawn(&mut polls, name, address),
-            PollAnswer::Failed => {}
+        if let Some(updates) = updates {
+            break (updates, address);
         }
     };
     if !first.0.has_news() {
         let until = tokio::time::Instant::now() + STRAGGLER_DELAY;
-        while let Ok(Some(Ok((_, address, _)))) =
+        while let Ok(Some(Ok((address, _)))) =
             tokio::time::timeout_at(until, polls.join_next()).await
         {
             unanswered.remove(&address);
@@ -267,7 +256,7 @@
 /// Polls the watchers in turn and applies the first fresh response. Returns whether there was one.
 async fn follow_watcher(node: &Rc<Node>, watchers: &[(String, SocketAddr)]) -> bool {
     for &(ref name, address) in watchers {
-        if let PollAnswer::Fresh(updates) = poll_peer(node, name, address).await {
+        if let Some(updates) = fresh_updates(node, name, address).await {
             apply_updates(node, &updates, address).await;
             return true;
         }
@@ -276,38 +265,24 @@
     false
 }
 
-/// Answer of a node that was polled.
-enum PollAnswer {
-    /// It follows the store and knows all changes after this node's revision.
-    Fresh(Updates),
-    /// It has not heard from the store for a while, or lacks changes after this node's revision.
-    Stale,
-    /// It did not answer in time.
-    Failed,
-}
-
-/// Polls a watcher, hub or deputy.
-async fn poll_peer(node: &Node, name: &str, address: SocketAddr) -> PollAnswer {
+/// Polls a watcher. Returns its updates, or `None` if it does not answer, is stale or lacks changes
+/// after this node's revision.
+async fn fresh_updates(node: &Node, name: &str, address: SocketAddr) -> Option<Updates> {
     let after = node.view.borrow().revision;
     match updates::poll(node, address, after).await {
         Ok(updates) if updates.is_whole && updates.age_ms <= watcher::MAX_AGE_MS => {
-            PollAnswer::Fresh(updates)
-        }
-        Ok(updates) => {
-            tracing::info!(
-                event = "watcher-stale",
-                peer = name,
-                age_ms = updates.age_ms,
-                whole = updates.is_whole,
-                after
-            );
-            PollAnswer::Stale
-        }
-        Err(error) => {
-            tracing::info!(event = "peer-failed", peer = name, reason = %error);
-            PollAnswer::Failed
+            return Some(updates);
         }
+        Ok(updates) => tracing::info!(
+            event = "watcher-stale",
+            peer = name,
+            age_ms = updates.age_ms,
+            whole = updates.is_whole,
+            after
+        ),
+        Err(error) => tracing::info!(event = "peer-failed", peer = name, reason = %error),
     }
+    None
 }
 
 async fn apply_updates(node: &Node, updates: &Updates, peer: SocketAddr) {
