--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -25,6 +25,9 @@
 /// Maximum number of attempts kept for resumption; the oldest is dropped first.
 const MAX_ATTEMPTS: usize = 4096;
 
+/// Maximum number of steps kept for a test's log; the oldest is dropped first.
+const MAX_TRACE_ENTRIES: usize = 65_536;
+
 /// Pause between the last event and the abort of a truncated stream.
 const TRUNCATION_DELAY: Duration = Duration::from_millis(2);
 
@@ -94,7 +97,7 @@
     work: AtomicU64,
     orders: Orders,
     since: Instant,
-    trace: Mutex<Vec<TraceEntry>>,
+    trace: Mutex<VecDeque<TraceEntry>>,
 }
 
 /// A running stand-in engine.
@@ -189,11 +192,12 @@
         )
     }
 
-    /// Returns the steps of all attempts so far.
+    /// Returns the latest steps of all attempts, the oldest first.
     #[must_use]
     pub fn trace(&self) -> Vec<TraceEntry> {
         let trace = self.shared.trace.lock();
-        trace.unwrap_or_else(PoisonError::into_inner).clone()
+        let trace = trace.unwrap_or_else(PoisonError::into_inner);
+        trace.iter().cloned().collect()
     }
 
     /// Returns how many connections were accepted.
@@ -211,7 +215,10 @@
             step,
         };
         let mut trace = self.trace.lock().unwrap_or_else(PoisonError::into_inner);
-        trace.push(entry);
+        if trace.len() >= MAX_TRACE_ENTRIES {
+            trace.pop_front();
+        }
+        trace.push_back(entry);
     }
 
     async fn serve(self: &Arc<Self>, request: Request) -> Response {
--- a/crates/standin/tests/all/engine.rs
+++ b/crates/standin/tests/all/engine.rs
@@ -1,7 +1,7 @@
 //! Streams of the stand-in engine.
 
 use bytes::Bytes;
-use fescuerack_standin::stream::StreamBody;
+use fescuerack_standin::stream::{Sender, StreamBody};
 use http_body_util::BodyExt as _;
 use tokio::runtime::Runtime;
 
@@ -11,7 +11,7 @@
 /// Number of parts that are sent at once.
 const PARTS: usize = 3;
 
-async fn send_parts(sender: fescuerack_standin::stream::Sender) {
+async fn send_parts(sender: Sender) {
     for _ in 0..PARTS {
         let sent = sender.send(Bytes::from_static(b"part")).await;
         sent.expect("the reader waits for the end");
