--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -40,7 +40,7 @@
 /// not answer times out only seconds later, and a node that started one just before the end of the
 /// outage would receive nothing in the meantime.
 const OUTAGE_WATCH_WAIT_MS: u64 = 50;
-/// Time after the first answer without news in which the other peers must answer.
+/// Time after the first answer without changes within which the other peers must answer.
 const STRAGGLER_DELAY: Duration = Duration::from_millis(100);
 /// Mean of the milliseconds between two calls during an outage.
 const RETRY_DELAY_MS: u64 = 350;
@@ -218,8 +218,8 @@
 
 /// Polls all peers at the same time, and returns the first fresh response and who gave it.
 ///
-/// A peer without news answers after its wait, as all others do. One that has not answered shortly
-/// after that is asked last next time.
+/// A peer that has no changes answers when its wait is over, so all of them answer at about the same
+/// time. One that has not answered shortly after is polled last next time.
 async fn poll_all(
     node: &Rc<Node>,
     peers: &[(String, SocketAddr)],
@@ -238,7 +238,7 @@
             break (updates, address);
         }
     };
-    if !first.0.has_news() {
+    if !first.0.has_changes() {
         let until = tokio::time::Instant::now() + STRAGGLER_DELAY;
         while let Ok(Some(Ok((address, _)))) =
             tokio::time::timeout_at(until, polls.join_next()).await
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -16,11 +16,11 @@
 
 /// Time between two probes, and from the start of a watch to its first probe. On a platform with
 /// many changes, watches are answered earlier.
-const INTERVAL: Duration = Duration::from_secs(1);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a probe. A store in a slow phase responds in some hundred milliseconds.
-const TIMEOUT: Duration = Duration::from_millis(700);
-/// Time after a probe in which a watch must return the changes that the probe has shown.
-const WATCH_DELAY: Duration = Duration::from_millis(300);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time within which a watch must return the changes that a probe has shown.
+const WATCH_GRACE: Duration = Duration::from_millis(300);
 
 /// Makes the watch `call` for changes after the revision `after`.
 ///
@@ -34,13 +34,13 @@
 ) -> Result<StoreResponse, Fault> {
     let fault = async {
         loop {
-            tokio::time::sleep(INTERVAL).await;
+            tokio::time::sleep(PROBE_INTERVAL).await;
             let revision = match probe(node).await {
                 Ok(revision) => revision,
                 Err(fault) => return fault,
             };
             if revision > after {
-                tokio::time::sleep(WATCH_DELAY).await;
+                tokio::time::sleep(WATCH_GRACE).await;
                 let reason = format!("a watch after {after} has not returned {revision}");
                 return Fault::Unknown(reason);
             }
@@ -61,10 +61,10 @@
         after: None,
         may_be_stale: true,
     };
-    let answer = tokio::time::timeout(TIMEOUT, node.store.call(&read)).await;
+    let answer = tokio::time::timeout(PROBE_TIMEOUT, node.store.call(&read)).await;
     let answer = answer.unwrap_or_else(|_| {
         Err(Fault::Unknown(format!(
-            "no answer to a probe in {TIMEOUT:?}"
+            "no answer to a probe in {PROBE_TIMEOUT:?}"
         )))
     });
     let outcome = if answer.is_ok() { "answered" } else { "failed" };
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -120,7 +120,7 @@
 impl Updates {
     /// Whether there are changes among them.
     #[must_use]
-    pub fn has_news(&self) -> bool {
+    pub fn has_changes(&self) -> bool {
         !self.items.is_empty() || !self.large.is_empty()
     }
 }
