Watches wait 4 s: with their probes they cost what watches of 3 s without cost

A node that watches makes 1 call and three cheap ones in 4 s now, 0.33 calls a second as before the probes. A lost watch is found by its probes in 2 s; where these reads are seconds old, after 5 s at most (4 s before).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -33,7 +33,7 @@
 
 /// Milliseconds that a watch waits at the store. A watch on a dead connection times out one second
 /// after that, unless a [`probe`] detects it earlier.
-const WATCH_WAIT_MS: u64 = 3_000;
+const WATCH_WAIT_MS: u64 = 4_000;
 /// Milliseconds for which changes accumulate before the next watch.
 const BATCH_MS: u64 = 250;
 /// Milliseconds that a watch waits at the store during an outage. A long watch of a store that does
