Log what a server's answer states about it: its own limit of requests

The logs could not tell a limit that nobody reads from one that each node keeps for itself. Each answer that names one now has a line (server-stated). Nothing acts on it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,7 +15,7 @@
 use crate::headers;
 use crate::node::Node;
 use crate::pick::{self, InFlight, Pick};
-use crate::platform::{RequestHead, ResponseHead, UpstreamHead};
+use crate::platform::{RequestHead, ResponseHead, Stated, UpstreamHead};
 use crate::rollout::{self, TrackingGuard};
 use crate::upstream::{Answered, Sent};
 use crate::verdict;
@@ -227,6 +227,7 @@
     let head = node
         .platform
         .parse_response_head(status, answered.response.headers(), &job.head.id);
+    log_statements(&pick, &job.head.id, &head);
     if head.is_not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another server has this address now; the entry is that of its predecessor.
@@ -282,6 +283,20 @@
     }))
 }
 
+/// Logs what the response states about its server.
+fn log_statements(pick: &Pick, id: &str, head: &ResponseHead) {
+    if head.limit == Stated::Absent {
+        return;
+    }
+    tracing::info!(
+        event = "server-stated",
+        id,
+        server = &*pick.id,
+        limit = head.limit.value(),
+        readable = head.limit != Stated::Unreadable
+    );
+}
+
 fn request(
     node: &Node,
     job: &Job,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -63,8 +63,30 @@
     pub last_event: Option<u64>,
 }
 
-/// The head of a backend server's response, parsed.
+/// What a header of a backend server's response states about the server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stated<T> {
+    /// The response has no such header.
+    Absent,
+    /// The parsed value.
+    Value(T),
+    /// The header cannot be parsed.
+    Unreadable,
+}
+
+impl<T> Stated<T> {
+    /// Returns the value, if there is one.
+    #[must_use]
+    pub fn value(self) -> Option<T> {
+        match self {
+            Self::Value(value) => Some(value),
+            Self::Absent | Self::Unreadable => None,
+        }
+    }
+}
+
+/// The head of a backend server's response, parsed.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Whether the server reports that it did not run the request.
     pub is_not_run: bool,
@@ -72,6 +94,8 @@
     pub is_for_request: bool,
     /// The model's confidence in its answer, in percent.
     pub confidence: Option<u8>,
+    /// Requests a second that the server accepts from all nodes together, at least zero.
+    pub limit: Stated<f64>,
 }
 
 /// A key of the store with its value and revision.
