Log whether a server's answer says that it leaves

The logs could not tell a notice that nobody reads from one that a later read of the store undoes. server-stated has leaving now. A flag, 1 or 0; another value, or two values, counts as unreadable. Nothing acts on it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -295,7 +295,7 @@
 
 /// Logs what the response states about its server.
 fn log_statements(pick: &Pick, id: &str, head: &ResponseHead) {
-    if head.limit == Stated::Absent {
+    if head.limit == Stated::Absent && head.is_leaving == Stated::Absent {
         return;
     }
     tracing::info!(
@@ -303,7 +303,8 @@
         id,
         server = &*pick.id,
         limit = head.limit.value(),
-        readable = head.limit != Stated::Unreadable
+        leaving = head.is_leaving.value(),
+        readable = head.limit != Stated::Unreadable && head.is_leaving != Stated::Unreadable
     );
 }
 
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -96,6 +96,8 @@
     pub confidence: Option<u8>,
     /// Requests a second that the server accepts from all nodes together, at least zero.
     pub limit: Stated<f64>,
+    /// Whether the server is about to stop.
+    pub is_leaving: Stated<bool>,
 }
 
 /// A key of the store with its value and revision.
