A server that says in an answer that it leaves gets nothing more

Cause: as with a stated limit, the outcome of an answer was taken and the rest of its head dropped; only the store's list told nodes who leaves, and the store was down. Change: core::route::leaving, used at the callers' port so far, stands in the gateway's view too, keyed by the start of a server, so that later or returning entries change nothing. Notices travel behind the load reports. statements::record is the one place that reads what an answer says of its server.

--- a/crates/core/tests/all/gateway/stated_limit.rs
+++ b/crates/core/tests/all/gateway/stated_limit.rs
@@ -127,9 +127,9 @@
     for server in 0..100 {
         own.record(at(0), at(0), server, Some(4.0));
     }
-    for step in 1..=4 {
+    for step in 1..=5 {
         let digest = own.digest(at(step));
-        assert!(digest.len() <= 32);
+        assert!(digest.len() <= 24);
         peer.merge(at(step), &digest);
     }
     assert_eq!(peer.limited_count(), 100);
--- a/crates/core/tests/all/route.rs
+++ b/crates/core/tests/all/route.rs
@@ -314,3 +314,56 @@
     let max = uses.iter().max().copied().unwrap_or(0);
     assert!(min >= 12 && max <= 13, "each in {min} to {max} subsets");
 }
+
+mod leaving {
+    use fescuerack_core::clock::Instant;
+    use fescuerack_core::route::leaving::{LeavingServers, NOTICE_EXPIRY_MS};
+
+    const NOW: Instant = Instant::from_millis(1_000_000);
+
+    /// Guards against a server that gets requests because more of them leave than a message names.
+    #[test]
+    fn record_keeps_more_notices_than_a_message_holds() {
+        let mut leaving = LeavingServers::new();
+        for server in 0..2_000 {
+            assert!(leaving.record(NOW, &format!("s{server}")));
+        }
+        assert!(leaving.is_leaving("s1999"));
+        assert_eq!(leaving.digest(NOW).leaving.len(), 128);
+    }
+
+    /// Guards against messages that name old notices instead of new ones.
+    #[test]
+    fn newest_is_bounded_and_leaves_out_what_is_old() {
+        let mut leaving = LeavingServers::new();
+        leaving.record(NOW.minus_millis(20_000), "old");
+        leaving.record(NOW.minus_millis(2_000), "older");
+        leaving.record(NOW, "newer");
+        let digest = leaving.newest(NOW, 10_000, 1);
+        assert_eq!(
+            digest.leaving.into_iter().collect::<Vec<_>>(),
+            [("newer".to_owned(), 0)]
+        );
+        assert_eq!(leaving.newest(NOW, 10_000, 9).leaving.len(), 2);
+    }
+
+    /// Guards against a server that stays listed for minutes after its notice and gets requests again.
+    #[test]
+    fn remove_expired_unless_keeps_servers_that_are_listed() {
+        let mut leaving = LeavingServers::new();
+        leaving.record(NOW, "listed");
+        leaving.record(NOW, "gone");
+        let later = NOW.plus_millis(NOTICE_EXPIRY_MS);
+        assert!(leaving.remove_expired_unless(later, |id| id == "listed"));
+        assert!(leaving.is_leaving("listed") && !leaving.is_leaving("gone"));
+    }
+
+    #[test]
+    fn merge_new_returns_each_server_once() {
+        let (mut own, mut peer) = (LeavingServers::new(), LeavingServers::new());
+        own.record(NOW.minus_millis(50), "s1");
+        let digest = own.digest(NOW);
+        assert_eq!(peer.merge_new(NOW, &digest), [("s1".to_owned(), 50)]);
+        assert!(peer.merge_new(NOW, &digest).is_empty());
+    }
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,9 +15,9 @@
 use crate::headers;
 use crate::node::Node;
 use crate::pick::{self, InFlight, Pick};
-use crate::platform::{RequestHead, ResponseHead, Stated, UpstreamHead};
+use crate::platform::{RequestHead, ResponseHead, UpstreamHead};
 use crate::rollout::{self, TrackingGuard};
-use crate::server_limit;
+use crate::statements;
 use crate::upstream::{Answered, Sent};
 use crate::verdict;
 
@@ -228,10 +228,7 @@
     let head = node
         .platform
         .parse_response_head(status, answered.response.headers(), &job.head.id);
-    log_statements(&pick, &job.head.id, &head);
-    if is_from(&head, status) {
-        server_limit::record_statement(node, &pick, started, head.limit);
-    }
+    statements::record(node, &pick, &job.head.id, started, status, &head);
     if head.is_not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another server has this address now; the entry is that of its predecessor.
@@ -287,27 +284,6 @@
     }))
 }
 
-/// Whether a response is from the server that the request was sent to, so that it states something
-/// about that server. Another server at its address answers with an error.
-fn is_from(head: &ResponseHead, status: StatusCode) -> bool {
-    head.is_for_request && status != StatusCode::MISDIRECTED_REQUEST
-}
-
-/// Logs what the response states about its server.
-fn log_statements(pick: &Pick, id: &str, head: &ResponseHead) {
-    if head.limit == Stated::Absent && head.is_leaving == Stated::Absent {
-        return;
-    }
-    tracing::info!(
-        event = "server-stated",
-        id,
-        server = &*pick.id,
-        limit = head.limit.value(),
-        leaving = head.is_leaving.value(),
-        readable = head.limit != Stated::Unreadable && head.is_leaving != Stated::Unreadable
-    );
-}
-
 fn request(
     node: &Node,
     job: &Job,
--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -33,7 +33,7 @@
     Limited,
 }
 
-/// Numbers of ready servers of a service that may not be used, by reason; for the log.
+/// Numbers of servers of a service that may not be used, by reason; for the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Excluded {
     /// In a zone that is evacuated.
@@ -44,6 +44,8 @@
     pub cold: usize,
     /// With a stated limit that does not allow this node a request now.
     pub limited: usize,
+    /// Not among the ready ones: it has stated that it is about to stop.
+    pub leaving: usize,
     /// When the first of the servers with a limit may accept a request again.
     pub next_at: Option<Instant>,
 }
@@ -91,8 +93,12 @@
 pub fn count_excluded(node: &Node, job: &Job, service: &Arc<str>, now: Instant) -> Excluded {
     let view = node.view.borrow();
     let mut excluded = Excluded::default();
-    let ready = view.servers.values().filter(|server| server.is_ready());
-    for server in ready.filter(|server| server.entry.service == *service) {
+    let servers = view.servers.values();
+    for server in servers.filter(|server| server.entry.service == *service) {
+        excluded.leaving += usize::from(server.is_leaving);
+        if !server.is_ready() {
+            continue;
+        }
         match exclusion(node, &view, job, server, now) {
             None => {}
             Some(Exclusion::Evacuated) => excluded.evacuated += 1,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,8 @@
 //!
 //! [`intake`] reads a request. [`request`] then makes one [`attempt`] after another, at servers that
 //! [`pick`] selects from the [`eligible`] ones; servers with a
-//! [`server_limit`] get few requests.
+//! [`server_limit`] get few requests, and [leaving](server_leaving) ones none; servers state both in
+//! their answers ([`statements`]).
 //! [`progress`] holds the state of the request and its retry budget, [`verdict`] decides what happens
 //! to an answer, and [`relay`] forwards streams. All of them share the HTTP client in [`upstream`].
 //! The load-balancing decisions are in `fescuerack_core::gateway`.
@@ -69,10 +70,12 @@
 pub mod rollout;
 pub mod routes;
 pub mod server;
+pub mod server_leaving;
 pub mod server_limit;
 pub mod settings;
 pub mod snapshot;
 pub mod source;
+pub mod statements;
 pub mod store;
 pub mod unreadable_headers;
 pub mod updates;
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -1,5 +1,5 @@
-//! Messages of the [exchange](crate::load_exchange) of load, of attempt counts and of the limits that
-//! servers have stated, with the peers through hubs.
+//! Messages of the [exchange](crate::load_exchange) of load, of attempt counts and of what servers
+//! [state](crate::statements), with the peers through hubs.
 //!
 //! These messages are the most frequent ones and consist of numbers, so they are encoded in binary
 //! form.
@@ -11,7 +11,6 @@
 
 use fescuerack_core::gateway::load::{self, Duty, Table};
 use fescuerack_core::gateway::outlier::AttemptCounts;
-use fescuerack_core::gateway::stated_limit::Digest;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -19,7 +18,7 @@
 use crate::load_exchange::{Level, Report, Tables};
 use crate::message;
 use crate::node::Node;
-use crate::server_limit;
+use crate::statements::{self, Digest};
 
 /// Path on which a hub receives the reports of the nodes of its group.
 pub const MEMBER_PATH: &str = "/load/member";
@@ -201,28 +200,27 @@
 ) -> anyhow::Result<Tables> {
     let report = encode(node, report)?;
     let answer = message::exchange(node, address, path, report, message::HEAD_TIMEOUT).await?;
-    let (tables, limits) = decode(&answer)?;
-    server_limit::receive(node, &address.to_string(), &limits);
+    let (tables, stated) = decode(&answer)?;
+    statements::receive(node, &address.to_string(), &stated);
     Ok(tables)
 }
 
-/// Encodes a report or the answer to one, followed by the limits that servers have stated.
+/// Encodes a report or the answer to one, followed by what servers have stated.
 fn encode(node: &Node, tables: &impl Serialize) -> anyhow::Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(tables)?;
-    let limits = node.stated_limits.borrow_mut().digest(now());
-    Ok(postcard::to_extend(&limits, bytes)?)
+    Ok(postcard::to_extend(&statements::digest(node), bytes)?)
 }
 
-/// Decodes a report or the answer to one, and the limits that follow it. Earlier versions of the
+/// Decodes a report or the answer to one, and the statements that follow it. Earlier versions of the
 /// program send none.
 fn decode<T: DeserializeOwned>(bytes: &[u8]) -> anyhow::Result<(T, Digest)> {
     let (tables, rest) = postcard::take_from_bytes(bytes)?;
-    let limits = if rest.is_empty() {
-        Digest::new()
+    let stated = if rest.is_empty() {
+        Digest::default()
     } else {
         postcard::from_bytes(rest)?
     };
-    Ok((tables, limits))
+    Ok((tables, stated))
 }
 
 /// Answers an encoded report on `path`.
@@ -231,8 +229,8 @@
 ///
 /// When the report cannot be decoded.
 pub fn serve(node: &Node, path: &str, report: &[u8]) -> anyhow::Result<Vec<u8>> {
-    let (report, limits): (Report, Digest) = decode(report)?;
-    server_limit::receive(node, &report.node, &limits);
+    let (report, stated): (Report, Digest) = decode(report)?;
+    statements::receive(node, &report.node, &stated);
     let level = match path {
         GROUP_PATH => Level::Zone,
         ZONE_PATH => Level::Top,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -69,6 +69,8 @@
     pub limit_changes: IntCounterVec,
     /// Servers that have stated a limit.
     pub limited: IntGauge,
+    /// Listed servers that have stated that they are about to stop.
+    pub leaving: IntGauge,
     /// Headers of servers that could not be parsed, by what they state.
     pub unreadable_headers: IntCounterVec,
 }
@@ -96,6 +98,10 @@
                 "fescuerack_limited_servers",
                 "Servers that have stated a limit",
             )?,
+            leaving: registrar.gauge(
+                "fescuerack_leaving_servers",
+                "Servers in the list that have said that they leave",
+            )?,
             unreadable_headers: registrar.counter(
                 "fescuerack_unreadable_headers_total",
                 "Headers of servers that could not be read",
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -15,7 +15,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::settings::Settings;
-use crate::{fetch, follow, load_report, peer, registration, rollout, server_limit};
+use crate::{fetch, follow, load_report, peer, registration, rollout, statements};
 
 /// Number of threads for work on large items, besides the one that serves requests. The work is
 /// sequential, and each further thread would take more of the processor from requests.
@@ -129,7 +129,8 @@
         if dropped > 0 {
             tracing::info!(event = "servers-not-back", count = dropped);
         }
-        sweep_limits(&node);
+        statements::sweep(&node, now());
+        update_server_gauges(&node);
         node.snapshots.sweep(now());
         node.pool.sweep();
         let connections = i64::try_from(node.pool.opened()).unwrap_or(i64::MAX);
@@ -137,11 +138,9 @@
     }
 }
 
-/// Drops the limits of servers that have none any more, and updates the gauges of such servers and of
-/// zones.
-fn sweep_limits(node: &Node) {
+/// Updates the gauges of cold servers and of zones.
+fn update_server_gauges(node: &Node) {
     let view = node.view.borrow();
-    server_limit::sweep(node, &view, now());
     let cold = view.servers.values().filter(|server| server.is_cold(now()));
     let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
     node.metrics.servers.cold.set(gauge(cold.count()));
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -293,7 +293,8 @@
             evacuated = excluded.evacuated,
             elsewhere = excluded.outside_regions,
             cold = excluded.cold,
-            limited = excluded.limited
+            limited = excluded.limited,
+            leaving = excluded.leaving
         );
         let larger = progress
             .model
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,6 +29,9 @@
     /// Whether another server has replaced it: the one at its address reported, by an error, that
     /// it is not this server.
     pub is_replaced: bool,
+    /// Whether it has stated in an answer, to this node or a peer, that it is about to stop. Later
+    /// entries of the same start do not change this: the store may be behind.
+    pub is_leaving: bool,
     /// Until when it can take only few requests, if it is cold.
     cold_until: Option<Instant>,
     /// Revision of the change that made it cold. Older entries do not change the warm-up.
@@ -47,6 +50,7 @@
             work: 0.0,
             expires_at: None,
             is_replaced: false,
+            is_leaving: false,
             cold_until: None,
             cold_revision: 0,
             entry,
@@ -104,11 +108,20 @@
         }
     }
 
-    /// Returns whether its entry states that it accepts requests and it has neither vanished nor
-    /// been replaced.
+    /// Returns whether its entry states that it accepts requests, and it has neither vanished nor
+    /// been replaced nor stated that it is about to stop.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.entry.state == ServerState::Ready && self.expires_at.is_none() && !self.is_replaced
+        self.entry.state == ServerState::Ready
+            && self.expires_at.is_none()
+            && !self.is_replaced
+            && !self.is_leaving
+    }
+
+    /// Returns the key under which nodes tell each other that this start of the server is leaving.
+    #[must_use]
+    pub fn leaving_key(&self) -> String {
+        leaving_key(self.identity)
     }
 
     /// Returns whether it has loaded `model`, or its entry states no models.
@@ -119,6 +132,12 @@
     }
 }
 
+/// Returns the key of a server in a [`leaving`](fescuerack_core::route::leaving) digest.
+#[must_use]
+pub fn leaving_key(identity: u64) -> String {
+    format!("{identity:016x}")
+}
+
 /// Returns the hash that identifies one start of a server; it is the same on all nodes.
 fn identity(entry: &ServerEntry) -> u64 {
     let id = affinity::hash(entry.id.as_bytes());
--- a/crates/gateway/src/server_limit.rs
+++ b/crates/gateway/src/server_limit.rs
@@ -12,11 +12,9 @@
 use crate::pick::Pick;
 use crate::platform::Stated;
 use crate::server::Server;
+use crate::statements::OWN_ANSWER;
 use crate::view::View;
 
-/// Source of a statement in the log, if it is an answer to this node.
-const OWN_ANSWER: &str = "answer";
-
 /// Returns whether the limits allow this node to send `server` a request now.
 pub fn admits(node: &Node, view: &View, server: &Server, now: Instant) -> bool {
     let Some(target) = target(node, view, server, now) else {
@@ -85,10 +83,11 @@
 }
 
 /// Drops the state of servers that have no limit any more or are no longer listed.
-pub fn sweep(node: &Node, view: &View, now: Instant) {
+pub fn sweep(node: &Node, now: Instant) {
     if node.stated_limits.borrow().is_empty() && node.gate.borrow().is_empty() {
         return;
     }
+    let view = node.view.borrow();
     let listed: HashMap<u64, &Server> = view
         .servers
         .values()
--- /dev/null
+++ b/crates/gateway/src/statements.rs
@@ -0,0 +1,81 @@
+//! What backend servers state about themselves in their answers, besides the answer itself.
+//!
+//! Every answer to a routed request passes [`record`]: plain ones and refusals, heads of streams,
+//! resumptions and escalations. Nodes pass on to each other what concerns all of them, behind their
+//! [load reports](crate::load_report).
+
+use fescuerack_core::clock::Instant;
+use fescuerack_core::gateway::stated_limit;
+use fescuerack_core::route::leaving;
+use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
+
+use crate::clock::now;
+use crate::node::Node;
+use crate::pick::Pick;
+use crate::platform::{ResponseHead, Stated};
+use crate::{server_leaving, server_limit};
+
+/// Source of a statement in the log, if it is an answer to this node.
+pub const OWN_ANSWER: &str = "answer";
+
+/// The statements in a message to a peer.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Digest {
+    /// Limits of requests a second.
+    limits: stated_limit::Digest,
+    /// Servers that are about to stop.
+    leaving: leaving::Digest,
+}
+
+/// Records what the answer of `pick` to the request `id` states. The request was sent at `sent_at`.
+pub fn record(
+    node: &Node,
+    pick: &Pick,
+    id: &str,
+    sent_at: Instant,
+    status: StatusCode,
+    head: &ResponseHead,
+) {
+    // Another server at the address answers with this status, and states nothing about `pick`.
+    if !head.is_for_request || status == StatusCode::MISDIRECTED_REQUEST {
+        return;
+    }
+    log(pick, id, head);
+    server_limit::record_statement(node, pick, sent_at, head.limit);
+    server_leaving::record_statement(node, pick, head.is_leaving);
+}
+
+/// Returns the statements for a peer.
+pub fn digest(node: &Node) -> Digest {
+    Digest {
+        limits: node.stated_limits.borrow_mut().digest(now()),
+        leaving: server_leaving::digest(node),
+    }
+}
+
+/// Receives the statements that the peer `source` has passed on.
+pub fn receive(node: &Node, source: &str, digest: &Digest) {
+    server_limit::receive(node, source, &digest.limits);
+    server_leaving::receive(node, source, &digest.leaving);
+}
+
+/// Drops what is over, and updates the gauges.
+pub fn sweep(node: &Node, now: Instant) {
+    server_limit::sweep(node, now);
+    server_leaving::sweep(node, now);
+}
+
+fn log(pick: &Pick, id: &str, head: &ResponseHead) {
+    if head.limit == Stated::Absent && head.is_leaving == Stated::Absent {
+        return;
+    }
+    tracing::info!(
+        event = "server-stated",
+        id,
+        server = &*pick.id,
+        limit = head.limit.value(),
+        leaving = head.is_leaving.value(),
+        readable = head.limit != Stated::Unreadable && head.is_leaving != Stated::Unreadable
+    );
+}
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,6 +11,7 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::lease_expiry::Outage;
 use fescuerack_core::gateway::rank::Instance;
+use fescuerack_core::route::leaving::LeavingServers;
 use serde::{Deserialize, Serialize};
 
 use crate::arrival::ChangeKind;
@@ -58,6 +59,9 @@
     /// Evacuated availability zones, whose servers get no requests, and when this node received the
     /// order.
     pub evacuated: BTreeMap<Arc<str>, Instant>,
+    /// Starts of servers that have stated in an answer that they are about to stop, by
+    /// [`Server::leaving_key`].
+    pub leaving: LeavingServers,
     /// Outages of the store.
     pub outage: Outage,
     /// Revision up to which the store was followed without a gap. Items that were received from
@@ -438,7 +442,9 @@
             .catalog
             .as_ref()
             .map_or(0, |catalog| catalog.warmup_ms(&entry.service));
-        let server = Server::new(now, entry, warmup_ms);
+        let mut server = Server::new(now, entry, warmup_ms);
+        // An entry that vanished in an outage of the store returns as it was.
+        server.is_leaving = self.leaving.is_leaving(&server.leaving_key());
         self.servers.insert(server.entry.id.clone(), server);
     }
 
