--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -67,15 +67,22 @@
 }
 
 fn log(pick: &Pick, id: &str, head: &ResponseHead) {
-    if head.limit == Stated::Absent && head.is_leaving == Stated::Absent {
+    let is_silent = head.limit == Stated::Absent
+        && head.is_leaving == Stated::Absent
+        && head.rest_ms == Stated::Absent;
+    if is_silent {
         return;
     }
+    let is_readable = head.limit != Stated::Unreadable
+        && head.is_leaving != Stated::Unreadable
+        && head.rest_ms != Stated::Unreadable;
     tracing::info!(
         event = "server-stated",
         id,
         server = &*pick.id,
         limit = head.limit.value(),
         leaving = head.is_leaving.value(),
-        readable = head.limit != Stated::Unreadable && head.is_leaving != Stated::Unreadable
+        rest_ms = head.rest_ms.value(),
+        readable = is_readable
     );
 }
