A server that turns a node away and asks for rest gets it

Callers waited one round trip longer, and the retry budget paid for each request that went to a server which had asked for 3 s of rest and got 3 to 6 requests of one node in that time; two are allowed.

Cause: as with a stated limit, the outcome of an answer was taken and the rest of its head dropped; besides, a server that only refuses looks idle. Change: core::gateway::rest keeps the end of each rest, the longer one counts, the end is spread, ten minutes at most; gateway::eligible leaves the server out of all attempts. Peers are not told, as they were not asked. With all servers at rest or limited a request is refused at once with a Retry-After that is no earlier than the first that is free; after a refusal without budget for another attempt, too.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`canary`]: how much traffic a new version gets, and when it is completed or rejected;
 //! - [`slowness`]: which answers of a new version count as slow;
+//! - [`rest`]: which servers have asked a node for rest;
 //! - [`session`]: which sessions stay on the version on which they started;
 //! - [`lease_expiry`]: which backend servers are removed after an outage of the store;
 //! - [`rank`]: which nodes take on duties for the others;
@@ -34,6 +35,7 @@
 pub mod load;
 pub mod outlier;
 pub mod rank;
+pub mod rest;
 pub mod session;
 pub mod shared_limit;
 pub mod slowness;
--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod lease_expiry;
 mod load;
 mod outlier;
+mod rest;
 mod session;
 mod shared_limit;
 mod slowness;
--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -18,6 +18,7 @@
 use crate::rollout;
 use crate::server::Server;
 use crate::server_limit;
+use crate::server_rest;
 use crate::view::{Order, View};
 
 /// Why a ready server may not be used now.
@@ -31,6 +32,8 @@
     Cold,
     /// It has stated a limit, which does not allow this node a request now.
     Limited,
+    /// It has asked this node for rest until the given time.
+    Resting(Instant),
 }
 
 /// Numbers of servers of a service that may not be used, by reason; for the log.
@@ -44,22 +47,17 @@
     pub cold: usize,
     /// With a stated limit that does not allow this node a request now.
     pub limited: usize,
+    /// At rest, for which they have asked this node.
+    pub resting: usize,
     /// Not among the ready ones: it has stated that it is about to stop.
     pub leaving: usize,
-    /// When the first of the servers with a limit may accept a request again.
-    pub next_at: Option<Instant>,
+    /// When the first of the servers with a limit or at rest may accept a request again.
+    pub retry_at: Option<Instant>,
 }
 
 impl Excluded {
-    /// Returns when a request may be accepted that was refused because of limits only; `None` if
-    /// limits are not the reason.
-    #[must_use]
-    pub const fn retry_at(&self) -> Option<Instant> {
-        self.next_at
-    }
-
-    fn add_limited(&mut self, next_at: Instant) {
-        self.next_at = Some(self.next_at.map_or(next_at, |known| known.min(next_at)));
+    fn add_retry(&mut self, retry_at: Instant) {
+        self.retry_at = Some(self.retry_at.map_or(retry_at, |known| known.min(retry_at)));
     }
 }
 
@@ -106,13 +104,28 @@
             Some(limit @ (Exclusion::Cold | Exclusion::Limited)) => {
                 excluded.cold += usize::from(limit == Exclusion::Cold);
                 excluded.limited += usize::from(limit == Exclusion::Limited);
-                excluded.add_limited(server_limit::next_at(node, &view, server, now));
+                excluded.add_retry(server_limit::next_at(node, &view, server, now));
+            }
+            Some(Exclusion::Resting(end)) => {
+                excluded.resting += 1;
+                excluded.add_retry(end);
             }
         }
     }
     excluded
 }
 
+/// Returns when the first server of `service` may accept a request again, if limits and rests keep
+/// requests from all of them; `None` if one accepts requests now, or none will.
+#[must_use]
+pub fn retry_at(node: &Node, job: &Job, service: &Arc<str>) -> Option<Instant> {
+    let is_usable = !servers(node, &node.view.borrow(), job, service, None, &[]).is_empty();
+    if is_usable {
+        return None;
+    }
+    count_excluded(node, job, service, now()).retry_at
+}
+
 /// Returns why a ready server may not be used now; `None` if it may.
 fn exclusion(
     node: &Node,
@@ -127,6 +140,9 @@
     if !is_allowed(node, job, server) {
         return Some(Exclusion::OutsideRegions);
     }
+    if let Some(end) = server_rest::end(node, server, now) {
+        return Some(Exclusion::Resting(end));
+    }
     if !server_limit::admits(node, view, server, now) {
         return Some(if server.is_cold(now) {
             Exclusion::Cold
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,8 +22,8 @@
 //!
 //! [`intake`] reads a request. [`request`] then makes one [`attempt`] after another, at servers that
 //! [`pick`] selects from the [`eligible`] ones; servers with a
-//! [`server_limit`] get few requests, and [leaving](server_leaving) ones none; servers state both in
-//! their answers ([`statements`]).
+//! [`server_limit`] get few requests, [leaving](server_leaving) ones and those that [rest](server_rest) none;
+//! servers state all three in their answers ([`statements`]).
 //! [`progress`] holds the state of the request and its retry budget, [`verdict`] decides what happens
 //! to an answer, and [`relay`] forwards streams. All of them share the HTTP client in [`upstream`].
 //! The load-balancing decisions are in `fescuerack_core::gateway`.
@@ -72,6 +72,7 @@
 pub mod server;
 pub mod server_leaving;
 pub mod server_limit;
+pub mod server_rest;
 pub mod settings;
 pub mod snapshot;
 pub mod source;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -71,6 +71,10 @@
     pub limited: IntGauge,
     /// Listed servers that have stated that they are about to stop.
     pub leaving: IntGauge,
+    /// Rests that servers have asked this node for, by service.
+    pub rests: IntCounterVec,
+    /// Servers that rest.
+    pub resting: IntGauge,
     /// Headers of servers that could not be parsed, by what they state.
     pub unreadable_headers: IntCounterVec,
 }
@@ -102,6 +106,15 @@
                 "fescuerack_leaving_servers",
                 "Servers in the list that have said that they leave",
             )?,
+            rests: registrar.counter(
+                "fescuerack_rests_total",
+                "Rests that servers have asked this node for",
+                &["service"],
+            )?,
+            resting: registrar.gauge(
+                "fescuerack_resting_servers",
+                "Servers that get nothing from this node since they have asked for rest",
+            )?,
             unreadable_headers: registrar.counter(
                 "fescuerack_unreadable_headers_total",
                 "Headers of servers that could not be read",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,6 +8,7 @@
 use fescuerack_core::gateway::budget::Budget;
 use fescuerack_core::gateway::canary::Counts;
 use fescuerack_core::gateway::crash::Suspects;
+use fescuerack_core::gateway::rest::Rests;
 use fescuerack_core::gateway::session::Recent;
 use fescuerack_core::gateway::shared_limit::Gate;
 use fescuerack_core::gateway::slowness::Baseline;
@@ -79,6 +80,8 @@
     pub stated_limits: RefCell<StatedLimits>,
     /// State of keeping these limits and those of servers that are warming up.
     pub gate: RefCell<Gate>,
+    /// Servers that have asked this node for rest.
+    pub rests: RefCell<Rests>,
     /// Headers of servers that could not be parsed.
     pub unreadable_headers: RefCell<UnreadableHeaders>,
     /// Usual timing of answers, by the latency class of their route and model.
@@ -136,6 +139,7 @@
             load: Exchange::default(),
             stated_limits: RefCell::default(),
             gate: RefCell::new(Gate::new(now())),
+            rests: RefCell::default(),
             unreadable_headers: RefCell::default(),
             baselines: RefCell::default(),
             waits: RefCell::default(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -230,7 +230,7 @@
                     }
                 };
                 if !may_continue {
-                    return Err(exhausted(progress, None));
+                    return Err(exhausted(progress, eligible::retry_at(node, job, service)));
                 }
             }
             AttemptResult::Unknown | AttemptResult::TimedOut => {
@@ -294,21 +294,22 @@
             elsewhere = excluded.outside_regions,
             cold = excluded.cold,
             limited = excluded.limited,
+            resting = excluded.resting,
             leaving = excluded.leaving
         );
         let larger = progress
             .model
             .map(|rank| rank + 1)
-            .filter(|rank| *rank < job.route.models.len() && excluded.retry_at().is_some());
+            .filter(|rank| *rank < job.route.models.len() && excluded.retry_at.is_some());
         match larger {
             Some(rank) => progress.model = Some(rank),
-            None => return Err(exhausted(progress, excluded.retry_at())),
+            None => return Err(exhausted(progress, eligible::retry_at(node, job, service))),
         }
     }
 }
 
-/// Returns the refusal of a request that no server is left for. `retry_at` is when a server with a
-/// limit may accept one again.
+/// Returns the refusal of a request that no server is left for. `retry_at` is when the first server
+/// may accept one again, if none may now.
 fn exhausted(progress: &RequestProgress, retry_at: Option<Instant>) -> Refusal {
     match retry_at {
         _ if progress.may_have_run => Refusal::OutcomeUnknown,
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 use crate::pick::Pick;
 use crate::platform::{ResponseHead, Stated};
-use crate::{server_leaving, server_limit};
+use crate::{server_leaving, server_limit, server_rest};
 
 /// Source of a statement in the log, if it is an answer to this node.
 pub const OWN_ANSWER: &str = "answer";
@@ -44,6 +44,7 @@
     log(pick, id, head);
     server_limit::record_statement(node, pick, sent_at, head.limit);
     server_leaving::record_statement(node, pick, head.is_leaving);
+    server_rest::record_statement(node, pick, head.rest_ms);
 }
 
 /// Returns the statements for a peer.
@@ -64,6 +65,7 @@
 pub fn sweep(node: &Node, now: Instant) {
     server_limit::sweep(node, now);
     server_leaving::sweep(node, now);
+    server_rest::sweep(node, now);
 }
 
 fn log(pick: &Pick, id: &str, head: &ResponseHead) {
--- a/crates/gateway/tests/all/metrics.rs
+++ b/crates/gateway/tests/all/metrics.rs
@@ -20,6 +20,8 @@
     servers.cold_requests.with_label_values(&["s"]).inc();
     servers.limited_requests.with_label_values(&["s"]).inc();
     servers.limit_changes.with_label_values(&["learnt"]).inc();
+    servers.rests.with_label_values(&["s"]).inc();
+    servers.rests.with_label_values(&["s"]).inc();
     servers
         .unreadable_headers
         .with_label_values(&["limit"])
