An engine that asks an instance for rest at the callers' port gets it, too

Callers got 502 once the retry budget was used up, since an engine that sheds load went on getting its share of requests. Cause: the same as at the gateway, Fault::Refused held status and text and dropped Retry-After. Change: it carries the rest, and the route table leaves the server out until it is over (core::gateway::rest, no second copy). The stand-in engine asks for rest by a fault. Before: chat_engine_that_asks_for_rest_gets_it fails with 502 within its 40 requests.

--- a/crates/client/src/discovery.rs
+++ b/crates/client/src/discovery.rs
@@ -77,10 +77,7 @@
             (200, _) => {}
             (NOT_MODIFIED, Some(cached)) => return Ok(cached.list),
             (status, _) => {
-                return Err(Fault::Refused {
-                    status,
-                    message: String::new(),
-                });
+                return Err(Fault::refused(status, String::new()));
             }
         }
         let tag = response.headers().get("etag").cloned();
--- a/crates/client/src/engine.rs
+++ b/crates/client/src/engine.rs
@@ -23,7 +23,7 @@
 use fescuerack_wire::load::Report;
 use thiserror::Error;
 
-use crate::http::json;
+use crate::http::{json, retry_after};
 use crate::{Agent, Fault};
 
 /// Maximum length of a line of a stream, in bytes. It bounds the memory of an attempt whose engine
@@ -181,10 +181,12 @@
     if echoed.is_none_or(|echoed| echoed.as_bytes() != attempt.id.as_bytes()) {
         return Err(Failure::Mismatched);
     }
+    let retry_after = retry_after(&response);
     let mut body = response.into_body();
     if status != 200 {
         let message = body.read_to_string().unwrap_or_default();
-        return Err(Fault::from_status(status, message).into());
+        let fault = Fault::from_status(status, message);
+        return Err(fault.with_rest(retry_after.as_deref()).into());
     }
     let reader = body.into_with_config().limit(u64::MAX).reader();
     Ok(Stream {
--- a/crates/client/src/fault.rs
+++ b/crates/client/src/fault.rs
@@ -1,5 +1,6 @@
 //! Errors of calls to other processes.
 
+use fescuerack_core::num;
 use thiserror::Error;
 
 /// Reason why a call failed. Each variant states whether the call may have taken effect.
@@ -27,6 +28,8 @@
         status: u16,
         /// Body of the response.
         message: String,
+        /// Milliseconds for which the server wants nothing from this process, if it states them.
+        rest_ms: Option<u64>,
     },
     /// The response could not be parsed or broke the protocol. The call may have taken effect.
     #[error("malformed answer: {0}")]
@@ -39,10 +42,38 @@
     pub const fn from_status(status: u16, message: String) -> Self {
         match status {
             500..=502 | 504..=599 => Self::Failed { status, message },
-            _ => Self::Refused { status, message },
+            _ => Self::refused(status, message),
         }
     }
 
+    /// Returns the refusal of a call by a server that does not ask for rest.
+    #[must_use]
+    pub const fn refused(status: u16, message: String) -> Self {
+        Self::Refused {
+            status,
+            message,
+            rest_ms: None,
+        }
+    }
+
+    /// Returns this error with the rest that the refusing server asks for in `retry_after`, the value
+    /// of the header. Only a server that has turned the call away with 503 asks for rest.
+    #[must_use]
+    pub fn with_rest(mut self, retry_after: Option<&str>) -> Self {
+        if let Self::Refused {
+            status: 503,
+            rest_ms,
+            ..
+        } = &mut self
+        {
+            *rest_ms = retry_after.and_then(num::decimal_millis);
+            if let (Some(value), None) = (retry_after, &rest_ms) {
+                log::warn!("a server asks for rest with an unreadable Retry-After: {value:?}");
+            }
+        }
+        self
+    }
+
     /// Classifies an error of the HTTP client.
     ///
     /// Only errors that occur before the first byte is written map to [`Fault::NotSent`]. The
--- a/crates/client/src/http.rs
+++ b/crates/client/src/http.rs
@@ -64,6 +64,12 @@
         .map_err(|error| Fault::Malformed(error.to_string()))
 }
 
+/// Returns the value of `Retry-After`, if it is text.
+pub(crate) fn retry_after(response: &Response) -> Option<String> {
+    let value = response.headers().get("retry-after")?;
+    value.to_str().ok().map(str::to_owned)
+}
+
 /// Returns the error for a response with a status other than 200.
 pub(crate) fn refused(mut response: Response) -> Fault {
     let status = response.status().as_u16();
--- a/crates/client/src/service.rs
+++ b/crates/client/src/service.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use fescuerack_wire::header;
 
+use crate::http::retry_after;
 use crate::{Agent, Fault};
 
 /// One call of a plain service.
@@ -81,13 +82,14 @@
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type.map(str::to_owned);
     let not_started = response.headers().contains_key(NOT_STARTED);
+    let retry_after = retry_after(&response);
     let body = response
         .body_mut()
         .read_to_vec()
         .map_err(|error| Fault::from_client(&error))?;
     if not_started {
         let message = String::from_utf8_lossy(&body).into_owned();
-        return Err(Fault::Refused { status, message });
+        return Err(Fault::refused(status, message).with_rest(retry_after.as_deref()));
     }
     Ok(Answer {
         status,
--- a/crates/client/src/store.rs
+++ b/crates/client/src/store.rs
@@ -174,7 +174,7 @@
         // After an internal error of the service, the write may or may not have taken effect.
         return Fault::Unknown(format!("status {status}: {message}"));
     }
-    Fault::Refused { status, message }
+    Fault::refused(status, message)
 }
 
 fn json<T: serde::de::DeserializeOwned>(mut response: Response) -> Result<T, Fault> {
@@ -216,10 +216,7 @@
     ) -> Result<Swap, Fault> {
         if value.len() > MAX_VALUE_BYTES {
             let message = format!("{key}: {} bytes, over {MAX_VALUE_BYTES}", value.len());
-            return Err(Fault::Refused {
-                status: 413,
-                message,
-            });
+            return Err(Fault::refused(413, message));
         }
         let lease = lease.map_or_else(String::new, |lease| format!("&lease={lease}"));
         let url = format!("{}/v1/kv/{key}?version={expected}{lease}", self.url);
--- a/crates/core/src/gateway/rest.rs
+++ b/crates/core/src/gateway/rest.rs
@@ -63,6 +63,12 @@
         end.filter(|end| now < *end)
     }
 
+    /// Whether a server rests, or has rested since the last [`Self::remove_ended`].
+    #[must_use]
+    pub fn contains(&self, identity: u64) -> bool {
+        self.ends.contains_key(&identity)
+    }
+
     /// Returns the number of servers that rest.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/core/src/num.rs
+++ b/crates/core/src/num.rs
@@ -23,6 +23,24 @@
     Duration::from_secs_f64(number.clamp(0.0, f64::from(u32::MAX)))
 }
 
+/// Parses a decimal number without a sign or an exponent.
+#[must_use]
+pub fn decimal(text: &str) -> Option<f64> {
+    let is_decimal = text
+        .bytes()
+        .all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let value: f64 = text.parse().ok()?;
+    (is_decimal && value.is_finite()).then_some(value)
+}
+
+/// Parses a decimal number of seconds, as in `Retry-After`, to milliseconds; numbers beyond `u32`
+/// saturate. A date is not accepted: its meaning would depend on the clock.
+#[must_use]
+pub fn decimal_millis(text: &str) -> Option<u64> {
+    let millis = seconds(decimal(text)?).as_secs_f64() * 1_000.0;
+    u64::try_from(whole(millis.ceil())).ok()
+}
+
 /// An exponentially weighted moving average, with its mean deviation.
 #[derive(Clone, Copy, Debug, Default, serde::Serialize)]
 pub struct Mean {
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -20,6 +20,8 @@
 //!   restarts per day.
 //! * **Servers that leave.** The instance list lags. A notice of the server itself or a peer's
 //!   digest ([`leaving`]) counts at once.
+//! * **Servers that ask for rest.** A server that sheds load refuses each request and looks idle. It
+//!   gets nothing from this instance until its [`rest`](crate::gateway::rest) is over.
 //! * **A fleet of 910 servers.** Each instance uses a [`subset`], and a decision compares a bounded
 //!   number of servers, so its cost grows only with the logarithm of the ring's size.
 //!
@@ -45,9 +47,10 @@
 
 use fescuerack_config::key;
 use rand::{Rng, RngExt as _};
-use slotmap::SecondaryMap;
+use slotmap::{Key as _, SecondaryMap};
 
 use crate::clock::Instant;
+use crate::gateway::rest::Rests;
 use crate::num::Mean;
 use leaving::LeavingServers;
 use ring::Ring;
@@ -63,6 +66,7 @@
     servers: SecondaryMap<key::Server, Server>,
     pools: SecondaryMap<key::Fleet, Pool>,
     leaving: LeavingServers,
+    rests: Rests,
     has_had_servers: bool,
 }
 
@@ -89,6 +93,7 @@
             servers: SecondaryMap::new(),
             pools: SecondaryMap::new(),
             leaving: LeavingServers::new(),
+            rests: Rests::new(),
             has_had_servers: false,
         }
     }
@@ -161,6 +166,15 @@
         }
     }
 
+    /// Records that a server has refused an attempt and wants nothing from this instance for `rest_ms`
+    /// milliseconds. `spread`, from 0 to 1, places the end within its range. Peers are not told.
+    pub fn mark_resting(&mut self, now: Instant, key: key::Server, rest_ms: u64, spread: f64) {
+        let rest = self.rests.record(now, key.data().as_ffi(), rest_ms, spread);
+        if rest.is_some() {
+            self.rebuild();
+        }
+    }
+
     /// Returns the digest for peers.
     #[must_use]
     pub fn digest(&self, now: Instant) -> leaving::Digest {
@@ -178,7 +192,8 @@
     /// few times a second.
     pub fn tick(&mut self, now: Instant) {
         let expired = self.leaving.remove_expired(now);
-        let mut changed = expired;
+        let rested = self.rests.remove_ended(now);
+        let mut changed = expired || !rested.is_empty();
         for (_, pool) in &self.pools {
             changed |= ejection::sweep(now, &self.thresholds, pool, &mut self.servers);
         }
@@ -191,7 +206,9 @@
     fn rebuild(&mut self) {
         let mut fleets: BTreeMap<key::Fleet, Vec<key::Server>> = BTreeMap::new();
         for (key, server) in &self.servers {
-            if server.state == State::Live && !self.leaving.is_leaving(&server.id) {
+            let is_kept_out =
+                self.leaving.is_leaving(&server.id) || self.rests.contains(key.data().as_ffi());
+            if server.state == State::Live && !is_kept_out {
                 fleets.entry(server.fleet).or_default().push(key);
             }
         }
--- a/crates/core/tests/all/route.rs
+++ b/crates/core/tests/all/route.rs
@@ -118,6 +118,23 @@
     assert!((0..100).all(|_| fixture.choose(600, None) != Some(1)));
 }
 
+/// Guards against attempts at a server that has turned this instance away and asked for rest, and
+/// against one that stays out when its rest is over.
+#[test]
+fn choose_skips_a_server_until_its_rest_is_over() {
+    let mut fixture = Fixture::new(3);
+    let resting = fixture.keys[1];
+    fixture
+        .table
+        .mark_resting(Instant::from_millis(10), resting, 1_000, 0.0);
+    for step in 11..1_000 {
+        fixture.table.tick(Instant::from_millis(step));
+        assert_ne!(fixture.choose(step, None), Some(1));
+    }
+    fixture.table.tick(Instant::from_millis(1_010));
+    assert!((0..100).any(|_| fixture.choose(1_010, None) == Some(1)));
+}
+
 // One server becomes ten times slower than the others. It must be ejected, return on probation with
 // one attempt at a time, be ejected again while it is slow, and get its share again once it has
 // recovered.
--- a/crates/node/src/in_flight.rs
+++ b/crates/node/src/in_flight.rs
@@ -107,13 +107,28 @@
             }
             // The request was invalid or the server is overloaded: neither
             // means that the server is unhealthy.
-            Fault::Refused { .. } => Outcome::Ignored,
+            Fault::Refused { rest_ms, .. } => {
+                self.record_rest(*rest_ms);
+                Outcome::Ignored
+            }
             Fault::Failed { .. } | Fault::NotSent(_) | Fault::Unknown(_) | Fault::Malformed(_) => {
                 Outcome::Failure
             }
         };
     }
 
+    /// Records that the server wants nothing from this instance for `rest_ms` milliseconds.
+    fn record_rest(&self, rest_ms: Option<u64>) {
+        let Some(rest_ms) = rest_ms else {
+            return;
+        };
+        self.shared.metrics.count("upstream.rests");
+        log::info!("{} asks for {rest_ms} ms of rest", self.address);
+        let spread = self.shared.random_fraction();
+        let now = self.shared.now();
+        lock(&self.shared.routes).mark_resting(now, self.server, rest_ms, spread);
+    }
+
     /// Records the result of a call of a plain service.
     pub fn record_service_result(&mut self, result: &Result<Answer, Fault>) {
         match result {
--- a/crates/node/tests/all/load.rs
+++ b/crates/node/tests/all/load.rs
@@ -1,5 +1,6 @@
 //! Admission and retries under load, in a real process.
 
+use fescuerack_standin::Fault;
 use fescuerack_wire::header;
 use serde_json::json;
 
@@ -31,6 +32,25 @@
     assert_eq!(process.counter("attempts.retry_denied"), 0);
 }
 
+/// Guards against requests to an engine that has turned this instance away and asked for rest.
+#[test]
+fn chat_engine_that_asks_for_rest_gets_it() {
+    let cluster = Cluster::new();
+    let process = cluster.start("entry-0");
+    cluster.engines[0].faults().set(Fault::RestS, 30);
+    let url = format!("{}/v1/chat/completions", process.callers);
+    let body = json!({"model": "auto:chat-reply", "max_tokens": 2, "messages": []});
+    for _ in 0..40 {
+        let answer = client()
+            .post(&url)
+            .header("authorization", format!("Bearer {KEY}"))
+            .send_json(&body);
+        assert_eq!(answer.expect("an answer").status(), 200);
+    }
+    let refused = cluster.engines[0].refused();
+    assert!(refused <= 2, "{refused} requests while it rests");
+}
+
 // A request arrives with a deadline that is too short while every permit is held.
 // It is refused at once, as not run and with a time to retry.
 #[test]
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -93,6 +93,8 @@
     mismatched_answers: AtomicU64,
     forgets_attempts: AtomicBool,
     leaving: AtomicBool,
+    /// Number of requests that were refused with a request for rest.
+    refused: AtomicU64,
     running: AtomicU64,
     work: AtomicU64,
     orders: Orders,
@@ -125,6 +127,7 @@
             mismatched_answers: AtomicU64::new(0),
             forgets_attempts: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            refused: AtomicU64::new(0),
             running: AtomicU64::new(0),
             work: AtomicU64::new(0),
             orders: Orders::default(),
@@ -177,6 +180,12 @@
             .store(forgets_attempts, Ordering::SeqCst);
     }
 
+    /// Returns the number of requests that it has refused and asked for rest.
+    #[must_use]
+    pub fn refused(&self) -> u64 {
+        self.shared.refused.load(Ordering::SeqCst)
+    }
+
     /// Marks the engine as leaving: it refuses new requests and finishes those that run.
     pub fn mark_leaving(&self) {
         self.shared.leaving.store(true, Ordering::SeqCst);
@@ -242,10 +251,22 @@
                 let id = read_header(&request, header::ATTEMPT).unwrap_or_default();
                 Some(with_attempt(build_response(503, "leaving"), id))
             }
+            None if self.faults.get(Fault::RestS) > 0 => Some(self.refuse_for_rest(&request)),
             None => self.start(&request).await,
         }
     }
 
+    /// Refuses a request and asks for rest.
+    fn refuse_for_rest(&self, request: &Request) -> hyper::Response<crate::Body> {
+        self.refused.fetch_add(1, Ordering::SeqCst);
+        let id = read_header(request, header::ATTEMPT).unwrap_or_default();
+        let mut response = with_attempt(build_response(503, "busy"), id);
+        let rest_s = self.faults.get(Fault::RestS);
+        let headers = response.headers_mut();
+        headers.insert(hyper::header::RETRY_AFTER, rest_s.into());
+        response
+    }
+
     async fn start(self: &Arc<Self>, request: &Request) -> Response {
         let parsed: chat::Request = match serde_json::from_slice(request.body()) {
             Ok(parsed) => parsed,
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -20,10 +20,12 @@
     DropWatchEvents,
     /// Requests above this number in one second are refused with status 429.
     RateLimit,
+    /// Requests are refused with status 503 and ask for this many seconds of rest.
+    RestS,
 }
 
 impl Fault {
-    const COUNT: usize = 7;
+    const COUNT: usize = 8;
 }
 
 /// Values of the faults of one stand-in; 0 means that the fault is off.
