A refusal because of limits names the next request of any sender

A caller's retry may reach any node, so a node that is no sender, or one whose own turn comes late, told callers to return later than needed: after a sender's whole spacing in place of its part.

--- a/crates/core/src/gateway/shared_limit.rs
+++ b/crates/core/src/gateway/shared_limit.rs
@@ -274,14 +274,16 @@
         }
     }
 
-    /// Returns when a request to the server may be admitted again: by this node if it is a sender,
-    /// otherwise by any of them.
+    /// Returns when a request to the server may be admitted again, by this node or, as far as it can
+    /// tell, by another sender. A caller's retry may reach any node.
     #[must_use]
     pub fn next_at(&self, now: Instant, target: &Target, nodes: usize) -> Instant {
+        let senders = u64::try_from(target.limit.senders(nodes).max(1)).unwrap_or(u64::MAX);
+        let by_any = now.plus_millis(target.limit.spacing_ms(nodes) / senders);
         let own = self.memberships.get(&target.identity);
-        match own.filter(|membership| membership.is_sender) {
-            Some(membership) => membership.pacer.next.max(now),
-            None => now.plus_millis(target.limit.spacing_ms(nodes)),
+        match own.filter(|membership| membership.is_sender && now >= self.ready_at) {
+            Some(membership) => membership.pacer.next.clamp(now, by_any.max(now)),
+            None => by_any,
         }
     }
 }
