--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -56,6 +56,27 @@
         })
     }
 
+    /// Starts a server on the address `listen` that answers each request with `serve` and `state`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn with_state<S, F>(
+        runtime: &Handle,
+        listen: &str,
+        state: &Arc<S>,
+        serve: fn(Arc<S>, Request) -> F,
+    ) -> Result<Self>
+    where
+        S: Send + Sync + 'static,
+        F: Future<Output = Response> + Send + 'static,
+    {
+        let state = Arc::clone(state);
+        let handler: Handler =
+            Arc::new(move |request| Box::pin(serve(Arc::clone(&state), request)));
+        Self::new(runtime, listen, handler)
+    }
+
     /// Returns the address on which the server listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -64,12 +64,9 @@
             calls_in_second: Mutex::new((0, 0)),
             started: std::time::Instant::now(),
         });
-        let for_handler = Arc::clone(&shared);
-        let handler: crate::Handler = Arc::new(move |request| {
-            let shared = Arc::clone(&for_handler);
-            Box::pin(async move { shared.serve(request).await })
-        });
-        let server = Server::new(runtime, listen, handler)?;
+        let server = Server::with_state(runtime, listen, &shared, |shared, request| async move {
+            shared.serve(request).await
+        })?;
         Ok(Self { shared, server })
     }
 
