--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -35,8 +35,8 @@
 const SHARE_END_MS: u64 = 60_000;
 /// Maximum number of statements in a message to a peer. With more, messages take turns.
 const MAX_SHARED: usize = 24;
-/// Maximum number of servers whose statements are stored.
-const MAX_STATEMENTS: usize = 4_096;
+/// Maximum number of servers whose statements are stored: a fleet of ten thousand servers in need.
+const MAX_STATEMENTS: usize = 16_384;
 /// Number of parts of a request a second in which limits are passed on.
 const PARTS: f64 = 1_000.0;
 
--- a/crates/gateway/src/server_leaving.rs
+++ b/crates/gateway/src/server_leaving.rs
@@ -15,9 +15,9 @@
 use crate::view::View;
 
 /// Milliseconds for which a notice is passed on to peers. By then each has received it many times.
-const SHARE_MS: u64 = 10_000;
+pub const SHARE_MS: u64 = 10_000;
 /// Maximum number of notices in a message to a peer.
-const MAX_SHARED: usize = 24;
+pub const MAX_SHARED: usize = 24;
 
 /// Records what the answer of `pick` states. Only another start of the server ends a notice.
 pub fn record_statement(node: &Node, pick: &Pick, is_leaving: Stated<bool>) {
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -23,9 +23,9 @@
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Digest {
     /// Limits of requests a second.
-    limits: stated_limit::Digest,
+    pub limits: stated_limit::Digest,
     /// Servers that are about to stop.
-    leaving: leaving::Digest,
+    pub leaving: leaving::Digest,
 }
 
 /// Records what the answer of `pick` to the request `id` states. The request was sent at `sent_at`.
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod metrics;
 mod refusal;
 mod routes;
+mod statements;
