--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -69,10 +69,13 @@
 struct Statement {
     /// Thousandths of a request a second; `None` if the limit has ended.
     per_second: Option<u32>,
+    /// Number by which nodes tell the newer of two statements.
     sequence: u32,
+    /// When a node last heard it.
     heard_at: Instant,
-    /// Time and round of the latest statement that was passed on as new.
-    passed_at: Instant,
+    /// When it got its sequence number.
+    numbered_at: Instant,
+    /// Round in which it was last heard.
     round: u32,
 }
 
@@ -138,10 +141,10 @@
             return None;
         }
         let is_same = known.is_some_and(|known| known.per_second == per_second);
-        let is_fresh = known.is_some_and(|known| age_ms(now, known.passed_at) < REFRESH_MS);
+        let is_fresh = known.is_some_and(|known| age_ms(now, known.numbered_at) < REFRESH_MS);
         let is_repeated = is_same && is_fresh;
         let sequence = known.map_or(0, |known| known.sequence);
-        let passed_at = known.map_or(now, |known| known.passed_at);
+        let numbered_at = known.map_or(now, |known| known.numbered_at);
         let statement = Statement {
             per_second,
             sequence: if is_repeated {
@@ -150,7 +153,7 @@
                 sequence.saturating_add(1)
             },
             heard_at: now,
-            passed_at: if is_repeated { passed_at } else { now },
+            numbered_at: if is_repeated { numbered_at } else { now },
             round: known.map_or(0, |known| known.round(now)),
         };
         self.statements.insert(identity, statement);
@@ -173,7 +176,7 @@
                 per_second: shared.per_second,
                 sequence: shared.sequence,
                 heard_at,
-                passed_at: heard_at,
+                numbered_at: heard_at,
                 round: shared.round,
             };
             self.statements.insert(identity, statement);
--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -49,7 +49,7 @@
     pub limited: usize,
     /// At rest, for which they have asked this node.
     pub resting: usize,
-    /// Not among the ready ones: it has stated that it is about to stop.
+    /// Not among the ready ones: they have stated that they are about to stop.
     pub leaving: usize,
     /// When the first of the servers with a limit or at rest may accept a request again.
     pub retry_at: Option<Instant>,
