--- a/crates/gateway/src/server_limit.rs
+++ b/crates/gateway/src/server_limit.rs
@@ -1,5 +1,6 @@
 //! Limits on the requests that this node sends to backend servers that are warming up or have stated
-//! a limit in their answers; see [`shared_limit`] and [`stated_limit`].
+//! a limit in their answers; see [`shared_limit`] and
+//! [`stated_limit`](fescuerack_core::gateway::stated_limit).
 
 use std::collections::HashMap;
 
