--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -311,11 +311,10 @@
 /// Returns the refusal of a request that no server is left for. `retry_at` is when the first server
 /// may accept one again, if none may now.
 fn exhausted(progress: &RequestProgress, retry_at: Option<Instant>) -> Refusal {
-    match retry_at {
-        _ if progress.may_have_run => Refusal::OutcomeUnknown,
-        Some(at) => Refusal::NotBefore(at),
-        None => Refusal::NotRun,
+    if progress.may_have_run {
+        return Refusal::OutcomeUnknown;
     }
+    retry_at.map_or(Refusal::NotRun, Refusal::NotBefore)
 }
 
 /// Returns until when an attempt waits for a head before another server is tried or the fallback
--- a/crates/gateway/tests/all/refusal.rs
+++ b/crates/gateway/tests/all/refusal.rs
@@ -53,3 +53,15 @@
         has_retry_after
     );
 }
+
+/// Guards against callers that are told to return before any server accepts their request.
+#[test]
+fn response_retry_after_is_no_earlier_than_a_server_accepts() {
+    let free = NOW.plus_millis(2_300);
+    for spread in [0.0, 0.5, 1.0] {
+        let response = Refusal::NotBefore(free).response(NOW, NOW.plus_millis(1_000), spread);
+        let value = response.headers()[RETRY_AFTER].to_str().expect("text");
+        let seconds: f64 = value.parse().expect("seconds");
+        assert!((2.3..4.0).contains(&seconds), "{seconds}");
+    }
+}
