--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -38,7 +38,7 @@
 /// Maximum number of servers whose statements are stored: a fleet of ten thousand servers in need.
 const MAX_STATEMENTS: usize = 16_384;
 /// Number of parts of a request a second in which limits are passed on.
-const PARTS: f64 = 1_000.0;
+const PARTS_PER_REQUEST: f64 = 1_000.0;
 
 /// A limit, or its end, in a message to a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -217,7 +217,7 @@
     #[must_use]
     pub fn target(&self, now: Instant, identity: u64) -> Option<Target> {
         let statement = self.statements.get(&identity)?;
-        let per_second = f64::from(statement.per_second?) / PARTS;
+        let per_second = f64::from(statement.per_second?) / PARTS_PER_REQUEST;
         Some(Target {
             identity,
             limit: Limit::stated(per_second),
@@ -254,8 +254,8 @@
     let before = known.and_then(|known| known.per_second);
     match (before, per_second) {
         (before, after) if before == after => None,
-        (None, Some(limit)) => Some(Change::Learnt(f64::from(limit) / PARTS)),
-        (Some(_), Some(limit)) => Some(Change::Changed(f64::from(limit) / PARTS)),
+        (None, Some(limit)) => Some(Change::Learnt(f64::from(limit) / PARTS_PER_REQUEST)),
+        (Some(_), Some(limit)) => Some(Change::Changed(f64::from(limit) / PARTS_PER_REQUEST)),
         (_, None) => Some(Change::Ended),
     }
 }
@@ -266,7 +266,7 @@
     reason = "the cast saturates, and limits are not negative"
 )]
 fn parts(per_second: f64) -> u32 {
-    (per_second * PARTS) as u32
+    (per_second * PARTS_PER_REQUEST) as u32
 }
 
 fn age_ms(now: Instant, at: Instant) -> u64 {
--- a/crates/gateway/src/server_leaving.rs
+++ b/crates/gateway/src/server_leaving.rs
@@ -75,7 +75,7 @@
     };
     server.is_leaving = true;
     tracing::info!(
-        event = "server-leaving",
+        event = "stated-leaving",
         server = &*server.entry.id,
         service = &*server.entry.service,
         source,
--- a/crates/gateway/src/server_limit.rs
+++ b/crates/gateway/src/server_limit.rs
@@ -156,7 +156,7 @@
         .with_label_values(&[label])
         .inc();
     tracing::info!(
-        event = "server-limit",
+        event = "stated-limit",
         server,
         change = label,
         limit,
--- a/crates/gateway/src/server_rest.rs
+++ b/crates/gateway/src/server_rest.rs
@@ -38,7 +38,7 @@
             .inc();
     }
     tracing::info!(
-        event = "server-rest",
+        event = "stated-rest",
         server = &*pick.id,
         service = &*pick.service,
         change = if was_resting { "changed" } else { "learnt" },
@@ -66,7 +66,7 @@
     let servers = view.servers.values();
     for server in servers.filter(|server| ended.contains(&server.identity)) {
         tracing::info!(
-            event = "server-rest",
+            event = "stated-rest",
             server = &*server.entry.id,
             service = &*server.entry.service,
             change = "ended"
