A further attempt's log line says what the account held, by which count and how old it is

Two of the hypotheses of the retry budget's incident could not be told apart in a log: it held the count of nodes, but not the requests and attempts of the window, the bound they gave, when the store had last confirmed the count, or since when the process is registered. Attempts that the route's own limit denies are counted as over-attempts; they left no trace before.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -3,17 +3,12 @@
 //! When a service fails for a moment and every node retries what failed, the service gets twice its
 //! load just when its capacity is lowest. The bound holds for all nodes together over a sliding
 //! window, without messages between them: each node may use a fixed ratio of its own requests and
-//! its share of the fixed slack. The sum over all nodes stays below the bound whatever the nodes
-//! have recorded of each other, as long as no node underestimates their number by more than a
-//! factor of [`MAX_UNDERCOUNT`].
+//! its [share](super::share) of the fixed slack.
 
 use std::collections::VecDeque;
 
 use crate::clock::Instant;
 
-/// Factor by which a node may underestimate the number of nodes: nodes that start are counted only
-/// once they have been discovered. Half of the slack covers a doubling.
-pub const MAX_UNDERCOUNT: f64 = 2.0;
 /// Share of the ratio that is used. The rest is a margin, as the windows of different nodes do not
 /// end at the same time.
 pub const USED_SHARE: f64 = 0.9;
@@ -38,6 +33,19 @@
     further: u32,
 }
 
+/// What a budget held when a further attempt was asked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Account {
+    /// Requests of this node within the window.
+    pub requests: u32,
+    /// Its further attempts within the window, without the one asked for.
+    pub further: u32,
+    /// Further attempts that it may make within the window.
+    pub max: f64,
+    /// Whether the attempt may be made.
+    pub is_taken: bool,
+}
+
 /// Requests and further attempts that one node has sent to a service within the window.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
@@ -50,21 +58,26 @@
         self.slot(now).requests += 1;
     }
 
-    /// Takes one further attempt from the budget and returns whether it may be made.
+    /// Takes one further attempt from the budget, and returns what the budget held and whether the
+    /// attempt may be made.
     ///
-    /// It is denied if `nodes` nodes that all took one could exceed `bound`.
-    pub fn take(&mut self, now: Instant, bound: &Bound, nodes: usize) -> bool {
+    /// `share` is the number of further attempts that the node may make in addition to those by
+    /// ratio.
+    pub fn take(&mut self, now: Instant, bound: &Bound, share: f64) -> Account {
         self.expire(now, bound.window_ms);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let further: u32 = self.slots.iter().map(|slot| slot.further).sum();
-        let nodes = f64::from(u32::try_from(nodes.max(1)).unwrap_or(u32::MAX));
-        let max =
-            USED_SHARE * bound.ratio * f64::from(requests) + bound.slack / (MAX_UNDERCOUNT * nodes);
-        let fits = f64::from(further) + 1.0 <= max;
-        if fits {
+        let max = USED_SHARE * bound.ratio * f64::from(requests) + share;
+        let is_taken = f64::from(further) + 1.0 <= max;
+        if is_taken {
             self.slot(now).further += 1;
         }
-        fits
+        Account {
+            requests,
+            further,
+            max,
+            is_taken,
+        }
     }
 
     fn expire(&mut self, now: Instant, window_ms: u64) {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 //! - [`shared_limit`]: which nodes may use a server that accepts few requests, and how often;
 //! - [`stated_limit`]: which servers have stated such a limit in their answers;
 //! - [`budget`]: how many further attempts one node may make;
+//! - [`share`]: how much of the slack of all nodes one node may use for them;
 //! - [`canary`]: how much traffic a new version gets, and when it is completed or rejected;
 //! - [`slowness`]: which answers of a new version count as slow;
 //! - [`rest`]: which servers have asked a node for rest;
@@ -37,6 +38,7 @@
 pub mod rank;
 pub mod rest;
 pub mod session;
+pub mod share;
 pub mod shared_limit;
 pub mod slowness;
 pub mod stated_limit;
--- a/crates/core/tests/all/gateway/budget.rs
+++ b/crates/core/tests/all/gateway/budget.rs
@@ -2,6 +2,7 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::budget::{Bound, Budget};
+use fescuerack_core::gateway::share::Share;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 use rstest::rstest;
@@ -12,6 +13,15 @@
     window_ms: 10_000,
 };
 
+/// Returns the share of a node that has known `nodes` nodes for longer than a window.
+fn share(nodes: usize) -> f64 {
+    let mut share = Share::default();
+    share.register(Instant::ORIGIN);
+    let now = Instant::ORIGIN.plus_millis(BOUND.window_ms);
+    share.observe(now, nodes, true);
+    share.of(now, BOUND.slack, BOUND.window_ms)
+}
+
 /// Guards against retries that exceed the bound when a service fails every request for a minute.
 /// Each node retries as often as its budget allows, without messages between nodes, also while
 /// about half of the nodes have not been discovered yet.
@@ -24,6 +34,7 @@
     #[case] known: usize,
     #[case] requests_per_s: f64,
 ) {
+    let share = share(known);
     let mut random = Pcg64::seed_from_u64(7);
     let mut budgets = vec![Budget::default(); nodes];
     let mut requests = Vec::new();
@@ -37,7 +48,7 @@
         budget.count_request(now);
         requests.push(step);
         for _ in 0..3 {
-            if budget.take(now, &BOUND, known) {
+            if budget.take(now, &BOUND, share).is_taken {
                 further.push(step);
             }
         }
@@ -67,15 +78,19 @@
     let mut budget = Budget::default();
     let now = Instant::from_millis(5);
     budget.count_request(now);
-    assert!(budget.take(now, &BOUND, 9));
+    assert!(budget.take(now, &BOUND, share(9)).is_taken);
 }
 
 #[test]
 fn take_budget_is_restored_after_the_window() {
     let mut budget = Budget::default();
     let now = Instant::from_millis(0);
-    let spent = (0..1_000).filter(|_| budget.take(now, &BOUND, 1)).count();
+    let mut is_taken = |at_ms| {
+        let at = now.plus_millis(at_ms);
+        budget.take(at, &BOUND, share(1)).is_taken
+    };
+    let spent = (0..1_000).filter(|_| is_taken(0)).count();
     assert_eq!(spent, 29);
-    assert!(!budget.take(now.plus_millis(9_000), &BOUND, 1));
-    assert!(budget.take(now.plus_millis(10_600), &BOUND, 1));
+    assert!(!is_taken(9_000));
+    assert!(is_taken(10_600));
 }
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -35,6 +35,7 @@
         node.pool.forget(address);
     }
     observe_ages(node);
+    node.observe_node_count();
     let view = node.view.borrow();
     node.followed_revision.send_replace(view.revision);
     node.snapshots.publish(view.revision);
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,6 +10,7 @@
 use fescuerack_core::gateway::crash::Suspects;
 use fescuerack_core::gateway::rest::Rests;
 use fescuerack_core::gateway::session::Recent;
+use fescuerack_core::gateway::share::Share;
 use fescuerack_core::gateway::shared_limit::Gate;
 use fescuerack_core::gateway::slowness::Baseline;
 use fescuerack_core::gateway::stated_limit::StatedLimits;
@@ -35,6 +36,10 @@
 use crate::upstream::Pool;
 use crate::view::View;
 
+/// Milliseconds since the last answer of the store within which its list of nodes counts as
+/// confirmed. A watch without changes waits about as long.
+const CONFIRMED_MS: u64 = 5_000;
+
 /// Evidence on one roll-out: what this node has counted and what it has received from peers.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
@@ -62,6 +67,8 @@
     pub store: Store,
     /// Active state of the store on this node.
     pub view: RefCell<View>,
+    /// Share of the slack of all retry budgets that this node may use.
+    pub retry_share: RefCell<Share>,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<HashMap<Arc<str>, Budget>>,
     /// Requests suspected to crash servers.
@@ -130,6 +137,7 @@
             pool,
             store,
             view: RefCell::new(View::default()),
+            retry_share: RefCell::default(),
             retry_budgets: RefCell::default(),
             suspects: RefCell::default(),
             evidence: RefCell::default(),
@@ -158,6 +166,14 @@
         })
     }
 
+    /// Records in the retry share how many nodes are listed.
+    pub fn observe_node_count(&self) {
+        let view = self.view.borrow();
+        let is_confirmed = !view.outage.is_ongoing() && self.store_age_ms() < CONFIRMED_MS;
+        let mut share = self.retry_share.borrow_mut();
+        share.observe(now(), view.nodes.len(), is_confirmed);
+    }
+
     /// Milliseconds since the store last answered.
     #[must_use]
     pub fn store_age_ms(&self) -> u64 {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -129,6 +129,7 @@
         if dropped > 0 {
             tracing::info!(event = "servers-not-back", count = dropped);
         }
+        node.observe_node_count();
         statements::sweep(&node, now());
         update_server_gauges(&node);
         node.snapshots.sweep(now());
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -5,7 +5,7 @@
 use fescuerack_core::clock::Instant;
 
 use crate::attempt::{Job, OpenResponse};
-use crate::clock::now;
+use crate::clock::{age_ms, now};
 use crate::node::Node;
 
 /// The fallback answer is sent when the remaining time is the whole time of the request divided by
@@ -72,28 +72,45 @@
 /// Returns whether it is allowed.
 pub fn take_retry(node: &Node, job: &Job, service: &Arc<str>, sent: u32, reason: &str) -> bool {
     if sent >= job.route.attempts {
+        count_retry(node, service, "over-attempts");
         return false;
     }
-    let policy = node.settings.borrow().retries;
-    let nodes = node.view.borrow().node_count();
-    let is_taken = node
+    let bound = node.settings.borrow().retries;
+    let share = node.retry_share.borrow();
+    let part = share.of(now(), bound.slack, bound.window_ms);
+    let account = node
         .retry_budgets
         .borrow_mut()
         .entry(service.clone())
         .or_default()
-        .take(now(), &policy, nodes);
-    let label = if is_taken { reason } else { "over-budget" };
-    node.metrics
-        .further_attempts
-        .with_label_values(&[&**service, label])
-        .inc();
+        .take(now(), &bound, part);
+    let label = if account.is_taken {
+        reason
+    } else {
+        "over-budget"
+    };
+    count_retry(node, service, label);
     tracing::info!(
         event = "further-attempt",
         id = job.head.id,
+        service = &**service,
         reason,
-        taken = is_taken,
+        taken = account.is_taken,
         sent,
-        nodes
+        requests = account.requests,
+        further = account.further,
+        max = account.max,
+        share = part,
+        nodes = share.nodes(),
+        confirmed_ms = share.confirmed_at().map(age_ms),
+        registered_ms = share.registered_at().map(age_ms)
     );
-    is_taken
+    account.is_taken
+}
+
+fn count_retry(node: &Node, service: &str, label: &str) {
+    node.metrics
+        .further_attempts
+        .with_label_values(&[service, label])
+        .inc();
 }
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::clock::now;
 use crate::entry::{NODES, Peer};
 use crate::node::Node;
 use crate::platform::{StoreRequest, StoreResponse};
@@ -72,6 +73,7 @@
     let lease = lease?;
     match node.store.call(&StoreRequest::Renew { lease }).await {
         Ok(StoreResponse::Done(_)) => {
+            node.retry_share.borrow_mut().register(now());
             tracing::info!(event = "entry-renewed", lease);
             Some(lease)
         }
@@ -102,6 +104,9 @@
         lease: Some(lease),
     };
     let is_registered = matches!(node.store.call(&put).await?, StoreResponse::Done(_));
+    if is_registered {
+        node.retry_share.borrow_mut().register(now());
+    }
     tracing::info!(event = "entry", key, lease, entered = is_registered);
     Ok(is_registered.then_some(lease))
 }
