--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod outlier;
 mod rest;
+mod retry_fleet;
 mod session;
 mod shared_limit;
 mod slowness;
