The soak counts repeats at its servers, and sees the budget broken on real processes

By service and window, over all nodes, by the sum that the tests on the virtual clock use. New runs: servers that fail nine in ten, while processes are killed or paused in series, all leases end in an outage of the store, and links hold and let go; their window of 4 s with a ratio of 0.3 and a slack of 40 lets a run of 9 s hold several.

--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod lease_expiry;
 mod load;
 mod outlier;
+mod repeats;
 mod rest;
 mod retry_fleet;
 mod session;
--- a/crates/node/tests/soak/backend.rs
+++ b/crates/node/tests/soak/backend.rs
@@ -41,6 +41,8 @@
     Normal,
     /// Runs requests and answers with a failure.
     Failing,
+    /// Runs requests and answers nine in ten with a failure.
+    MostlyFailing,
     /// Refuses requests.
     Refusing,
 }
@@ -266,6 +268,7 @@
     async fn answer(&self, stream: &mut TcpStream, request: &Message) -> bool {
         let id = request.header("x-request-id").to_owned();
         let starts = self.starts.get();
+        self.observations.record_arrival(self.service(), &id);
         if request.header("x-expect-instance") != self.id() {
             return refuse(stream, &id, 421, "").await;
         }
@@ -323,7 +326,16 @@
         if self.starts.get() != starts {
             return false;
         }
-        if self.behaviour.get() == Behaviour::Failing {
+        let fails = match self.behaviour.get() {
+            Behaviour::Failing => true,
+            // The draw differs from server to server, as a repeat fails as often as a first attempt.
+            Behaviour::MostlyFailing => {
+                let drawn = affinity::hash(format!("{id} {}", self.id()).as_bytes());
+                !affinity::mix(drawn).is_multiple_of(10)
+            }
+            Behaviour::Normal | Behaviour::Refusing => false,
+        };
+        if fails {
             let is_written = answer(stream, &id, 500, &statements.lines(500), "failed").await;
             record_answer(500);
             return is_written;
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -27,6 +27,13 @@
 #[path = "../all/program.rs"]
 mod program;
 
+#[expect(
+    dead_code,
+    reason = "shared with the tests of the retry budget, which use more"
+)]
+#[path = "../../../core/tests/all/gateway/repeats.rs"]
+mod repeats;
+
 #[path = "../../../../platform/tests/all/support/http.rs"]
 mod http;
 #[expect(dead_code, reason = "shared with the platform's tests, which use more")]
@@ -35,16 +42,14 @@
 
 use rstest::rstest;
 
+use observations::Tally;
+
 /// Length of the part of a run in which faults start.
 const FAULTS_MS: u64 = 9_000;
 
-fn play(seed: u64) {
-    play_and_check(seed, &plan::new(seed, FAULTS_MS));
-}
-
 /// Plays `steps` and checks that no guarantee was violated and that enough was observed.
 fn play_and_check(seed: u64, steps: &[plan::Step]) {
-    let (broken, tally) = world::play(seed, steps);
+    let (broken, tally) = world::play(seed, steps, &plan::BOUND);
     assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
     assert!(
         tally.good > 500 && tally.undisturbed > 50,
@@ -60,7 +65,7 @@
 // refused to all callers.
 #[case(3_042)]
 fn play_fixed_seed(#[case] seed: u64) {
-    play(seed);
+    play_and_check(seed, &plan::new(seed, FAULTS_MS));
 }
 
 /// The same runs, with servers that start cold and evacuations of availability zones.
@@ -77,10 +82,45 @@
     play_and_check(seed, &plan::with_statements(seed, FAULTS_MS));
 }
 
+/// Plays servers that fail most requests, and checks that no guarantee was violated and that nodes have
+/// repeated requests.
+fn play_failing_servers(seed: u64) -> (Vec<String>, Tally) {
+    let steps = plan::with_failing_servers(seed, FAULTS_MS);
+    let (mut broken, tally) = world::play(seed, &steps, &plan::NARROW_BOUND);
+    if tally.further < 100 {
+        broken.push(format!("too few further attempts: {tally:?}"));
+    }
+    (broken, tally)
+}
+
+/// Guards against repeats beyond the bound of all nodes, while servers fail most requests and processes
+/// are killed and paused in series, the entries of the nodes lapse, and links hold and let go.
+#[rstest]
+#[case(2)]
+#[case(5)]
+#[case(7)]
+fn play_fixed_seed_with_failing_servers(#[case] seed: u64) {
+    let (broken, _) = play_failing_servers(seed);
+    assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
+}
+
 /// Plays `FESCUERACK_SEEDS` seeds from `FESCUERACK_SEED` on, one after the other, and prints the
 /// observations of each.
 #[test]
 fn play_seeds_of_the_environment() {
+    play_seeds(|seed| {
+        let steps = plan::with_statements(seed, FAULTS_MS);
+        world::play(seed, &steps, &plan::BOUND)
+    });
+}
+
+/// The same, with servers that fail most requests.
+#[test]
+fn play_failing_servers_of_the_environment() {
+    play_seeds(play_failing_servers);
+}
+
+fn play_seeds(play: impl Fn(u64) -> (Vec<String>, Tally)) {
     let number = |name: &str, default| {
         let text = std::env::var(name).ok();
         text.map_or(default, |text| text.parse().expect("a number"))
@@ -89,7 +129,7 @@
     let seeds: u64 = number("FESCUERACK_SEEDS", 1);
     let mut failed = Vec::new();
     for seed in first..first + seeds {
-        let (broken, tally) = world::play(seed, &plan::with_statements(seed, FAULTS_MS));
+        let (broken, tally) = play(seed);
         println!("seed {seed}: {} broken, {tally:?}", broken.len());
         for line in &broken {
             println!("  {line}");
--- a/crates/node/tests/soak/observations.rs
+++ b/crates/node/tests/soak/observations.rs
@@ -1,10 +1,14 @@
 //! Records of the requests that were sent, run and answered, and of violated guarantees.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Instant;
 
+use fescuerack_core::gateway::budget::Bound;
+
+use crate::repeats::Record;
+
 /// Maximum number of servers that one request may run on.
 pub const MAX_ATTEMPTS: usize = 3;
 /// Deadline of the callers' requests.
@@ -21,6 +25,16 @@
     Talk,
 }
 
+impl Kind {
+    /// Returns the service that the route of the request leads to.
+    pub const fn service(self) -> &'static str {
+        match self {
+            Self::Look | Self::Pay => "books",
+            Self::Talk => "models",
+        }
+    }
+}
+
 /// A request as its caller sent it.
 #[derive(Clone, Debug)]
 pub struct SentRequest {
@@ -41,6 +55,10 @@
     refused: HashMap<String, u16>,
     violations: Vec<String>,
     tally: Tally,
+    /// Requests and repeats by service.
+    repeats: HashMap<&'static str, Record>,
+    /// Requests that have arrived at a server.
+    arrived: HashSet<String>,
 }
 
 /// Counts of the observations of a run.
@@ -57,16 +75,67 @@
     pub undisturbed: usize,
     /// Probes of whether a configuration is active.
     pub probes: usize,
+    /// Requests that arrived at a server after the first time.
+    pub further: usize,
 }
 
 /// The observations of a run.
-#[derive(Clone, Debug, Default)]
-pub struct Observations(Rc<RefCell<Records>>);
+#[derive(Clone, Debug)]
+pub struct Observations {
+    started: Instant,
+    records: Rc<RefCell<Records>>,
+}
 
 impl Observations {
+    /// Creates the observations of a run that starts now.
+    pub fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            records: Rc::default(),
+        }
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).expect("short")
+    }
+
     /// Records a request before it is sent.
     pub fn record_request(&self, id: &str, request: SentRequest) {
-        self.0.borrow_mut().requests.insert(id.to_owned(), request);
+        let at_ms = self.elapsed_ms();
+        let mut records = self.records.borrow_mut();
+        let repeats = records.repeats.entry(request.kind.service()).or_default();
+        repeats.requests.push(at_ms);
+        records.requests.insert(id.to_owned(), request);
+    }
+
+    /// Records that a request arrives at a server of `service`, which may refuse it.
+    pub fn record_arrival(&self, service: &'static str, id: &str) {
+        let at_ms = self.elapsed_ms();
+        let mut records = self.records.borrow_mut();
+        if !records.arrived.insert(id.to_owned()) {
+            records.tally.further += 1;
+            records
+                .repeats
+                .entry(service)
+                .or_default()
+                .further
+                .push(at_ms);
+        }
+    }
+
+    /// Checks the repeats of each service, over all nodes, against the bound.
+    pub fn check_repeats(&self, bound: &Bound) {
+        let repeats = self.records.borrow().repeats.clone();
+        for (service, record) in repeats {
+            let (excess, further, from) = record.excess(bound);
+            if excess > 0.0 {
+                let line = format!(
+                    "{service} gets {further} repeats in {} ms from {from} ms on, {excess:.1} too many",
+                    bound.window_ms
+                );
+                self.record_violation(line);
+            }
+        }
     }
 
     /// Records that a backend server starts to run a request; returns its kind.
@@ -77,7 +146,7 @@
         organisation: &str,
         remaining_ms: u64,
     ) -> Option<Kind> {
-        let mut records = self.0.borrow_mut();
+        let mut records = self.records.borrow_mut();
         let Some(request) = records.requests.get(id).cloned() else {
             records
                 .violations
@@ -116,7 +185,7 @@
 
     /// Records an answer which reports that the request was not run.
     pub fn record_refusal(&self, id: &str, status: u16) {
-        let mut records = self.0.borrow_mut();
+        let mut records = self.records.borrow_mut();
         records.refused.insert(id.to_owned(), status);
         records.tally.refused += 1;
         if records.runs.contains_key(id) {
@@ -127,31 +196,31 @@
 
     /// Returns whether a request has run.
     pub fn has_run(&self, id: &str) -> bool {
-        self.0.borrow().runs.contains_key(id)
+        self.records.borrow().runs.contains_key(id)
     }
 
     /// Returns a request as it was sent.
     pub fn request(&self, id: &str) -> Option<SentRequest> {
-        self.0.borrow().requests.get(id).cloned()
+        self.records.borrow().requests.get(id).cloned()
     }
 
     /// Updates the counts.
     pub fn count(&self, add: impl FnOnce(&mut Tally)) {
-        add(&mut self.0.borrow_mut().tally);
+        add(&mut self.records.borrow_mut().tally);
     }
 
     /// Returns the counts so far.
     pub fn tally(&self) -> Tally {
-        self.0.borrow().tally
+        self.records.borrow().tally
     }
 
     /// Records a violated guarantee.
     pub fn record_violation(&self, line: String) {
-        self.0.borrow_mut().violations.push(line);
+        self.records.borrow_mut().violations.push(line);
     }
 
     /// Returns the violated guarantees.
     pub fn violations(&self) -> Vec<String> {
-        self.0.borrow().violations.clone()
+        self.records.borrow().violations.clone()
     }
 }
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -1,5 +1,6 @@
 //! The faults of a run and their times: a pure function of the seed.
 
+use fescuerack_core::gateway::budget::Bound;
 use rand::seq::IndexedRandom as _;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
@@ -10,6 +11,22 @@
 pub const NODES: usize = 4;
 /// Number of backend servers in a run. Even ones answer plainly, odd ones stream.
 pub const BACKENDS: usize = 6;
+/// Bound on the repeats of all nodes.
+pub const BOUND: Bound = Bound {
+    ratio: 0.9,
+    slack: 50.0,
+    window_ms: 10_000,
+};
+/// The same for runs with failing servers. Its window is short enough that a run has several.
+pub const NARROW_BOUND: Bound = Bound {
+    ratio: 0.3,
+    slack: 40.0,
+    window_ms: 4_000,
+};
+/// Number of series of faults in a run with failing servers.
+const SERIES: usize = 3;
+/// Mixed into the seed, so that these series are drawn independently of the other faults.
+const SERIES_SEED: u64 = 0x7365_7269;
 /// Time before the first fault.
 const QUIET_MS: u64 = 1_500;
 /// Time between the starts of two faults. Most faults last longer, so that they overlap.
@@ -42,6 +59,8 @@
     StoreSilent,
     /// The store reports that it is busy.
     StoreBusy,
+    /// The store answers no request, and the leases of all nodes end.
+    StoreLapse,
     /// The store discards its history.
     StoreCompact,
     /// The links of a node to the store change their behaviour.
@@ -54,6 +73,8 @@
     Drain { backend: usize },
     /// A backend server answers with failures.
     Fail { backend: usize },
+    /// A backend server answers nine in ten requests with failures.
+    FailMost { backend: usize },
     /// A backend server refuses all requests.
     Refuse { backend: usize },
     /// The operators change the configuration.
@@ -145,6 +166,53 @@
     steps
 }
 
+/// Returns faults while all backend servers fail most requests: series of kills or pauses of all nodes,
+/// outages of the store in which the entries of the nodes lapse, and links that hold and let go.
+pub fn with_failing_servers(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = Pcg64::seed_from_u64(seed ^ SERIES_SEED);
+    let mut steps: Vec<Step> = (0..BACKENDS)
+        .map(|backend| Step {
+            at_ms: QUIET_MS,
+            duration_ms: length_ms,
+            fault: Fault::FailMost { backend },
+        })
+        .collect();
+    for _ in 0..SERIES {
+        steps.extend(series(&mut rng, length_ms));
+    }
+    steps
+}
+
+/// Draws a series of faults of one kind.
+fn series(rng: &mut Pcg64, length_ms: u64) -> Vec<Step> {
+    let kind = rng.random_range(0..4);
+    let interval_ms = rng.random_range(900..2_500);
+    let duration_ms = rng.random_range(DURATION_MS);
+    let begin = rng.random_range(QUIET_MS..length_ms / 2);
+    let backend = rng.random_range(0..BACKENDS);
+    let step = |at_ms, fault| Step {
+        at_ms,
+        duration_ms,
+        fault,
+    };
+    let interval = usize::try_from(interval_ms).expect("short");
+    let times = (begin..length_ms).step_by(interval);
+    let of_nodes = |fault: fn(usize) -> Fault| {
+        let at = |at_ms| (0..NODES).map(move |node| step(at_ms, fault(node)));
+        times.clone().flat_map(at).collect()
+    };
+    match kind {
+        0 => of_nodes(|node| Fault::Kill { node }),
+        1 => of_nodes(|node| Fault::Pause { node }),
+        2 => vec![step(begin, Fault::StoreLapse)],
+        _ => {
+            let link = Link::Stalled;
+            let hold = |at_ms| step(at_ms, Fault::BackendLink { backend, link });
+            times.map(hold).collect()
+        }
+    }
+}
+
 fn fault(rng: &mut Pcg64) -> Fault {
     let node = rng.random_range(0..NODES);
     let backend = rng.random_range(0..BACKENDS);
--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -5,6 +5,8 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use fescuerack_core::gateway::budget::Bound;
+
 use crate::program::Build;
 
 /// Port for callers, the same at the loopback address of every node.
@@ -37,7 +39,13 @@
 
 impl Process {
     /// Creates a node at the loopback address `ip` with its files in `folder`.
-    pub fn new(number: usize, ip: Ipv4Addr, store: SocketAddr, folder: &Path) -> Self {
+    pub fn new(
+        number: usize,
+        ip: Ipv4Addr,
+        store: SocketAddr,
+        bound: &Bound,
+        folder: &Path,
+    ) -> Self {
         let name = format!("n{number}");
         let settings = folder.join(format!("{name}.yaml"));
         let zone = if number.is_multiple_of(2) { "a" } else { "b" };
@@ -45,9 +53,12 @@
             "node_name: {name}\nip: {ip}\nzone: {zone}\nzones: {{a: r, b: r}}\n\
              listen: {{front: '{ip}:{CALLERS_PORT}', readiness: '{ip}:{READINESS_PORT}'}}\n\
              internal_ports: [{PEERS_PORT}, 7355]\n\
-             bounds: {{grace_s: 4, retry_budget_ratio: 0.9, retry_budget_slack: 50, \
-             retry_window_s: 10, canary_share: 0.15}}\n\
-             platform: {{address: '{store}', ttl_min_ms: 1000}}\n"
+             bounds: {{grace_s: 4, retry_budget_ratio: {}, retry_budget_slack: {}, \
+             retry_window_s: {}, canary_share: 0.15}}\n\
+             platform: {{address: '{store}', ttl_min_ms: 1000}}\n",
+            bound.ratio,
+            bound.slack,
+            bound.window_ms / 1_000
         );
         std::fs::write(&settings, text).expect("write the settings");
         Self {
--- a/crates/node/tests/soak/unread_log.rs
+++ b/crates/node/tests/soak/unread_log.rs
@@ -9,6 +9,7 @@
 use crate::caller::{self, Context, KEY, Request};
 use crate::disturbances::Disturbances;
 use crate::observations::{Kind, Observations};
+use crate::plan;
 use crate::process::{Process, State};
 use crate::store::Store;
 use crate::world;
@@ -29,12 +30,12 @@
         .build()
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        let (store, observations) = (Store::new().await, Observations::default());
+        let (store, observations) = (Store::new().await, Observations::new());
         world::configure(&store, 1);
         let disturbances = Rc::new(Disturbances::new());
         let _backend = Backend::new(0, &store, &observations, &disturbances).await;
         let [ip, ..] = world::addresses();
-        let process = Process::new(0, ip, store.address, folder.path());
+        let process = Process::new(0, ip, store.address, &plan::BOUND, folder.path());
         let mut process = process.with_unread_log();
         process.start();
         let context = Rc::new(Context {
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use fescuerack_core::gateway::budget::Bound;
 use serde_json::{Value, json};
 use tokio::task::LocalSet;
 
@@ -68,13 +69,13 @@
 }
 
 /// Plays `steps`; returns the violated guarantees and the counts of the observations.
-pub fn play(seed: u64, steps: &[Step]) -> (Vec<String>, Tally) {
+pub fn play(seed: u64, steps: &[Step], bound: &Bound) -> (Vec<String>, Tally) {
     let folder = tempfile::tempdir().expect("a folder");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
-    let run = run(seed, steps, folder.path());
+    let run = run(seed, steps, bound, folder.path());
     let observations = LocalSet::new().block_on(&runtime, run);
     let mut broken = observations.violations();
     if !broken.is_empty() {
@@ -83,8 +84,8 @@
     (broken, observations.tally())
 }
 
-async fn run(seed: u64, steps: &[Step], folder: &Path) -> Observations {
-    let world = Rc::new(World::new(folder).await);
+async fn run(seed: u64, steps: &[Step], bound: &Bound, folder: &Path) -> Observations {
+    let world = Rc::new(World::new(bound, folder).await);
     world.wait_until_ready().await;
     for number in 0..CALLERS {
         tokio::task::spawn_local(caller::run(world.context.clone(), number, seed));
@@ -115,6 +116,7 @@
         tokio::time::sleep(LEAVE_DURATION)
     );
     world.check_leaving(leaving);
+    world.context.observations.check_repeats(bound);
     if world.context.observations.tally().good == before {
         let line = "nothing is answered after all faults".to_owned();
         world.context.observations.record_violation(line);
@@ -123,9 +125,9 @@
 }
 
 impl World {
-    async fn new(folder: &Path) -> Self {
+    async fn new(bound: &Bound, folder: &Path) -> Self {
         let store = Store::new().await;
-        let observations = Observations::default();
+        let observations = Observations::new();
         let disturbances = Rc::new(Disturbances::new());
         configure(&store, 1);
         let mut backends = Vec::new();
@@ -136,7 +138,7 @@
         let mut processes = Vec::new();
         for (number, ip) in addresses().into_iter().enumerate() {
             let link = Proxy::new(store.address).await;
-            let mut process = Process::new(number, ip, link.address, folder);
+            let mut process = Process::new(number, ip, link.address, bound, folder);
             process.start();
             processes.push(RefCell::new(process));
             store_links.push(link);
@@ -233,6 +235,10 @@
             }
             Fault::StoreSilent => self.set_store_mode(Mode::Silent, duration).await,
             Fault::StoreBusy => self.set_store_mode(Mode::Busy, duration).await,
+            Fault::StoreLapse => {
+                self.store.lapse();
+                self.set_store_mode(Mode::Silent, duration).await;
+            }
             Fault::StoreCompact => {
                 disturbances.record_store(Duration::ZERO);
                 self.store.compact();
@@ -250,6 +256,7 @@
             | Fault::Crash { backend }
             | Fault::Drain { backend }
             | Fault::Fail { backend }
+            | Fault::FailMost { backend }
             | Fault::Refuse { backend }
             | Fault::Limit { backend, .. }
             | Fault::StatedLeave { backend }
@@ -285,6 +292,10 @@
                 self.apply_behaviour(backend, Behaviour::Failing, duration)
                     .await;
             }
+            Fault::FailMost { .. } => {
+                self.apply_behaviour(backend, Behaviour::MostlyFailing, duration)
+                    .await;
+            }
             Fault::Refuse { .. } => {
                 self.apply_behaviour(backend, Behaviour::Refusing, duration)
                     .await;
