A node's share of the retry slack counts nodes whose entries have lapsed

Callers saw nothing; servers that failed nine requests in ten got up to 811 repeats in 10 s where 749 are allowed. Cause: the share of the slack was divided by the entries that the store lists at the moment. When leases run out in an outage, each of n nodes takes all of the slack for the three seconds until the entries are back: up to n/2 times the slack.

The largest number that was listed counts for a minute of the store's answers after the list has become shorter, and the largest one of the process's life as long as the store does not answer. So a node forgets others only with the store's word. Those whom the store does not reach divide by all whom they have ever seen, those whom it reaches by each other: two parts, each of which uses half of the slack. Weighed: entries without leases (dead nodes would count for good), asking hubs (a message in the way of each failing request, and hubs change just in an outage).

--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -1,27 +1,67 @@
 //! The share of the slack of a retry [`Bound`](super::budget::Bound) that one node may use.
+//!
+//! The slack is a fixed number of further attempts in a window, for all nodes together. Nodes do not
+//! ask each other for it: each divides it by the number of nodes. What a node knows of that number
+//! may be wrong, and mostly in times in which servers fail as well:
+//!
+//! - Entries lapse in an outage of the store, or when their nodes lose it, though these nodes go on
+//!   to serve. If a node counted only what is listed, each would soon take all of the slack. Therefore
+//!   a larger number [counts on](MEMORY_MS) for some time in which the store answers, and the largest
+//!   one that the process has ever seen counts as long as the store does not answer.
+//! - Some nodes may never have been listed together. The nodes without the store count all that they
+//!   have ever seen, and those with the store count each other, so that each of the two parts uses
+//!   one share at most: half of the slack.
+
+use std::collections::VecDeque;
 
 use crate::clock::Instant;
 
-/// Factor by which a node may underestimate the number of nodes: nodes that start are counted only
-/// once they have been discovered. Half of the slack covers a doubling.
-pub const MAX_UNDERCOUNT: f64 = 2.0;
+/// Parts of the fleet that may not know of each other. Each uses an equal part of the slack.
+const PARTS: f64 = 2.0;
+/// Milliseconds for which a number of nodes counts on after the list has become shorter, while the
+/// store confirms the list. Nodes whose entries have lapsed register again within that time.
+pub const MEMORY_MS: u64 = 60_000;
 
 /// What a node knows of the number of nodes that share the slack.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
-    listed: usize,
+    /// Largest number of nodes that was ever listed.
+    most: usize,
+    /// Numbers of nodes that count on, each larger than those after it.
+    recent: VecDeque<Listed>,
+    is_confirmed: bool,
     confirmed_at: Option<Instant>,
     registered_at: Option<Instant>,
 }
 
+/// A number of nodes that was listed.
+#[derive(Clone, Copy, Debug)]
+struct Listed {
+    nodes: usize,
+    until: Instant,
+}
+
 impl Share {
-    /// Records how many nodes are listed, and whether the store has confirmed the list to this node
-    /// just now.
+    /// Records how many nodes are listed, and whether the store confirms the list to this node.
     pub fn observe(&mut self, now: Instant, listed: usize, is_confirmed: bool) {
-        self.listed = listed;
+        let until = now.plus_millis(MEMORY_MS);
+        self.most = self.most.max(listed);
+        self.is_confirmed = is_confirmed;
         if is_confirmed {
             self.confirmed_at = Some(now);
+            self.recent.retain(|earlier| now < earlier.until);
+        } else {
+            for earlier in &mut self.recent {
+                earlier.until = until;
+            }
         }
+        while self
+            .recent
+            .pop_back_if(|last| last.nodes <= listed)
+            .is_some()
+        {}
+        let nodes = listed;
+        self.recent.push_back(Listed { nodes, until });
     }
 
     /// Records that the store has accepted the entry of this node.
@@ -32,14 +72,16 @@
     /// Returns the number of nodes that the slack is divided by.
     #[must_use]
     pub fn nodes(&self) -> usize {
-        self.listed.max(1)
+        let recent = self.recent.front().map_or(0, |largest| largest.nodes);
+        let nodes = if self.is_confirmed { recent } else { self.most };
+        nodes.max(1)
     }
 
     /// Returns the part of `slack` that this node may use within a window of `window_ms`.
     #[must_use]
     pub fn of(&self, _now: Instant, slack: f64, _window_ms: u64) -> f64 {
         let nodes = f64::from(u32::try_from(self.nodes()).unwrap_or(u32::MAX));
-        slack / (MAX_UNDERCOUNT * nodes)
+        slack / (PARTS * nodes)
     }
 
     /// Returns when the store last confirmed the list of nodes, if it ever did.
--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -14,6 +14,7 @@
 mod rest;
 mod retry_fleet;
 mod session;
+mod share;
 mod shared_limit;
 mod slowness;
 mod stated_limit;
