A process that starts anew has no share of the retry slack for a window

The share begins one window after the store has accepted the process's entry: what the one before it spent is out of the window by then, and the others count it. Until then further attempts are by ratio only, so the second request of a new process that fails is repeated; the first one is not. Weighed: a share that grows with the age (spends half as much again), handing the account over in the store (a kill hands nothing over, and the store is out just then).

--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -11,6 +11,9 @@
 //! - Some nodes may never have been listed together. The nodes without the store count all that they
 //!   have ever seen, and those with the store count each other, so that each of the two parts uses
 //!   one share at most: half of the slack.
+//! - A process that starts does not know what the one before it on the same instance has spent a
+//!   moment ago, and the other nodes do not count it yet. Its share begins a window after the store
+//!   has accepted its entry. Until then it makes further attempts by ratio only.
 
 use std::collections::VecDeque;
 
@@ -79,7 +82,11 @@
 
     /// Returns the part of `slack` that this node may use within a window of `window_ms`.
     #[must_use]
-    pub fn of(&self, _now: Instant, slack: f64, _window_ms: u64) -> f64 {
+    pub fn of(&self, now: Instant, slack: f64, window_ms: u64) -> f64 {
+        let begins = self.registered_at.map(|at| at.plus_millis(window_ms));
+        if begins.is_none_or(|begins| now < begins) {
+            return 0.0;
+        }
         let nodes = f64::from(u32::try_from(self.nodes()).unwrap_or(u32::MAX));
         slack / (PARTS * nodes)
     }
