The retry budget of a service that never fails no longer grows

Found by reading: old slots were dropped only when a further attempt was asked for, so each node kept a slot of 24 bytes for each half second since its start for a service that never fails. Counting a request drops them too.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -53,9 +53,10 @@
 }
 
 impl Budget {
-    /// Counts a request.
-    pub fn count_request(&mut self, now: Instant) {
-        self.slot(now).requests += 1;
+    /// Counts a request that was sent at `sent_at`, at most a window ago.
+    pub fn count_request(&mut self, sent_at: Instant, bound: &Bound) {
+        self.expire(sent_at, bound.window_ms);
+        self.slot(sent_at).requests += 1;
     }
 
     /// Takes one further attempt from the budget, and returns what the budget held and whether the
@@ -89,19 +90,23 @@
         }
     }
 
-    fn slot(&mut self, now: Instant) -> &mut Slot {
-        let current = self
-            .slots
-            .back()
-            .is_some_and(|slot| now < slot.begins.plus_millis(SLOT_MS));
-        if !current {
-            self.slots.push_back(Slot {
-                begins: now,
-                requests: 0,
-                further: 0,
-            });
-        }
-        let last = self.slots.len() - 1;
-        &mut self.slots[last]
+    /// Returns the slot of `at`, which may be earlier than the last one.
+    fn slot(&mut self, at: Instant) -> &mut Slot {
+        let later = self.slots.iter().rev();
+        let later = later.take_while(|slot| at < slot.begins).count();
+        let end = self.slots.len() - later;
+        let index = match end.checked_sub(1) {
+            Some(index) if at < self.slots[index].begins.plus_millis(SLOT_MS) => index,
+            _ => {
+                let slot = Slot {
+                    begins: at,
+                    requests: 0,
+                    further: 0,
+                };
+                self.slots.insert(end, slot);
+                end
+            }
+        };
+        &mut self.slots[index]
     }
 }
--- a/crates/core/tests/all/gateway/budget.rs
+++ b/crates/core/tests/all/gateway/budget.rs
@@ -47,7 +47,7 @@
             continue;
         }
         let budget = &mut budgets[random.random_range(0..nodes)];
-        budget.count_request(now);
+        budget.count_request(now, &BOUND);
         requests.push(step);
         for _ in 0..3 {
             if budget.take(now, &BOUND, share).is_taken {
@@ -79,10 +79,21 @@
 fn take_first_failure_with_little_traffic_is_covered() {
     let mut budget = Budget::default();
     let now = Instant::from_millis(5);
-    budget.count_request(now);
+    budget.count_request(now, &BOUND);
     assert!(budget.take(now, &BOUND, share(9)).is_taken);
 }
 
+/// Guards against a node whose memory grows with each request to a service that never fails.
+#[test]
+fn count_request_drops_what_is_out_of_the_window() {
+    let mut budget = Budget::default();
+    for minute in 0..100 {
+        budget.count_request(Instant::from_millis(minute * 60_000), &BOUND);
+    }
+    let text = format!("{budget:?}");
+    assert_eq!(text.matches("Slot {").count(), 1, "{text}");
+}
+
 #[test]
 fn take_budget_is_restored_after_the_window() {
     let mut budget = Budget::default();
--- a/crates/core/tests/all/gateway/retry_fleet.rs
+++ b/crates/core/tests/all/gateway/retry_fleet.rs
@@ -15,7 +15,7 @@
 /// Length of one step, in milliseconds.
 const STEP_MS: u64 = 10;
 /// Interval at which a node looks at its list, in milliseconds.
-const OBSERVE_MS: u64 = 250;
+const TICK_MS: u64 = 250;
 /// Time to live of an entry that is not renewed, in milliseconds.
 const TTL_MS: u64 = 16_000;
 /// Maximum delay until a node learns of a change of the store, in milliseconds.
@@ -172,7 +172,7 @@
     }
 
     fn step(&mut self, now: u64) {
-        if now.is_multiple_of(OBSERVE_MS) {
+        if now.is_multiple_of(TICK_MS) {
             self.follow_store(now);
         }
         self.send_requests(now);
@@ -209,7 +209,7 @@
                 continue;
             }
             let hears = self.is_store_up && !node.is_cut;
-            if hears && self.rng.random_range(0..LAG_MS) < OBSERVE_MS {
+            if hears && self.rng.random_range(0..LAG_MS) < TICK_MS {
                 node.listed = self.entries.len();
                 node.heard = now;
             }
@@ -252,9 +252,10 @@
 
     /// A node reads a request and sends it to a first server.
     fn read(&mut self, now: u64, index: usize) {
+        let bound = self.size.bound();
         self.nodes[index]
             .budget
-            .count_request(Instant::from_millis(now));
+            .count_request(Instant::from_millis(now), &bound);
         let arrives = self.arrival(now);
         self.attempt(arrives, index, 1);
     }
