Requests that waited for a paused process count from the pause on

Cause: requests are counted when they are read. A process that wakes reads seconds of them at once, and until a window later its account holds more seconds of requests than the window has, each with its repeats.

A timer that is late shows the standstill; requests read within a second after it count as sent when it began, since most callers wait for an answer before they send again. Spread over the pause they would count for longer, but not rightly for such callers. A machine whose steady clock stops meanwhile does not show it: its window is then as long in real time as the clock says, plus the pause, and requests of the pause count too long; not covered.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! - [`stated_limit`]: which servers have stated such a limit in their answers;
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`share`]: how much of the slack of all nodes one node may use for them;
+//! - [`standstill`]: from when on requests count that waited while the process stood still;
 //! - [`canary`]: how much traffic a new version gets, and when it is completed or rejected;
 //! - [`slowness`]: which answers of a new version count as slow;
 //! - [`rest`]: which servers have asked a node for rest;
@@ -41,6 +42,7 @@
 pub mod share;
 pub mod shared_limit;
 pub mod slowness;
+pub mod standstill;
 pub mod stated_limit;
 pub mod wait;
 pub mod watcher;
--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod share;
 mod shared_limit;
 mod slowness;
+mod standstill;
 mod stated_limit;
 mod wait;
 mod watcher;
--- a/crates/core/tests/all/gateway/retry_fleet.rs
+++ b/crates/core/tests/all/gateway/retry_fleet.rs
@@ -5,6 +5,7 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::budget::{Bound, Budget};
 use fescuerack_core::gateway::share::Share;
+use fescuerack_core::gateway::standstill::{Standstill, TICK_MS};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 
@@ -14,8 +15,6 @@
 pub const TRAFFIC_MS: u64 = 12_000;
 /// Length of one step, in milliseconds.
 const STEP_MS: u64 = 10;
-/// Interval at which a node looks at its list, in milliseconds.
-const TICK_MS: u64 = 250;
 /// Time to live of an entry that is not renewed, in milliseconds.
 const TTL_MS: u64 = 16_000;
 /// Maximum delay until a node learns of a change of the store, in milliseconds.
@@ -78,6 +77,7 @@
 
 struct Node {
     share: Share,
+    standstill: Standstill,
     budget: Budget,
     /// Counts the starts of the process.
     life: u32,
@@ -97,6 +97,7 @@
     fn new() -> Self {
         Self {
             share: Share::default(),
+            standstill: Standstill::default(),
             budget: Budget::default(),
             life: 0,
             is_up: true,
@@ -208,6 +209,7 @@
             if !node.is_up || node.paused_until > now {
                 continue;
             }
+            node.standstill.tick(Instant::from_millis(now));
             let hears = self.is_store_up && !node.is_cut;
             if hears && self.rng.random_range(0..LAG_MS) < TICK_MS {
                 node.listed = self.entries.len();
@@ -252,10 +254,9 @@
 
     /// A node reads a request and sends it to a first server.
     fn read(&mut self, now: u64, index: usize) {
-        let bound = self.size.bound();
-        self.nodes[index]
-            .budget
-            .count_request(Instant::from_millis(now), &bound);
+        let node = &mut self.nodes[index];
+        let sent_at = node.standstill.sent_at(Instant::from_millis(now));
+        node.budget.count_request(sent_at, &self.size.bound());
         let arrives = self.arrival(now);
         self.attempt(arrives, index, 1);
     }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use fescuerack_core::gateway::share::Share;
 use fescuerack_core::gateway::shared_limit::Gate;
 use fescuerack_core::gateway::slowness::Baseline;
+use fescuerack_core::gateway::standstill::Standstill;
 use fescuerack_core::gateway::stated_limit::StatedLimits;
 use fescuerack_core::gateway::wait::Wait;
 use rand::SeedableRng as _;
@@ -69,6 +70,8 @@
     pub view: RefCell<View>,
     /// Share of the slack of all retry budgets that this node may use.
     pub retry_share: RefCell<Share>,
+    /// Times in which the process stood still.
+    pub standstill: RefCell<Standstill>,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<HashMap<Arc<str>, Budget>>,
     /// Requests suspected to crash servers.
@@ -138,6 +141,7 @@
             store,
             view: RefCell::new(View::default()),
             retry_share: RefCell::default(),
+            standstill: RefCell::default(),
             retry_budgets: RefCell::default(),
             suspects: RefCell::default(),
             evidence: RefCell::default(),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -6,10 +6,11 @@
 
 use anyhow::Context as _;
 use fescuerack_core::clock::Instant;
+use fescuerack_core::gateway::standstill::TICK_MS;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::clock::now;
+use crate::clock::{age_ms, now};
 use crate::listeners::Listeners;
 use crate::logs::Logs;
 use crate::node::Node;
@@ -21,7 +22,7 @@
 /// sequential, and each further thread would take more of the processor from requests.
 const OFFLOAD_THREADS: usize = 1;
 /// Interval at which expired state is dropped.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+const SWEEP_INTERVAL: Duration = Duration::from_millis(TICK_MS);
 
 /// Runs a node until a signal stops it. `reload` reads the settings, at the start and on each SIGHUP.
 ///
@@ -125,6 +126,7 @@
 async fn sweep(node: Rc<Node>) {
     loop {
         tokio::time::sleep(SWEEP_INTERVAL).await;
+        record_standstill(&node);
         let dropped = node.view.borrow_mut().sweep(now());
         if dropped > 0 {
             tracing::info!(event = "servers-not-back", count = dropped);
@@ -139,6 +141,12 @@
     }
 }
 
+fn record_standstill(node: &Node) {
+    if let Some(began) = node.standstill.borrow_mut().tick(now()) {
+        tracing::info!(event = "stood-still", ms = age_ms(began));
+    }
+}
+
 /// Updates the gauges of cold servers and of zones.
 fn update_server_gauges(node: &Node) {
     let view = node.view.borrow();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -139,7 +139,10 @@
         .borrow_mut()
         .entry(service.clone())
         .or_default()
-        .count_request(now(), &node.settings.borrow().retries);
+        .count_request(
+            node.standstill.borrow().sent_at(now()),
+            &node.settings.borrow().retries,
+        );
     let mut progress = RequestProgress::default();
     if job.head.any_model {
         progress.model = escalation::first(job.route.models.len());
