Further attempts are rounded to the nearest number, not down

By ratio alone one request gives 0.81 of a further attempt, which was rounded down.

Rounded to the nearest number, the nodes' sum is what they may make: those that get a part too much and those that get one too little even out. It gives back what rounding down cost each quiet node, half an attempt a window, most where the share of a node is under one. The sums on the virtual clock hold at all sizes.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -12,6 +12,9 @@
 /// Share of the ratio that is used. The rest is a margin, as the windows of different nodes do not
 /// end at the same time.
 pub const USED_SHARE: f64 = 0.9;
+/// Part of a further attempt that must be left for it to be made. Rounded to the nearest number, the
+/// attempts of many nodes sum up to what they may make; rounded down, each node would lose half of one.
+const ROUNDING: f64 = 0.5;
 /// Length of one slot of the window, in milliseconds.
 const SLOT_MS: u64 = 500;
 
@@ -69,7 +72,7 @@
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let further: u32 = self.slots.iter().map(|slot| slot.further).sum();
         let max = USED_SHARE * bound.ratio * f64::from(requests) + share;
-        let is_taken = f64::from(further) + 1.0 <= max;
+        let is_taken = f64::from(further) + ROUNDING <= max;
         if is_taken {
             self.slot(now).further += 1;
         }
