A resumption pays once for servers that cannot be reached

A stream that broke took a further attempt from the budget for each server that it tried, also for those that no byte was sent to: with two unreachable servers it paid three for one, and its caller lost the stream when the budget was short. First attempts never did so. Now what was taken passes on to the next server. serve_resumption_skips_unreachable_servers failed since a new process has no slack to pay for it.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -315,11 +315,16 @@
         if !self.job.route.resumable {
             return None;
         }
+        // An attempt of which no byte was sent leaves what was taken for it to the next server.
+        let mut is_taken = false;
         loop {
-            if !progress::take_retry(&self.node, &self.job, &self.service, self.sent, "resume") {
-                return None;
+            if !is_taken {
+                let sent = self.sent;
+                if !progress::take_retry(&self.node, &self.job, &self.service, sent, "resume") {
+                    return None;
+                }
+                self.sent += 1;
             }
-            self.sent += 1;
             let route = &self.job.route;
             let name = self.model.map(|rank| route.models[rank].clone());
             let pick = pick::pick(
@@ -346,13 +351,10 @@
                 {
                     return Some(*response);
                 }
-                AttemptResult::NotRun(NotRunReason::Unreachable) => {
-                    // No byte was sent, so this does not count as an attempt.
-                    self.sent -= 1;
-                    self.tried.push(pick.id);
-                }
-                _ => self.tried.push(pick.id),
+                AttemptResult::NotRun(NotRunReason::Unreachable) => is_taken = true,
+                _ => is_taken = false,
             }
+            self.tried.push(pick.id);
         }
     }
 }
