All nodes refuse a request that has crashed servers at one of them

Cause: crashes were told only in an outage of the store or while a roll-out ran, each node passed on only what it had seen itself, and a time of their own they had not: in a roll-out they were told anew each second, long after they were over.

They follow the load reports now, four times a second through hubs: the four newest requests with two crashed servers or more, each with the age of its last crash, also if the node has only heard of them. What a node has seen succeed it neither takes nor passes on. An idle node reports once a second, else it would not hear of anything before its first request. Single crashes are not told: a server's crash breaks popular requests at many nodes. Earlier builds send what they sent and ignore what follows; nodes of both kinds beside each other are as before.

--- a/crates/core/src/gateway/crash.rs
+++ b/crates/core/src/gateway/crash.rs
@@ -7,11 +7,16 @@
 //! callers may send the same request. From [`CRASH_LIMIT`] servers, on this node or on peers, the
 //! request is refused for [`RETENTION_MS`].
 //!
+//! Nodes pass on what they know, also what they have heard, with its age: the nodes that report to
+//! one hub hear of each other through it, and a crash is not kept alive by passing it back and forth.
+//!
 //! A request that has succeeded within [`RETENTION_MS`] is not suspected; a request that crashes
 //! servers never succeeds.
 
 use std::collections::{BTreeSet, HashMap};
 
+use serde::{Deserialize, Serialize};
+
 use crate::clock::Instant;
 
 /// Number of crashed servers from which a request is refused.
@@ -20,6 +25,19 @@
 pub const RETENTION_MS: u64 = 60_000;
 /// Maximum number of digests that are kept.
 const MAX_DIGESTS: usize = 4096;
+/// Maximum number of requests in a message to a peer, the newest ones.
+pub const MAX_SHARED: usize = 4;
+
+/// What a message to a peer says of one request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// Digest of the request.
+    pub request: u64,
+    /// Servers that crashed while they ran it.
+    pub servers: Vec<u32>,
+    /// Milliseconds since the last of these crashes.
+    pub age_ms: u64,
+}
 
 /// The servers that crashed while they ran a request, by the [short
 /// identifier](super::load::short_id) of their start; at most [`CRASH_LIMIT`] in each set.
@@ -29,12 +47,18 @@
     local: BTreeSet<u32>,
     /// As peers have reported.
     peers: BTreeSet<u32>,
-    until: Instant,
+    /// When the last of them crashed.
+    last_at: Instant,
 }
 
 impl Crashed {
-    fn count(&self) -> usize {
-        self.local.union(&self.peers).count()
+    fn servers(&self) -> Vec<u32> {
+        let servers = self.local.union(&self.peers);
+        servers.copied().take(CRASH_LIMIT).collect()
+    }
+
+    fn is_over(&self, now: Instant) -> bool {
+        now >= self.last_at.plus_millis(RETENTION_MS)
     }
 }
 
@@ -52,14 +76,17 @@
         if self.has_succeeded(now, digest) {
             return;
         }
-        self.expire(now);
-        insert(&mut self.entry(now, digest).local, server);
+        insert(&mut self.entry(now, digest, now).local, server);
     }
 
-    /// Records the crashes that a peer has observed itself.
-    pub fn receive(&mut self, now: Instant, digest: u64, servers: &[u32]) {
-        let peers = &mut self.entry(now, digest).peers;
-        for server in servers {
+    /// Records the crashes that a peer knows of.
+    pub fn receive(&mut self, now: Instant, mark: &Mark) {
+        if mark.age_ms >= RETENTION_MS || self.has_succeeded(now, mark.request) {
+            return;
+        }
+        let last_at = now.minus_millis(mark.age_ms);
+        let peers = &mut self.entry(now, mark.request, last_at).peers;
+        for server in &mark.servers {
             insert(peers, *server);
         }
     }
@@ -86,37 +113,51 @@
     #[must_use]
     pub fn is_refused(&self, now: Instant, digest: u64) -> bool {
         let is_over_limit =
-            |crashed: &Crashed| now < crashed.until && crashed.count() >= CRASH_LIMIT;
+            |crashed: &Crashed| !crashed.is_over(now) && crashed.servers().len() >= CRASH_LIMIT;
         !self.has_succeeded(now, digest) && self.counts.get(&digest).is_some_and(is_over_limit)
     }
 
-    /// Returns the servers that this node has seen crash, by the digest of the request, to be sent to
-    /// peers.
+    /// Returns the newest crashes that this node knows of, to be sent to peers.
     ///
     /// Digests with fewer than two servers are omitted, since most single crashes are caused by the
     /// server and not by the request.
-    pub fn local_crashes(&self) -> impl Iterator<Item = (u64, Vec<u32>)> + '_ {
-        let reported = self
-            .counts
-            .iter()
-            .filter(|(_, crashed)| crashed.local.len() >= CRASH_LIMIT - 1);
-        reported.map(|(&digest, crashed)| (digest, crashed.local.iter().copied().collect()))
+    #[must_use]
+    pub fn marks(&self, now: Instant) -> Vec<Mark> {
+        let known = self.counts.iter();
+        let known = known.filter(|(_, crashed)| !crashed.is_over(now));
+        let mut marks: Vec<Mark> = known
+            .map(|(&request, crashed)| Mark {
+                request,
+                servers: crashed.servers(),
+                age_ms: u64::try_from(now.since(crashed.last_at).as_millis()).unwrap_or(u64::MAX),
+            })
+            .filter(|mark| mark.servers.len() >= CRASH_LIMIT - 1)
+            .collect();
+        marks.sort_unstable_by_key(|mark| (mark.age_ms, mark.request));
+        marks.truncate(MAX_SHARED);
+        marks
     }
 
-    fn entry(&mut self, now: Instant, digest: u64) -> &mut Crashed {
-        let until = now.plus_millis(RETENTION_MS);
+    fn entry(&mut self, now: Instant, digest: u64, last_at: Instant) -> &mut Crashed {
+        if !self.counts.contains_key(&digest) {
+            self.make_room(now);
+        }
         let crashed = self.counts.entry(digest).or_insert_with(|| Crashed {
             local: BTreeSet::new(),
             peers: BTreeSet::new(),
-            until,
+            last_at,
         });
-        crashed.until = until;
+        if crashed.is_over(now) {
+            crashed.local.clear();
+            crashed.peers.clear();
+        }
+        crashed.last_at = crashed.last_at.max(last_at);
         crashed
     }
 
-    fn expire(&mut self, now: Instant) {
+    fn make_room(&mut self, now: Instant) {
         if self.counts.len() >= MAX_DIGESTS {
-            self.counts.retain(|_, crashed| now < crashed.until);
+            self.counts.retain(|_, crashed| !crashed.is_over(now));
         }
         if self.counts.len() >= MAX_DIGESTS {
             self.counts.clear();
--- a/crates/core/tests/all/gateway/crash.rs
+++ b/crates/core/tests/all/gateway/crash.rs
@@ -1,7 +1,7 @@
 //! Tests of the detection of poison requests.
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::crash::{CRASH_LIMIT, RETENTION_MS, Suspects};
+use fescuerack_core::gateway::crash::{CRASH_LIMIT, MAX_SHARED, Mark, RETENTION_MS, Suspects};
 
 const NOW: Instant = Instant::from_millis(1_000);
 
@@ -10,6 +10,51 @@
     u32::try_from(CRASH_LIMIT).expect("few")
 }
 
+fn mark(request: u64, servers: &[u32], age_ms: u64) -> Mark {
+    Mark {
+        request,
+        servers: servers.to_vec(),
+        age_ms,
+    }
+}
+
+/// Guards against a request that is refused for good because nodes tell each other of its crashes over and
+/// over, long after the last one.
+#[test]
+fn receive_marks_do_not_keep_each_other_alive() {
+    let (mut one, mut other) = (Suspects::default(), Suspects::default());
+    for server in 0..servers() {
+        one.record_crash(NOW, 5, server);
+    }
+    for _ in 0..3 {
+        let mut now = NOW;
+        while now < NOW.plus_millis(RETENTION_MS) {
+            one.marks(now)
+                .iter()
+                .for_each(|mark| other.receive(now, mark));
+            other
+                .marks(now)
+                .iter()
+                .for_each(|mark| one.receive(now, mark));
+            assert!(other.is_refused(now, 5));
+            now = now.plus_millis(250);
+        }
+        assert!(!one.is_refused(now, 5) && !other.is_refused(now, 5));
+        assert!(one.marks(now).is_empty() && other.marks(now).is_empty());
+    }
+}
+
+/// Guards against a hub that hears of crashes from one node and does not tell the others.
+#[test]
+fn marks_pass_on_what_was_received() {
+    let mut hub = Suspects::default();
+    hub.receive(NOW, &mark(5, &[1, 2, 3], 1_000));
+    assert_eq!(
+        hub.marks(NOW.plus_millis(500)),
+        [mark(5, &[1, 2, 3], 1_500)]
+    );
+}
+
 /// A request crashes every server that runs it, and its caller repeats it through another node. A
 /// node that observed one crash must refuse it once a peer has reported two more.
 #[test]
@@ -20,8 +65,8 @@
     peer.record_crash(NOW, 5, 2);
     peer.record_crash(NOW, 5, 3);
     assert!(!local.is_refused(NOW, 5));
-    for (digest, servers) in peer.local_crashes() {
-        local.receive(NOW, digest, &servers);
+    for mark in peer.marks(NOW) {
+        local.receive(NOW, &mark);
     }
     assert!(local.is_refused(NOW, 5));
     assert!(!local.is_refused(NOW, 6));
@@ -58,7 +103,12 @@
         suspects.record_crash(NOW, digest, 1);
         suspects.record_crash(NOW, digest, 2);
     }
-    assert!(suspects.local_crashes().count() <= 4_096);
+    assert_eq!(suspects.marks(NOW).len(), MAX_SHARED);
+    for digest in 0..100_000 {
+        suspects.receive(NOW, &mark(digest, &[1, 2], 0));
+    }
+    let text = format!("{suspects:?}");
+    assert!(text.matches("Crashed").count() <= 4_096);
 }
 
 /// Many callers send the same request, and one server crashes and breaks several of them. Guards
@@ -71,9 +121,9 @@
     for server in 0..2 * servers() {
         suspects.record_crash(NOW.plus_millis(50), 5, server);
     }
-    suspects.receive(NOW.plus_millis(60), 5, &[7, 8, 9]);
+    suspects.receive(NOW.plus_millis(60), &mark(5, &[7, 8, 9], 0));
     assert!(!suspects.is_refused(NOW.plus_millis(100), 5));
-    assert_eq!(suspects.local_crashes().count(), 0);
+    assert!(suspects.marks(NOW.plus_millis(100)).is_empty());
     // The memory for successes is bounded too.
     for digest in 0..100_000 {
         suspects.record_success(NOW, digest);
@@ -92,9 +142,9 @@
     let mut suspects = Suspects::default();
     for _ in 0..2 * CRASH_LIMIT {
         suspects.record_crash(NOW, 5, 1);
-        suspects.receive(NOW, 5, &[1, 2]);
+        suspects.receive(NOW, &mark(5, &[1, 2], 0));
     }
     assert!(!suspects.is_refused(NOW, 5));
-    suspects.receive(NOW, 5, &[2, 3]);
+    suspects.receive(NOW, &mark(5, &[2, 3], 0));
     assert!(suspects.is_refused(NOW, 5));
 }
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -1,5 +1,6 @@
-//! Messages of the [exchange](crate::load_exchange) of load, of attempt counts and of what servers
-//! [state](crate::statements), with the peers through hubs.
+//! Messages of the [exchange](crate::load_exchange) of load, of attempt counts, of what servers
+//! [state](crate::statements) and of requests that [crash](fescuerack_core::gateway::crash) them,
+//! with the peers through hubs.
 //!
 //! These messages are the most frequent ones and consist of numbers, so they are encoded in binary
 //! form.
@@ -9,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use fescuerack_core::gateway::crash::Mark;
 use fescuerack_core::gateway::load::{self, Duty, Table};
 use fescuerack_core::gateway::outlier::AttemptCounts;
 use serde::Serialize;
@@ -27,6 +29,9 @@
 /// Path on which the top receives the reports of the hubs of the zones.
 pub const ZONE_PATH: &str = "/load/zone";
 
+/// Milliseconds between two reports of a node that has nothing to report.
+const IDLE_INTERVAL_MS: u64 = 1_000;
+
 /// Role of this node, with the address of the node that it reports to.
 enum Role {
     Member(SocketAddr),
@@ -37,7 +42,8 @@
 
 /// Reports to the hub or to the top until the process ends.
 pub async fn run(node: Rc<Node>) {
-    let mut was_idle = true;
+    // When a node that has nothing to report does so again, to hear of the others.
+    let mut next_idle = now();
     loop {
         tokio::time::sleep(Duration::from_millis(load::REPORT_INTERVAL_MS)).await;
         let tables = local_tables(&node);
@@ -46,10 +52,11 @@
         // running any more. A hub always reports, since its group may have load.
         let is_empty = tables.load.is_empty() && tables.attempts.is_empty();
         let is_idle = is_empty && matches!(role, Role::Member(_));
-        if is_idle && was_idle {
+        if is_idle && now() < next_idle {
             continue;
         }
-        was_idle = is_idle;
+        let wait_ms = if is_idle { IDLE_INTERVAL_MS } else { 0 };
+        next_idle = now().plus_millis(wait_ms);
         let report = Report {
             node: node.settings.borrow().instance.clone(),
             tables,
@@ -200,27 +207,54 @@
 ) -> anyhow::Result<Tables> {
     let report = encode(node, report)?;
     let answer = message::exchange(node, address, path, report, message::HEAD_TIMEOUT).await?;
-    let (tables, stated) = decode(&answer)?;
-    statements::receive(node, &address.to_string(), &stated);
-    Ok(tables)
+    let message = decode(&answer)?;
+    receive(node, &address.to_string(), &message);
+    Ok(message.tables)
+}
+
+/// A report or the answer to one, with what follows it.
+struct Message<T> {
+    tables: T,
+    stated: Digest,
+    marks: Vec<Mark>,
 }
 
-/// Encodes a report or the answer to one, followed by what servers have stated.
+/// Encodes a report or the answer to one, followed by what servers have stated and which requests
+/// have crashed them.
 fn encode(node: &Node, tables: &impl Serialize) -> anyhow::Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(tables)?;
-    Ok(postcard::to_extend(&statements::digest(node), bytes)?)
+    let bytes = postcard::to_extend(&statements::digest(node), bytes)?;
+    let marks = node.suspects.borrow().marks(now());
+    Ok(postcard::to_extend(&marks, bytes)?)
 }
 
-/// Decodes a report or the answer to one, and the statements that follow it. Earlier versions of the
-/// program send none.
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> anyhow::Result<(T, Digest)> {
+/// Decodes a report or the answer to one, and what follows it. Earlier versions of the program send
+/// neither crashes nor, before that, statements.
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> anyhow::Result<Message<T>> {
     let (tables, rest) = postcard::take_from_bytes(bytes)?;
-    let stated = if rest.is_empty() {
-        Digest::default()
-    } else {
-        postcard::from_bytes(rest)?
-    };
-    Ok((tables, stated))
+    let (stated, rest) = take_or_default(rest)?;
+    let (marks, _) = take_or_default(rest)?;
+    Ok(Message {
+        tables,
+        stated,
+        marks,
+    })
+}
+
+fn take_or_default<T: DeserializeOwned + Default>(bytes: &[u8]) -> anyhow::Result<(T, &[u8])> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
+    }
+    Ok(postcard::take_from_bytes(bytes)?)
+}
+
+/// Receives what follows a report or the answer to one.
+fn receive<T>(node: &Node, source: &str, message: &Message<T>) {
+    statements::receive(node, source, &message.stated);
+    let mut suspects = node.suspects.borrow_mut();
+    for mark in &message.marks {
+        suspects.receive(now(), mark);
+    }
 }
 
 /// Answers an encoded report on `path`.
@@ -229,8 +263,9 @@
 ///
 /// When the report cannot be decoded.
 pub fn serve(node: &Node, path: &str, report: &[u8]) -> anyhow::Result<Vec<u8>> {
-    let (report, stated): (Report, Digest) = decode(report)?;
-    statements::receive(node, &report.node, &stated);
+    let message: Message<Report> = decode(report)?;
+    receive(node, &message.tables.node, &message);
+    let report = message.tables;
     let level = match path {
         GROUP_PATH => Level::Zone,
         ZONE_PATH => Level::Top,
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -1,9 +1,8 @@
 //! Exchange of state with peers, and the server for all messages from peers.
 //!
-//! The request of an exchange carries the revision of the sending node, its counts for running
-//! roll-outs and the fingerprints of the requests that it observed to crash servers. The reply
-//! carries newer items, the sums of the counts that the other node has received, and its own
-//! suspects. Nodes exchange only in two cases:
+//! The request of an exchange carries the revision of the sending node and its counts for running
+//! roll-outs. The reply carries newer items and the sums of the counts that the other node has
+//! received. Nodes exchange only in two cases:
 //!
 //! - The store does not answer: the node asks a random peer for newer items.
 //! - A roll-out is running: once a second, each node reports to the collector of the service, which
@@ -22,6 +21,7 @@
 use bytes::Bytes;
 use fescuerack_core::gateway::affinity;
 use fescuerack_core::gateway::canary::{self, Counts, Stage};
+use fescuerack_core::gateway::crash::Mark;
 use fescuerack_core::gateway::session::Recent;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
@@ -77,7 +77,7 @@
     rollouts: BTreeMap<String, RolloutReport>,
     /// Required by earlier versions of the program, which counted crashes without their servers.
     suspects: Vec<(u64, u32)>,
-    /// Servers that crashed while they ran a request, by the digest of the request.
+    /// As above, with the servers.
     #[serde(default)]
     crashed: Vec<(u64, Vec<u32>)>,
 }
@@ -92,7 +92,7 @@
     rollouts: BTreeMap<String, RolloutReport>,
     /// Required by earlier versions of the program, which counted crashes without their servers.
     suspects: Vec<(u64, u32)>,
-    /// Servers that crashed while they ran a request, by the digest of the request.
+    /// As above, with the servers.
     #[serde(default)]
     crashed: Vec<(u64, Vec<u32>)>,
 }
@@ -207,7 +207,7 @@
         takes_notices: true,
         rollouts: rollouts.collect(),
         suspects: Vec::new(),
-        crashed: node.suspects.borrow().local_crashes().collect(),
+        crashed: Vec::new(),
     }
 }
 
@@ -284,10 +284,16 @@
     }
 }
 
+/// Receives the crashes that an earlier version of the program reports, which states no ages.
 fn receive_suspects(node: &Node, crashed: &[(u64, Vec<u32>)]) {
     let mut known = node.suspects.borrow_mut();
-    for (fingerprint, servers) in crashed {
-        known.receive(now(), *fingerprint, servers);
+    for (request, servers) in crashed {
+        let mark = Mark {
+            request: *request,
+            servers: servers.clone(),
+            age_ms: 0,
+        };
+        known.receive(now(), &mark);
     }
 }
 
@@ -404,7 +410,7 @@
         large,
         rollouts,
         suspects: Vec::new(),
-        crashed: node.suspects.borrow().local_crashes().collect(),
+        crashed: Vec::new(),
     }
 }
 
--- a/crates/gateway/tests/all/statements.rs
+++ b/crates/gateway/tests/all/statements.rs
@@ -1,6 +1,7 @@
 //! The size of what nodes tell each other about servers.
 
 use fescuerack_core::clock::Instant;
+use fescuerack_core::gateway::crash::{self, Suspects};
 use fescuerack_core::gateway::load;
 use fescuerack_core::gateway::stated_limit::StatedLimits;
 use fescuerack_core::route::leaving::LeavingServers;
@@ -30,7 +31,15 @@
         limits: limits.digest(later),
         leaving: leaving.newest(later, SHARE_MS, MAX_SHARED),
     };
-    let bytes = postcard::to_stdvec(&digest).expect("bytes").len();
+    let mut suspects = Suspects::default();
+    for request in 0..SERVERS {
+        for server in [u32::MAX, u32::MAX - 1, u32::MAX - 2] {
+            suspects.record_crash(now, u64::MAX - request, server);
+        }
+    }
+    let marks = suspects.marks(later);
+    assert_eq!(marks.len(), crash::MAX_SHARED);
+    let bytes = postcard::to_stdvec(&(digest, marks)).expect("bytes").len();
     let messages_per_s = usize::try_from(1_000 / load::REPORT_INTERVAL_MS).expect("few");
     assert!(bytes * messages_per_s <= MAX_BYTES_PER_S, "{bytes} bytes");
 }
