Own door: a new process has one saved retry per pool, not ten

The class of the incident at the callers' port: an account that begins anew with the process. Each start of an instance had the ten retries that a long life without failures may save, so 340 instances that restart beside a failing pool could send it 3,400 repeats at once, and again after the next restart. What an instance saves over a long life still counts for each instance alone, as the configuration says.

--- a/crates/core/src/attempt/budget.rs
+++ b/crates/core/src/attempt/budget.rs
@@ -4,6 +4,10 @@
 //! the capacity is lowest. A budget allows the usual few failures to be retried at once, and bounds
 //! the load on a failing pool to `1 + retry_ratio` times the traffic.
 
+/// Further attempts that a new process may make before its traffic has given it any: the first failure
+/// is retried. The process before it may have used all that it had saved a moment ago.
+const INITIAL_TOKENS: f64 = 1.0;
+
 /// Retry budget of one pool, as a token bucket.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
@@ -35,11 +39,11 @@
 }
 
 impl Budget {
-    /// Returns a full budget.
+    /// Returns the budget of a new process.
     #[must_use]
     pub fn new(thresholds: &Thresholds) -> Self {
         Self {
-            tokens: thresholds.max_saved,
+            tokens: thresholds.max_saved.min(INITIAL_TOKENS),
         }
     }
 
