--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -301,7 +301,7 @@
     drop(view);
     fetch::receive_notices(node, &updates.large, peer);
     if is_back {
-        tracing::info!(event = "store-regained", call = "watcher");
+        report_return(node, "watcher");
     }
     apply::publish_view(node);
 }
@@ -403,11 +403,17 @@
         .store_calls
         .with_label_values(&[kind, "answered"])
         .inc();
-    if node.view.borrow_mut().outage.record_answer(now()) {
-        tracing::info!(event = "store-regained", call = kind);
+    let is_back = node.view.borrow_mut().outage.record_answer(now());
+    if is_back {
+        report_return(node, kind);
     }
 }
 
+fn report_return(node: &Node, kind: &str) {
+    tracing::info!(event = "store-regained", call = kind);
+    node.store_regained.notify_one();
+}
+
 /// Records that a call of `kind` to the store failed.
 pub fn record_fault(node: &Node, kind: &str, fault: &Fault) {
     node.metrics
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -116,6 +116,8 @@
     pub followed_revision: watch::Sender<u64>,
     /// When the store last answered this node or the watcher that it polled.
     pub store_answered: Cell<Instant>,
+    /// Notifies the registration that an outage of the store has ended.
+    pub store_regained: Notify,
     /// Whether the process is stopping.
     pub is_stopping: Cell<bool>,
     /// Metrics.
@@ -164,6 +166,7 @@
             large_item_awaited: Notify::new(),
             followed_revision: watch::Sender::new(0),
             store_answered: Cell::new(Instant::ORIGIN),
+            store_regained: Notify::new(),
             is_stopping: Cell::new(false),
             metrics: Metrics::new()?,
             random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -3,10 +3,15 @@
 //! The entry is bound to a lease, so that it expires when the node fails. A process that restarts
 //! before that goes on with the entry and its lease. It is only a hint for peers; no guarantee
 //! depends on it.
+//!
+//! Leases may end in an outage of the store. All nodes then vanish from the list at once, and whatever
+//! selects some of the nodes goes wrong. So each renews its lease as soon as the store is back.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::RngExt as _;
+
 use crate::clock::now;
 use crate::entry::{NODES, Peer};
 use crate::node::Node;
@@ -17,6 +22,10 @@
 const LEASE_TTL_MS: u64 = 16_000;
 /// Milliseconds between renewals; each costs a tenth of a read.
 const RENEWAL_INTERVAL_MS: u64 = 5_000;
+/// Maximum delay of the renewal after an outage, in milliseconds.
+const RETURN_SPREAD_MS: u64 = 500;
+/// The same for each node of a large fleet, whose calls would exceed the rate of the store.
+const RETURN_SPREAD_PER_NODE_MS: u64 = 4;
 /// Milliseconds until a failed registration is retried.
 const RETRY_DELAY_MS: u64 = 1_000;
 
@@ -25,18 +34,25 @@
     wait_for_state(&node).await;
     let mut former = former_lease(&node);
     loop {
-        match renew_former(&node, former.take()).await {
+        let lease = match renew_former(&node, former.take()).await {
+            Some(lease) => Some(lease),
+            None => register_or_log(&node).await,
+        };
+        match lease {
             Some(lease) => renew(&node, lease).await,
-            None => match register(&node).await {
-                Ok(Some(lease)) => renew(&node, lease).await,
-                Ok(None) => {}
-                Err(fault) => tracing::info!(event = "entry-failed", reason = %fault),
-            },
+            None => tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await,
         }
-        tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
     }
 }
 
+async fn register_or_log(node: &Node) -> Option<u64> {
+    let registered = register(node).await;
+    registered.unwrap_or_else(|fault| {
+        tracing::info!(event = "entry-failed", reason = %fault);
+        None
+    })
+}
+
 async fn wait_for_state(node: &Node) {
     let mut followed = node.followed_revision.subscribe();
     // The sender lives as long as the node.
@@ -114,7 +130,10 @@
 /// Renews the lease until it has expired.
 async fn renew(node: &Node, lease: u64) {
     loop {
-        tokio::time::sleep(Duration::from_millis(RENEWAL_INTERVAL_MS)).await;
+        tokio::select! {
+            () = tokio::time::sleep(Duration::from_millis(RENEWAL_INTERVAL_MS)) => {}
+            () = node.store_regained.notified() => wait_after_outage(node).await,
+        }
         if node.is_stopping.get() {
             std::future::pending::<()>().await;
         }
@@ -129,3 +148,10 @@
         }
     }
 }
+
+async fn wait_after_outage(node: &Node) {
+    let nodes = u64::try_from(node.retry_share.borrow().nodes()).unwrap_or(u64::MAX);
+    let spread_ms = RETURN_SPREAD_MS.max(nodes.saturating_mul(RETURN_SPREAD_PER_NODE_MS));
+    let delay_ms = node.random.borrow_mut().random_range(0..spread_ms);
+    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+}
