--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod canary;
 mod crash;
 mod escalation;
+mod fleet_retries;
 mod health;
 mod lease_expiry;
 mod load;
--- a/crates/core/tests/all/gateway/retry_fleet.rs
+++ b/crates/core/tests/all/gateway/retry_fleet.rs
@@ -42,6 +42,21 @@
 }
 
 impl Size {
+    /// Returns the traffic and the slack that operators state for fleets of about `nodes` nodes.
+    pub const fn new(nodes: usize) -> Self {
+        let (requests_per_s, slack) = match nodes {
+            0..20 => (56.0, 54.0),
+            20..150 => (300.0, 196.0),
+            150..600 => (600.0, 630.0),
+            _ => (663.0, 1_040.0),
+        };
+        Self {
+            nodes,
+            requests_per_s,
+            slack,
+        }
+    }
+
     /// Returns the bound.
     pub const fn bound(&self) -> Bound {
         Bound {
--- a/crates/node/tests/soak/unread_log.rs
+++ b/crates/node/tests/soak/unread_log.rs
@@ -31,7 +31,7 @@
         .expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let (store, observations) = (Store::new().await, Observations::new());
-        world::configure(&store, 1);
+        world::configuration::configure(&store, 1);
         let disturbances = Rc::new(Disturbances::new());
         let _backend = Backend::new(0, &store, &observations, &disturbances).await;
         let [ip, ..] = world::addresses();
--- /dev/null
+++ b/crates/node/tests/soak/world/faults.rs
@@ -0,0 +1,212 @@
+//! The faults of a plan, as they are played.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use super::{
+    ACTIVATION_TIMEOUT, DOWNTIME, LEAVE_DURATION, LIMIT_DURATION, POLL_INTERVAL, STOP_TIMEOUT,
+    World,
+};
+use crate::backend::{Backend, Behaviour};
+use crate::plan::{Fault, Step};
+use crate::process::State;
+use crate::proxy::Link;
+use crate::statements::REST;
+use crate::store::Mode;
+
+impl World {
+    pub(super) async fn fault(self: Rc<Self>, step: Step) {
+        let duration = Duration::from_millis(step.duration_ms);
+        let disturbances = &self.context.disturbances;
+        match step.fault {
+            Fault::Kill { node } => self.kill(node).await,
+            Fault::Stop { node } => self.stop(node).await,
+            Fault::Pause { node } => {
+                disturbances.record_node(node, duration);
+                self.processes[node].borrow().signal("-STOP");
+                tokio::time::sleep(duration).await;
+                self.processes[node].borrow().signal("-CONT");
+            }
+            Fault::Reload { node } => {
+                disturbances.record_planned(node, Duration::ZERO);
+                self.processes[node].borrow().signal("-HUP");
+            }
+            Fault::StoreSilent => self.set_store_mode(Mode::Silent, duration).await,
+            Fault::StoreBusy => self.set_store_mode(Mode::Busy, duration).await,
+            Fault::StoreLapse => {
+                self.store.lapse();
+                self.set_store_mode(Mode::Silent, duration).await;
+            }
+            Fault::StoreCompact => {
+                disturbances.record_store(Duration::ZERO);
+                self.store.compact();
+            }
+            Fault::StoreLink { node, link } => {
+                disturbances.record_node(node, duration);
+                self.store_links[node].set(link);
+                tokio::time::sleep(duration).await;
+                self.store_links[node].set(Link::Up);
+            }
+            Fault::Configure => self.configure().await,
+            Fault::ColdStarts => self.backends.iter().for_each(Backend::start_cold),
+            Fault::Evacuate { zone } => self.evacuate(zone, duration).await,
+            Fault::BackendLink { backend, .. }
+            | Fault::Crash { backend }
+            | Fault::Drain { backend }
+            | Fault::Fail { backend }
+            | Fault::FailMost { backend }
+            | Fault::Refuse { backend }
+            | Fault::Limit { backend, .. }
+            | Fault::StatedLeave { backend }
+            | Fault::Rest { backend } => self.backend_fault(backend, step.fault, duration).await,
+        }
+    }
+
+    async fn backend_fault(&self, backend: usize, fault: Fault, duration: Duration) {
+        let disturbances = &self.context.disturbances;
+        let backend = &self.backends[backend];
+        match fault {
+            Fault::BackendLink { link, .. } => {
+                disturbances.record_backends(duration);
+                backend.set_link(link);
+                tokio::time::sleep(duration).await;
+                backend.set_link(Link::Up);
+            }
+            Fault::Crash { .. } => {
+                disturbances.record_backends(duration);
+                backend.crash();
+                tokio::time::sleep(duration).await;
+                backend.restart();
+            }
+            Fault::Drain { .. } => {
+                backend.leave();
+                tokio::time::sleep(LEAVE_DURATION).await;
+                self.check_leaving(backend);
+                // The restart cuts the requests that still run.
+                disturbances.record_backends(Duration::ZERO);
+                backend.restart();
+            }
+            Fault::Fail { .. } => {
+                self.apply_behaviour(backend, Behaviour::Failing, duration)
+                    .await;
+            }
+            Fault::FailMost { .. } => {
+                self.apply_behaviour(backend, Behaviour::MostlyFailing, duration)
+                    .await;
+            }
+            Fault::Refuse { .. } => {
+                self.apply_behaviour(backend, Behaviour::Refusing, duration)
+                    .await;
+            }
+            Fault::Limit { tenths, .. } => {
+                let statements = backend.statements();
+                statements.set_limit(Some(f64::from(tenths) / 10.0));
+                tokio::time::sleep(LIMIT_DURATION).await;
+                statements.set_limit(None);
+            }
+            Fault::StatedLeave { .. } => {
+                backend.statements().set_leaving();
+                tokio::time::sleep(LEAVE_DURATION).await;
+                // The restart cuts the requests that still run.
+                disturbances.record_backends(Duration::ZERO);
+                backend.restart();
+            }
+            Fault::Rest { .. } => {
+                let statements = backend.statements();
+                statements.set_wants_rest(true);
+                self.apply_behaviour(backend, Behaviour::Refusing, REST + duration)
+                    .await;
+                statements.set_wants_rest(false);
+                // Nodes use it again when their rest is over.
+                disturbances.record_backends(REST);
+            }
+            _ => unreachable!("not a fault of a backend server"),
+        }
+    }
+
+    async fn apply_behaviour(&self, backend: &Backend, behaviour: Behaviour, duration: Duration) {
+        self.context.disturbances.record_backends(duration);
+        backend.set_behaviour(behaviour);
+        tokio::time::sleep(duration).await;
+        backend.set_behaviour(Behaviour::Normal);
+    }
+
+    /// Evacuates `zone`, until the evacuation must have been active for a while. Does nothing
+    /// while the zone is already being evacuated.
+    async fn evacuate(&self, zone: &str, duration: Duration) {
+        let key = format!("op/evacuate/{zone}");
+        if self.store.get(&key).is_some() {
+            return;
+        }
+        let of_zone = || self.backends.iter().filter(|one| one.zone() == zone);
+        of_zone().for_each(|one| one.set_evacuated(true));
+        self.store.put(&key, &json!({}));
+        tokio::time::sleep(ACTIVATION_TIMEOUT + duration).await;
+        of_zone().for_each(|one| one.set_evacuated(false));
+        self.store.remove(&key);
+        for backend in of_zone() {
+            self.check_late(backend.late_in_zone(), "whose zone was evacuated");
+        }
+    }
+
+    async fn set_store_mode(&self, mode: Mode, duration: Duration) {
+        self.context.disturbances.record_store(duration);
+        self.store.set_mode(mode);
+        tokio::time::sleep(duration).await;
+        self.store.set_mode(Mode::Up);
+    }
+
+    async fn kill(&self, node: usize) {
+        if self.is_down[node].replace(true) {
+            return;
+        }
+        self.context.disturbances.record_node(node, DOWNTIME);
+        self.processes[node].borrow().signal("-KILL");
+        self.wait_until_exited(node).await;
+        tokio::time::sleep(DOWNTIME).await;
+        self.context.disturbances.record_node(node, Duration::ZERO);
+        self.processes[node].borrow_mut().start();
+        self.is_down[node].set(false);
+    }
+
+    pub(super) async fn stop(&self, node: usize) {
+        if self.is_down[node].replace(true) {
+            return;
+        }
+        let signalled_at = Instant::now();
+        self.context.disturbances.record_planned(node, STOP_TIMEOUT);
+        self.processes[node].borrow().signal("-TERM");
+        if !self.wait_until_exited(node).await {
+            if self
+                .context
+                .disturbances
+                .is_free_of_faults(node, signalled_at)
+            {
+                let line =
+                    format!("n{node} still runs {STOP_TIMEOUT:?} after it was asked to stop");
+                self.context.observations.record_violation(line);
+            }
+            self.processes[node].borrow().signal("-KILL");
+            self.wait_until_exited(node).await;
+        }
+        self.context
+            .disturbances
+            .record_planned(node, Duration::ZERO);
+        self.processes[node].borrow_mut().start();
+        self.is_down[node].set(false);
+    }
+
+    /// Waits until a process exits; returns whether it did in time.
+    async fn wait_until_exited(&self, node: usize) -> bool {
+        let until = Instant::now() + STOP_TIMEOUT;
+        while Instant::now() < until {
+            if self.processes[node].borrow_mut().poll() == State::Exited {
+                return true;
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        false
+    }
+}
