Revert the own door's single saved retry: callers of quiet new processes lost

Two tests of the callers' port failed with it (cut_whole_answer_runs_elsewhere, mismatched_answer_is_dropped_and_run_elsewhere, 502 for 200): a new process that has one retry and earns a tenth of one with each request does not repeat its second failure. No bound over all instances is stated at that port, so the mend took from callers what nobody had asked for.

--- a/crates/core/src/attempt/budget.rs
+++ b/crates/core/src/attempt/budget.rs
@@ -4,10 +4,6 @@
 //! the capacity is lowest. A budget allows the usual few failures to be retried at once, and bounds
 //! the load on a failing pool to `1 + retry_ratio` times the traffic.
 
-/// Further attempts that a new process may make before its traffic has given it any: the first failure
-/// is retried. The process before it may have used all that it had saved a moment ago.
-const INITIAL_TOKENS: f64 = 1.0;
-
 /// Retry budget of one pool, as a token bucket.
 #[derive(Clone, Copy, Debug)]
 pub struct Budget {
@@ -39,11 +35,11 @@
 }
 
 impl Budget {
-    /// Returns the budget of a new process.
+    /// Returns a full budget.
     #[must_use]
     pub fn new(thresholds: &Thresholds) -> Self {
         Self {
-            tokens: thresholds.max_saved.min(INITIAL_TOKENS),
+            tokens: thresholds.max_saved,
         }
     }
 
--- a/crates/core/src/attempt/pools.rs
+++ b/crates/core/src/attempt/pools.rs
@@ -153,8 +153,7 @@
     #[must_use]
     pub fn remaining(&self, fleet: key::Fleet) -> f64 {
         let pool = self.local.get(fleet);
-        let budget = pool.map_or_else(|| Budget::new(&self.thresholds), |pool| pool.budget);
-        budget.remaining()
+        pool.map_or(self.thresholds.max_saved, |pool| pool.budget.remaining())
     }
 
     /// Returns the digest for peers.
