--- a/crates/core/tests/all/gateway/fleet_retries.rs
+++ b/crates/core/tests/all/gateway/fleet_retries.rs
@@ -9,6 +9,7 @@
     check_started(size, size.nodes, length_ms, events);
 }
 
+/// The same, on a fleet of which `started` nodes run from the beginning.
 fn check_started(size: Size, started: usize, length_ms: u64, events: &[(u64, Event)]) {
     let record = retry_fleet::play(size, started, length_ms, events);
     let (excess, further, from) = record.excess(&size.bound());
@@ -18,6 +19,7 @@
     );
 }
 
+/// Returns the event of each node, at the milliseconds that `at` gives for its number.
 fn each(
     nodes: usize,
     event: impl Fn(usize) -> Event,
