--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -14,7 +14,7 @@
 pub const USED_SHARE: f64 = 0.9;
 /// Part of a further attempt that must be left for it to be made. Rounded to the nearest number, the
 /// attempts of many nodes sum up to what they may make; rounded down, each node would lose half of one.
-const ROUNDING: f64 = 0.5;
+const MIN_ATTEMPT_LEFT: f64 = 0.5;
 /// Length of one slot of the window, in milliseconds.
 const SLOT_MS: u64 = 500;
 
@@ -56,7 +56,7 @@
 }
 
 impl Budget {
-    /// Counts a request that was sent at `sent_at`, at most a window ago.
+    /// Counts a request that was sent at `sent_at`.
     pub fn count_request(&mut self, sent_at: Instant, bound: &Bound) {
         self.expire(sent_at, bound.window_ms);
         self.slot(sent_at).requests += 1;
@@ -72,7 +72,7 @@
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let further: u32 = self.slots.iter().map(|slot| slot.further).sum();
         let max = USED_SHARE * bound.ratio * f64::from(requests) + share;
-        let is_taken = f64::from(further) + ROUNDING <= max;
+        let is_taken = f64::from(further) + MIN_ATTEMPT_LEFT <= max;
         if is_taken {
             self.slot(now).further += 1;
         }
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -20,7 +20,7 @@
 use crate::clock::Instant;
 
 /// Parts of the fleet that may not know of each other. Each uses an equal part of the slack.
-const PARTS: f64 = 2.0;
+const FLEET_PARTS: f64 = 2.0;
 /// Milliseconds for which a number of nodes counts on after the list has become shorter, while the
 /// store confirms the list. Nodes whose entries have lapsed register again within that time.
 pub const MEMORY_MS: u64 = 60_000;
@@ -88,7 +88,7 @@
             return 0.0;
         }
         let nodes = f64::from(u32::try_from(self.nodes()).unwrap_or(u32::MAX));
-        slack / (PARTS * nodes)
+        slack / (FLEET_PARTS * nodes)
     }
 
     /// Returns when the store last confirmed the list of nodes, if it ever did.
--- a/crates/core/tests/all/gateway/budget.rs
+++ b/crates/core/tests/all/gateway/budget.rs
@@ -72,13 +72,16 @@
     );
 }
 
-/// Guards against a denied retry at the first failure of a service with little traffic.
-#[test]
-fn take_first_failure_with_little_traffic_is_covered() {
+/// Guards against a denied retry at the first failure of a service with little traffic, also at a new
+/// process, which has no share of the slack.
+#[rstest]
+#[case::known_process(share(9))]
+#[case::new_process(0.0)]
+fn take_first_failure_with_little_traffic_is_covered(#[case] share: f64) {
     let mut budget = Budget::default();
     let now = Instant::from_millis(5);
     budget.count_request(now, &BOUND);
-    assert!(budget.take(now, &BOUND, share(9)).is_taken);
+    assert!(budget.take(now, &BOUND, share).is_taken);
 }
 
 /// Guards against a node whose memory grows with each request to a service that never fails.
--- a/crates/core/tests/all/gateway/retry_fleet.rs
+++ b/crates/core/tests/all/gateway/retry_fleet.rs
@@ -22,11 +22,11 @@
 /// Delay until a node whose lease has ended registers again, in milliseconds.
 const REREGISTER_MS: std::ops::Range<u64> = 2_000..6_000;
 /// Share of the requests that fail.
-const FAILING: f64 = 0.9;
+const FAILING_SHARE: f64 = 0.9;
 /// Share of the servers whose links are held.
-const HELD: f64 = 0.3;
+const HELD_SHARE: f64 = 0.3;
 /// Servers that one request may reach.
-const ATTEMPTS: u32 = 3;
+const MAX_ATTEMPTS: u32 = 3;
 /// Milliseconds until an attempt has failed.
 const LATENCY_MS: std::ops::Range<u64> = 50..300;
 
@@ -278,12 +278,12 @@
 
     /// Returns when a server gets what a node sends now.
     fn arrival(&mut self, now: u64) -> u64 {
-        let is_held = now < self.held_until && self.rng.random::<f64>() < HELD;
+        let is_held = now < self.held_until && self.rng.random::<f64>() < HELD_SHARE;
         if is_held { self.held_until } else { now }
     }
 
     fn attempt(&mut self, arrives: u64, index: usize, sent: u32) {
-        if self.rng.random::<f64>() < FAILING {
+        if self.rng.random::<f64>() < FAILING_SHARE {
             let at = arrives + self.rng.random_range(LATENCY_MS);
             let life = self.nodes[index].life;
             let failing = self.failures.entry(at).or_default();
@@ -298,7 +298,7 @@
             later.push((index, life, sent));
             return;
         }
-        if node.life != life || sent >= ATTEMPTS {
+        if node.life != life || sent >= MAX_ATTEMPTS {
             return;
         }
         let at = Instant::from_millis(now);
--- a/crates/gateway/src/snapshot.rs
+++ b/crates/gateway/src/snapshot.rs
@@ -34,7 +34,7 @@
 /// Milliseconds for which a frame is passed on. The receiver follows the changes since by itself.
 const FRAME_TTL_MS: u64 = 2_000;
 /// Compression level, the lowest of the library's usual range.
-const LEVEL: i32 = 1;
+const COMPRESSION_LEVEL: i32 = 1;
 /// Time that an answer may take beyond the wait at the node: that of encoding a frame.
 const ANSWER_MARGIN: Duration = Duration::from_millis(900);
 
@@ -285,7 +285,7 @@
 ///
 /// When the library fails.
 pub fn encode(items: &[Item]) -> anyhow::Result<Bytes> {
-    let mut encoder = zstd::Encoder::new(Vec::new(), LEVEL)?;
+    let mut encoder = zstd::Encoder::new(Vec::new(), COMPRESSION_LEVEL)?;
     encoder.include_checksum(true)?;
     let mut line = Vec::new();
     for item in items {
--- a/crates/gateway/src/updates.rs
+++ b/crates/gateway/src/updates.rs
@@ -31,7 +31,7 @@
 /// Maximum size in bytes of a decoded batch.
 const MAX_DECODED_BYTES: u64 = 16 << 20;
 /// Compression level, the lowest of the library's usual range.
-const LEVEL: i32 = 1;
+const COMPRESSION_LEVEL: i32 = 1;
 /// Time that a poll may take beyond its wait at the watcher.
 const POLL_MARGIN: Duration = Duration::from_millis(300);
 
@@ -196,7 +196,7 @@
     if json.len() < MIN_COMPRESSED_BYTES {
         return Ok(json.into());
     }
-    Ok(zstd::bulk::compress(&json, LEVEL)?.into())
+    Ok(zstd::bulk::compress(&json, COMPRESSION_LEVEL)?.into())
 }
 
 fn decode(answer: &[u8]) -> anyhow::Result<Updates> {
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -24,7 +24,7 @@
     window_ms: 4_000,
 };
 /// Number of series of faults in a run with failing servers.
-const SERIES: usize = 3;
+const SERIES_PER_RUN: usize = 3;
 /// Mixed into the seed, so that these series are drawn independently of the other faults.
 const SERIES_SEED: u64 = 0x7365_7269;
 /// Time before the first fault.
@@ -35,9 +35,9 @@
 const DURATION_MS: std::ops::Range<u64> = 200..2_500;
 
 /// Number of evacuations in a run.
-const EVACUATIONS: usize = 3;
+const EVACUATIONS_PER_RUN: usize = 3;
 /// Number of times that a server states each of the three things in a run.
-const STATEMENTS: usize = 2;
+const STATEMENTS_PER_RUN: usize = 2;
 /// Mixed into the seed, so that statements are drawn independently of the other faults.
 const STATEMENT_SEED: u64 = 0x7374_6174;
 
@@ -128,7 +128,7 @@
         duration_ms: 0,
         fault: Fault::ColdStarts,
     });
-    for _ in 0..EVACUATIONS {
+    for _ in 0..EVACUATIONS_PER_RUN {
         let zone = if rng.random() { "a" } else { "b" };
         steps.push(Step {
             at_ms: rng.random_range(QUIET_MS..length_ms),
@@ -144,7 +144,7 @@
 pub fn with_statements(seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ STATEMENT_SEED);
     let mut steps = with_zones(seed, length_ms);
-    for _ in 0..STATEMENTS {
+    for _ in 0..STATEMENTS_PER_RUN {
         let limit = Fault::Limit {
             backend: rng.random_range(0..BACKENDS),
             tenths: rng.random_range(2..20),
@@ -177,7 +177,7 @@
             fault: Fault::FailMost { backend },
         })
         .collect();
-    for _ in 0..SERIES {
+    for _ in 0..SERIES_PER_RUN {
         steps.extend(series(&mut rng, length_ms));
     }
     steps
