--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,7 +25,8 @@
 //! [`server_limit`] get few requests, [leaving](server_leaving) ones and those that [rest](server_rest) none;
 //! servers state all three in their answers ([`statements`]).
 //! [`progress`] holds the state of the request and its retry budget, [`verdict`] decides what happens
-//! to an answer, and [`relay`] forwards streams. All of them share the HTTP client in [`upstream`].
+//! to an answer, and [`relay`] forwards streams; [`evidence`] records whether the request crashes
+//! servers. All of them share the HTTP client in [`upstream`].
 //! The load-balancing decisions are in `fescuerack_core::gateway`.
 
 pub mod apply;
@@ -40,6 +41,7 @@
 pub mod eligible;
 pub mod entry;
 pub mod events;
+pub mod evidence;
 pub mod fetch;
 pub mod follow;
 pub mod headers;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,7 +16,6 @@
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::load;
 use fescuerack_core::gateway::slowness::Timing;
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
@@ -27,6 +26,7 @@
 use crate::body::{AbortReason, Relayed, ResponseBody};
 use crate::clock::{deadline, now};
 use crate::events::Splitter;
+use crate::evidence;
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::progress;
@@ -168,11 +168,7 @@
                         self.model,
                         AnswerOutcome::Broken,
                     );
-                    self.node.suspects.borrow_mut().record_crash(
-                        now(),
-                        self.job.fingerprint,
-                        load::short_id(pick.identity),
-                    );
+                    evidence::record_crash(&self.node, &self.job, &pick);
                     tracing::info!(
                         event = "stream-broken",
                         id = self.job.head.id,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::{escalation, load};
+use fescuerack_core::gateway::escalation;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use rand::RngExt as _;
@@ -19,6 +19,7 @@
 use crate::catalog::Kind;
 use crate::clock::{deadline, now};
 use crate::eligible;
+use crate::evidence;
 use crate::intake;
 use crate::node::Node;
 use crate::pick::{self, Pick};
@@ -243,11 +244,7 @@
                 };
                 verdict::count_outcome(node, job, &pick, progress.model, ended);
                 if matches!(outcome, AttemptResult::Unknown) {
-                    node.suspects.borrow_mut().record_crash(
-                        now(),
-                        job.fingerprint,
-                        load::short_id(pick.identity),
-                    );
+                    evidence::record_crash(node, job, &pick);
                 }
                 progress.tried.push(pick.id.clone());
                 progress.sent += 1;
