All ends of attempts pass one place that says whether the request crashes servers

Callers of other requests lost servers: a request went on to crash them after it had ended three. Cause: what an end says of the request was decided at each place where an attempt may end. Class: a judgement that is spread over its callers.

Now verdict::record_end is the one way for all ends (no head, plain body, stream, stream held for a larger model, continuation, hedged request), and evidence::record judges. Only a complete answer that is no failure clears. An answer to another request is the server's failure, no crash, and a body that is too long for us neither. A further attempt is not made for a request that is refused by now. Continuations count for roll-outs, too, as all other attempts do.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::node::Node;
 use crate::pick::{self, InFlight, Pick};
 use crate::platform::{RequestHead, ResponseHead, UpstreamHead};
-use crate::rollout::{self, TrackingGuard};
+use crate::rollout::{self, AnswerOutcome, TrackingGuard};
 use crate::statements;
 use crate::upstream::{Answered, Sent};
 use crate::verdict;
@@ -57,10 +57,8 @@
 pub enum AttemptResult {
     /// The server did not run the request, or no byte of it was sent.
     NotRun(NotRunReason),
-    /// The server may have run the request.
-    Unknown,
-    /// No head was received before the deadline of the attempt.
-    TimedOut,
+    /// No usable head was received, and the server may have run the request.
+    Failed(AnswerOutcome),
     /// A head was received.
     Responded(Box<OpenResponse>),
 }
@@ -152,7 +150,7 @@
             "silent",
             "",
         );
-        return AttemptResult::TimedOut;
+        return AttemptResult::Failed(AnswerOutcome::TimedOut);
     };
     match sent {
         Sent::NotSent(reason) => {
@@ -177,7 +175,7 @@
                 "broken",
                 &reason,
             );
-            AttemptResult::Unknown
+            AttemptResult::Failed(AnswerOutcome::Broken)
         }
         Sent::Answered(answered) => {
             in_flight.mark_prefill_done();
@@ -248,7 +246,7 @@
             "other-answer",
             status.as_str(),
         );
-        return AttemptResult::Unknown;
+        return AttemptResult::Failed(AnswerOutcome::Failed);
     }
     let is_failure = status.is_server_error();
     let outcome = if is_failure {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -75,6 +75,10 @@
         count_retry(node, service, "over-attempts");
         return false;
     }
+    if node.suspects.borrow().is_refused(now(), job.fingerprint) {
+        count_retry(node, service, "crashing");
+        return false;
+    }
     let bound = node.settings.borrow().retries;
     let share = node.retry_share.borrow();
     let part = share.of(now(), bound.slack, bound.window_ms);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,7 +26,6 @@
 use crate::body::{AbortReason, Relayed, ResponseBody};
 use crate::clock::{deadline, now};
 use crate::events::Splitter;
-use crate::evidence;
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::progress;
@@ -152,23 +151,18 @@
                         event_interval_ms: self.mean_event_ms(started, events),
                     };
                     let ended = AnswerOutcome::Succeeded(pace);
-                    verdict::count_outcome(&self.node, &self.job, &pick, self.model, ended);
-                    self.node
-                        .suspects
-                        .borrow_mut()
-                        .record_success(now(), self.job.fingerprint);
+                    verdict::record_end(&self.node, &self.job, &pick, self.model, ended);
                     return Ok("whole");
                 }
                 Segment::CallerLeft => return Ok("caller-left"),
                 Segment::Broken(reason) => {
-                    verdict::count_outcome(
+                    verdict::record_end(
                         &self.node,
                         &self.job,
                         &pick,
                         self.model,
                         AnswerOutcome::Broken,
                     );
-                    evidence::record_crash(&self.node, &self.job, &pick);
                     tracing::info!(
                         event = "stream-broken",
                         id = self.job.head.id,
@@ -181,7 +175,7 @@
                     response = self.resume().await.ok_or(AbortReason::UpstreamFailed)?;
                 }
                 Segment::Hedged(next) => {
-                    verdict::count_outcome(
+                    verdict::record_end(
                         &self.node,
                         &self.job,
                         &pick,
@@ -341,14 +335,19 @@
                 self.job.deadline,
             )
             .await;
-            match result {
+            is_taken = matches!(result, AttemptResult::NotRun(NotRunReason::Unreachable));
+            let failed = match result {
                 AttemptResult::Responded(response)
                     if response.answered.response.status().is_success() =>
                 {
                     return Some(*response);
                 }
-                AttemptResult::NotRun(NotRunReason::Unreachable) => is_taken = true,
-                _ => is_taken = false,
+                AttemptResult::Responded(_) => Some(AnswerOutcome::Failed),
+                AttemptResult::Failed(outcome) => Some(outcome),
+                AttemptResult::NotRun(_) => None,
+            };
+            if let Some(outcome) = failed {
+                verdict::record_end(&self.node, &self.job, &pick, self.model, outcome);
             }
             self.tried.push(pick.id);
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,7 +26,6 @@
 use crate::progress::{Fallback, RequestProgress, take_retry};
 use crate::refusal::Refusal;
 use crate::relay;
-use crate::rollout::AnswerOutcome;
 use crate::verdict::{self, Verdict};
 
 /// Time-out of a request in milliseconds, if neither the caller nor the route states one.
@@ -164,10 +163,23 @@
             progress.sent,
             refusal,
         )),
-        (result, _) => result,
+        (result, fallback) => {
+            if let Some(fallback) = fallback {
+                inspect_unneeded(node, job, fallback);
+            }
+            result
+        }
     }
 }
 
+/// Looks in the background whether the server broke off a fallback answer that is not needed.
+fn inspect_unneeded(node: &Rc<Node>, job: Rc<Job>, fallback: Fallback) {
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        evidence::inspect_held(&node, &job, fallback.response).await;
+    });
+}
+
 /// Answers with the output of a smaller model, since no answer of a larger one was received in time.
 /// An answer of low confidence is better for the caller than none.
 fn serve_fallback(
@@ -237,15 +249,8 @@
                     return Err(exhausted(progress, eligible::retry_at(node, job, service)));
                 }
             }
-            AttemptResult::Unknown | AttemptResult::TimedOut => {
-                let ended = match outcome {
-                    AttemptResult::TimedOut => AnswerOutcome::TimedOut,
-                    _ => AnswerOutcome::Broken,
-                };
-                verdict::count_outcome(node, job, &pick, progress.model, ended);
-                if matches!(outcome, AttemptResult::Unknown) {
-                    evidence::record_crash(node, job, &pick);
-                }
+            AttemptResult::Failed(ended) => {
+                verdict::record_end(node, job, &pick, progress.model, ended);
                 progress.tried.push(pick.id.clone());
                 progress.sent += 1;
                 let may_repeat = job.route.is_repeatable() && !progress.is_fallback_due();
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -35,8 +35,10 @@
 /// Outcome of an answer, as it counts for a roll-out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum AnswerOutcome {
-    /// The answer was successful.
+    /// The answer was successful and complete.
     Succeeded(Timing),
+    /// The head of the answer was successful, and the rest was not read: its confidence is low.
+    Unread(Timing),
     /// The server answered with an error.
     Failed,
     /// No answer arrived before the timeout of the attempt.
@@ -224,7 +226,7 @@
 
 fn is_slow(node: &Node, latency_class: u64, outcome: AnswerOutcome) -> bool {
     let timing = match outcome {
-        AnswerOutcome::Succeeded(timing) => timing,
+        AnswerOutcome::Succeeded(timing) | AnswerOutcome::Unread(timing) => timing,
         AnswerOutcome::TimedOut => return true,
         AnswerOutcome::Failed | AnswerOutcome::Broken => return false,
     };
@@ -235,7 +237,7 @@
 }
 
 fn observe_baseline(node: &Node, latency_class: u64, outcome: AnswerOutcome) {
-    if let AnswerOutcome::Succeeded(timing) = outcome {
+    if let AnswerOutcome::Succeeded(timing) | AnswerOutcome::Unread(timing) = outcome {
         let mut baselines = node.baselines.borrow_mut();
         baselines.entry(latency_class).or_default().observe(&timing);
     }
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -6,13 +6,13 @@
 
 use fescuerack_core::gateway::slowness::Timing;
 use fescuerack_core::gateway::{affinity, escalation};
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::{HeaderMap, Response, StatusCode};
 
 use crate::attempt::{Job, OpenResponse};
 use crate::body::ResponseBody;
 use crate::catalog::Kind;
-use crate::clock::now;
+use crate::evidence;
 use crate::headers;
 use crate::node::Node;
 use crate::pick::{self, Pick};
@@ -52,12 +52,12 @@
             .dropped_answers
             .with_label_values(&[&*job.route.name])
             .inc();
-        let ended = AnswerOutcome::Succeeded(Timing {
+        let ended = AnswerOutcome::Unread(Timing {
             head_ms: response.head_ms,
             expected_ms: response.expected_head_ms,
             event_interval_ms: None,
         });
-        count_outcome(node, job, &response.pick, progress.model, ended);
+        record_end(node, job, &response.pick, progress.model, ended);
         progress.fallback = Some(Fallback::new(response, rank, job));
         progress.model = Some(next);
         return Verdict::Retry;
@@ -110,6 +110,7 @@
     let (mut head, body) = response.answered.response.into_parts();
     let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
     let ended = match &collected {
+        Err(error) if error.is::<LengthLimitError>() => AnswerOutcome::Failed,
         Err(_) => AnswerOutcome::Broken,
         Ok(_) if head.status.is_server_error() => AnswerOutcome::Failed,
         Ok(_) => AnswerOutcome::Succeeded(Timing {
@@ -118,7 +119,7 @@
             event_interval_ms: None,
         }),
     };
-    count_outcome(node, job, &response.pick, progress.model, ended);
+    record_end(node, job, &response.pick, progress.model, ended);
     drop(response.in_flight);
     match collected {
         Ok(body) => {
@@ -132,9 +133,6 @@
             if head.status.is_server_error() && progress.fallback.is_some() {
                 return Verdict::Refuse(Refusal::OutcomeUnknown);
             }
-            node.suspects
-                .borrow_mut()
-                .record_success(now(), job.fingerprint);
             headers::strip_hop_by_hop(&mut head.headers);
             Verdict::Answer(Response::from_parts(
                 head,
@@ -153,14 +151,9 @@
     }
 }
 
-/// Counts the outcome of an attempt for a roll-out of the service.
-pub fn count_outcome(
-    node: &Node,
-    job: &Job,
-    pick: &Pick,
-    model: Option<usize>,
-    ended: AnswerOutcome,
-) {
+/// Records the end of an attempt: for a roll-out of the service, and whether the request crashes
+/// servers.
+pub fn record_end(node: &Node, job: &Job, pick: &Pick, model: Option<usize>, ended: AnswerOutcome) {
     rollout::record_outcome(
         node,
         pick,
@@ -168,6 +161,7 @@
         latency_class(job, model),
         ended,
     );
+    evidence::record(node, job, pick, ended);
 }
 
 /// Returns the class of answers with a similar usual latency: those of one route and model.
