Crashes under a request are added up by its owners, two nodes by the hash of its digest

Telling single crashes to all would fill the messages: each crash of a server breaks up to 64 sound requests.

A node tells each crash that counts to the two owners, in one small message each, and a success after crashes, too, which clears it there. Owners pass on what has two or more with the load reports, as before. At most 64 such messages at a time; one that is lost leaves a log line.

--- a/crates/core/src/gateway/crash.rs
+++ b/crates/core/src/gateway/crash.rs
@@ -7,6 +7,9 @@
 //! callers may send the same request. From [`CRASH_LIMIT`] servers, on this node or on peers, the
 //! request is refused for [`RETENTION_MS`].
 //!
+//! A caller's repeats may reach a new node each time, and each of hundreds of nodes would see one crash. A
+//! node therefore tells each crash, and a success after crashes, to the [owners] of the request, which add up.
+//!
 //! Nodes pass on what they know, also what they have heard, with its age: the nodes that report to
 //! one hub hear of each other through it, and a crash is not kept alive by passing it back and forth.
 //!
@@ -17,6 +20,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::affinity;
 use crate::clock::Instant;
 
 /// Number of crashed servers from which a request is refused.
@@ -28,6 +32,47 @@
 /// Maximum number of requests in a message to a peer, the newest ones.
 pub const MAX_SHARED: usize = 4;
 
+/// Number of nodes that are told of each crash of a request.
+const OWNERS: usize = 2;
+
+/// The end of a run, as it is told to the owners of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Observation {
+    /// Digest of the request.
+    pub request: u64,
+    /// How the run ended.
+    pub end: End,
+}
+
+/// How a run of a suspected request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// A server, by its short identifier, crashed.
+    Crashed(u32),
+    /// The request succeeded.
+    Succeeded,
+}
+
+/// Returns the owners of a request among the nodes, by the hash of names: the same on all nodes that
+/// have the same list, and others for another request.
+#[must_use]
+pub fn owners<'a>(request: u64, nodes: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
+    let mut ranked: Vec<(u64, &str)> = nodes
+        .map(|name| {
+            (
+                affinity::mix(affinity::hash(name.as_bytes()) ^ request),
+                name,
+            )
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked
+        .into_iter()
+        .map(|(_, name)| name)
+        .take(OWNERS)
+        .collect()
+}
+
 /// What a message to a peer says of one request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Mark {
@@ -71,12 +116,24 @@
 }
 
 impl Suspects {
-    /// Records that `server` crashed while it ran the request.
-    pub fn record_crash(&mut self, now: Instant, digest: u64, server: u32) {
+    /// Records an observation of a peer.
+    pub fn observe(&mut self, now: Instant, observation: Observation) {
+        match observation.end {
+            End::Crashed(server) => {
+                self.record_crash(now, observation.request, server);
+            }
+            End::Succeeded => {
+                self.record_success(now, observation.request);
+            }
+        }
+    }
+
+    /// Records that `server` crashed while it ran the request; returns whether it counts.
+    pub fn record_crash(&mut self, now: Instant, digest: u64, server: u32) -> bool {
         if self.has_succeeded(now, digest) {
-            return;
+            return false;
         }
-        insert(&mut self.entry(now, digest, now).local, server);
+        insert(&mut self.entry(now, digest, now).local, server)
     }
 
     /// Records the crashes that a peer knows of.
@@ -91,9 +148,10 @@
         }
     }
 
-    /// Clears a request that succeeded; it is not suspected for [`RETENTION_MS`].
-    pub fn record_success(&mut self, now: Instant, digest: u64) {
-        self.counts.remove(&digest);
+    /// Clears a request that succeeded; it is not suspected for [`RETENTION_MS`]. Returns whether it
+    /// was suspected.
+    pub fn record_success(&mut self, now: Instant, digest: u64) -> bool {
+        let was_suspected = self.counts.remove(&digest).is_some();
         if self.succeeded.len() >= MAX_DIGESTS {
             self.succeeded.retain(|_, until| now < *until);
         }
@@ -101,6 +159,7 @@
             self.succeeded.clear();
         }
         self.succeeded.insert(digest, now.plus_millis(RETENTION_MS));
+        was_suspected
     }
 
     fn has_succeeded(&self, now: Instant, digest: u64) -> bool {
@@ -165,8 +224,7 @@
     }
 }
 
-fn insert(servers: &mut BTreeSet<u32>, server: u32) {
-    if servers.len() < CRASH_LIMIT {
-        servers.insert(server);
-    }
+/// Inserts a server unless there are enough; returns whether it is new.
+fn insert(servers: &mut BTreeSet<u32>, server: u32) -> bool {
+    servers.len() < CRASH_LIMIT && servers.insert(server)
 }
--- a/crates/core/tests/all/gateway/crash.rs
+++ b/crates/core/tests/all/gateway/crash.rs
@@ -1,7 +1,9 @@
 //! Tests of the detection of poison requests.
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::crash::{CRASH_LIMIT, MAX_SHARED, Mark, RETENTION_MS, Suspects};
+use fescuerack_core::gateway::crash::{
+    CRASH_LIMIT, MAX_SHARED, Mark, RETENTION_MS, Suspects, owners,
+};
 
 const NOW: Instant = Instant::from_millis(1_000);
 
@@ -148,3 +150,23 @@
     suspects.receive(NOW, &mark(5, &[2, 3], 0));
     assert!(suspects.is_refused(NOW, 5));
 }
+
+/// Guards against nodes that tell crashes of one request to different owners, none of which then counts to
+/// three, and against owners that change for all requests when a node goes.
+#[test]
+fn owners_are_the_same_on_all_nodes() {
+    let names: Vec<String> = (0..985).map(|number| format!("n{number}")).collect();
+    let mut moved = 0;
+    for request in 0..100 {
+        let first = owners(request, names.iter().map(String::as_str));
+        let reversed = owners(request, names.iter().rev().map(String::as_str));
+        assert_eq!(first, reversed);
+        assert_eq!(first.len(), 2);
+        let others = names
+            .iter()
+            .map(String::as_str)
+            .filter(|name| *name != "n7");
+        moved += usize::from(owners(request, others) != first);
+    }
+    assert!(moved <= 2, "{moved} requests moved");
+}
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -5,13 +5,17 @@
 //! that fails may not have begun to run the request. An answer of which only the head was read, a
 //! time-out and an answer to another request say nothing.
 
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use fescuerack_core::gateway::crash::{self, End, Observation};
 use fescuerack_core::gateway::load;
 use http_body_util::BodyExt as _;
 
 use crate::attempt::{Job, OpenResponse};
 use crate::clock::now;
+use crate::message::{self, HEAD_TIMEOUT};
 use crate::node::Node;
 use crate::pick::Pick;
 use crate::rollout::AnswerOutcome;
@@ -19,20 +23,28 @@
 /// Time within which the end of an answer that was held unread is received, if there is one.
 const HELD_READ_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Path on which a node is told of the ends of runs of the requests that it owns.
+pub const PATH: &str = "/crash";
+/// Maximum number of such messages of a node at the same time. A zone that is lost breaks many
+/// requests.
+const MAX_MESSAGES: usize = 64;
+
 /// Records what the end of an attempt at `pick` says of `job`.
-pub fn record(node: &Node, job: &Job, pick: &Pick, outcome: AnswerOutcome) {
+pub fn record(node: &Rc<Node>, job: &Job, pick: &Pick, outcome: AnswerOutcome) {
     match outcome {
         AnswerOutcome::Broken => record_crash(node, job, pick),
         AnswerOutcome::Succeeded(_) => {
             let mut suspects = node.suspects.borrow_mut();
-            suspects.record_success(now(), job.fingerprint);
+            if suspects.record_success(now(), job.fingerprint) {
+                tell_owners(node, job.fingerprint, End::Succeeded);
+            }
         }
         AnswerOutcome::Unread(_) | AnswerOutcome::Failed | AnswerOutcome::TimedOut => {}
     }
 }
 
 /// Records a crash if the server broke off an answer that was held unread and is not needed.
-pub async fn inspect_held(node: &Node, job: &Job, response: OpenResponse) {
+pub async fn inspect_held(node: &Rc<Node>, job: &Job, response: OpenResponse) {
     let pick = response.pick;
     let mut body = response.answered.response.into_body();
     let read = async {
@@ -51,15 +63,59 @@
     }
 }
 
-fn record_crash(node: &Node, job: &Job, pick: &Pick) {
+/// Receives an encoded observation of a peer.
+///
+/// # Errors
+///
+/// When it cannot be decoded.
+pub fn receive(node: &Node, observation: &[u8]) -> anyhow::Result<()> {
+    let observation: Observation = postcard::from_bytes(observation)?;
+    node.suspects.borrow_mut().observe(now(), observation);
+    Ok(())
+}
+
+fn record_crash(node: &Rc<Node>, job: &Job, pick: &Pick) {
     let server = load::short_id(pick.identity);
     let mut suspects = node.suspects.borrow_mut();
-    suspects.record_crash(now(), job.fingerprint, server);
+    let counts = suspects.record_crash(now(), job.fingerprint, server);
     tracing::info!(
         event = "crash-counted",
         id = job.head.id,
         digest = job.fingerprint,
         server = &*pick.id,
+        counts,
         is_refused = suspects.is_refused(now(), job.fingerprint)
     );
+    if counts {
+        tell_owners(node, job.fingerprint, End::Crashed(server));
+    }
+}
+
+/// Tells the owners of a request how a run of it ended.
+fn tell_owners(node: &Rc<Node>, request: u64, end: End) {
+    let own = node.settings.borrow().instance.clone();
+    let view = node.view.borrow();
+    for name in crash::owners(request, view.nodes.keys().map(String::as_str)) {
+        if name == own {
+            continue;
+        }
+        let Some(permit) = node.crash_messages.try_acquire(MAX_MESSAGES) else {
+            tracing::warn!(event = "crash-untold", digest = request, peer = name);
+            continue;
+        };
+        let address = view.nodes[name].address;
+        let node = node.clone();
+        tokio::task::spawn_local(async move {
+            let _permit = permit;
+            if let Err(error) = tell(&node, address, Observation { request, end }).await {
+                tracing::warn!(event = "crash-untold", digest = request, peer = %address, reason = %error);
+            }
+        });
+    }
+}
+
+async fn tell(node: &Node, address: SocketAddr, observation: Observation) -> anyhow::Result<()> {
+    let message = postcard::to_stdvec(&observation)?;
+    message::exchange(node, address, PATH, message, HEAD_TIMEOUT).await?;
+    Ok(())
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -25,6 +25,7 @@
 use crate::clock::{age_ms, now};
 use crate::load_exchange::Exchange;
 use crate::metrics::Metrics;
+use crate::permits::Permits;
 use crate::platform::Platform;
 use crate::publisher::Publisher;
 use crate::rollout::TrackedAttempt;
@@ -76,6 +77,8 @@
     pub retry_budgets: RefCell<HashMap<Arc<str>, Budget>>,
     /// Requests suspected to crash servers.
     pub suspects: RefCell<Suspects>,
+    /// Messages about such requests that are being sent.
+    pub crash_messages: Permits,
     /// Evidence on roll-outs, by service.
     pub evidence: RefCell<HashMap<Arc<str>, Evidence>>,
     /// Attempts at services with a roll-out whose outcome has not been counted.
@@ -146,6 +149,7 @@
             standstill: RefCell::default(),
             retry_budgets: RefCell::default(),
             suspects: RefCell::default(),
+            crash_messages: Permits::default(),
             evidence: RefCell::default(),
             tracked_attempts: RefCell::default(),
             recent_sessions: RefCell::default(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -32,6 +32,7 @@
 use crate::apply;
 use crate::body::Paced;
 use crate::clock::{age_ms, now};
+use crate::evidence;
 use crate::fetch;
 use crate::large::Notice;
 use crate::load_report;
@@ -347,6 +348,10 @@
         load_report::MEMBER_PATH | load_report::GROUP_PATH | load_report::ZONE_PATH => {
             load_report::serve(node, path, body)?.into()
         }
+        evidence::PATH => {
+            evidence::receive(node, body)?;
+            Bytes::new()
+        }
         publisher::PATH => {
             let request = serde_json::from_slice(body)?;
             let (answer, permit) = publisher::serve(node, &request).await;
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -153,7 +153,13 @@
 
 /// Records the end of an attempt: for a roll-out of the service, and whether the request crashes
 /// servers.
-pub fn record_end(node: &Node, job: &Job, pick: &Pick, model: Option<usize>, ended: AnswerOutcome) {
+pub fn record_end(
+    node: &Rc<Node>,
+    job: &Job,
+    pick: &Pick,
+    model: Option<usize>,
+    ended: AnswerOutcome,
+) {
     rollout::record_outcome(
         node,
         pick,
