--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -38,6 +38,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the whole milliseconds from `earlier` to `self`, or zero if `earlier` is later.
+    #[must_use]
+    pub const fn millis_since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0) / 1000
+    }
+
     /// Returns the instant `millis` milliseconds earlier, at least the origin.
     #[must_use]
     pub const fn minus_millis(self, millis: u64) -> Self {
--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -82,13 +82,13 @@
 impl Statement {
     /// Returns the current round: that of the statement and one for each [`ROUND_MS`] since.
     fn round(&self, now: Instant) -> u32 {
-        let rounds = age_ms(now, self.heard_at) / ROUND_MS;
+        let rounds = now.millis_since(self.heard_at) / ROUND_MS;
         self.round
             .saturating_add(u32::try_from(rounds).unwrap_or(u32::MAX))
     }
 
     fn is_kept(&self, now: Instant) -> bool {
-        self.per_second.is_some() || age_ms(now, self.heard_at) < SHARE_END_MS
+        self.per_second.is_some() || now.millis_since(self.heard_at) < SHARE_END_MS
     }
 
     fn is_shared(&self, now: Instant) -> bool {
@@ -96,7 +96,7 @@
             Some(_) => SHARE_LIMIT_MS,
             None => SHARE_END_MS,
         };
-        age_ms(now, self.heard_at) < until_ms
+        now.millis_since(self.heard_at) < until_ms
     }
 }
 
@@ -141,7 +141,7 @@
             return None;
         }
         let is_same = known.is_some_and(|known| known.per_second == per_second);
-        let is_fresh = known.is_some_and(|known| age_ms(now, known.numbered_at) < REFRESH_MS);
+        let is_fresh = known.is_some_and(|known| now.millis_since(known.numbered_at) < REFRESH_MS);
         let is_repeated = is_same && is_fresh;
         let sequence = known.map_or(0, |known| known.sequence);
         let numbered_at = known.map_or(now, |known| known.numbered_at);
@@ -201,7 +201,7 @@
                 let shared = Shared {
                     per_second: statement.per_second,
                     sequence: statement.sequence,
-                    age_ms: age_ms(now, statement.heard_at),
+                    age_ms: now.millis_since(statement.heard_at),
                     round: statement.round,
                 };
                 (identity, shared)
@@ -268,7 +268,3 @@
 fn parts(per_second: f64) -> u32 {
     (per_second * PARTS_PER_REQUEST) as u32
 }
-
-fn age_ms(now: Instant, at: Instant) -> u64 {
-    u64::try_from(now.since(at).as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,6 +12,7 @@
 
 use crate::catalog::Route;
 use crate::clock::{deadline, now};
+use crate::evidence;
 use crate::headers;
 use crate::node::Node;
 use crate::pick::{self, InFlight, Pick};
@@ -227,6 +228,7 @@
         .platform
         .parse_response_head(status, answered.response.headers(), &job.head.id);
     statements::record(node, &pick, &job.head.id, started, status, &head);
+    evidence::record_answer(node, &pick, status, &head);
     if head.is_not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
             // Another server has this address now; the entry is that of its predecessor.
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -27,5 +27,5 @@
 /// Returns the milliseconds since `at`.
 #[must_use]
 pub fn age_ms(at: Instant) -> u64 {
-    u64::try_from(now().since(at).as_millis()).unwrap_or(u64::MAX)
+    now().millis_since(at)
 }
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -12,12 +12,14 @@
 use fescuerack_core::gateway::crash::{self, End, Observation};
 use fescuerack_core::gateway::load;
 use http_body_util::BodyExt as _;
+use hyper::StatusCode;
 
 use crate::attempt::{Job, OpenResponse};
 use crate::clock::now;
 use crate::message::{self, HEAD_TIMEOUT};
 use crate::node::Node;
 use crate::pick::Pick;
+use crate::platform::ResponseHead;
 use crate::rollout::AnswerOutcome;
 
 /// Time within which the end of an answer that was held unread is received, if there is one.
@@ -43,6 +45,16 @@
     }
 }
 
+/// Records that a server has answered, so it has not crashed before the request was sent to it.
+pub fn record_answer(node: &Node, pick: &Pick, status: StatusCode, head: &ResponseHead) {
+    // Another server at the address answers with this status.
+    if head.is_for_request && status != StatusCode::MISDIRECTED_REQUEST {
+        let server = load::short_id(pick.identity);
+        let mut suspects = node.suspects.borrow_mut();
+        suspects.record_answer(now(), server, pick.at);
+    }
+}
+
 /// Records a crash if the server broke off an answer that was held unread and is not needed.
 pub async fn inspect_held(node: &Rc<Node>, job: &Job, response: OpenResponse) {
     let pick = response.pick;
@@ -76,18 +88,20 @@
 
 fn record_crash(node: &Rc<Node>, job: &Job, pick: &Pick) {
     let server = load::short_id(pick.identity);
+    let ended = now();
     let mut suspects = node.suspects.borrow_mut();
-    let counts = suspects.record_crash(now(), job.fingerprint, server);
+    let counts = suspects.record_crash(ended, pick.at, job.fingerprint, server);
     tracing::info!(
         event = "crash-counted",
         id = job.head.id,
         digest = job.fingerprint,
         server = &*pick.id,
         counts,
-        is_refused = suspects.is_refused(now(), job.fingerprint)
+        is_refused = suspects.is_refused(ended, job.fingerprint)
     );
     if counts {
-        tell_owners(node, job.fingerprint, End::Crashed(server));
+        let ran_ms = ended.millis_since(pick.at);
+        tell_owners(node, job.fingerprint, End::Crashed { server, ran_ms });
     }
 }
 
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -224,7 +224,7 @@
 fn encode(node: &Node, tables: &impl Serialize) -> anyhow::Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(tables)?;
     let bytes = postcard::to_extend(&statements::digest(node), bytes)?;
-    let marks = node.suspects.borrow().marks(now());
+    let marks = node.suspects.borrow_mut().marks(now());
     Ok(postcard::to_extend(&marks, bytes)?)
 }
 
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity::{self, Candidate, Pools};
 
 use crate::attempt::Job;
@@ -51,6 +52,8 @@
     pub is_cold: bool,
     /// Work on it: that of the requests of this node and that reported by peers.
     pub load: f64,
+    /// When it was selected, and its attempt begins.
+    pub at: Instant,
 }
 
 /// A guard that counts a request as running on a server until it is dropped.
@@ -245,6 +248,7 @@
         is_canary,
         is_cold: server.is_cold(now),
         load: candidates[index].load,
+        at: now,
     })
 }
 
--- a/crates/gateway/tests/all/statements.rs
+++ b/crates/gateway/tests/all/statements.rs
@@ -34,7 +34,7 @@
     let mut suspects = Suspects::default();
     for request in 0..SERVERS {
         for server in [u32::MAX, u32::MAX - 1, u32::MAX - 2] {
-            suspects.record_crash(now, u64::MAX - request, server);
+            suspects.record_crash(now, now, u64::MAX - request, server);
         }
     }
     let marks = suspects.marks(later);
