--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod canary;
 mod crash;
+mod crash_fleet;
 mod escalation;
 mod fleet_retries;
 mod health;
