--- a/crates/core/tests/all/gateway/budget.rs
+++ b/crates/core/tests/all/gateway/budget.rs
@@ -7,6 +7,8 @@
 use rand_pcg::Pcg64;
 use rstest::rstest;
 
+use super::repeats::Record;
+
 const BOUND: Bound = Bound {
     ratio: 0.9,
     slack: 58.0,
@@ -72,6 +74,45 @@
     );
 }
 
+/// Guards against repeats of many quiet nodes that sum up to more than the bound, because each node rounds
+/// its own up, where a service fails from the first request on and its failures come at once.
+#[rstest]
+fn take_sum_over_quiet_nodes_stays_within_the_bound(
+    #[values(7, 9, 78, 295, 985)] nodes: usize,
+    #[values(250.0, 1_000.0)] requests_per_s: f64,
+    #[values(false, true)] is_even: bool,
+) {
+    let share = share(nodes);
+    for seed in 0..4 {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut budgets = vec![Budget::default(); nodes];
+        let mut record = Record::default();
+        // The windows begin before the traffic.
+        for step in BOUND.window_ms..3 * BOUND.window_ms {
+            let mut expected = requests_per_s / 1_000.0;
+            while random.random::<f64>() < expected {
+                expected -= 1.0;
+                let now = Instant::from_millis(step);
+                let turn = record.requests.len() % nodes;
+                let drawn = random.random_range(0..nodes);
+                let budget = &mut budgets[if is_even { turn } else { drawn }];
+                budget.count_request(now, &BOUND);
+                record.requests.push(step);
+                for _ in 0..3 {
+                    if budget.take(now, &BOUND, share).is_taken {
+                        record.further.push(step);
+                    }
+                }
+            }
+        }
+        let (excess, further, from) = record.excess(&BOUND);
+        assert!(
+            excess <= 0.0,
+            "seed {seed}: {further} from {from} ms, {excess:.0} too many"
+        );
+    }
+}
+
 /// Guards against a denied retry at the first failure of a service with little traffic, also at a new
 /// process, which has no share of the slack.
 #[rstest]
