Retries of quiet nodes in a large fleet sum up to the bound

Servers got more repeats than the bound of all nodes allows, where each of many nodes has few requests and its service fails from the first on. Class: a rounding that is small at each node and summed up over all.

A node rounds to the nearest number only if its part of the slack is half an attempt or more, for then the other half of the slack, which is kept back, covers it. Else each process adds a random phase and rounds down, so the sum is what they may make on average.

Further-attempt lines state the rounding.

--- a/crates/core/src/gateway/budget.rs
+++ b/crates/core/src/gateway/budget.rs
@@ -7,14 +7,12 @@
 
 use std::collections::VecDeque;
 
+use super::share::Part;
 use crate::clock::Instant;
 
 /// Share of the ratio that is used. The rest is a margin, as the windows of different nodes do not
 /// end at the same time.
 pub const USED_SHARE: f64 = 0.9;
-/// Part of a further attempt that must be left for it to be made. Rounded to the nearest number, the
-/// attempts of many nodes sum up to what they may make; rounded down, each node would lose half of one.
-const MIN_ATTEMPT_LEFT: f64 = 0.5;
 /// Length of one slot of the window, in milliseconds.
 const SLOT_MS: u64 = 500;
 
@@ -65,14 +63,13 @@
     /// Takes one further attempt from the budget, and returns what the budget held and whether the
     /// attempt may be made.
     ///
-    /// `share` is the number of further attempts that the node may make in addition to those by
-    /// ratio.
-    pub fn take(&mut self, now: Instant, bound: &Bound, share: f64) -> Account {
+    /// `part` is what the node may make in addition to those by ratio.
+    pub fn take(&mut self, now: Instant, bound: &Bound, part: Part) -> Account {
         self.expire(now, bound.window_ms);
         let requests: u32 = self.slots.iter().map(|slot| slot.requests).sum();
         let further: u32 = self.slots.iter().map(|slot| slot.further).sum();
-        let max = USED_SHARE * bound.ratio * f64::from(requests) + share;
-        let is_taken = f64::from(further) + MIN_ATTEMPT_LEFT <= max;
+        let max = USED_SHARE * bound.ratio * f64::from(requests) + part.attempts;
+        let is_taken = f64::from(further) + 1.0 <= max + part.rounding;
         if is_taken {
             self.slot(now).further += 1;
         }
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -14,6 +14,12 @@
 //! - A process that starts does not know what the one before it on the same instance has spent a
 //!   moment ago, and the other nodes do not count it yet. Its share begins a window after the store
 //!   has accepted its entry. Until then it makes further attempts by ratio only.
+//!
+//! A node makes whole attempts, and with few requests rounding decides whether it makes any. Where the
+//! other half of the slack has room for it, each node rounds to the nearest number, so that the first
+//! failure of a quiet node is retried. In a large fleet, whose nodes have a small part of the slack each, this would sum up to more than
+//! the bound. There each process adds its [phase](Share::new) and rounds down: the phases are spread
+//! evenly, so the attempts sum up to what the nodes may make.
 
 use std::collections::VecDeque;
 
@@ -25,6 +31,18 @@
 /// store confirms the list. Nodes whose entries have lapsed register again within that time.
 pub const MEMORY_MS: u64 = 60_000;
 
+/// Part of an attempt that is added before rounding down, if each node rounds to the nearest number.
+const NEAREST: f64 = 0.5;
+
+/// The further attempts that a node may make within a window, besides those by ratio.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    /// Attempts out of the slack.
+    pub attempts: f64,
+    /// Part of an attempt that is added before all of them are rounded down.
+    pub rounding: f64,
+}
+
 /// What a node knows of the number of nodes that share the slack.
 #[derive(Clone, Debug, Default)]
 pub struct Share {
@@ -35,6 +53,8 @@
     is_confirmed: bool,
     confirmed_at: Option<Instant>,
     registered_at: Option<Instant>,
+    /// Between zero and one.
+    phase: f64,
 }
 
 /// A number of nodes that was listed.
@@ -45,6 +65,16 @@
 }
 
 impl Share {
+    /// Creates the share of a process that has just started. `phase`, at random between zero and one,
+    /// decides where it rounds in a large fleet.
+    #[must_use]
+    pub fn new(phase: f64) -> Self {
+        Self {
+            phase,
+            ..Self::default()
+        }
+    }
+
     /// Records how many nodes are listed, and whether the store confirms the list to this node.
     pub fn observe(&mut self, now: Instant, listed: usize, is_confirmed: bool) {
         let until = now.plus_millis(MEMORY_MS);
@@ -82,13 +112,21 @@
 
     /// Returns the part of `slack` that this node may use within a window of `window_ms`.
     #[must_use]
-    pub fn of(&self, now: Instant, slack: f64, window_ms: u64) -> f64 {
+    pub fn of(&self, now: Instant, slack: f64, window_ms: u64) -> Part {
+        let nodes = f64::from(u32::try_from(self.nodes()).unwrap_or(u32::MAX));
+        let attempts = slack / (FLEET_PARTS * nodes);
+        // Before its first list the node may be one of many.
+        let is_rounding_covered = self.most > 0 && attempts >= NEAREST;
         let begins = self.registered_at.map(|at| at.plus_millis(window_ms));
-        if begins.is_none_or(|begins| now < begins) {
-            return 0.0;
+        let has_begun = begins.is_some_and(|begins| now >= begins);
+        Part {
+            attempts: if has_begun { attempts } else { 0.0 },
+            rounding: if is_rounding_covered {
+                NEAREST
+            } else {
+                self.phase
+            },
         }
-        let nodes = f64::from(u32::try_from(self.nodes()).unwrap_or(u32::MAX));
-        slack / (FLEET_PARTS * nodes)
     }
 
     /// Returns when the store last confirmed the list of nodes, if it ever did.
--- a/crates/core/tests/all/gateway/budget.rs
+++ b/crates/core/tests/all/gateway/budget.rs
@@ -2,7 +2,7 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::budget::{Bound, Budget};
-use fescuerack_core::gateway::share::Share;
+use fescuerack_core::gateway::share::{Part, Share};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 use rstest::rstest;
@@ -16,10 +16,15 @@
 };
 
 /// Returns the share of a node that has known `nodes` nodes for longer than a window.
-fn share(nodes: usize) -> f64 {
-    let mut share = Share::default();
+fn share(nodes: usize) -> Part {
+    share_at(nodes, BOUND.window_ms, 0.0)
+}
+
+/// Returns the share at `at_ms` of a process that has known `nodes` nodes since zero.
+fn share_at(nodes: usize, at_ms: u64, phase: f64) -> Part {
+    let mut share = Share::new(phase);
     share.register(Instant::ORIGIN);
-    let now = Instant::ORIGIN.plus_millis(BOUND.window_ms);
+    let now = Instant::ORIGIN.plus_millis(at_ms);
     share.observe(now, nodes, true);
     share.of(now, BOUND.slack, BOUND.window_ms)
 }
@@ -82,9 +87,11 @@
     #[values(250.0, 1_000.0)] requests_per_s: f64,
     #[values(false, true)] is_even: bool,
 ) {
-    let share = share(nodes);
     for seed in 0..4 {
         let mut random = Pcg64::seed_from_u64(seed);
+        let shares: Vec<Part> = (0..nodes)
+            .map(|_| share_at(nodes, BOUND.window_ms, random.random()))
+            .collect();
         let mut budgets = vec![Budget::default(); nodes];
         let mut record = Record::default();
         // The windows begin before the traffic.
@@ -95,11 +102,12 @@
                 let now = Instant::from_millis(step);
                 let turn = record.requests.len() % nodes;
                 let drawn = random.random_range(0..nodes);
-                let budget = &mut budgets[if is_even { turn } else { drawn }];
+                let node = if is_even { turn } else { drawn };
+                let budget = &mut budgets[node];
                 budget.count_request(now, &BOUND);
                 record.requests.push(step);
                 for _ in 0..3 {
-                    if budget.take(now, &BOUND, share).is_taken {
+                    if budget.take(now, &BOUND, shares[node]).is_taken {
                         record.further.push(step);
                     }
                 }
@@ -117,8 +125,8 @@
 /// process, which has no share of the slack.
 #[rstest]
 #[case::known_process(share(9))]
-#[case::new_process(0.0)]
-fn take_first_failure_with_little_traffic_is_covered(#[case] share: f64) {
+#[case::new_process(share_at(9, 0, 0.0))]
+fn take_first_failure_with_little_traffic_is_covered(#[case] share: Part) {
     let mut budget = Budget::default();
     let now = Instant::from_millis(5);
     budget.count_request(now, &BOUND);
@@ -136,6 +144,22 @@
     assert_eq!(text.matches("Slot {").count(), 1, "{text}");
 }
 
+/// Guards against callers of quiet nodes in a large fleet, where each node has hardly any slack, whose
+/// failures are never retried.
+#[test]
+fn take_first_failure_at_most_of_many_quiet_nodes_is_covered() {
+    let mut random = Pcg64::seed_from_u64(7);
+    let now = Instant::from_millis(5);
+    let is_covered = |_: &u32| {
+        let mut budget = Budget::default();
+        budget.count_request(now, &BOUND);
+        let share = share_at(985, BOUND.window_ms, random.random());
+        budget.take(now, &BOUND, share).is_taken
+    };
+    let covered = (0..985).filter(is_covered).count();
+    assert!(covered * 4 >= 985 * 3, "{covered} of 985");
+}
+
 #[test]
 fn take_budget_is_restored_after_the_window() {
     let mut budget = Budget::default();
--- a/crates/core/tests/all/gateway/retry_fleet.rs
+++ b/crates/core/tests/all/gateway/retry_fleet.rs
@@ -109,9 +109,9 @@
 }
 
 impl Node {
-    fn new() -> Self {
+    fn new(phase: f64) -> Self {
         Self {
-            share: Share::default(),
+            share: Share::new(phase),
             standstill: Standstill::default(),
             budget: Budget::default(),
             life: 0,
@@ -145,13 +145,16 @@
     let mut fleet = Fleet {
         size,
         rng: Pcg64::seed_from_u64(7),
-        nodes: (0..size.nodes).map(|_| Node::new()).collect(),
+        nodes: Vec::new(),
         entries: BTreeMap::new(),
         is_store_up: true,
         held_until: 0,
         failures: BTreeMap::new(),
         record: Record::default(),
     };
+    fleet.nodes = (0..size.nodes)
+        .map(|_| Node::new(fleet.rng.random()))
+        .collect();
     for node in &mut fleet.nodes[started..] {
         node.is_up = false;
     }
@@ -175,10 +178,11 @@
             Event::Restart(index) | Event::Start(index) => {
                 let life = self.nodes[index].life + 1;
                 let delay = self.rng.random_range(0..LAG_MS);
+                let phase = self.rng.random();
                 self.nodes[index] = Node {
                     life,
                     register_at: Some(now + delay),
-                    ..Node::new()
+                    ..Node::new(phase)
                 };
             }
             Event::End(index) => self.nodes[index].is_up = false,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -16,8 +16,8 @@
 use fescuerack_core::gateway::standstill::Standstill;
 use fescuerack_core::gateway::stated_limit::StatedLimits;
 use fescuerack_core::gateway::wait::Wait;
-use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
 use slab::Slab;
 use tokio::sync::{Notify, watch};
 
@@ -138,6 +138,7 @@
     /// When the metrics cannot be registered.
     pub fn new(settings: Settings, platform: Arc<dyn Platform>) -> anyhow::Result<Self> {
         let pool = Pool::new();
+        let mut random = SmallRng::from_rng(&mut rand::rng());
         let store = Store::new(settings.store, pool.clone(), platform.clone());
         Ok(Self {
             settings: RefCell::new(settings),
@@ -145,7 +146,7 @@
             pool,
             store,
             view: RefCell::new(View::default()),
-            retry_share: RefCell::default(),
+            retry_share: RefCell::new(Share::new(random.random())),
             standstill: RefCell::default(),
             retry_budgets: RefCell::default(),
             suspects: RefCell::default(),
@@ -173,7 +174,7 @@
             store_regained: Notify::new(),
             is_stopping: Cell::new(false),
             metrics: Metrics::new()?,
-            random: RefCell::new(SmallRng::from_rng(&mut rand::rng())),
+            random: RefCell::new(random),
         })
     }
 
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -104,7 +104,8 @@
         requests = account.requests,
         further = account.further,
         max = account.max,
-        share = part,
+        share = part.attempts,
+        rounding = part.rounding,
         nodes = share.nodes(),
         confirmed_ms = share.confirmed_at().map(age_ms),
         registered_ms = share.registered_at().map(age_ms)
