Nodes that lose all servers serve their callers through a peer

Class: the observer's own fault, laid to what it observes.

core::gateway::reach tells the node's path from single servers by signs of other servers and by probes; gateway::forward sends requests through a peer, one hop, on the internal port. What failures say of servers, versions and requests to other nodes is held back until the path is known to be good. docs/design/peer-path.md weighs it. Earlier builds do not know the path of the hop and are passed over.

--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -34,8 +34,10 @@
 pub enum Outcome {
     /// The server answered.
     Succeeded,
-    /// The attempt failed or the connection broke.
+    /// The attempt failed.
     Failed,
+    /// The connection broke. The cause may be the path of the node.
+    Broken,
     /// The server could not be reached. It is ejected immediately.
     Unreached,
 }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`affinity`]: which backend server runs an attempt;
 //! - [`health`]: which backend servers a node ejects for a while;
+//! - [`reach`]: whether this node reaches any server at all;
 //! - [`outlier`]: which backend servers all nodes eject, by their common counts;
 //! - [`load`]: the load of the peers on each backend server;
 //! - [`escalation`]: which model of a route answers, and when a request with a weak answer goes to
@@ -37,6 +38,7 @@
 pub mod load;
 pub mod outlier;
 pub mod rank;
+pub mod reach;
 pub mod rest;
 pub mod session;
 pub mod share;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,10 +13,12 @@
 use crate::catalog::Route;
 use crate::clock::{deadline, now};
 use crate::evidence;
+use crate::forward::Hop;
 use crate::headers;
 use crate::node::Node;
 use crate::pick::{self, InFlight, Pick};
 use crate::platform::{RequestHead, ResponseHead, UpstreamHead};
+use crate::reach::{self, Held};
 use crate::rollout::{self, AnswerOutcome, TrackingGuard};
 use crate::statements;
 use crate::upstream::{Answered, Sent};
@@ -52,6 +54,8 @@
     pub fingerprint: u64,
     /// Hash of its session.
     pub session: u64,
+    /// What the peer that its caller called has stated, if it came through one.
+    pub hop: Option<Hop>,
 }
 
 /// The result of an attempt.
@@ -172,7 +176,7 @@
                 job,
                 &pick,
                 started,
-                Some(Outcome::Failed),
+                Some(Outcome::Broken),
                 "broken",
                 &reason,
             );
@@ -222,6 +226,7 @@
     started: Instant,
     received: ReceivedResponse,
 ) -> AttemptResult {
+    reach::hear(node, pick.identity);
     let answered = &received.answered;
     let status = answered.response.status();
     let head = node
@@ -312,7 +317,7 @@
 
 /// Records an outcome in the health of the server and logs the attempt.
 fn record_outcome(
-    node: &Node,
+    node: &Rc<Node>,
     job: &Job,
     pick: &Pick,
     started: Instant,
@@ -337,8 +342,15 @@
             && label != "silent"
         {
             let short = load::short_id(server.identity);
-            let is_failure = outcome != Outcome::Succeeded;
-            node.load.record_attempt(ended, short, is_failure);
+            match outcome {
+                Outcome::Succeeded | Outcome::Failed => {
+                    let is_failure = outcome == Outcome::Failed;
+                    node.load.record_attempt(ended, short, is_failure);
+                }
+                Outcome::Broken | Outcome::Unreached => {
+                    reach::doubt(node, server.identity, Held::Attempt(short));
+                }
+            }
         }
         if let Some(outcome) = outcome
             && server.health.observe(ended, outcome)
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -142,3 +142,41 @@
         }
     }
 }
+
+/// A body that holds a permit until it has been sent or dropped.
+#[derive(Debug)]
+pub struct Permitted {
+    body: ResponseBody,
+    _permit: Option<Permit>,
+}
+
+impl Permitted {
+    /// Creates a body that holds `permit`.
+    #[must_use]
+    pub const fn new(body: ResponseBody, permit: Option<Permit>) -> Self {
+        Self {
+            body,
+            _permit: permit,
+        }
+    }
+}
+
+impl Body for Permitted {
+    type Data = Bytes;
+    type Error = AbortReason;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortReason>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -14,13 +14,14 @@
 use http_body_util::BodyExt as _;
 use hyper::StatusCode;
 
-use crate::attempt::{Job, OpenResponse};
+use crate::attempt::OpenResponse;
 use crate::clock::now;
 use crate::message::{self, HEAD_TIMEOUT};
 use crate::node::Node;
 use crate::pick::Pick;
 use crate::platform::ResponseHead;
 use crate::rollout::AnswerOutcome;
+use crate::verdict::Ended;
 
 /// Time within which the end of an answer that was held unread is received, if there is one.
 const HELD_READ_TIMEOUT: Duration = Duration::from_millis(20);
@@ -31,14 +32,14 @@
 /// requests.
 const MAX_MESSAGES: usize = 64;
 
-/// Records what the end of an attempt at `pick` says of `job`.
-pub fn record(node: &Rc<Node>, job: &Job, pick: &Pick, outcome: AnswerOutcome) {
-    match outcome {
-        AnswerOutcome::Broken => record_crash(node, job, pick),
+/// Records what the end of an attempt says of its request.
+pub fn record(node: &Rc<Node>, ended: &Ended) {
+    match ended.outcome {
+        AnswerOutcome::Broken => record_crash(node, ended),
         AnswerOutcome::Succeeded(_) => {
             let mut suspects = node.suspects.borrow_mut();
-            if suspects.record_success(now(), job.fingerprint) {
-                tell_owners(node, job.fingerprint, End::Succeeded);
+            if suspects.record_success(now(), ended.digest) {
+                tell_owners(node, ended.digest, End::Succeeded);
             }
         }
         AnswerOutcome::Unread(_) | AnswerOutcome::Failed | AnswerOutcome::TimedOut => {}
@@ -55,9 +56,8 @@
     }
 }
 
-/// Records a crash if the server broke off an answer that was held unread and is not needed.
-pub async fn inspect_held(node: &Rc<Node>, job: &Job, response: OpenResponse) {
-    let pick = response.pick;
+/// Returns whether the server broke off an answer that was held unread and is not needed.
+pub async fn is_broken_off(response: OpenResponse) -> bool {
     let mut body = response.answered.response.into_body();
     let read = async {
         loop {
@@ -70,9 +70,7 @@
     };
     let is_broken = tokio::time::timeout(HELD_READ_TIMEOUT, read).await;
     // Without an end in time, the server still writes.
-    if is_broken.unwrap_or(false) {
-        record_crash(node, job, &pick);
-    }
+    is_broken.unwrap_or(false)
 }
 
 /// Receives an encoded observation of a peer.
@@ -86,22 +84,24 @@
     Ok(())
 }
 
-fn record_crash(node: &Rc<Node>, job: &Job, pick: &Pick) {
+fn record_crash(node: &Rc<Node>, ended: &Ended) {
+    let Ended {
+        digest, pick, at, ..
+    } = ended;
     let server = load::short_id(pick.identity);
-    let ended = now();
     let mut suspects = node.suspects.borrow_mut();
-    let counts = suspects.record_crash(ended, pick.at, job.fingerprint, server);
+    let counts = suspects.record_crash(*at, pick.at, *digest, server);
     tracing::info!(
         event = "crash-counted",
-        id = job.head.id,
-        digest = job.fingerprint,
+        id = ended.id,
+        digest,
         server = &*pick.id,
         counts,
-        is_refused = suspects.is_refused(ended, job.fingerprint)
+        is_refused = suspects.is_refused(*at, *digest)
     );
     if counts {
-        let ran_ms = ended.millis_since(pick.at);
-        tell_owners(node, job.fingerprint, End::Crashed { server, ran_ms });
+        let ran_ms = at.millis_since(pick.at);
+        tell_owners(node, *digest, End::Crashed { server, ran_ms });
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,470 @@
+//! Sends a request through a peer, when this node reaches no server, and serves those of peers.
+//!
+//! The request goes to the peer's internal port as the caller sent it. The peer serves it as its own: it
+//! counts the request, its repeats, its session and its load, and this node does not. One hop at most. What
+//! may run twice, and what is lost when peers fail, is in `docs/design/peer-path.md`.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use fescuerack_core::clock::Instant;
+use http_body_util::channel::{Channel, Sender};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use rand::seq::SliceRandom as _;
+
+use crate::attempt::Job;
+use crate::body::{AbortReason, Permitted, Relayed, ResponseBody};
+use crate::catalog::Kind;
+use crate::clock::{deadline, now};
+use crate::events::Splitter;
+use crate::headers;
+use crate::node::Node;
+use crate::permits::{Permit, Permits};
+use crate::progress::take_retry;
+use crate::refusal::Refusal;
+use crate::request;
+use crate::upstream::{Answered, Sent};
+use crate::verdict;
+
+/// Path on which a node serves requests of its peers' callers.
+pub const PATH: &str = "/forward";
+
+/// Method and target of the caller's request.
+const METHOD: HeaderName = HeaderName::from_static("fescuerack-method");
+const TARGET: HeaderName = HeaderName::from_static("fescuerack-target");
+/// Milliseconds until its deadline.
+const REMAINING_MS: HeaderName = HeaderName::from_static("fescuerack-remaining-ms");
+/// Attempts that may have reached a server.
+const SENT: HeaderName = HeaderName::from_static("fescuerack-sent");
+/// Present if the request has been counted in a retry budget.
+const COUNTED: HeaderName = HeaderName::from_static("fescuerack-counted");
+/// Last event that the caller has received, if any.
+const LAST_EVENT: HeaderName = HeaderName::from_static("fescuerack-last-event");
+/// Version of the configuration by which the request was admitted.
+const CONFIGURATION: HeaderName = HeaderName::from_static("fescuerack-configuration");
+/// In an answer: [`SERVED`], or why the peer did not begin to serve the request. Programs that do not know the
+/// path answer without it.
+const OUTCOME: HeaderName = HeaderName::from_static("fescuerack-outcome");
+const SERVED: HeaderValue = HeaderValue::from_static("served");
+
+/// Maximum number of requests of peers' callers that a node serves at a time.
+const MAX_SERVED: usize = 128;
+/// Maximum number of peers that are asked for one request. A refusal takes milliseconds.
+const MAX_PEERS: usize = 8;
+/// Milliseconds for which a peer is not asked after it has refused.
+const REFUSAL_MS: u64 = 1_000;
+/// Frames that are buffered for a slow caller before back-pressure on the peer.
+const BUFFERED_FRAMES: usize = 16;
+/// Maximum size in bytes of an answer that is not a stream.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// State of sending and serving requests through peers.
+#[derive(Debug, Default)]
+pub struct Forwarding {
+    /// Requests of peers' callers that this node serves.
+    pub served: Permits,
+    /// Until when peers are not asked.
+    refused: RefCell<HashMap<SocketAddr, Instant>>,
+}
+
+impl Forwarding {
+    /// Records that a peer has refused or failed.
+    fn avoid(&self, peer: SocketAddr) {
+        let until = now().plus_millis(REFUSAL_MS);
+        self.refused.borrow_mut().insert(peer, until);
+    }
+}
+
+/// What a node knows of a request that a peer has sent to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Hop {
+    /// Milliseconds until the deadline.
+    pub remaining_ms: u64,
+    /// Attempts that may have reached a server.
+    pub sent: u32,
+    /// Whether the request has been counted in a retry budget.
+    pub is_counted: bool,
+    /// Last event that the caller has received.
+    pub last_event: Option<u64>,
+}
+
+/// What came of sending a request to a peer.
+enum Sending {
+    /// The peer serves it.
+    Served(Answered),
+    /// It was surely not run.
+    NotRun(String),
+    /// It may have been run.
+    Unknown(String),
+}
+
+/// A request on its way through peers.
+pub struct Forward {
+    node: Rc<Node>,
+    job: Rc<Job>,
+    service: Arc<str>,
+    /// Attempts that may have reached a server.
+    sent: u32,
+    is_counted: bool,
+    last_event: Option<u64>,
+}
+
+impl Forward {
+    /// Creates the way of a request of which `sent` attempts may have reached a server. `is_counted` states
+    /// whether it has been counted in a retry budget.
+    #[must_use]
+    pub fn new(
+        node: &Rc<Node>,
+        job: &Rc<Job>,
+        service: &Arc<str>,
+        sent: u32,
+        is_counted: bool,
+    ) -> Self {
+        Self {
+            node: node.clone(),
+            job: job.clone(),
+            service: service.clone(),
+            sent,
+            is_counted,
+            last_event: job.head.last_event,
+        }
+    }
+
+    /// Sends the request through a peer; `None` if it was surely not run and no peer takes it.
+    pub async fn serve(mut self) -> Option<Result<Response<ResponseBody>, Refusal>> {
+        loop {
+            let answered = match self.send().await? {
+                Ok(answered) => answered,
+                Err(refusal) => return Some(Err(refusal)),
+            };
+            let is_success = answered.response.status().is_success();
+            if self.job.route.kind == Kind::Streaming && is_success {
+                return Some(Ok(self.relay(answered)));
+            }
+            let (head, body) = answered.response.into_parts();
+            match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+                Ok(body) => {
+                    self.node.pool.keep(answered.connection);
+                    let body = ResponseBody::buffered(body.to_bytes());
+                    return Some(Ok(response(head.status, head.headers, body)));
+                }
+                Err(error) => {
+                    self.log("broken", &error.to_string());
+                    if let Err(refusal) = self.take_repeat() {
+                        return Some(Err(refusal));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends the request to one peer after another until one serves it; `None` if none does, and it was
+    /// surely not run by them.
+    async fn send(&mut self) -> Option<Result<Answered, Refusal>> {
+        for peer in peers(&self.node, &self.job) {
+            let until = deadline(self.send_deadline());
+            let sending = tokio::time::timeout_at(until, self.send_to(peer)).await;
+            let sending = sending.unwrap_or_else(|_| Sending::Unknown("no answer".to_owned()));
+            match sending {
+                Sending::Served(answered) => {
+                    self.log("served", "");
+                    return Some(Ok(answered));
+                }
+                Sending::NotRun(reason) => {
+                    self.log("refused", &reason);
+                    self.node.forwarding.avoid(peer);
+                }
+                Sending::Unknown(reason) => {
+                    self.log("unknown", &reason);
+                    self.node.forwarding.avoid(peer);
+                    if let Err(refusal) = self.take_repeat() {
+                        return Some(Err(refusal));
+                    }
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns until when a peer is waited for. It may be paused, so half of the time is kept for another
+    /// one if the request may be repeated.
+    fn send_deadline(&self) -> Instant {
+        let is_last = self.sent + 1 >= self.job.route.attempts;
+        if is_last || !self.job.route.is_repeatable() {
+            return self.job.deadline;
+        }
+        now() + self.job.deadline.since(now()) / 2
+    }
+
+    /// Takes a repeat for a request that may have been run.
+    fn take_repeat(&mut self) -> Result<(), Refusal> {
+        self.sent += 1;
+        self.is_counted = true;
+        let is_repeatable = self.job.route.is_repeatable() && now() < self.job.deadline;
+        if is_repeatable && take_retry(&self.node, &self.job, &self.service, self.sent, "peer") {
+            return Ok(());
+        }
+        Err(if now() >= self.job.deadline {
+            Refusal::DeadlineExceeded
+        } else {
+            Refusal::OutcomeUnknown
+        })
+    }
+
+    async fn send_to(&self, peer: SocketAddr) -> Sending {
+        let request = match self.request() {
+            Ok(request) => request,
+            Err(error) => return Sending::NotRun(error.to_string()),
+        };
+        let is_repeatable = self.job.route.is_repeatable();
+        match self.node.pool.send(peer, request, is_repeatable).await {
+            Sent::NotSent(reason) => Sending::NotRun(reason),
+            Sent::Broken(reason) => Sending::Unknown(reason),
+            Sent::Answered(answered) => {
+                let outcome = answered.response.headers().get(OUTCOME);
+                if outcome == Some(&SERVED) {
+                    return Sending::Served(answered);
+                }
+                let reason =
+                    outcome.map_or("unknown path", |reason| reason.to_str().unwrap_or_default());
+                let reason = reason.to_owned();
+                self.node.pool.discard(answered);
+                Sending::NotRun(reason)
+            }
+        }
+    }
+
+    fn request(&self) -> anyhow::Result<Request<Full<Bytes>>> {
+        let job = &self.job;
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(PATH);
+        let headers = request.headers_mut();
+        *headers = job.headers.clone();
+        headers::strip_hop_by_hop(headers);
+        let remaining_ms = job.deadline.millis_since(now());
+        let version = configuration(&self.node);
+        for (name, value) in [
+            (METHOD, job.method.to_string()),
+            (TARGET, job.target.to_string()),
+            (REMAINING_MS, remaining_ms.to_string()),
+            (SENT, self.sent.to_string()),
+            (CONFIGURATION, version.to_string()),
+        ] {
+            headers.insert(name, HeaderValue::from_str(&value)?);
+        }
+        headers.remove(COUNTED);
+        headers.remove(LAST_EVENT);
+        if self.is_counted {
+            headers.insert(COUNTED, SERVED);
+        }
+        if let Some(last) = self.last_event {
+            headers.insert(LAST_EVENT, HeaderValue::from(last));
+        }
+        Ok(request)
+    }
+
+    fn relay(self, answered: Answered) -> Response<ResponseBody> {
+        let status = answered.response.status();
+        let headers = answered.response.headers().clone();
+        let (sender, channel) = Channel::new(BUFFERED_FRAMES);
+        let task = tokio::task::spawn_local(self.relay_all(answered, sender));
+        let body = ResponseBody::Relayed(Relayed::new(channel, task.abort_handle()));
+        response(status, headers, body)
+    }
+
+    /// Forwards whole events to the caller, from one peer after another if streams break.
+    async fn relay_all(mut self, answered: Answered, mut sender: Sender<Bytes, AbortReason>) {
+        let until = deadline(self.job.deadline);
+        let relayed = self.relay_events(answered, &mut sender);
+        let reason = match tokio::time::timeout_at(until, relayed).await {
+            Ok(Ok(())) => return,
+            Ok(Err(reason)) => reason,
+            Err(_) => AbortReason::DeadlineExceeded,
+        };
+        sender.abort(reason);
+    }
+
+    async fn relay_events(
+        &mut self,
+        mut answered: Answered,
+        sender: &mut Sender<Bytes, AbortReason>,
+    ) -> Result<(), AbortReason> {
+        let mut splitter = Splitter::new(self.job.head.last_event);
+        loop {
+            let body = answered.response.into_body();
+            let Some(reason) = relay_body(body, &mut splitter, sender).await else {
+                self.node.pool.keep(answered.connection);
+                return Ok(());
+            };
+            self.log("broken", &reason);
+            splitter.drop_partial();
+            self.last_event = splitter.last();
+            self.take_repeat()
+                .map_err(|_| AbortReason::UpstreamFailed)?;
+            answered = match self.send().await {
+                Some(Ok(next)) if next.response.status().is_success() => next,
+                _ => return Err(AbortReason::UpstreamFailed),
+            };
+        }
+    }
+
+    fn log(&self, outcome: &str, reason: &str) {
+        let forwarded = &self.node.metrics.forwarded;
+        forwarded.with_label_values(&[outcome]).inc();
+        tracing::info!(
+            event = "forwarded",
+            id = self.job.head.id,
+            outcome,
+            reason,
+            sent = self.sent
+        );
+    }
+}
+
+/// Forwards the whole events of a stream; returns why it broke, `None` if it is complete or the caller has left.
+async fn relay_body(
+    mut body: Incoming,
+    splitter: &mut Splitter,
+    sender: &mut Sender<Bytes, AbortReason>,
+) -> Option<String> {
+    while let Some(frame) = body.frame().await {
+        let data = match frame {
+            Ok(frame) => frame.into_data(),
+            Err(error) => return Some(error.to_string()),
+        };
+        let Ok(data) = data else {
+            continue;
+        };
+        let events = match splitter.push(&data) {
+            Ok(events) => events,
+            Err(error) => return Some(error.to_string()),
+        };
+        if !events.is_empty() && sender.send_data(events).await.is_err() {
+            return None;
+        }
+    }
+    let is_partial = splitter.is_partial();
+    is_partial.then(|| "ended within an event".to_owned())
+}
+
+/// Returns the answer of a peer as it is sent to the caller.
+fn response(
+    status: StatusCode,
+    mut headers: HeaderMap,
+    body: ResponseBody,
+) -> Response<ResponseBody> {
+    headers.remove(OUTCOME);
+    verdict::with_status(status, headers, body)
+}
+
+fn configuration(node: &Node) -> u64 {
+    let view = node.view.borrow();
+    view.catalog
+        .as_ref()
+        .map_or(0, |catalog| catalog.config_version)
+}
+
+/// Returns the peers to ask, the nearest first: a byte to another zone costs, and a request that must
+/// stay in some regions goes to peers in these only.
+fn peers(node: &Node, job: &Job) -> Vec<SocketAddr> {
+    let view = node.view.borrow();
+    let settings = node.settings.borrow();
+    let mut refused = node.forwarding.refused.borrow_mut();
+    refused.retain(|_, until| now() < *until);
+    let region = |zone: &str| settings.regions.get(zone);
+    let is_allowed = |zone: &str| {
+        let allows = |regions: &[Arc<str>]| {
+            regions.is_empty()
+                || region(zone).is_some_and(|region| regions.iter().any(|one| **one == **region))
+        };
+        allows(&job.route.regions) && allows(&job.regions)
+    };
+    let mut peers: Vec<_> = view
+        .nodes
+        .iter()
+        .filter(|(name, peer)| **name != settings.instance && is_allowed(&peer.zone))
+        .filter(|(_, peer)| !refused.contains_key(&peer.address))
+        .map(|(_, peer)| peer)
+        .collect();
+    peers.shuffle(&mut *node.random.borrow_mut());
+    peers.sort_by_key(|peer| {
+        let is_other_region = region(&peer.zone) != region(&settings.zone);
+        (is_other_region, peer.zone != settings.zone)
+    });
+    peers.truncate(MAX_PEERS);
+    peers.into_iter().map(|peer| peer.address).collect()
+}
+
+/// Serves a request of a peer's caller.
+pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Permitted> {
+    let permit = match admit(&node, request.headers()) {
+        Ok(permit) => permit,
+        Err(reason) => return refuse(reason),
+    };
+    let (request, hop) = match unwrap(request) {
+        Ok(unwrapped) => unwrapped,
+        Err(error) => {
+            tracing::warn!(event = "peer-message-unreadable", path = PATH, reason = %error);
+            return refuse("unreadable");
+        }
+    };
+    let mut response = request::serve(node, request, Some(hop)).await;
+    response.headers_mut().insert(OUTCOME, SERVED);
+    response.map(|body| Permitted::new(body, Some(permit)))
+}
+
+/// Returns the permit to serve a request of a peer's caller, or why this node does not.
+fn admit(node: &Node, headers: &HeaderMap) -> Result<Permit, &'static str> {
+    if node.is_stopping.get() {
+        return Err("stopping");
+    }
+    if node.path.is_lost() {
+        return Err("cut");
+    }
+    if number(headers, &CONFIGURATION) > Some(configuration(node)) {
+        return Err("behind");
+    }
+    let permit = node.forwarding.served.try_acquire(MAX_SERVED);
+    permit.ok_or("full")
+}
+
+fn refuse(reason: &'static str) -> Response<Permitted> {
+    let body = ResponseBody::buffered(Bytes::new());
+    let mut response = Response::new(Permitted::new(body, None));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME, HeaderValue::from_static(reason));
+    response
+}
+
+/// Returns the caller's request, and what the peer has stated of it.
+fn unwrap(mut request: Request<Incoming>) -> anyhow::Result<(Request<Incoming>, Hop)> {
+    let headers = request.headers_mut();
+    let hop = Hop {
+        remaining_ms: number(headers, &REMAINING_MS).context("remaining time")?,
+        sent: u32::try_from(number(headers, &SENT).context("attempts")?)?,
+        is_counted: headers.contains_key(COUNTED),
+        last_event: number(headers, &LAST_EVENT),
+    };
+    let method = headers.remove(METHOD).context("method")?;
+    let target = headers.remove(TARGET).context("target")?;
+    for name in [REMAINING_MS, SENT, COUNTED, LAST_EVENT, CONFIGURATION] {
+        headers.remove(name);
+    }
+    *request.method_mut() = Method::from_bytes(method.as_bytes())?;
+    *request.uri_mut() = target.to_str()?.parse()?;
+    Ok((request, hop))
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -13,6 +13,7 @@
 use crate::attempt::Job;
 use crate::catalog::{Catalog, Limits, Organisation, Route};
 use crate::clock::deadline;
+use crate::forward::Hop;
 use crate::node::Node;
 use crate::pick;
 use crate::platform::RequestHead;
@@ -76,7 +77,7 @@
     Ok(organisation)
 }
 
-/// Reads the body of a request until `until`.
+/// Reads the body of a request until `until`. `hop` is what a peer has stated of it.
 ///
 /// # Errors
 ///
@@ -85,6 +86,7 @@
     request: Request<Incoming>,
     admitted: Admitted,
     head: RequestHead,
+    hop: Option<Hop>,
     arrived: Instant,
     until: Instant,
 ) -> Result<Job, Refusal> {
@@ -127,6 +129,7 @@
         body,
         arrived,
         deadline: until,
+        hop,
     })
 }
 
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -8,7 +8,7 @@
 use anyhow::Context as _;
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
-use http_body_util::Full;
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,11 +17,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::body::{Paced, Permitted};
 use crate::catalog::Limits;
 use crate::clock::{deadline, now};
 use crate::net;
 use crate::node::Node;
-use crate::{peer, request};
+use crate::{forward, peer, request};
 
 /// Time-out for the head of a request for metrics or readiness, or by a peer.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -127,7 +128,9 @@
     phase.send_replace(Phase::Closing);
     let end = requested_at.plus_millis(grace_ms.saturating_sub(EXIT_MARGIN_MS));
     // Each open connection holds a receiver; the listener has dropped the ones it held.
-    while phase.receiver_count() > 0 && now() < end {
+    // Requests of peers' callers have none.
+    let is_serving = || phase.receiver_count() > 0 || node.forwarding.served.count() > 0;
+    while is_serving() && now() < end {
         tokio::time::sleep(SHUTDOWN_POLL_INTERVAL).await;
     }
     tracing::info!(event = "stopped", connections = phase.receiver_count());
@@ -190,7 +193,7 @@
         let node = node.clone();
         move |request: Request<Incoming>| {
             let node = node.clone();
-            async move { Ok::<_, Infallible>(request::serve(node, request).await) }
+            async move { Ok::<_, Infallible>(request::serve(node, request, None).await) }
         }
     });
     let mut builder = http1::Builder::new();
@@ -272,12 +275,24 @@
 /// buffer, a response would count as sent while most of it is still waiting for the link.
 const PEER_BUFFER_BYTES: usize = 32_768;
 
+/// Serves a message of a peer, or a request of one of its callers.
+async fn serve_peer(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<Either<Paced, Permitted>>, Infallible> {
+    if request.uri().path() == forward::PATH {
+        return Ok(forward::serve(node, request).await.map(Either::Right));
+    }
+    let response = peer::serve(node, request).await?;
+    Ok(response.map(Either::Left))
+}
+
 async fn serve_peers(listener: TcpListener, node: Rc<Node>) {
     loop {
         let stream = accept(&listener).await;
         let node = node.clone();
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request| peer::serve(node.clone(), request));
+            let service = service_fn(|request| serve_peer(node.clone(), request));
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(HEADER_TIMEOUT)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,10 @@
     pub servers: ServerMetrics,
     /// Availability zones that are evacuated.
     pub evacuated_zones: IntGauge,
+    /// Whether the path to all servers is lost.
+    pub path_lost: IntGauge,
+    /// Requests that were sent through a peer, by outcome.
+    pub forwarded: IntCounterVec,
     /// Calls to the store by kind and outcome.
     pub store_calls: IntCounterVec,
     /// Bytes of messages between nodes, by path and direction.
@@ -207,6 +211,12 @@
             )?,
             servers: ServerMetrics::new(new)?,
             evacuated_zones: new.gauge("fescuerack_evacuated_zones", "Zones that are evacuated")?,
+            path_lost: new.gauge("fescuerack_path_lost", "Whether no server is reached")?,
+            forwarded: new.counter(
+                "fescuerack_forwarded_total",
+                "Requests sent through a peer by outcome",
+                &["outcome"],
+            )?,
             store_calls: new.counter(
                 "fescuerack_store_calls_total",
                 "Calls to the store by kind and outcome",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -23,11 +23,13 @@
 
 use crate::arrival::Arrivals;
 use crate::clock::{age_ms, now};
+use crate::forward::Forwarding;
 use crate::load_exchange::Exchange;
 use crate::metrics::Metrics;
 use crate::permits::Permits;
 use crate::platform::Platform;
 use crate::publisher::Publisher;
+use crate::reach::Path;
 use crate::rollout::TrackedAttempt;
 use crate::settings::Settings;
 use crate::snapshot::Snapshots;
@@ -87,6 +89,10 @@
     pub recent_sessions: RefCell<Recent>,
     /// Such sessions of other nodes, restricted to those that a canary would move.
     pub peer_sessions: RefCell<Recent>,
+    /// Path to the backend servers.
+    pub path: Path,
+    /// State of sending and serving requests through peers.
+    pub forwarding: Forwarding,
     /// Load and attempt counts of this node and its peers.
     pub load: Exchange,
     /// Limits that servers have stated in their answers.
@@ -155,6 +161,8 @@
             tracked_attempts: RefCell::default(),
             recent_sessions: RefCell::default(),
             peer_sessions: RefCell::default(),
+            path: Path::default(),
+            forwarding: Forwarding::default(),
             load: Exchange::default(),
             stated_limits: RefCell::default(),
             gate: RefCell::new(Gate::new(now())),
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -20,6 +20,12 @@
 pub struct Permit(Rc<Held>);
 
 impl Permits {
+    /// Returns the number of permits that are held.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.0.count.get()
+    }
+
     /// Acquires a permit, if fewer than `max` are held.
     #[must_use]
     pub fn try_acquire(&self, max: usize) -> Option<Permit> {
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -66,6 +66,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.node.path.end();
         let work = self.work;
         self.change(|server| {
             server.running = server.running.saturating_sub(1);
@@ -95,6 +96,7 @@
     /// Counts a request as running on `pick`.
     #[must_use]
     pub fn new(node: &Rc<Node>, pick: &Pick, work: f64) -> Self {
+        node.path.begin();
         if let Some(server) = node.view.borrow_mut().servers.get_mut(&pick.id) {
             server.running += 1;
             server.work += work;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -16,7 +16,7 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::settings::Settings;
-use crate::{fetch, follow, load_report, peer, registration, rollout, statements};
+use crate::{fetch, follow, load_report, peer, reach, registration, rollout, statements};
 
 /// Number of threads for work on large items, besides the one that serves requests. The work is
 /// sequential, and each further thread would take more of the processor from requests.
@@ -81,6 +81,7 @@
     tokio::task::spawn_local(registration::run(node.clone()));
     tokio::task::spawn_local(peer::run(node.clone()));
     tokio::task::spawn_local(load_report::run(node.clone()));
+    tokio::task::spawn_local(reach::run(node.clone()));
     tokio::task::spawn_local(rollout::run(node.clone()));
     tokio::task::spawn_local(sweep(node.clone()));
     listeners.run(node, stopped).await;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -25,6 +25,8 @@
     pub may_have_run: bool,
     /// Index of the model for the next attempt.
     pub model: Option<usize>,
+    /// Whether no peer takes the request.
+    pub has_no_peer: bool,
     /// An answer of low confidence, kept until that of a larger model is received.
     pub fallback: Option<Fallback>,
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -29,6 +29,7 @@
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::progress;
+use crate::reach;
 use crate::rollout::AnswerOutcome;
 use crate::verdict;
 
@@ -220,7 +221,10 @@
                 },
             };
             let frame = match next {
-                Some(Ok(frame)) => frame,
+                Some(Ok(frame)) => {
+                    reach::hear(&self.node, pick.identity);
+                    frame
+                }
                 Some(Err(error)) => return Segment::Broken(error.to_string()),
                 None if self.splitter.is_partial() => {
                     return Segment::Broken("ended within an event".to_owned());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -20,12 +20,14 @@
 use crate::clock::{deadline, now};
 use crate::eligible;
 use crate::evidence;
+use crate::forward::{Forward, Hop};
 use crate::intake;
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::progress::{Fallback, RequestProgress, take_retry};
 use crate::refusal::Refusal;
 use crate::relay;
+use crate::rollout::AnswerOutcome;
 use crate::verdict::{self, Verdict};
 
 /// Time-out of a request in milliseconds, if neither the caller nor the route states one.
@@ -48,11 +50,19 @@
 /// has done.
 const STREAM_MAX_TIMEOUT_FACTOR: f64 = 2.0;
 
-/// Serves a request of a caller.
-pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<ResponseBody> {
+/// Serves a request of a caller, or of a peer's caller, of which the peer has stated `hop`.
+pub async fn serve(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+    hop: Option<Hop>,
+) -> Response<ResponseBody> {
     let arrived = now();
     node.metrics.in_progress.inc();
-    let head = node.platform.parse_request_head(request.headers());
+    let mut head = node.platform.parse_request_head(request.headers());
+    if let Some(hop) = hop {
+        head.timeout_ms = Some(hop.remaining_ms);
+        head.last_event = hop.last_event;
+    }
     let id = head.id.clone();
     let mut deadline = arrived.plus_millis(head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
     wait_for_configuration(&node, arrived).await;
@@ -63,7 +73,7 @@
             if let Some(timeout_ms) = admitted.route.timeout_ms {
                 deadline = deadline.min(arrived.plus_millis(timeout_ms));
             }
-            match intake::read_body(request, admitted, head, arrived, deadline).await {
+            match intake::read_body(request, admitted, head, hop, arrived, deadline).await {
                 Ok(job) => route(&node, Rc::new(job)).await,
                 Err(refusal) => Err(refusal),
             }
@@ -126,6 +136,11 @@
 }
 
 async fn route(node: &Rc<Node>, job: Rc<Job>) -> Result<Response<ResponseBody>, Refusal> {
+    let service = pick::choose_service(&job.route, &job.head.id).ok_or(Refusal::NotRun)?;
+    let mut progress = RequestProgress::default();
+    if let Some(result) = forward(node, &job, &service, &mut progress, false).await {
+        return result;
+    }
     if node.suspects.borrow().is_refused(now(), job.fingerprint) {
         tracing::warn!(
             event = "crashing-request",
@@ -134,16 +149,10 @@
         );
         return Err(Refusal::NotRun);
     }
-    let service = pick::choose_service(&job.route, &job.head.id).ok_or(Refusal::NotRun)?;
-    node.retry_budgets
-        .borrow_mut()
-        .entry(service.clone())
-        .or_default()
-        .count_request(
-            node.standstill.borrow().sent_at(now()),
-            &node.settings.borrow().retries,
-        );
-    let mut progress = RequestProgress::default();
+    if !job.hop.is_some_and(|hop| hop.is_counted) {
+        count_request(node, &service);
+    }
+    progress.sent = job.hop.map_or(0, |hop| hop.sent);
     if job.head.any_model {
         progress.model = escalation::first(job.route.models.len());
     }
@@ -172,11 +181,43 @@
     }
 }
 
+/// Counts a request in the retry budget of its service.
+fn count_request(node: &Node, service: &Arc<str>) {
+    let sent_at = node.standstill.borrow().sent_at(now());
+    let bound = node.settings.borrow().retries;
+    let mut budgets = node.retry_budgets.borrow_mut();
+    let budget = budgets.entry(service.clone()).or_default();
+    budget.count_request(sent_at, &bound);
+}
+
+/// Sends a request through a peer if this node reaches no server; `None` if it does, or no peer takes
+/// the request. `is_counted` states whether the request has been counted in the retry budget.
+async fn forward(
+    node: &Rc<Node>,
+    job: &Rc<Job>,
+    service: &Arc<str>,
+    progress: &mut RequestProgress,
+    is_counted: bool,
+) -> Option<Result<Response<ResponseBody>, Refusal>> {
+    if !node.path.is_lost() || job.hop.is_some() || progress.has_no_peer {
+        return None;
+    }
+    let forward = Forward::new(node, job, service, progress.sent, is_counted).serve();
+    let result = tokio::time::timeout_at(deadline(job.deadline), forward).await;
+    let result = result.unwrap_or(Some(Err(Refusal::DeadlineExceeded)));
+    progress.has_no_peer = result.is_none();
+    result
+}
+
 /// Looks in the background whether the server broke off a fallback answer that is not needed.
 fn inspect_unneeded(node: &Rc<Node>, job: Rc<Job>, fallback: Fallback) {
     let node = node.clone();
     tokio::task::spawn_local(async move {
-        evidence::inspect_held(&node, &job, fallback.response).await;
+        let pick = fallback.response.pick.clone();
+        if evidence::is_broken_off(fallback.response).await {
+            let model = Some(fallback.model);
+            verdict::record_end(&node, &job, &pick, model, AnswerOutcome::Broken);
+        }
     });
 }
 
@@ -219,6 +260,9 @@
     progress: &mut RequestProgress,
 ) -> Result<Response<ResponseBody>, Refusal> {
     loop {
+        if let Some(result) = forward(node, job, service, progress, true).await {
+            return result;
+        }
         let pick = pick_server(node, job, service, progress)?;
         let model = progress
             .model
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -31,6 +31,11 @@
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
+/// Time within which a probed server accepts a connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time for which the connection must then stay open. What resets connections accepts some first.
+const PROBE_SETTLING: Duration = Duration::from_millis(30);
+
 /// Maximum number of bytes of an unneeded response that are read so that its connection can be
 /// reused.
 const MAX_DISCARD_BYTES: usize = 4_096;
@@ -146,6 +151,21 @@
         }
     }
 
+    /// Opens a connection to `address`, and keeps it if it is not closed at once. Returns whether it is
+    /// open.
+    pub async fn probe(&self, address: SocketAddr) -> bool {
+        let opened = tokio::time::timeout(PROBE_TIMEOUT, self.open(address)).await;
+        let Ok(Ok(connection)) = opened else {
+            return false;
+        };
+        tokio::time::sleep(PROBE_SETTLING).await;
+        let is_open = !connection.sender.is_closed();
+        if is_open {
+            self.keep(connection);
+        }
+        is_open
+    }
+
     /// Returns a connection whose last response has been read. It becomes available once it is
     /// ready for the next request, so that no unexpected bytes follow that response.
     pub fn keep(&self, mut connection: Connection) {
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::slowness::Timing;
 use fescuerack_core::gateway::{affinity, escalation};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -12,11 +13,13 @@
 use crate::attempt::{Job, OpenResponse};
 use crate::body::ResponseBody;
 use crate::catalog::Kind;
+use crate::clock::now;
 use crate::evidence;
 use crate::headers;
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::progress::{Fallback, RequestProgress, take_retry};
+use crate::reach::{self, Held};
 use crate::refusal::Refusal;
 use crate::relay;
 use crate::rollout::{self, AnswerOutcome};
@@ -151,23 +154,63 @@
     }
 }
 
+/// The end of an attempt.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// Identifier of the request.
+    pub id: String,
+    /// Its digest.
+    pub digest: u64,
+    /// Name of its route.
+    pub route: Arc<str>,
+    /// Class of its answers.
+    pub latency_class: u64,
+    /// Server.
+    pub pick: Pick,
+    /// How it ended.
+    pub outcome: AnswerOutcome,
+    /// When it ended.
+    pub at: Instant,
+}
+
 /// Records the end of an attempt: for a roll-out of the service, and whether the request crashes
-/// servers.
+/// servers. A failure that may be due to this node's path counts once the path is known to be good.
 pub fn record_end(
     node: &Rc<Node>,
     job: &Job,
     pick: &Pick,
     model: Option<usize>,
-    ended: AnswerOutcome,
+    outcome: AnswerOutcome,
 ) {
+    let ended = Ended {
+        id: job.head.id.clone(),
+        digest: job.fingerprint,
+        route: job.route.name.clone(),
+        latency_class: latency_class(job, model),
+        pick: pick.clone(),
+        outcome,
+        at: now(),
+    };
+    match outcome {
+        AnswerOutcome::Broken | AnswerOutcome::TimedOut => {
+            reach::doubt(node, pick.identity, Held::End(Box::new(ended)));
+        }
+        AnswerOutcome::Succeeded(_) | AnswerOutcome::Unread(_) | AnswerOutcome::Failed => {
+            count_end(node, &ended);
+        }
+    }
+}
+
+/// Counts the end of an attempt.
+pub fn count_end(node: &Rc<Node>, ended: &Ended) {
     rollout::record_outcome(
         node,
-        pick,
-        &job.route.name,
-        latency_class(job, model),
-        ended,
+        &ended.pick,
+        &ended.route,
+        ended.latency_class,
+        ended.outcome,
     );
-    evidence::record(node, job, pick, ended);
+    evidence::record(node, ended);
 }
 
 /// Returns the class of answers with a similar usual latency: those of one route and model.
