Tests of the belief in the path, and of peers that refuse, break off, stop or run an earlier build; a peer that broke off is not asked again at once

Found by relay_peer_dies_another_continues: a stream whose peer had died was continued through the same peer until its attempts were spent.

--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod lease_expiry;
 mod load;
 mod outlier;
+mod reach;
 mod repeats;
 mod rest;
 mod retry_fleet;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -115,6 +115,8 @@
     sent: u32,
     is_counted: bool,
     last_event: Option<u64>,
+    /// Peer that serves it.
+    peer: Option<SocketAddr>,
 }
 
 impl Forward {
@@ -135,6 +137,7 @@
             sent,
             is_counted,
             last_event: job.head.last_event,
+            peer: None,
         }
     }
 
@@ -157,7 +160,7 @@
                     return Some(Ok(response(head.status, head.headers, body)));
                 }
                 Err(error) => {
-                    self.log("broken", &error.to_string());
+                    self.record_broken(&error.to_string());
                     if let Err(refusal) = self.take_repeat() {
                         return Some(Err(refusal));
                     }
@@ -176,6 +179,7 @@
             match sending {
                 Sending::Served(answered) => {
                     self.log("served", "");
+                    self.peer = Some(peer);
                     return Some(Ok(answered));
                 }
                 Sending::NotRun(reason) => {
@@ -305,7 +309,7 @@
                 self.node.pool.keep(answered.connection);
                 return Ok(());
             };
-            self.log("broken", &reason);
+            self.record_broken(&reason);
             splitter.drop_partial();
             self.last_event = splitter.last();
             self.take_repeat()
@@ -317,6 +321,14 @@
         }
     }
 
+    /// Records that the peer broke off its answer.
+    fn record_broken(&self, reason: &str) {
+        self.log("broken", reason);
+        if let Some(peer) = self.peer {
+            self.node.forwarding.avoid(peer);
+        }
+    }
+
     fn log(&self, outcome: &str, reason: &str) {
         let forwarded = &self.node.metrics.forwarded;
         forwarded.with_label_values(&[outcome]).inc();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -282,7 +282,7 @@
                 let may_continue = match reason {
                     NotRunReason::Unreachable => {
                         progress.connect_failures += 1;
-                        progress.connect_failures < MAX_CONNECT_FAILURES
+                        progress.connect_failures < max_connect_failures(node)
                     }
                     NotRunReason::Reported => {
                         progress.sent += 1;
@@ -319,6 +319,16 @@
     }
 }
 
+/// Returns the number of servers that could not be reached after which a request fails. Without a path, and
+/// with no peer that has one, the others would fail as well.
+fn max_connect_failures(node: &Node) -> u32 {
+    if node.path.is_lost() {
+        1
+    } else {
+        MAX_CONNECT_FAILURES
+    }
+}
+
 /// Selects a server for the next attempt. If limits keep the request from all servers with the model
 /// that the gateway has chosen, it may take a larger one.
 fn pick_server(
