Cut nodes continue streams through peers and wait for the verdict on their path; the soak cuts nodes off from all servers

A probe is a request now that every server answers at once and none runs. - A request spent its three attempts within 0.1 s, before the path was known to be lost. A further attempt waits for the verdict (20 ms where other servers are heard, else the probes'). - A stream whose path breaks goes on through a peer.

--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -13,7 +13,7 @@
 /// Milliseconds until the next probe for silence alone.
 const SILENCE_INTERVAL_MS: u64 = 2_000;
 /// Milliseconds after a failure for other servers to be heard, before the path is probed.
-const DOUBT_MS: u64 = 50;
+const DOUBT_MS: u64 = 20;
 /// Milliseconds between two probes of a path that is lost.
 const RETURN_INTERVAL_MS: u64 = 500;
 /// Number of probes in a row that must succeed for a lost path to be used again.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -276,6 +276,20 @@
         Ok(request)
     }
 
+    /// Forwards the rest of a stream after the event `last`; `None` if no peer takes it.
+    pub async fn continue_stream(
+        mut self,
+        last: Option<u64>,
+        sender: &mut Sender<Bytes, AbortReason>,
+    ) -> Option<Result<(), AbortReason>> {
+        self.last_event = last;
+        let answered = match self.send().await? {
+            Ok(answered) if answered.response.status().is_success() => answered,
+            _ => return Some(Err(AbortReason::UpstreamFailed)),
+        };
+        Some(self.relay_events(answered, sender).await)
+    }
+
     fn relay(self, answered: Answered) -> Response<ResponseBody> {
         let status = answered.response.status();
         let headers = answered.response.headers().clone();
@@ -302,7 +316,7 @@
         mut answered: Answered,
         sender: &mut Sender<Bytes, AbortReason>,
     ) -> Result<(), AbortReason> {
-        let mut splitter = Splitter::new(self.job.head.last_event);
+        let mut splitter = Splitter::new(self.last_event);
         loop {
             let body = answered.response.into_body();
             let Some(reason) = relay_body(body, &mut splitter, sender).await else {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -362,6 +362,8 @@
         headers: &HeaderMap,
         id: &str,
     ) -> ResponseHead;
+    /// Returns the path of a request that every backend server answers at once and does not run.
+    fn probe_path(&self) -> &'static str;
     /// Encodes a request to the store.
     fn encode_store_request(&self, request: &StoreRequest<'_>) -> HttpRequest;
     /// Decodes the response to `request`.
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -11,9 +11,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::health::Health;
 use fescuerack_core::gateway::reach::{Change, Probed, Reach, State};
+use http_body_util::Full;
+use hyper::header::{HOST, HeaderValue};
+use hyper::{Request, Uri};
 use rand::seq::SliceRandom as _;
 use tokio::sync::Notify;
 
@@ -52,6 +56,13 @@
         self.reach.borrow().is_lost()
     }
 
+    /// Waits while the path is in doubt, so that a further attempt does not fail for the same cause.
+    pub async fn settled(&self) {
+        while matches!(self.reach.borrow().state(), State::Doubted { .. }) {
+            tokio::time::sleep(DOUBT_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Records that an attempt begins to wait for a server.
     pub fn begin(&self) {
         self.reach.borrow_mut().begin(now());
@@ -134,27 +145,37 @@
     }
 }
 
-/// Connects to `count` servers at the same time.
+/// Sends a request to each of `count` servers at the same time.
 async fn probe(node: &Rc<Node>, count: usize) -> Probed {
     let began = now();
     let addresses = choose(node, count);
     let tried = addresses.len();
-    let connects: Vec<_> = addresses
+    let probes: Vec<_> = addresses
         .into_iter()
         .map(|address| {
             let pool = node.pool.clone();
-            tokio::task::spawn_local(async move { pool.probe(address).await })
+            let request = request(node, address);
+            tokio::task::spawn_local(async move { pool.probe(address, request).await })
         })
         .collect();
     let mut reached = 0;
-    for connect in connects {
+    for probe in probes {
         // A task that fails has not reached its server.
-        reached += usize::from(connect.await.unwrap_or(false));
+        reached += usize::from(probe.await.unwrap_or(false));
     }
     log(began, tried, reached);
     Probed { tried, reached }
 }
 
+fn request(node: &Node, address: SocketAddr) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = Uri::from_static(node.platform.probe_path());
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(HOST, host);
+    }
+    request
+}
+
 fn log(began: Instant, tried: usize, reached: usize) {
     tracing::debug!(event = "path-probe", tried, reached, ms = age_ms(began));
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::body::{AbortReason, Relayed, ResponseBody};
 use crate::clock::{deadline, now};
 use crate::events::Splitter;
+use crate::forward::Forward;
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::progress;
@@ -173,6 +174,10 @@
                     );
                     self.tried.push(pick.id);
                     self.splitter.drop_partial();
+                    self.node.path.settled().await;
+                    if let Some(result) = self.continue_at_peer(sender).await {
+                        return result.map(|()| "through-peer");
+                    }
                     response = self.resume().await.ok_or(AbortReason::UpstreamFailed)?;
                 }
                 Segment::Hedged(next) => {
@@ -197,6 +202,22 @@
         }
     }
 
+    /// Lets a peer continue the stream if this node reaches no server; `None` if it does, or no peer takes it.
+    async fn continue_at_peer(
+        &mut self,
+        sender: &mut Sender<Bytes, AbortReason>,
+    ) -> Option<Result<(), AbortReason>> {
+        let job = &self.job;
+        if !self.node.path.is_lost() || job.hop.is_some() || !job.route.resumable {
+            return None;
+        }
+        if !progress::take_retry(&self.node, job, &self.service, self.sent, "peer") {
+            return Some(Err(AbortReason::UpstreamFailed));
+        }
+        let forward = Forward::new(&self.node, job, &self.service, self.sent, true);
+        forward.continue_stream(self.splitter.last(), sender).await
+    }
+
     /// Forwards the events of one server.
     async fn relay_segment(
         &mut self,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -260,6 +260,9 @@
     progress: &mut RequestProgress,
 ) -> Result<Response<ResponseBody>, Refusal> {
     loop {
+        if progress.sent > 0 || progress.connect_failures > 0 {
+            node.path.settled().await;
+        }
         if let Some(result) = forward(node, job, service, progress, true).await {
             return result;
         }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -31,10 +31,8 @@
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
-/// Time within which a probed server accepts a connection.
+/// Time within which a probed server answers.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which the connection must then stay open. What resets connections accepts some first.
-const PROBE_SETTLING: Duration = Duration::from_millis(30);
 
 /// Maximum number of bytes of an unneeded response that are read so that its connection can be
 /// reused.
@@ -151,19 +149,22 @@
         }
     }
 
-    /// Opens a connection to `address`, and keeps it if it is not closed at once. Returns whether it is
-    /// open.
-    pub async fn probe(&self, address: SocketAddr) -> bool {
-        let opened = tokio::time::timeout(PROBE_TIMEOUT, self.open(address)).await;
-        let Ok(Ok(connection)) = opened else {
+    /// Sends a request to `address` over a new connection, and returns whether it is answered in time, in
+    /// whichever way. What accepts a connection may still lead nowhere.
+    pub async fn probe(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
+        let exchange = async {
+            let connection = self.open(address).await.ok()?;
+            match transmit(connection, request).await {
+                Transmitted::Done(Sent::Answered(answered)) => Some(answered),
+                Transmitted::Done(_) | Transmitted::Unsent(_) => None,
+            }
+        };
+        let answered = tokio::time::timeout(PROBE_TIMEOUT, exchange).await;
+        let Some(answered) = answered.ok().flatten() else {
             return false;
         };
-        tokio::time::sleep(PROBE_SETTLING).await;
-        let is_open = !connection.sender.is_closed();
-        if is_open {
-            self.keep(connection);
-        }
-        is_open
+        self.discard(answered);
+        true
     }
 
     /// Returns a connection whose last response has been read. It becomes available once it is
--- /dev/null
+++ b/crates/node/tests/soak/cuts.rs
@@ -0,0 +1,150 @@
+//! Nodes that are cut off from all backend servers. The links of servers are shared by all nodes, so they
+//! have to know which process has opened a connection.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+
+use tokio::sync::watch;
+
+/// How a node is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cut {
+    /// Connections stay open and carry nothing, also new ones.
+    Silent,
+    /// All connections are reset, and new ones are closed at once.
+    Reset,
+    /// Open connections live on, and new ones are closed at once.
+    RefusesNew,
+}
+
+/// The processes that are cut off.
+#[derive(Clone, Debug, Default)]
+pub struct Cuts(Vec<(u32, Cut)>);
+
+impl Cuts {
+    /// Cuts a process off.
+    pub fn add(&mut self, process: u32, cut: Cut) {
+        self.0.push((process, cut));
+    }
+
+    /// Ends the cut of a process.
+    pub fn remove(&mut self, process: u32) {
+        self.0.retain(|(other, _)| *other != process);
+    }
+
+    fn of(&self, process: Option<u32>) -> Option<Cut> {
+        let found = self.0.iter().find(|(other, _)| Some(*other) == process);
+        found.map(|(_, cut)| *cut)
+    }
+}
+
+/// The process at the other end of a connection, and the cuts.
+pub struct Client {
+    address: SocketAddr,
+    process: Option<u32>,
+    cuts: watch::Receiver<Cuts>,
+}
+
+impl Client {
+    /// Looks up the process that has opened a connection from `address`.
+    pub fn new(address: SocketAddr, cuts: watch::Receiver<Cuts>) -> Self {
+        Self {
+            address,
+            process: process(address),
+            cuts,
+        }
+    }
+
+    /// Returns whether it may open connections.
+    pub fn may_connect(&self) -> bool {
+        let cut = self.cuts.borrow().of(self.process);
+        matches!(cut, None | Some(Cut::Silent))
+    }
+
+    /// Waits until its connections must end, and are no longer served while they are silent.
+    pub async fn wait_until_cut(&mut self) {
+        if self.process.is_none() {
+            // The table may have been read while the system changed it.
+            if self.cuts.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            self.process = process(self.address);
+        }
+        let process = self.process;
+        let is_cut = |cuts: &Cuts| matches!(cuts.of(process), Some(Cut::Silent | Cut::Reset));
+        if self.cuts.wait_for(is_cut).await.is_err() {
+            // No cut can begin any more.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits while it is cut off silently.
+    pub async fn wait_while_silent(&mut self) {
+        let process = self.process;
+        let is_over = |cuts: &Cuts| cuts.of(process) != Some(Cut::Silent);
+        // An error would mean that the run is over.
+        let _ = self.cuts.wait_for(is_over).await;
+    }
+}
+
+thread_local! {
+    /// Processes by the local addresses of their connections, as last read.
+    static PROCESSES: RefCell<HashMap<SocketAddr, u32>> = RefCell::default();
+}
+
+/// Returns the child process whose socket has the local address `address`.
+fn process(address: SocketAddr) -> Option<u32> {
+    let known = PROCESSES.with_borrow(|processes| processes.get(&address).copied());
+    known.or_else(|| {
+        let processes = read_processes();
+        let found = processes.get(&address).copied();
+        PROCESSES.set(processes);
+        found
+    })
+}
+
+fn read_processes() -> HashMap<SocketAddr, u32> {
+    let mut by_inode = HashMap::new();
+    for process in children() {
+        let Ok(sockets) = fs::read_dir(format!("/proc/{process}/fd")) else {
+            continue;
+        };
+        for socket in sockets.flatten() {
+            if let Ok(link) = fs::read_link(socket.path()) {
+                by_inode.insert(link.to_string_lossy().into_owned(), process);
+            }
+        }
+    }
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let process = |line: &str| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let inode = words.get(9)?;
+        let process = by_inode.get(&format!("socket:[{inode}]"))?;
+        Some((address(words[1])?, *process))
+    };
+    table.lines().filter_map(process).collect()
+}
+
+fn children() -> Vec<u32> {
+    let Ok(threads) = fs::read_dir("/proc/self/task") else {
+        return Vec::new();
+    };
+    let lists = threads.flatten().map(|thread| {
+        let list = fs::read_to_string(thread.path().join("children"));
+        list.unwrap_or_default()
+    });
+    let text = lists.collect::<Vec<String>>().join(" ");
+    text.split_whitespace()
+        .filter_map(|word| word.parse().ok())
+        .collect()
+}
+
+/// Parses an address as the system writes it, in hexadecimal digits and host byte order.
+fn address(text: &str) -> Option<SocketAddr> {
+    let (ip, port) = text.split_once(':')?;
+    let ip = u32::from_str_radix(ip, 16).ok()?;
+    let port = u16::from_str_radix(port, 16).ok()?;
+    Some(SocketAddr::from((Ipv4Addr::from(ip.to_le_bytes()), port)))
+}
--- a/crates/node/tests/soak/disturbances.rs
+++ b/crates/node/tests/soak/disturbances.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::plan::NODES;
+use crate::process::GRACE;
 
 /// Time after the end of a fault at which its effects are over.
 pub const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -12,8 +13,12 @@
 pub struct Disturbances {
     nodes: [Cell<Instant>; NODES],
     planned: [Cell<Instant>; NODES],
+    /// When nodes were last asked to stop.
+    stops: [Cell<Option<Instant>>; NODES],
     store: Cell<Instant>,
     backends: Cell<Instant>,
+    /// Times in which nodes are cut off from all backend servers, and must serve.
+    cuts: [Cell<Option<(Instant, Instant)>>; NODES],
 }
 
 impl Disturbances {
@@ -25,8 +30,10 @@
         Self {
             nodes: std::array::from_fn(|_| Cell::new(now)),
             planned: std::array::from_fn(|_| Cell::new(now)),
+            stops: std::array::from_fn(|_| Cell::new(None)),
             store: Cell::new(now),
             backends: Cell::new(now),
+            cuts: std::array::from_fn(|_| Cell::new(None)),
         }
     }
 
@@ -35,6 +42,23 @@
         extend(&self.nodes[node], duration);
     }
 
+    /// Records that a node is cut off from all backend servers. Requests that peers serve for it may notice
+    /// the faults of these.
+    pub fn record_cut(&self, node: usize, duration: Duration) {
+        let now = Instant::now();
+        self.cuts[node].set(Some((now + SETTLE_TIME, now + duration)));
+        for node in 0..NODES {
+            self.record_node(node, Duration::ZERO);
+        }
+        self.record_node(node, duration);
+    }
+
+    /// Returns whether a node was cut off from all backend servers since [`SETTLE_TIME`] before `at`.
+    pub fn is_cut(&self, node: usize, at: Instant) -> bool {
+        let is_within = |(from, until): (Instant, Instant)| from <= at && at < until;
+        self.cuts[node].get().is_some_and(is_within)
+    }
+
     /// Records a fault of the store.
     pub fn record_store(&self, duration: Duration) {
         extend(&self.store, duration);
@@ -50,6 +74,18 @@
         extend(&self.planned[node], duration);
     }
 
+    /// Records that a node is asked to stop.
+    pub fn record_stop(&self, node: usize) {
+        self.stops[node].set(Some(Instant::now()));
+    }
+
+    /// Returns whether a node that was asked to stop may end a request which was sent `at`: a server still works on it
+    /// in the last sixth of the grace period.
+    pub fn may_end(&self, node: usize, at: Instant) -> bool {
+        let is_last_sixth = |asked: Instant| at >= asked && asked.elapsed() >= GRACE * 5 / 6;
+        self.stops[node].get().is_some_and(is_last_sixth)
+    }
+
     /// Returns whether neither a fault nor a planned stop or reload has affected a node, nor a
     /// fault the store, since [`SETTLE_TIME`] before `since`.
     pub fn can_follow_store(&self, node: usize, since: Instant) -> bool {
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -15,6 +15,7 @@
 
 mod backend;
 mod caller;
+mod cuts;
 mod disturbances;
 mod observations;
 mod plan;
@@ -106,6 +107,14 @@
     assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
 }
 
+/// Guards against callers of nodes that are cut off from all servers, who are not served though others are.
+#[rstest]
+#[case(1)]
+#[case(2)]
+fn play_fixed_seed_with_cut_nodes(#[case] seed: u64) {
+    play_and_check(seed, &plan::with_cut_nodes(seed, FAULTS_MS));
+}
+
 /// Plays `FESCUERACK_SEEDS` seeds from `FESCUERACK_SEED` on, one after the other, and prints the
 /// observations of each.
 #[test]
@@ -122,6 +131,15 @@
     play_seeds(play_failing_servers);
 }
 
+/// The same, with nodes that are cut off from all servers.
+#[test]
+fn play_cut_nodes_of_the_environment() {
+    play_seeds(|seed| {
+        let steps = plan::with_cut_nodes(seed, FAULTS_MS);
+        world::play(seed, &steps, &plan::BOUND)
+    });
+}
+
 fn play_seeds(play: impl Fn(u64) -> (Vec<String>, Tally)) {
     let number = |name: &str, default| {
         let text = std::env::var(name).ok();
--- a/crates/node/tests/soak/observations.rs
+++ b/crates/node/tests/soak/observations.rs
@@ -11,6 +11,8 @@
 
 /// Maximum number of servers that one request may run on.
 pub const MAX_ATTEMPTS: usize = 3;
+/// Requests that may fail at nodes that are cut off from all backend servers, besides one in fifty.
+const MAX_FAILED_IN_CUTS: usize = 10;
 /// Deadline of the callers' requests.
 pub const DEADLINE_MS: u64 = 3_000;
 
@@ -73,6 +75,8 @@
     pub unknown: usize,
     /// Requests to nodes that no fault and no planned stop or reload affected.
     pub undisturbed: usize,
+    /// Requests to nodes that were cut off from all backend servers, and those of them that were served.
+    pub cut: (usize, usize),
     /// Probes of whether a configuration is active.
     pub probes: usize,
     /// Requests that arrived at a server after the first time.
@@ -123,6 +127,24 @@
         }
     }
 
+    /// Counts a request to a node that is cut off from all backend servers.
+    pub fn record_cut(&self, is_good: bool) {
+        let mut records = self.records.borrow_mut();
+        let (asked, served) = &mut records.tally.cut;
+        *asked += 1;
+        *served += usize::from(is_good);
+    }
+
+    /// Checks that the callers of nodes which were cut off were served.
+    pub fn check_cuts(&self) {
+        let (asked, served) = self.tally().cut;
+        let failed = asked - served;
+        if failed > MAX_FAILED_IN_CUTS + asked / 50 {
+            let line = format!("{failed} of {asked} requests at nodes without servers failed");
+            self.record_violation(line);
+        }
+    }
+
     /// Checks the repeats of each service, over all nodes, against the bound.
     pub fn check_repeats(&self, bound: &Bound) {
         let repeats = self.records.borrow().repeats.clone();
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -1,10 +1,11 @@
 //! The faults of a run and their times: a pure function of the seed.
 
 use fescuerack_core::gateway::budget::Bound;
-use rand::seq::IndexedRandom as _;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 
+use crate::cuts::Cut;
 use crate::proxy::Link;
 
 /// Number of nodes in a run.
@@ -44,6 +45,11 @@
 /// Mixed into the seed, so that evacuations are drawn independently of the other faults.
 const EVACUATION_SEED: u64 = 0x7a6f_6e65;
 
+/// Duration of a cut of a node from all servers: until its callers must be served, and some seconds.
+const CUT_MS: std::ops::Range<u64> = 5_000..8_000;
+/// Mixed into the seed, so that these are drawn independently of the other faults.
+const CUT_SEED: u64 = 0x6375_7473;
+
 /// A fault of nodes, of the store or of backend servers, or an action of operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -90,6 +96,8 @@
     StatedLeave { backend: usize },
     /// A backend server refuses all requests and asks for rest.
     Rest { backend: usize },
+    /// A node is cut off from all backend servers.
+    CutNode { node: usize, cut: Cut },
 }
 
 /// A fault and its time.
@@ -166,6 +174,36 @@
     steps
 }
 
+/// Returns cuts of some nodes from all backend servers, beside changes of the configuration and planned stops.
+pub fn with_cut_nodes(seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = Pcg64::seed_from_u64(seed ^ CUT_SEED);
+    let mut steps = Vec::new();
+    let mut nodes: Vec<usize> = (0..NODES).collect();
+    for at_ms in [QUIET_MS, QUIET_MS + length_ms] {
+        nodes.shuffle(&mut rng);
+        let (cut, others) = nodes.split_at(rng.random_range(1..NODES));
+        let how = [Cut::Silent, Cut::Reset, Cut::RefusesNew];
+        let how = *how.choose(&mut rng).expect("some");
+        let duration_ms = rng.random_range(CUT_MS);
+        let step = |at_ms, fault| Step {
+            at_ms,
+            duration_ms,
+            fault,
+        };
+        let all = cut
+            .iter()
+            .map(|&node| step(at_ms, Fault::CutNode { node, cut: how }));
+        steps.extend(all);
+        let later = at_ms + rng.random_range(0..CUT_MS.start);
+        steps.push(step(later, Fault::Configure));
+        if let [node, _, ..] = *others {
+            let later = at_ms + rng.random_range(CUT_MS.start..CUT_MS.end);
+            steps.push(step(later, Fault::Stop { node }));
+        }
+    }
+    steps
+}
+
 /// Returns faults while all backend servers fail most requests: series of kills or pauses of all nodes,
 /// outages of the store in which the entries of the nodes lapse, and links that hold and let go.
 pub fn with_failing_servers(seed: u64, length_ms: u64) -> Vec<Step> {
--- a/crates/node/tests/soak/world/faults.rs
+++ b/crates/node/tests/soak/world/faults.rs
@@ -10,6 +10,7 @@
     World,
 };
 use crate::backend::{Backend, Behaviour};
+use crate::cuts::Cut;
 use crate::plan::{Fault, Step};
 use crate::process::State;
 use crate::proxy::Link;
@@ -51,6 +52,7 @@
             }
             Fault::Configure => self.configure().await,
             Fault::ColdStarts => self.backends.iter().for_each(Backend::start_cold),
+            Fault::CutNode { node, cut } => self.cut_node(node, cut, duration).await,
             Fault::Evacuate { zone } => self.evacuate(zone, duration).await,
             Fault::BackendLink { backend, .. }
             | Fault::Crash { backend }
@@ -136,6 +138,17 @@
         backend.set_behaviour(Behaviour::Normal);
     }
 
+    /// Cuts a node off from all backend servers. Its callers may notice until it has settled.
+    async fn cut_node(&self, node: usize, cut: Cut, duration: Duration) {
+        let Some(process) = self.processes[node].borrow().id() else {
+            return;
+        };
+        self.context.disturbances.record_cut(node, duration);
+        self.cuts.send_modify(|cuts| cuts.add(process, cut));
+        tokio::time::sleep(duration).await;
+        self.cuts.send_modify(|cuts| cuts.remove(process));
+    }
+
     /// Evacuates `zone`, until the evacuation must have been active for a while. Does nothing
     /// while the zone is already being evacuated.
     async fn evacuate(&self, zone: &str, duration: Duration) {
@@ -181,6 +194,7 @@
         }
         let signalled_at = Instant::now();
         self.context.disturbances.record_planned(node, STOP_TIMEOUT);
+        self.context.disturbances.record_stop(node);
         self.processes[node].borrow().signal("-TERM");
         if !self.wait_until_exited(node).await {
             if self
