--- a/crates/node/tests/all/versions.rs
+++ b/crates/node/tests/all/versions.rs
@@ -5,7 +5,7 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 
 use fescuerack_client::{HttpStore, manifest};
 use fescuerack_config::Folder;
@@ -263,3 +263,55 @@
     }
     assert_eq!(crashed.load(Ordering::SeqCst), 2);
 }
+
+/// Starts an engine that is gone as soon as any engine has received a request, whose connection then breaks.
+fn vanishing_engine(is_cut: &Arc<AtomicBool>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.set_nonblocking(true).expect("an option");
+    let address = listener.local_addr().expect("an address").to_string();
+    let is_cut = Arc::clone(is_cut);
+    std::thread::spawn(move || {
+        while !is_cut.load(Ordering::SeqCst) {
+            std::thread::sleep(std::time::Duration::from_millis(1));
+            let Ok((mut stream, _)) = listener.accept() else {
+                continue;
+            };
+            stream.set_nonblocking(false).expect("an option");
+            let mut head = [0; 4096];
+            let read = stream.read(&mut head).unwrap_or(0);
+            if head[..read].starts_with(b"POST") {
+                is_cut.store(true, Ordering::SeqCst);
+                // The others stop listening meanwhile.
+                std::thread::sleep(std::time::Duration::from_millis(50));
+            }
+        }
+    });
+    address
+}
+
+/// Guards against a sound request that all instances refuse for an hour or a day, because the instance which
+/// runs it loses its paths to all servers, and takes that for a crash.
+#[test]
+fn record_end_lost_path_is_no_crash() {
+    let mut cluster = Cluster::new();
+    cluster.engines.clear();
+    for index in 0..3 {
+        cluster.platform.remove_instance(&format!("engine-{index}"));
+    }
+    let is_cut = Arc::new(AtomicBool::new(false));
+    for index in 0..4 {
+        cluster.platform.set_instance(ListedInstance {
+            id: format!("vanishing-{index}"),
+            fleet: "kaisla-llm".to_owned(),
+            zone: "espoo-a".to_owned(),
+            address: vanishing_engine(&is_cut),
+            state: State::Live,
+        });
+    }
+    let process = cluster.start("entry-0");
+    assert_eq!(ask(&process, "kaisla-mini", None).status(), 502);
+    assert!(is_cut.load(Ordering::SeqCst));
+    let state = process.state();
+    let known = state["versions"]["suspects"]["known"].as_object();
+    assert!(known.is_none_or(serde_json::Map::is_empty), "{known:?}");
+}
