Own door: an instance that loses all servers suspects no request

A server that refuses connections counted as crashed, also if no server accepted one. Now another server must accept one; with fewer than two others it is assumed, as before.

record_end_lost_path_is_no_crash failed before (the request is known as a suspect) and passes; poison_sent_again_costs_two_servers holds. The test now also removes the service, which was still reached. Not mended: this door has no way through a peer, callers of such an instance get 502 and 503 (row in PROMISES).

--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -2,7 +2,7 @@
 //! permits from the store, and immediate updates to all peers.
 
 use std::collections::BTreeSet;
-use std::net::{TcpStream, ToSocketAddrs as _};
+use std::net::{SocketAddr, TcpStream, ToSocketAddrs as _};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,24 +22,55 @@
 /// Number of attempts to swap a permit before the request is refused.
 const PERMIT_SWAP_ATTEMPTS: usize = 3;
 
+/// Number of other servers that must be unreachable for this instance's own path
+/// to be lost.
+const MIN_UNREACHABLE: usize = 2;
+/// Maximum number of other servers that are probed.
+const MAX_PROBED: usize = 3;
+
 /// Returns whether a server whose connection broke has crashed: it accepts no
-/// new connection. A restarted engine is not taken for one that kept running,
+/// new connection, and another server does. A restarted engine is not taken for one that kept running,
 /// because loading its model takes far longer than the two probes.
 ///
 /// The sockets of a dying process close one after the other, and its listening
 /// socket may be the last. A single probe right after the break would find it
 /// open and miss the crash. So a server that accepts the first probe is probed
 /// again.
-fn has_crashed(address: &str) -> bool {
-    let addresses = address.to_socket_addrs();
+///
+/// If no other server accepts one either, this instance has lost its path to all of
+/// them, and the break says nothing about the request.
+fn has_crashed(shared: &NodeState, attempt: &Attempt) -> bool {
+    let addresses = attempt.address.to_socket_addrs();
     let Some(address) = addresses.ok().and_then(|mut found| found.next()) else {
         return false;
     };
-    if TcpStream::connect_timeout(&address, PROBE_TIMEOUT).is_err() {
-        return true;
+    if accepts(&address) {
+        std::thread::sleep(SECOND_PROBE_DELAY);
+        if accepts(&address) {
+            return false;
+        }
     }
-    std::thread::sleep(SECOND_PROBE_DELAY);
-    TcpStream::connect_timeout(&address, PROBE_TIMEOUT).is_err()
+    reaches_others(shared, attempt.server)
+}
+
+fn accepts(address: &SocketAddr) -> bool {
+    TcpStream::connect_timeout(address, PROBE_TIMEOUT).is_ok()
+}
+
+/// Returns whether a server other than `server` is reached. With too few others it is
+/// assumed.
+fn reaches_others(shared: &NodeState, server: key::Server) -> bool {
+    let others: Vec<String> = lock(&shared.routes)
+        .iter()
+        .filter(|(key, _)| *key != server)
+        .map(|(_, other)| other.address.clone())
+        .take(MAX_PROBED)
+        .collect();
+    let is_reached = |address: &String| {
+        let mut addresses = address.to_socket_addrs().into_iter().flatten();
+        addresses.next().is_some_and(|address| accepts(&address))
+    };
+    others.len() < MIN_UNREACHABLE || others.iter().any(is_reached)
 }
 
 /// Returns whether a request may run; blocks on the store if it needs a permit.
@@ -127,7 +158,7 @@
 /// Records how an attempt ended; blocks for the probes of its server if the
 /// connection broke.
 pub fn record_end(shared: &NodeState, attempt: &Attempt, result: Result<(), &Fault>) {
-    let crashed = matches!(result, Err(Fault::Unknown(_))) && has_crashed(&attempt.address);
+    let crashed = matches!(result, Err(Fault::Unknown(_))) && has_crashed(shared, attempt);
     let now = shared.now();
     lock(&shared.versions.suspects).release(attempt.fingerprint);
     let event = match result {
--- a/crates/node/tests/all/versions.rs
+++ b/crates/node/tests/all/versions.rs
@@ -298,6 +298,7 @@
     for index in 0..3 {
         cluster.platform.remove_instance(&format!("engine-{index}"));
     }
+    cluster.platform.remove_instance("service-0");
     let is_cut = Arc::new(AtomicBool::new(false));
     for index in 0..4 {
         cluster.platform.set_instance(ListedInstance {
