A request that a peer may have run is not answered "not run"

Read in the diff: after a peer broke off and no other one took the repeat, callers got 503, which promises that the request has not run and never will. Now 502, also if the next peer refuses. serve_only_peer_breaks_off_is_unknown: 503 before, 502 now.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -29,7 +29,7 @@
 use crate::node::Node;
 use crate::permits::{Permit, Permits};
 use crate::progress::take_retry;
-use crate::refusal::Refusal;
+use crate::refusal::{self, Refusal};
 use crate::request;
 use crate::upstream::{Answered, Sent};
 use crate::verdict;
@@ -117,6 +117,8 @@
     last_event: Option<u64>,
     /// Peer that serves it.
     peer: Option<SocketAddr>,
+    /// Whether it may have been run by a peer.
+    has_repeated: bool,
 }
 
 impl Forward {
@@ -138,6 +140,7 @@
             is_counted,
             last_event: job.head.last_event,
             peer: None,
+            has_repeated: false,
         }
     }
 
@@ -148,7 +151,11 @@
                 Ok(answered) => answered,
                 Err(refusal) => return Some(Err(refusal)),
             };
-            let is_success = answered.response.status().is_success();
+            let status = answered.response.status();
+            let is_success = status.is_success();
+            if self.sent > 0 && refusal::promises_not_run(status) {
+                return Some(Err(Refusal::OutcomeUnknown));
+            }
             if self.job.route.kind == Kind::Streaming && is_success {
                 return Some(Ok(self.relay(answered)));
             }
@@ -195,7 +202,8 @@
                 }
             }
         }
-        None
+        let is_unknown = self.has_repeated;
+        is_unknown.then_some(Err(Refusal::OutcomeUnknown))
     }
 
     /// Returns until when a peer is waited for. It may be paused, so half of the time is kept for another
@@ -212,6 +220,7 @@
     fn take_repeat(&mut self) -> Result<(), Refusal> {
         self.sent += 1;
         self.is_counted = true;
+        self.has_repeated = true;
         let is_repeatable = self.job.route.is_repeatable() && now() < self.job.deadline;
         if is_repeatable && take_retry(&self.node, &self.job, &self.service, self.sent, "peer") {
             return Ok(());
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -16,6 +16,18 @@
 /// Maximum `Retry-After` in milliseconds.
 const RETRY_AFTER_MAX_MS: u64 = 1_500;
 
+/// Returns whether a status promises that the request was not run and will not be.
+#[must_use]
+pub const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
 /// Why the gateway answers a request with an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
