--- a/crates/core/src/gateway/crash.rs
+++ b/crates/core/src/gateway/crash.rs
@@ -2,23 +2,26 @@
 //!
 //! Such a request crashes its server, is retried on the next one and crashes that too; its caller
 //! repeats it under a new identifier at another node. A request is identified by the digest of
-//! organisation, path and body. From [`CRASH_LIMIT`] servers on, seen by this node or by peers, it is
-//! refused for [`RETENTION_MS`], and twice as long each time that it crashes another server after that.
+//! organisation, path and body. From [`CRASH_LIMIT`] servers on, seen by this node or by peers, it
+//! is refused for [`RETENTION_MS`], and twice as long each time that it crashes another server
+//! after that.
 //!
 //! A broken connection alone is no crash of this kind, and sound requests must not be refused:
 //!
-//! - A start of a server counts once. A server that crashes, or whose link is reset, breaks every request
-//!   that it runs, and many callers may send the same request.
+//! - A start of a server counts once. A server that crashes, or whose link is reset, breaks every
+//!   request that it runs, and many callers may send the same request.
 //! - Runs that break together count once ([`SAME_EVENT_MS`]): a zone is lost, or this node is
 //!   cut off, and a popular request is running on many servers.
 //! - A server that answers a request which was sent to it after the break has not crashed.
 //! - A request that has succeeded within [`RETENTION_MS`] has to crash twice as many.
 //!
-//! A caller's repeats may reach a new node each time, and each of hundreds of nodes would see one crash. A
-//! node therefore tells each crash, and a success after crashes, to the [owners] of the request, which add up.
+//! A caller's repeats may reach a new node each time, and each of hundreds of nodes would see one
+//! crash. A node therefore tells each crash, and a success after crashes, to the [owners] of the
+//! request, which add up.
 //!
 //! Nodes pass on what they know, also what they have heard, with its age: the nodes that report to
-//! one hub hear of each other through it, and a crash is not kept alive by passing it back and forth.
+//! one hub hear of each other through it, and a crash is not kept alive by passing it back and
+//! forth.
 
 use std::collections::HashMap;
 
@@ -31,12 +34,13 @@
 pub const CRASH_LIMIT: usize = 3;
 /// The same for a request that has just succeeded.
 const CRASH_LIMIT_AFTER_SUCCESS: usize = 2 * CRASH_LIMIT;
-/// Milliseconds for which a crash or a success is kept, and for which a request is refused at first.
+/// Milliseconds for which a crash or a success is kept, and for which a request is refused at
+/// first.
 pub const RETENTION_MS: u64 = 60_000;
 /// Maximum number of milliseconds for which a request is refused.
 const MAX_REFUSAL_MS: u64 = 3_600_000;
-/// Milliseconds after a refusal has begun in which crashes do not prolong it: of runs that had begun
-/// before all nodes knew.
+/// Milliseconds after a refusal has begun in which crashes do not prolong it: of runs that had
+/// begun before all nodes knew.
 const SETTLING_MS: u64 = 10_000;
 /// Milliseconds within which breaks of runs beside each other may have one cause.
 pub const SAME_EVENT_MS: u64 = 250;
@@ -72,8 +76,8 @@
     Succeeded,
 }
 
-/// Returns the owners of a request among the nodes, by the hash of names: the same on all nodes that
-/// have the same list, and others for another request.
+/// Returns the owners of a request among the nodes, by the hash of names: the same on all nodes
+/// that have the same list, and others for another request.
 #[must_use]
 pub fn owners<'a>(request: u64, nodes: impl Iterator<Item = &'a str>) -> Vec<&'a str> {
     let mut ranked: Vec<(u64, &str)> = nodes
@@ -153,8 +157,8 @@
         true
     }
 
-    /// Begins a refusal if `at` is a crash that calls for one: of `count` servers in all, or of one after
-    /// the refusal before.
+    /// Begins a refusal if `at` is a crash that calls for one: of `count` servers in all, or of one
+    /// after the refusal before.
     fn refuse(&mut self, at: Instant, count: usize, limit: usize) {
         let is_due = if self.refusals == 0 {
             count >= limit
@@ -176,8 +180,8 @@
     counts: HashMap<u64, Crashed>,
     /// Until when requests have succeeded recently.
     succeeded: HashMap<u64, Instant>,
-    /// When the last request that a server has answered was sent to it, by the short identifier of its
-    /// start.
+    /// When the last request that a server has answered was sent to it, by the short identifier of
+    /// its start.
     answered: HashMap<u32, Instant>,
     /// Number of requests that were told to peers, so that all have their turn.
     told: usize,
@@ -197,8 +201,8 @@
         }
     }
 
-    /// Records that `server` crashed while it ran the request, whose run `began` then; returns whether it
-    /// counts.
+    /// Records that `server` crashed while it ran the request, whose run `began` then; returns
+    /// whether it counts.
     pub fn record_crash(&mut self, now: Instant, began: Instant, digest: u64, server: u32) -> bool {
         let crashed = self.entry(now, digest);
         let last_at = crashed.last_at();
@@ -343,8 +347,8 @@
         self.counts.entry(digest).or_default()
     }
 
-    /// Makes room for another digest. Those that are refused are dropped last, and before them those
-    /// that were.
+    /// Makes room for another digest. Those that are refused are dropped last, and before them
+    /// those that were.
     fn make_room(&mut self, now: Instant) {
         let is_unneeded: [fn(&Crashed, Instant) -> bool; 3] = [
             |crashed, now| crashed.refusals == 0 && crashed.is_over(now),
--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -1,9 +1,10 @@
 //! Whether this node reaches any backend server: its own path, as opposed to single servers.
 //!
-//! A node that loses its paths to all servers would otherwise find out anew with each request, count each failure
-//! against a server, and tell all others. So a failure only puts the path in [doubt](State::Doubted).
-//! If another server is heard after it, the server has failed; if probes of several
-//! servers fail, the path is [lost](State::Lost), and what the failures seemed to say is void.
+//! A node that loses its paths to all servers would otherwise find out anew with each request,
+//! count each failure against a server, and tell all others. So a failure only puts the path in
+//! [doubt](State::Doubted). If another server is heard after it, the server has failed; if probes
+//! of several servers fail, the path is [lost](State::Lost), and what the failures seemed to say is
+//! void.
 
 use crate::clock::Instant;
 
@@ -120,8 +121,8 @@
         }
     }
 
-    /// Returns how many servers are to be probed now, if a probe is due. The next one is not due before this
-    /// one has [ended](Self::probed).
+    /// Returns how many servers are to be probed now, if a probe is due. The next one is not due
+    /// before this one has [ended](Self::probed).
     pub fn due_probe(&mut self, now: Instant) -> Option<usize> {
         if now < self.next_probe_at {
             return None;
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -1,25 +1,26 @@
 //! The share of the slack of a retry [`Bound`](super::budget::Bound) that one node may use.
 //!
-//! The slack is a fixed number of further attempts in a window, for all nodes together. Nodes do not
-//! ask each other for it: each divides it by the number of nodes. What a node knows of that number
-//! may be wrong, and mostly in times in which servers fail as well:
+//! The slack is a fixed number of further attempts in a window, for all nodes together. Nodes do
+//! not ask each other for it: each divides it by the number of nodes. What a node knows of that
+//! number may be wrong, and mostly in times in which servers fail as well:
 //!
 //! - Entries lapse in an outage of the store, or when their nodes lose it, though these nodes go on
-//!   to serve. If a node counted only what is listed, each would soon take all of the slack. Therefore
-//!   a larger number [counts on](MEMORY_MS) for some time in which the store answers, and the largest
-//!   one that the process has ever seen counts as long as the store does not answer.
-//! - Some nodes may never have been listed together. The nodes without the store count all that they
-//!   have ever seen, and those with the store count each other, so that each of the two parts uses
-//!   one share at most: half of the slack.
+//! to serve. If a node counted only what is listed, each would soon take all of the slack.
+//! Therefore a larger number [counts on](MEMORY_MS) for some time in which the store answers, and
+//! the largest one that the process has ever seen counts as long as the store does not answer.
+//! - Some nodes may never have been listed together. The nodes without the store count all that
+//!   they have ever seen, and those with the store count each other, so that each of the two parts
+//!   uses one share at most: half of the slack.
 //! - A process that starts does not know what the one before it on the same instance has spent a
 //!   moment ago, and the other nodes do not count it yet. Its share begins a window after the store
 //!   has accepted its entry. Until then it makes further attempts by ratio only.
 //!
-//! A node makes whole attempts, and with few requests rounding decides whether it makes any. Where the
-//! other half of the slack has room for it, each node rounds to the nearest number, so that the first
-//! failure of a quiet node is retried. In a large fleet, whose nodes have a small part of the slack each, this would sum up to more than
-//! the bound. There each process adds its [phase](Share::new) and rounds down: the phases are spread
-//! evenly, so the attempts sum up to what the nodes may make.
+//! A node makes whole attempts, and with few requests rounding decides whether it makes any. Where
+//! the other half of the slack has room for it, each node rounds to the nearest number, so that the
+//! first failure of a quiet node is retried. In a large fleet, whose nodes have a small part of the
+//! slack each, this would sum up to more than the bound. There each process adds its
+//! [phase](Share::new) and rounds down: the phases are spread evenly, so the attempts sum up to
+//! what the nodes may make.
 
 use std::collections::VecDeque;
 
@@ -31,7 +32,8 @@
 /// store confirms the list. Nodes whose entries have lapsed register again within that time.
 pub const MEMORY_MS: u64 = 60_000;
 
-/// Part of an attempt that is added before rounding down, if each node rounds to the nearest number.
+/// Part of an attempt that is added before rounding down, if each node rounds to the nearest
+/// number.
 const NEAREST: f64 = 0.5;
 
 /// The further attempts that a node may make within a window, besides those by ratio.
@@ -65,8 +67,8 @@
 }
 
 impl Share {
-    /// Creates the share of a process that has just started. `phase`, at random between zero and one,
-    /// decides where it rounds in a large fleet.
+    /// Creates the share of a process that has just started. `phase`, at random between zero and
+    /// one, decides where it rounds in a large fleet.
     #[must_use]
     pub fn new(phase: f64) -> Self {
         Self {
--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -1,14 +1,15 @@
 //! Limits that backend servers state in their answers, as far as a node has heard.
 //!
 //! A server in need states in each of its answers how many requests a second it accepts from all
-//! nodes together, and stops stating it when the need is over. Only the few nodes that may send to it
-//! ([`shared_limit`](super::shared_limit)) hear of it, so nodes pass statements on to each other:
+//! nodes together, and stops stating it when the need is over. Only the few nodes that may send to
+//! it ([`shared_limit`](super::shared_limit)) hear of it, so nodes pass statements on to each
+//! other:
 //!
 //! - **Order.** A node that hears something new gives it the next sequence number after the one it
 //!   knows, and the higher number counts. A statement that goes round between nodes therefore never
 //!   looks newer than it is. Of two with the same number the lower limit counts.
-//! - **End.** Answers overtake each other, so an answer without a limit ends one only if its request
-//!   was sent after the limit was last heard. The end is passed on like a limit.
+//! - **End.** Answers overtake each other, so an answer without a limit ends one only if its
+//!   request was sent after the limit was last heard. The end is passed on like a limit.
 //! - **Rounds.** A sender without requests for the server never hears the end. A limit that nobody
 //!   has confirmed for [`ROUND_MS`] passes to other senders, again and again, until some node
 //!   confirms or ends it. Senders that confirm a limit stay.
@@ -160,8 +161,8 @@
         change(known, per_second)
     }
 
-    /// Merges the statements of a peer; returns the servers with a change, and how many milliseconds
-    /// ago it was heard.
+    /// Merges the statements of a peer; returns the servers with a change, and how many
+    /// milliseconds ago it was heard.
     pub fn merge(&mut self, now: Instant, digest: &Digest) -> Vec<(u64, Change, u64)> {
         let mut changes = Vec::new();
         for (&identity, shared) in digest {
@@ -225,7 +226,8 @@
         })
     }
 
-    /// Drops statements of servers that are not listed any more, and ends that every node has heard.
+    /// Drops statements of servers that are not listed any more, and ends that every node has
+    /// heard.
     pub fn sweep(&mut self, now: Instant, is_listed: impl Fn(u64) -> bool) {
         self.statements.retain(|&identity, statement| {
             statement.is_kept(now) && (is_listed(identity) || statement.is_shared(now))
--- a/crates/core/tests/all/gateway/budget.rs
+++ b/crates/core/tests/all/gateway/budget.rs
@@ -79,8 +79,9 @@
     );
 }
 
-/// Guards against repeats of many quiet nodes that sum up to more than the bound, because each node rounds
-/// its own up, where a service fails from the first request on and its failures come at once.
+/// Guards against repeats of many quiet nodes that sum up to more than the bound, because each node
+/// rounds its own up, where a service fails from the first request on and its failures come at
+/// once.
 #[rstest]
 fn take_sum_over_quiet_nodes_stays_within_the_bound(
     #[values(7, 9, 78, 295, 985)] nodes: usize,
@@ -121,8 +122,8 @@
     }
 }
 
-/// Guards against a denied retry at the first failure of a service with little traffic, also at a new
-/// process, which has no share of the slack.
+/// Guards against a denied retry at the first failure of a service with little traffic, also at a
+/// new process, which has no share of the slack.
 #[rstest]
 #[case::known_process(share(9))]
 #[case::new_process(share_at(9, 0, 0.0))]
@@ -144,8 +145,8 @@
     assert_eq!(text.matches("Slot {").count(), 1, "{text}");
 }
 
-/// Guards against callers of quiet nodes in a large fleet, where each node has hardly any slack, whose
-/// failures are never retried.
+/// Guards against callers of quiet nodes in a large fleet, where each node has hardly any slack,
+/// whose failures are never retried.
 #[test]
 fn take_first_failure_at_most_of_many_quiet_nodes_is_covered() {
     let mut random = Pcg64::seed_from_u64(7);
--- a/crates/core/tests/all/gateway/crash.rs
+++ b/crates/core/tests/all/gateway/crash.rs
@@ -20,8 +20,8 @@
     }
 }
 
-/// Guards against a request that is refused for good because nodes tell each other of its crashes over and
-/// over, long after the last one.
+/// Guards against a request that is refused for good because nodes tell each other of its crashes
+/// over and over, long after the last one.
 #[test]
 fn receive_marks_do_not_keep_each_other_alive() {
     let (mut one, mut other) = (Suspects::default(), Suspects::default());
@@ -151,8 +151,8 @@
     assert!(suspects.is_refused(NOW, 5));
 }
 
-/// Guards against a popular request that is refused because a zone or this node's links were lost while
-/// it ran on many servers.
+/// Guards against a popular request that is refused because a zone or this node's links were lost
+/// while it ran on many servers.
 #[test]
 fn is_refused_breaks_at_the_same_moment_count_once() {
     let mut suspects = Suspects::default();
@@ -182,8 +182,8 @@
     assert!(suspects.is_refused(at, 5));
 }
 
-/// Guards against a sound request that is refused because the links to servers broke which answer on, on
-/// this node or at a peer that hears of it.
+/// Guards against a sound request that is refused because the links to servers broke which answer
+/// on, on this node or at a peer that hears of it.
 #[test]
 fn is_refused_later_answer_refutes_a_crash() {
     let (mut local, mut peer) = (Suspects::default(), Suspects::default());
@@ -207,7 +207,8 @@
     assert!(local.is_refused(later, 5));
 }
 
-/// Guards against a request that succeeds, changes, and crashes servers for a minute without being refused.
+/// Guards against a request that succeeds, changes, and crashes servers for a minute without being
+/// refused.
 #[test]
 fn is_refused_change_after_a_success_is_noticed() {
     let mut suspects = Suspects::default();
@@ -221,8 +222,8 @@
     assert!(!suspects.marks(NOW.plus_millis(1_000)).is_empty());
 }
 
-/// Guards against a caller who repeats a request that crashes servers each second, and costs three servers
-/// a minute for hours: a refusal that was right is followed by a longer one.
+/// Guards against a caller who repeats a request that crashes servers each second, and costs three
+/// servers a minute for hours: a refusal that was right is followed by a longer one.
 #[test]
 fn is_refused_repeated_for_an_hour_costs_few_servers() {
     let mut suspects = Suspects::default();
@@ -256,8 +257,8 @@
     assert!((0..10).all(|request| peer.is_refused(NOW, request)));
 }
 
-/// Guards against nodes that tell crashes of one request to different owners, none of which then counts to
-/// three, and against owners that change for all requests when a node goes.
+/// Guards against nodes that tell crashes of one request to different owners, none of which then
+/// counts to three, and against owners that change for all requests when a node goes.
 #[test]
 fn owners_are_the_same_on_all_nodes() {
     let names: Vec<String> = (0..985).map(|number| format!("n{number}")).collect();
--- a/crates/core/tests/all/gateway/crash_fleet.rs
+++ b/crates/core/tests/all/gateway/crash_fleet.rs
@@ -1,5 +1,5 @@
-//! How long it takes until all nodes of a fleet know of a request that crashes servers, on a virtual
-//! clock.
+//! How long it takes until all nodes of a fleet know of a request that crashes servers, on a
+//! virtual clock.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -110,8 +110,8 @@
     }
 }
 
-/// Guards against a request that reaches servers through nodes which hear of its crashes late, or never: in
-/// large fleets, with little traffic, and with an owner that is gone.
+/// Guards against a request that reaches servers through nodes which hear of its crashes late, or
+/// never: in large fleets, with little traffic, and with an owner that is gone.
 #[rstest]
 fn receive_all_nodes_know_in_time(
     #[values(7, 78, 295, 985)] count: usize,
--- a/crates/core/tests/all/gateway/reach.rs
+++ b/crates/core/tests/all/gateway/reach.rs
@@ -20,7 +20,8 @@
     reach
 }
 
-/// Guards against a node that takes the failure of one server, or of several one after the other, for its own.
+/// Guards against a node that takes the failure of one server, or of several one after the other,
+/// for its own.
 #[test]
 fn doubt_other_server_heard_confirms_the_path() {
     let mut reach = Reach::default();
@@ -33,8 +34,8 @@
     assert_eq!(reach.state(), State::Good);
 }
 
-/// Guards against a quiet node that gives up its path because all servers of one service are down: one
-/// of three that is reached is enough.
+/// Guards against a quiet node that gives up its path because all servers of one service are down:
+/// one of three that is reached is enough.
 #[test]
 fn probed_one_server_reached_confirms_the_path() {
     let mut reach = Reach::default();
@@ -55,8 +56,8 @@
     assert!(!reach.is_lost());
 }
 
-/// Guards against a cut that a quiet node notices after three seconds: one request a second, over a connection that
-/// has gone silent.
+/// Guards against a cut that a quiet node notices after three seconds: one request a second, over a
+/// connection that has gone silent.
 #[test]
 fn due_probe_silence_is_noticed_in_time() {
     let mut reach = Reach::default();
@@ -73,8 +74,8 @@
     }
 }
 
-/// Guards against probes on a quiet day: of nodes without requests, and more than one in two seconds of nodes
-/// that wait for servers which read long prompts.
+/// Guards against probes on a quiet day: of nodes without requests, and more than one in two
+/// seconds of nodes that wait for servers which read long prompts.
 #[test]
 fn due_probe_quiet_node_costs_little() {
     let mut reach = Reach::default();
@@ -111,7 +112,8 @@
     assert_eq!(reach.state(), State::Good);
 }
 
-/// Guards against a late answer over an old connection that ends the belief while no new connection can be opened.
+/// Guards against a late answer over an old connection that ends the belief while no new connection
+/// can be opened.
 #[test]
 fn hear_lost_path_stays_lost() {
     let mut reach = lost();
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -1,9 +1,10 @@
-//! What the ends of attempts say of their requests: whether a request crashes the servers that run it.
+//! What the ends of attempts say of their requests: whether a request crashes the servers that run
+//! it.
 //!
-//! All attempts end in [`record`], in whichever way. A broken connection counts against the request,
-//! with or without a head before it. A complete answer clears it, unless it is a failure: a server
-//! that fails may not have begun to run the request. An answer of which only the head was read, a
-//! time-out and an answer to another request say nothing.
+//! All attempts end in [`record`], in whichever way. A broken connection counts against the
+//! request, with or without a head before it. A complete answer clears it, unless it is a failure:
+//! a server that fails may not have begun to run the request. An answer of which only the head was
+//! read, a time-out and an answer to another request say nothing.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,8 +1,9 @@
-//! Sends a request through a peer, when this node reaches no server, and serves those of peers.
+//! Sends requests through peers when this node reaches no server.
 //!
-//! The request goes to the peer's internal port as the caller sent it. The peer serves it as its own: it
-//! counts the request, its repeats, its session and its load, and this node does not. One hop at most. What
-//! may run twice, and what is lost when peers fail, is in `docs/design/peer-path.md`.
+//! A request goes to the peer's internal port as the caller sent it ([`hop`]). The peer serves it
+//! as its own: it counts the request, its repeats, its session and its load, and this node does
+//! not. One hop at most. What may run twice, and what is lost when peers fail, is in
+//! `docs/design/peer-path.md`.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,53 +11,27 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use anyhow::Context as _;
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use http_body_util::channel::{Channel, Sender};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Response, StatusCode};
 use rand::seq::SliceRandom as _;
 
 use crate::attempt::Job;
-use crate::body::{AbortReason, Permitted, Relayed, ResponseBody};
+use crate::body::{AbortReason, Relayed, ResponseBody};
 use crate::catalog::Kind;
 use crate::clock::{deadline, now};
 use crate::events::Splitter;
-use crate::headers;
+use crate::hop::{self, Hop};
 use crate::node::Node;
-use crate::permits::{Permit, Permits};
+use crate::permits::Permits;
 use crate::progress::take_retry;
 use crate::refusal::{self, Refusal};
-use crate::request;
 use crate::upstream::{Answered, Sent};
 use crate::verdict;
 
-/// Path on which a node serves requests of its peers' callers.
-pub const PATH: &str = "/forward";
-
-/// Method and target of the caller's request.
-const METHOD: HeaderName = HeaderName::from_static("fescuerack-method");
-const TARGET: HeaderName = HeaderName::from_static("fescuerack-target");
-/// Milliseconds until its deadline.
-const REMAINING_MS: HeaderName = HeaderName::from_static("fescuerack-remaining-ms");
-/// Attempts that may have reached a server.
-const SENT: HeaderName = HeaderName::from_static("fescuerack-sent");
-/// Present if the request has been counted in a retry budget.
-const COUNTED: HeaderName = HeaderName::from_static("fescuerack-counted");
-/// Last event that the caller has received, if any.
-const LAST_EVENT: HeaderName = HeaderName::from_static("fescuerack-last-event");
-/// Version of the configuration by which the request was admitted.
-const CONFIGURATION: HeaderName = HeaderName::from_static("fescuerack-configuration");
-/// In an answer: [`SERVED`], or why the peer did not begin to serve the request. Programs that do not know the
-/// path answer without it.
-const OUTCOME: HeaderName = HeaderName::from_static("fescuerack-outcome");
-const SERVED: HeaderValue = HeaderValue::from_static("served");
-
-/// Maximum number of requests of peers' callers that a node serves at a time.
-const MAX_SERVED: usize = 128;
 /// Maximum number of peers that are asked for one request. A refusal takes milliseconds.
 const MAX_PEERS: usize = 8;
 /// Milliseconds for which a peer is not asked after it has refused.
@@ -83,19 +58,6 @@
     }
 }
 
-/// What a node knows of a request that a peer has sent to it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Hop {
-    /// Milliseconds until the deadline.
-    pub remaining_ms: u64,
-    /// Attempts that may have reached a server.
-    pub sent: u32,
-    /// Whether the request has been counted in a retry budget.
-    pub is_counted: bool,
-    /// Last event that the caller has received.
-    pub last_event: Option<u64>,
-}
-
 /// What came of sending a request to a peer.
 enum Sending {
     /// The peer serves it.
@@ -122,8 +84,8 @@
 }
 
 impl Forward {
-    /// Creates the way of a request of which `sent` attempts may have reached a server. `is_counted` states
-    /// whether it has been counted in a retry budget.
+    /// Creates the way of a request of which `sent` attempts may have reached a server.
+    /// `is_counted` states whether it has been counted in a retry budget.
     #[must_use]
     pub fn new(
         node: &Rc<Node>,
@@ -176,8 +138,8 @@
         }
     }
 
-    /// Sends the request to one peer after another until one serves it; `None` if none does, and it was
-    /// surely not run by them.
+    /// Sends the request to one peer after another until one serves it; `None` if none does, and it
+    /// was surely not run by them.
     async fn send(&mut self) -> Option<Result<Answered, Refusal>> {
         for peer in peers(&self.node, &self.job) {
             let until = deadline(self.send_deadline());
@@ -206,8 +168,8 @@
         is_unknown.then_some(Err(Refusal::OutcomeUnknown))
     }
 
-    /// Returns until when a peer is waited for. It may be paused, so half of the time is kept for another
-    /// one if the request may be repeated.
+    /// Returns until when a peer is waited for. It may be paused, so half of the time is kept for
+    /// another one if the request may be repeated.
     fn send_deadline(&self) -> Instant {
         let is_last = self.sent + 1 >= self.job.route.attempts;
         if is_last || !self.job.route.is_repeatable() {
@@ -233,7 +195,13 @@
     }
 
     async fn send_to(&self, peer: SocketAddr) -> Sending {
-        let request = match self.request() {
+        let hop = Hop {
+            remaining_ms: self.job.deadline.millis_since(now()),
+            sent: self.sent,
+            is_counted: self.is_counted,
+            last_event: self.last_event,
+        };
+        let request = match hop.request(&self.node, &self.job) {
             Ok(request) => request,
             Err(error) => return Sending::NotRun(error.to_string()),
         };
@@ -242,49 +210,15 @@
             Sent::NotSent(reason) => Sending::NotRun(reason),
             Sent::Broken(reason) => Sending::Unknown(reason),
             Sent::Answered(answered) => {
-                let outcome = answered.response.headers().get(OUTCOME);
-                if outcome == Some(&SERVED) {
+                let Some(reason) = hop::refusal(answered.response.headers()) else {
                     return Sending::Served(answered);
-                }
-                let reason =
-                    outcome.map_or("unknown path", |reason| reason.to_str().unwrap_or_default());
-                let reason = reason.to_owned();
+                };
                 self.node.pool.discard(answered);
                 Sending::NotRun(reason)
             }
         }
     }
 
-    fn request(&self) -> anyhow::Result<Request<Full<Bytes>>> {
-        let job = &self.job;
-        let mut request = Request::new(Full::new(job.body.clone()));
-        *request.method_mut() = Method::POST;
-        *request.uri_mut() = Uri::from_static(PATH);
-        let headers = request.headers_mut();
-        *headers = job.headers.clone();
-        headers::strip_hop_by_hop(headers);
-        let remaining_ms = job.deadline.millis_since(now());
-        let version = configuration(&self.node);
-        for (name, value) in [
-            (METHOD, job.method.to_string()),
-            (TARGET, job.target.to_string()),
-            (REMAINING_MS, remaining_ms.to_string()),
-            (SENT, self.sent.to_string()),
-            (CONFIGURATION, version.to_string()),
-        ] {
-            headers.insert(name, HeaderValue::from_str(&value)?);
-        }
-        headers.remove(COUNTED);
-        headers.remove(LAST_EVENT);
-        if self.is_counted {
-            headers.insert(COUNTED, SERVED);
-        }
-        if let Some(last) = self.last_event {
-            headers.insert(LAST_EVENT, HeaderValue::from(last));
-        }
-        Ok(request)
-    }
-
     /// Forwards the rest of a stream after the event `last`; `None` if no peer takes it.
     pub async fn continue_stream(
         mut self,
@@ -365,7 +299,8 @@
     }
 }
 
-/// Forwards the whole events of a stream; returns why it broke, `None` if it is complete or the caller has left.
+/// Forwards the whole events of a stream; returns why it broke, `None` if it is complete or the
+/// caller has left.
 async fn relay_body(
     mut body: Incoming,
     splitter: &mut Splitter,
@@ -397,19 +332,12 @@
     mut headers: HeaderMap,
     body: ResponseBody,
 ) -> Response<ResponseBody> {
-    headers.remove(OUTCOME);
+    hop::strip_outcome(&mut headers);
     verdict::with_status(status, headers, body)
 }
 
-fn configuration(node: &Node) -> u64 {
-    let view = node.view.borrow();
-    view.catalog
-        .as_ref()
-        .map_or(0, |catalog| catalog.config_version)
-}
-
-/// Returns the peers to ask, the nearest first: a byte to another zone costs, and a request that must
-/// stay in some regions goes to peers in these only.
+/// Returns the peers to ask, the nearest first: a byte to another zone costs, and a request that
+/// must stay in some regions goes to peers in these only.
 fn peers(node: &Node, job: &Job) -> Vec<SocketAddr> {
     let view = node.view.borrow();
     let settings = node.settings.borrow();
@@ -438,68 +366,3 @@
     peers.truncate(MAX_PEERS);
     peers.into_iter().map(|peer| peer.address).collect()
 }
-
-/// Serves a request of a peer's caller.
-pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Permitted> {
-    let permit = match admit(&node, request.headers()) {
-        Ok(permit) => permit,
-        Err(reason) => return refuse(reason),
-    };
-    let (request, hop) = match unwrap(request) {
-        Ok(unwrapped) => unwrapped,
-        Err(error) => {
-            tracing::warn!(event = "peer-message-unreadable", path = PATH, reason = %error);
-            return refuse("unreadable");
-        }
-    };
-    let mut response = request::serve(node, request, Some(hop)).await;
-    response.headers_mut().insert(OUTCOME, SERVED);
-    response.map(|body| Permitted::new(body, Some(permit)))
-}
-
-/// Returns the permit to serve a request of a peer's caller, or why this node does not.
-fn admit(node: &Node, headers: &HeaderMap) -> Result<Permit, &'static str> {
-    if node.is_stopping.get() {
-        return Err("stopping");
-    }
-    if node.path.is_lost() {
-        return Err("cut");
-    }
-    if number(headers, &CONFIGURATION) > Some(configuration(node)) {
-        return Err("behind");
-    }
-    let permit = node.forwarding.served.try_acquire(MAX_SERVED);
-    permit.ok_or("full")
-}
-
-fn refuse(reason: &'static str) -> Response<Permitted> {
-    let body = ResponseBody::buffered(Bytes::new());
-    let mut response = Response::new(Permitted::new(body, None));
-    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    let headers = response.headers_mut();
-    headers.insert(OUTCOME, HeaderValue::from_static(reason));
-    response
-}
-
-/// Returns the caller's request, and what the peer has stated of it.
-fn unwrap(mut request: Request<Incoming>) -> anyhow::Result<(Request<Incoming>, Hop)> {
-    let headers = request.headers_mut();
-    let hop = Hop {
-        remaining_ms: number(headers, &REMAINING_MS).context("remaining time")?,
-        sent: u32::try_from(number(headers, &SENT).context("attempts")?)?,
-        is_counted: headers.contains_key(COUNTED),
-        last_event: number(headers, &LAST_EVENT),
-    };
-    let method = headers.remove(METHOD).context("method")?;
-    let target = headers.remove(TARGET).context("target")?;
-    for name in [REMAINING_MS, SENT, COUNTED, LAST_EVENT, CONFIGURATION] {
-        headers.remove(name);
-    }
-    *request.method_mut() = Method::from_bytes(method.as_bytes())?;
-    *request.uri_mut() = target.to_str()?.parse()?;
-    Ok((request, hop))
-}
-
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -13,7 +13,7 @@
 use crate::attempt::Job;
 use crate::catalog::{Catalog, Limits, Organisation, Route};
 use crate::clock::deadline;
-use crate::forward::Hop;
+use crate::hop::Hop;
 use crate::node::Node;
 use crate::pick;
 use crate::platform::RequestHead;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,18 +20,19 @@
 //!
 //! Nodes send each other messages by [`message`].
 //!
-//! [`intake`] reads a request. [`request`] then makes one [`attempt`] after another, at servers that
-//! [`pick`] selects from the [`eligible`] ones; servers with a
-//! [`server_limit`] get few requests, [leaving](server_leaving) ones and those that [rest](server_rest) none;
-//! servers state all three in their answers ([`statements`]).
-//! [`progress`] holds the state of the request and its retry budget, [`verdict`] decides what happens
-//! to an answer, and [`relay`] forwards streams; [`evidence`] records whether the request crashes
-//! servers. All of them share the HTTP client in [`upstream`].
-//! The load-balancing decisions are in `fescuerack_core::gateway`.
+//! [`intake`] reads a request. [`request`] then makes one [`attempt`] after another, at servers
+//! that [`pick`] selects from the [`eligible`] ones; servers with a [`server_limit`] get few
+//! requests, [leaving](server_leaving) ones and those that [rest](server_rest) none; servers state
+//! all three in their answers ([`statements`]). [`progress`] holds the state of the request and its
+//! retry budget, [`verdict`] decides what happens to an answer, and [`relay`] forwards streams;
+//! [`evidence`] records whether the request crashes servers. All of them share the HTTP client in
+//! [`upstream`]. When [`reach`] finds that no server is reached, [`forward`] sends requests through
+//! a peer ([`hop`]). The load-balancing decisions are in `fescuerack_core::gateway`.
 
 pub mod apply;
 pub mod arrival;
 pub mod attempt;
+pub mod attempt_deadline;
 pub mod body;
 pub mod bootstrap;
 pub mod catalog;
@@ -46,6 +47,7 @@
 pub mod follow;
 pub mod forward;
 pub mod headers;
+pub mod hop;
 pub mod intake;
 pub mod large;
 pub mod listeners;
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -22,7 +22,7 @@
 use crate::clock::{deadline, now};
 use crate::net;
 use crate::node::Node;
-use crate::{forward, peer, request};
+use crate::{hop, peer, request};
 
 /// Time-out for the head of a request for metrics or readiness, or by a peer.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
@@ -280,8 +280,8 @@
     node: Rc<Node>,
     request: Request<Incoming>,
 ) -> Result<Response<Either<Paced, Permitted>>, Infallible> {
-    if request.uri().path() == forward::PATH {
-        return Ok(forward::serve(node, request).await.map(Either::Right));
+    if request.uri().path() == hop::PATH {
+        return Ok(hop::serve(node, request).await.map(Either::Right));
     }
     let response = peer::serve(node, request).await?;
     Ok(response.map(Either::Left))
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -107,7 +107,8 @@
     }
 }
 
-/// Records the report of the node's own group, as the hub of the zone, and returns that of the zone.
+/// Records the report of the node's own group, as the hub of the zone, and returns that of the
+/// zone.
 fn zone_report(node: &Node) -> Report {
     let group = sum(node, Level::Group);
     node.load.receive_report(now(), Level::Zone, group);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,8 +39,8 @@
     pub store_calls: IntCounterVec,
     /// Bytes of messages between nodes, by path and direction.
     pub peer_bytes: IntCounterVec,
-    /// Seconds from the arrival of a change at the first node until it became active on this one, by
-    /// kind.
+    /// Seconds from the arrival of a change at the first node until it became active on this one,
+    /// by kind.
     pub change_age_seconds: HistogramVec,
     /// Seconds from the notice of a large item until it became active.
     pub large_item_seconds: Histogram,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -98,8 +98,8 @@
     pub limit: Stated<f64>,
     /// Whether the server is about to stop.
     pub is_leaving: Stated<bool>,
-    /// Milliseconds for which the server, which has turned the request away, wants nothing from this
-    /// node.
+    /// Milliseconds for which the server, which has turned the request away, wants nothing from
+    /// this node.
     pub rest_ms: Stated<u64>,
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -24,7 +24,8 @@
 /// Interval at which expired state is dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(TICK_MS);
 
-/// Runs a node until a signal stops it. `reload` reads the settings, at the start and on each SIGHUP.
+/// Runs a node until a signal stops it. `reload` reads the settings, at the start and on each
+/// SIGHUP.
 ///
 /// # Errors
 ///
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -1,9 +1,9 @@
-//! The path of this node to the backend servers: signs of servers, probes, and failures whose meaning
-//! depends on it.
+//! The path of this node to the backend servers: signs of servers, probes, and failures whose
+//! meaning depends on it.
 //!
-//! [`reach`](fescuerack_core::gateway::reach) holds the belief. While the path is in doubt, what failures say of
-//! servers, versions and requests to other nodes is held back: it counts once the path turns out to be good, and is dropped
-//! if it is lost.
+//! [`reach`](fescuerack_core::gateway::reach) holds the belief. While the path is in doubt, what
+//! failures say of servers, versions and requests to other nodes is held back: it counts once the
+//! path turns out to be good, and is dropped if it is lost.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -56,7 +56,8 @@
         self.reach.borrow().is_lost()
     }
 
-    /// Waits while the path is in doubt, so that a further attempt does not fail for the same cause.
+    /// Waits while the path is in doubt, so that a further attempt does not fail for the same
+    /// cause.
     pub async fn settled(&self) {
         while matches!(self.reach.borrow().state(), State::Doubted { .. }) {
             tokio::time::sleep(DOUBT_CHECK_INTERVAL).await;
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -82,8 +82,8 @@
     }
 
     /// Returns the response to the caller. A random `spread` from 0 to 1 sets `Retry-After`
-    /// within its range, so that callers refused at the same time do not retry at the same time. The
-    /// range begins no earlier than a server accepts a request again.
+    /// within its range, so that callers refused at the same time do not retry at the same time.
+    /// The range begins no earlier than a server accepts a request again.
     #[must_use]
     pub fn response(self, now: Instant, deadline: Instant, spread: f64) -> Response<ResponseBody> {
         let text = format!("{}\n", self.code());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,14 +1,14 @@
 //! Relays a stream of events, and resumes it at another server when it breaks.
 //!
-//! Only whole events are forwarded to the caller. When the server fails and the streams of the route
-//! may be resumed, the same model at another server is requested to continue after the last event.
-//! The caller keeps the head of the first server. A stream that cannot be resumed is aborted, so that
-//! the caller can detect the truncation.
+//! Only whole events are forwarded to the caller. When the server fails and the streams of the
+//! route may be resumed, the same model at another server is requested to continue after the last
+//! event. The caller keeps the head of the first server. A stream that cannot be resumed is
+//! aborted, so that the caller can detect the truncation.
 //!
 //! A stalled server may still be working: an engine that prefills long prompts of other requests
 //! generates a token in half a second. So a hedged request is sent to another server. The stalled
-//! server continues if it sends anything before the head of the other one is received; otherwise the
-//! other one continues. If no other server can be used, the relay waits for the stalled one.
+//! server continues if it sends anything before the head of the other one is received; otherwise
+//! the other one continues. If no other server can be used, the relay waits for the stalled one.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -36,8 +36,8 @@
 
 /// Frames that are buffered for a slow caller before back-pressure on the server.
 const BUFFERED_FRAMES: usize = 16;
-/// Time without an event before a hedged request is sent, as a multiple of the longest pause that the
-/// route allows between events.
+/// Time without an event before a hedged request is sent, as a multiple of the longest pause that
+/// the route allows between events.
 const STALL_FACTOR: f64 = 1.6;
 /// Minimum number of events for a meaningful mean time between events.
 const MIN_EVENTS: u32 = 4;
@@ -202,7 +202,8 @@
         }
     }
 
-    /// Lets a peer continue the stream if this node reaches no server; `None` if it does, or no peer takes it.
+    /// Lets a peer continue the stream if this node reaches no server; `None` if it does, or no
+    /// peer takes it.
     async fn continue_at_peer(
         &mut self,
         sender: &mut Sender<Bytes, AbortReason>,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,8 +1,8 @@
 //! Processes a request of a caller, from its head to the answer.
 //!
 //! The steps are: route, key, body, model, server, attempt, verdict on the head, answer. Nothing of
-//! an answer is sent to the caller before the verdict on its head, so until then another server or a
-//! larger model can be used instead.
+//! an answer is sent to the caller before the verdict on its head, so until then another server or
+//! a larger model can be used instead.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,12 +15,13 @@
 use rand::RngExt as _;
 
 use crate::attempt::{self, AttemptResult, ChosenModel, Job, NotRunReason};
+use crate::attempt_deadline;
 use crate::body::ResponseBody;
-use crate::catalog::Kind;
 use crate::clock::{deadline, now};
 use crate::eligible;
 use crate::evidence;
-use crate::forward::{Forward, Hop};
+use crate::forward::Forward;
+use crate::hop::Hop;
 use crate::intake;
 use crate::node::Node;
 use crate::pick::{self, Pick};
@@ -39,17 +40,6 @@
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Attempts at servers that could not be reached, after which the request fails.
 const MAX_CONNECT_FAILURES: u32 = 3;
-/// Time-out of an attempt at a repeatable request without a stream, as a multiple of its latency
-/// target. Any earlier, a server that does not answer cannot be distinguished from a slow one.
-const PLAIN_TIMEOUT_FACTOR: f64 = 2.5;
-/// Minimum time-out until the head of a stream, as a multiple of its latency target; the server reads
-/// the prompt meanwhile.
-const STREAM_MIN_TIMEOUT_FACTOR: f64 = 0.9;
-/// Maximum time-out until the head of a stream, as a multiple of its latency target. An engine that
-/// reads long prompts is as silent as one that hangs, and abandoning it discards the prefill that it
-/// has done.
-const STREAM_MAX_TIMEOUT_FACTOR: f64 = 2.0;
-
 /// Serves a request of a caller, or of a peer's caller, of which the peer has stated `hop`.
 pub async fn serve(
     node: Rc<Node>,
@@ -84,9 +74,9 @@
     finish(&node, result, &id, &name, arrived, deadline)
 }
 
-/// Waits a short time for the first configuration. Callers reach a process that has just started some
-/// milliseconds before it has read the store. If it rejected their requests, they would retry much
-/// later and with one attempt fewer.
+/// Waits a short time for the first configuration. Callers reach a process that has just started
+/// some milliseconds before it has read the store. If it rejected their requests, they would retry
+/// much later and with one attempt fewer.
 async fn wait_for_configuration(node: &Node, arrived: Instant) {
     let until = arrived.plus_millis(STARTUP_WAIT_MS);
     while !node.view.borrow().is_ready() && now() < until {
@@ -190,8 +180,8 @@
     budget.count_request(sent_at, &bound);
 }
 
-/// Sends a request through a peer if this node reaches no server; `None` if it does, or no peer takes
-/// the request. `is_counted` states whether the request has been counted in the retry budget.
+/// Sends a request through a peer if this node reaches no server; `None` if it does, or no peer
+/// takes the request. `is_counted` states whether the request has been counted in the retry budget.
 async fn forward(
     node: &Rc<Node>,
     job: &Rc<Job>,
@@ -221,8 +211,8 @@
     });
 }
 
-/// Answers with the output of a smaller model, since no answer of a larger one was received in time.
-/// An answer of low confidence is better for the caller than none.
+/// Answers with the output of a smaller model, since no answer of a larger one was received in
+/// time. An answer of low confidence is better for the caller than none.
 fn serve_fallback(
     node: &Rc<Node>,
     job: &Rc<Job>,
@@ -275,7 +265,7 @@
         let chosen = model
             .as_ref()
             .map(|(rank, name)| ChosenModel { rank: *rank, name });
-        let until = attempt_deadline(job, progress);
+        let until = attempt_deadline::of(job, progress);
         let outcome =
             attempt::run(node, job, pick.clone(), chosen, job.head.last_event, until).await;
         match outcome {
@@ -322,8 +312,8 @@
     }
 }
 
-/// Returns the number of servers that could not be reached after which a request fails. Without a path, and
-/// with no peer that has one, the others would fail as well.
+/// Returns the number of servers that could not be reached after which a request fails. Without a
+/// path, and with no peer that has one, the others would fail as well.
 fn max_connect_failures(node: &Node) -> u32 {
     if node.path.is_lost() {
         1
@@ -332,8 +322,8 @@
     }
 }
 
-/// Selects a server for the next attempt. If limits keep the request from all servers with the model
-/// that the gateway has chosen, it may take a larger one.
+/// Selects a server for the next attempt. If limits keep the request from all servers with the
+/// model that the gateway has chosen, it may take a larger one.
 fn pick_server(
     node: &Rc<Node>,
     job: &Rc<Job>,
@@ -378,33 +368,3 @@
     }
     retry_at.map_or(Refusal::NotRun, Refusal::NotBefore)
 }
-
-/// Returns until when an attempt waits for a head before another server is tried or the fallback
-/// answer is sent.
-fn attempt_deadline(job: &Job, progress: &RequestProgress) -> Instant {
-    let latest = progress
-        .fallback
-        .as_ref()
-        .map_or(job.deadline, |fallback| fallback.until);
-    let is_last = progress.sent + 1 >= job.route.attempts;
-    let (Some(target_ms), false, true) = (
-        job.route.target_latency_ms,
-        is_last,
-        job.route.is_repeatable(),
-    ) else {
-        return latest;
-    };
-    let target = Duration::from_millis(target_ms);
-    let timeout = match job.route.kind {
-        Kind::Streaming => stream_attempt_timeout(target, job.deadline.since(now())),
-        Kind::Idempotent | Kind::NonIdempotent => target.mul_f64(PLAIN_TIMEOUT_FACTOR),
-    };
-    (now() + timeout).min(latest)
-}
-
-/// Returns the time-out until the head of a stream, with `remaining` until the deadline. Unless
-/// the minimum is longer, it is at most half of `remaining`, since the next server needs as long.
-fn stream_attempt_timeout(target: Duration, remaining: Duration) -> Duration {
-    let upper = target.mul_f64(STREAM_MAX_TIMEOUT_FACTOR).min(remaining / 2);
-    upper.max(target.mul_f64(STREAM_MIN_TIMEOUT_FACTOR))
-}
--- a/crates/gateway/src/rollout.rs
+++ b/crates/gateway/src/rollout.rs
@@ -180,8 +180,8 @@
     counts
 }
 
-/// Records the outcome of an attempt at `pick`: in the baseline of its latency class, unless the new
-/// version or a cold server answered, and in the evidence if its service has a roll-out.
+/// Records the outcome of an attempt at `pick`: in the baseline of its latency class, unless the
+/// new version or a cold server answered, and in the evidence if its service has a roll-out.
 pub fn record_outcome(
     node: &Node,
     pick: &Pick,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,8 +1,9 @@
 //! The HTTP client for backend servers, peers and the store.
 //!
 //! Idle connections are pooled, since opening one costs a round trip and a connection slot at the
-//! server. A pooled connection may close just as a request is written to it. Whether any byte of the
-//! request was sent is then reported by the connection itself ([`Sent::NotSent`]) and never guessed.
+//! server. A pooled connection may close just as a request is written to it. Whether any byte of
+//! the request was sent is then reported by the connection itself ([`Sent::NotSent`]) and never
+//! guessed.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -149,8 +150,8 @@
         }
     }
 
-    /// Sends a request to `address` over a new connection, and returns whether it is answered in time, in
-    /// whichever way. What accepts a connection may still lead nowhere.
+    /// Sends a request to `address` over a new connection, and returns whether it is answered in
+    /// time, in whichever way. What accepts a connection may still lead nowhere.
     pub async fn probe(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> bool {
         let exchange = async {
             let connection = self.open(address).await.ok()?;
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -1,5 +1,5 @@
-//! Decides what happens to an answer by its head: it is sent to the caller, the request is escalated
-//! to a larger model, or it is retried.
+//! Decides what happens to an answer by its head: it is sent to the caller, the request is
+//! escalated to a larger model, or it is retried.
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/gateway/tests/all/statements.rs
+++ b/crates/gateway/tests/all/statements.rs
@@ -14,8 +14,8 @@
 /// Servers that state something at the same time.
 const SERVERS: u64 = 10_000;
 
-/// Guards against messages between nodes that fill their links when most servers of a large fleet are
-/// in need or leave at the same time.
+/// Guards against messages between nodes that fill their links when most servers of a large fleet
+/// are in need or leave at the same time.
 #[test]
 fn digest_fits_the_budget_of_control_traffic() {
     let now = Instant::from_millis(1_000_000);
--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -29,8 +29,8 @@
 const MAX_PROBED: usize = 3;
 
 /// Returns whether a server whose connection broke has crashed: it accepts no
-/// new connection, and another server does. A restarted engine is not taken for one that kept running,
-/// because loading its model takes far longer than the two probes.
+/// new connection, and another server does. A restarted engine is not taken for one that kept
+/// running, because loading its model takes far longer than the two probes.
 ///
 /// The sockets of a dying process close one after the other, and its listening
 /// socket may be the last. A single probe right after the break would find it
--- a/crates/node/tests/all/versions.rs
+++ b/crates/node/tests/all/versions.rs
@@ -208,6 +208,25 @@
     });
 }
 
+/// Returns a cluster whose engines are `count` others, at the addresses that `start` returns.
+fn cluster_with(count: usize, start: impl Fn() -> String) -> Cluster {
+    let mut cluster = Cluster::new();
+    cluster.engines.clear();
+    for index in 0..3 {
+        cluster.platform.remove_instance(&format!("engine-{index}"));
+    }
+    for index in 0..count {
+        cluster.platform.set_instance(ListedInstance {
+            id: format!("mortal-{index}"),
+            fleet: "kaisla-llm".to_owned(),
+            zone: "espoo-a".to_owned(),
+            address: start(),
+            state: State::Live,
+        });
+    }
+    cluster
+}
+
 /// Starts an engine that crashes for good on the first request that it receives.
 fn crashing_engine(crashed: &Arc<AtomicU32>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -234,21 +253,8 @@
 // through two instances. Only two of the six engines may crash.
 #[test]
 fn poison_sent_again_costs_two_servers() {
-    let mut cluster = Cluster::new();
-    cluster.engines.clear();
-    for index in 0..3 {
-        cluster.platform.remove_instance(&format!("engine-{index}"));
-    }
     let crashed = Arc::new(AtomicU32::new(0));
-    for index in 0..6 {
-        cluster.platform.set_instance(ListedInstance {
-            id: format!("mortal-{index}"),
-            fleet: "kaisla-llm".to_owned(),
-            zone: "espoo-a".to_owned(),
-            address: crashing_engine(&crashed),
-            state: State::Live,
-        });
-    }
+    let cluster = cluster_with(6, || crashing_engine(&crashed));
     let first = cluster.start("entry-0");
     let second = cluster.start("entry-1");
     introduce(&cluster, &first, &second);
@@ -264,7 +270,8 @@
     assert_eq!(crashed.load(Ordering::SeqCst), 2);
 }
 
-/// Starts an engine that is gone as soon as any engine has received a request, whose connection then breaks.
+/// Starts an engine that is gone as soon as any engine has received a request, whose connection
+/// then breaks.
 fn vanishing_engine(is_cut: &Arc<AtomicBool>) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     listener.set_nonblocking(true).expect("an option");
@@ -289,26 +296,13 @@
     address
 }
 
-/// Guards against a sound request that all instances refuse for an hour or a day, because the instance which
-/// runs it loses its paths to all servers, and takes that for a crash.
+/// Guards against a sound request that all instances refuse for an hour or a day, because the
+/// instance which runs it loses its paths to all servers, and takes that for a crash.
 #[test]
 fn record_end_lost_path_is_no_crash() {
-    let mut cluster = Cluster::new();
-    cluster.engines.clear();
-    for index in 0..3 {
-        cluster.platform.remove_instance(&format!("engine-{index}"));
-    }
-    cluster.platform.remove_instance("service-0");
     let is_cut = Arc::new(AtomicBool::new(false));
-    for index in 0..4 {
-        cluster.platform.set_instance(ListedInstance {
-            id: format!("vanishing-{index}"),
-            fleet: "kaisla-llm".to_owned(),
-            zone: "espoo-a".to_owned(),
-            address: vanishing_engine(&is_cut),
-            state: State::Live,
-        });
-    }
+    let cluster = cluster_with(4, || vanishing_engine(&is_cut));
+    cluster.platform.remove_instance("service-0");
     let process = cluster.start("entry-0");
     assert_eq!(ask(&process, "kaisla-mini", None).status(), 502);
     assert!(is_cut.load(Ordering::SeqCst));
--- a/crates/node/tests/soak/backend.rs
+++ b/crates/node/tests/soak/backend.rs
@@ -340,7 +340,8 @@
         }
         let fails = match self.behaviour.get() {
             Behaviour::Failing => true,
-            // The draw differs from server to server, as a repeat fails as often as a first attempt.
+            // The draw differs from server to server, as a repeat fails as often as a first
+            // attempt.
             Behaviour::MostlyFailing => {
                 let drawn = affinity::hash(format!("{id} {}", self.id()).as_bytes());
                 !affinity::mix(drawn).is_multiple_of(10)
--- a/crates/node/tests/soak/cuts.rs
+++ b/crates/node/tests/soak/cuts.rs
@@ -1,5 +1,5 @@
-//! Nodes that are cut off from all backend servers. The links of servers are shared by all nodes, so they
-//! have to know which process has opened a connection.
+//! Nodes that are cut off from all backend servers. The links of servers are shared by all nodes,
+//! so they have to know which process has opened a connection.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
--- a/crates/node/tests/soak/disturbances.rs
+++ b/crates/node/tests/soak/disturbances.rs
@@ -42,8 +42,8 @@
         extend(&self.nodes[node], duration);
     }
 
-    /// Records that a node is cut off from all backend servers. Requests that peers serve for it may notice
-    /// the faults of these.
+    /// Records that a node is cut off from all backend servers. Requests that peers serve for it
+    /// may notice the faults of these.
     pub fn record_cut(&self, node: usize, duration: Duration) {
         let now = Instant::now();
         self.cuts[node].set(Some((now + SETTLE_TIME, now + duration)));
@@ -53,7 +53,8 @@
         self.record_node(node, duration);
     }
 
-    /// Returns whether a node was cut off from all backend servers since [`SETTLE_TIME`] before `at`.
+    /// Returns whether a node was cut off from all backend servers since [`SETTLE_TIME`] before
+    /// `at`.
     pub fn is_cut(&self, node: usize, at: Instant) -> bool {
         let is_within = |(from, until): (Instant, Instant)| from <= at && at < until;
         self.cuts[node].get().is_some_and(is_within)
@@ -79,8 +80,8 @@
         self.stops[node].set(Some(Instant::now()));
     }
 
-    /// Returns whether a node that was asked to stop may end a request which was sent `at`: a server still works on it
-    /// in the last sixth of the grace period.
+    /// Returns whether a node that was asked to stop may end a request which was sent `at`: a
+    /// server still works on it in the last sixth of the grace period.
     pub fn may_end(&self, node: usize, at: Instant) -> bool {
         let is_last_sixth = |asked: Instant| at >= asked && asked.elapsed() >= GRACE * 5 / 6;
         self.stops[node].get().is_some_and(is_last_sixth)
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -10,7 +10,8 @@
 //!
 //! ```console
 //! $ cargo test -p fescuerack-node --test soak
-//! $ FESCUERACK_SEED=100 FESCUERACK_SEEDS=50 cargo test -p fescuerack-node --test soak environment -- --nocapture
+//! $ FESCUERACK_SEED=100 FESCUERACK_SEEDS=50 cargo test -p fescuerack-node --test soak environment
+//! -- --nocapture
 //! ```
 
 mod backend;
@@ -77,7 +78,8 @@
     play_and_check(seed, &plan::with_zones(seed, FAULTS_MS));
 }
 
-/// The same runs, with servers that state in their answers that they are limited, leave or want rest.
+/// The same runs, with servers that state in their answers that they are limited, leave or want
+/// rest.
 #[rstest]
 #[case(1)]
 // A request came in the moment in which the last servers of a service were evacuated.
@@ -86,8 +88,8 @@
     play_and_check(seed, &plan::with_statements(seed, FAULTS_MS));
 }
 
-/// Plays servers that fail most requests, and checks that no guarantee was violated and that nodes have
-/// repeated requests.
+/// Plays servers that fail most requests, and checks that no guarantee was violated and that nodes
+/// have repeated requests.
 fn play_failing_servers(seed: u64) -> (Vec<String>, Tally) {
     let steps = plan::with_failing_servers(seed, FAULTS_MS);
     let (mut broken, tally) = world::play(seed, &steps, &plan::NARROW_BOUND);
@@ -97,8 +99,9 @@
     (broken, tally)
 }
 
-/// Guards against repeats beyond the bound of all nodes, while servers fail most requests and processes
-/// are killed and paused in series, the entries of the nodes lapse, and links hold and let go.
+/// Guards against repeats beyond the bound of all nodes, while servers fail most requests and
+/// processes are killed and paused in series, the entries of the nodes lapse, and links hold and
+/// let go.
 #[rstest]
 #[case(2)]
 #[case(5)]
@@ -108,7 +111,8 @@
     assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
 }
 
-/// Guards against callers of nodes that are cut off from all servers, who are not served though others are.
+/// Guards against callers of nodes that are cut off from all servers, who are not served though
+/// others are.
 #[rstest]
 #[case(1)]
 #[case(2)]
@@ -116,8 +120,8 @@
     play_and_check(seed, &plan::with_cut_nodes(seed, FAULTS_MS));
 }
 
-/// Guards against requests that crash servers, in the middle of an answer or after failures, and go on to
-/// others, and against other requests that are refused because of them.
+/// Guards against requests that crash servers, in the middle of an answer or after failures, and go
+/// on to others, and against other requests that are refused because of them.
 #[rstest]
 #[case(1)]
 #[case(2)]
--- a/crates/node/tests/soak/observations.rs
+++ b/crates/node/tests/soak/observations.rs
@@ -78,7 +78,8 @@
     pub unknown: usize,
     /// Requests to nodes that no fault and no planned stop or reload affected.
     pub undisturbed: usize,
-    /// Requests to nodes that were cut off from all backend servers, and those of them that were served.
+    /// Requests to nodes that were cut off from all backend servers, and those of them that were
+    /// served.
     pub cut: (usize, usize),
     /// Probes of whether a configuration is active.
     pub probes: usize,
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -46,9 +46,11 @@
 /// Mixed into the seed, so that evacuations are drawn independently of the other faults.
 const EVACUATION_SEED: u64 = 0x7a6f_6e65;
 
-/// Duration of a cut of a node from all servers: until its callers must be served, and some seconds.
+/// Duration of a cut of a node from all servers: until its callers must be served, and some
+/// seconds.
 const CUT_MS: std::ops::Range<u64> = 5_000..8_000;
-/// Time for which a caller repeats a request that crashes servers: until nodes must refuse it, and more.
+/// Time for which a caller repeats a request that crashes servers: until nodes must refuse it, and
+/// more.
 const CRASHING_MS: u64 = 7_000;
 /// Mixed into the seed, so that these are drawn independently of the other faults.
 const CUT_SEED: u64 = 0x6375_7473;
@@ -94,8 +96,8 @@
     Evacuate { zone: &'static str },
     /// A backend server states a limit, in tenths of a request a second.
     Limit { backend: usize, tenths: u32 },
-    /// A backend server states in its answers that it leaves, while the store lists it as ready, and
-    /// returns as a new server.
+    /// A backend server states in its answers that it leaves, while the store lists it as ready,
+    /// and returns as a new server.
     StatedLeave { backend: usize },
     /// A backend server refuses all requests and asks for rest.
     Rest { backend: usize },
@@ -152,8 +154,8 @@
     steps
 }
 
-/// Returns the faults of [`with_zones`], with servers that state in their answers that they are limited,
-/// leave or want rest.
+/// Returns the faults of [`with_zones`], with servers that state in their answers that they are
+/// limited, leave or want rest.
 pub fn with_statements(seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ STATEMENT_SEED);
     let mut steps = with_zones(seed, length_ms);
@@ -179,7 +181,8 @@
     steps
 }
 
-/// Returns cuts of some nodes from all backend servers, beside changes of the configuration and planned stops.
+/// Returns cuts of some nodes from all backend servers, beside changes of the configuration and
+/// planned stops.
 pub fn with_cut_nodes(seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ CUT_SEED);
     let mut steps = Vec::new();
@@ -227,8 +230,9 @@
     ways.map(step).to_vec()
 }
 
-/// Returns faults while all backend servers fail most requests: series of kills or pauses of all nodes,
-/// outages of the store in which the entries of the nodes lapse, and links that hold and let go.
+/// Returns faults while all backend servers fail most requests: series of kills or pauses of all
+/// nodes, outages of the store in which the entries of the nodes lapse, and links that hold and let
+/// go.
 pub fn with_failing_servers(seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ SERIES_SEED);
     let mut steps: Vec<Step> = (0..BACKENDS)
