--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -5,9 +5,9 @@
 //! number may be wrong, and mostly in times in which servers fail as well:
 //!
 //! - Entries lapse in an outage of the store, or when their nodes lose it, though these nodes go on
-//! to serve. If a node counted only what is listed, each would soon take all of the slack.
-//! Therefore a larger number [counts on](MEMORY_MS) for some time in which the store answers, and
-//! the largest one that the process has ever seen counts as long as the store does not answer.
+//!   to serve. If a node counted only what is listed, each would soon take all of the slack.
+//!   Therefore a larger number [counts on](MEMORY_MS) for some time in which the store answers, and
+//!   the largest one that the process has ever seen counts as long as the store does not answer.
 //! - Some nodes may never have been listed together. The nodes without the store count all that
 //!   they have ever seen, and those with the store count each other, so that each of the two parts
 //!   uses one share at most: half of the slack.
