Attempts of a peer that broke off count, and the node that the caller called resumes its stream

Found by the soak of cut nodes: a stream ran on four servers, its route allows three. A peer had made three attempts, broke off when it lost its own path, and counted as one.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -79,6 +79,8 @@
     last_event: Option<u64>,
     /// Peer that serves it.
     peer: Option<SocketAddr>,
+    /// Peers that broke off their answers.
+    broke_off: Vec<SocketAddr>,
     /// Whether it may have been run by a peer.
     has_repeated: bool,
 }
@@ -102,6 +104,7 @@
             is_counted,
             last_event: job.head.last_event,
             peer: None,
+            broke_off: Vec::new(),
             has_repeated: false,
         }
     }
@@ -130,7 +133,7 @@
                 }
                 Err(error) => {
                     self.record_broken(&error.to_string());
-                    if let Err(refusal) = self.take_repeat() {
+                    if let Err(refusal) = self.take_repeat(self.max_sent()) {
                         return Some(Err(refusal));
                     }
                 }
@@ -142,6 +145,9 @@
     /// was surely not run by them.
     async fn send(&mut self) -> Option<Result<Answered, Refusal>> {
         for peer in peers(&self.node, &self.job) {
+            if self.broke_off.contains(&peer) {
+                continue;
+            }
             let until = deadline(self.send_deadline());
             let sending = tokio::time::timeout_at(until, self.send_to(peer)).await;
             let sending = sending.unwrap_or_else(|_| Sending::Unknown("no answer".to_owned()));
@@ -158,7 +164,7 @@
                 Sending::Unknown(reason) => {
                     self.log("unknown", &reason);
                     self.node.forwarding.avoid(peer);
-                    if let Err(refusal) = self.take_repeat() {
+                    if let Err(refusal) = self.take_repeat(self.max_sent()) {
                         return Some(Err(refusal));
                     }
                 }
@@ -178,9 +184,20 @@
         now() + self.job.deadline.since(now()) / 2
     }
 
-    /// Takes a repeat for a request that may have been run.
-    fn take_repeat(&mut self) -> Result<(), Refusal> {
-        self.sent += 1;
+    /// Returns whether one attempt is kept from the peer, for another peer if this one breaks off without
+    /// saying how many attempts it has made. Streams may need all attempts for larger models.
+    fn keeps_attempt(&self) -> bool {
+        self.job.route.kind == Kind::Idempotent && self.sent + 1 < self.job.route.attempts
+    }
+
+    /// Returns the attempts that a peer may have made which has not said how many.
+    fn max_sent(&self) -> u32 {
+        self.job.route.attempts - u32::from(self.keeps_attempt())
+    }
+
+    /// Takes a repeat for a request that may have been run, after `sent` attempts.
+    fn take_repeat(&mut self, sent: u32) -> Result<(), Refusal> {
+        self.sent = sent.max(self.sent + 1);
         self.is_counted = true;
         self.has_repeated = true;
         let is_repeatable = self.job.route.is_repeatable() && now() < self.job.deadline;
@@ -197,7 +214,7 @@
     async fn send_to(&self, peer: SocketAddr) -> Sending {
         let hop = Hop {
             remaining_ms: self.job.deadline.millis_since(now()),
-            sent: self.sent,
+            sent: self.sent + u32::from(self.keeps_attempt()),
             is_counted: self.is_counted,
             last_event: self.last_event,
         };
@@ -261,6 +278,7 @@
     ) -> Result<(), AbortReason> {
         let mut splitter = Splitter::new(self.last_event);
         loop {
+            let sent = hop::attempts(answered.response.headers());
             let body = answered.response.into_body();
             let Some(reason) = relay_body(body, &mut splitter, sender).await else {
                 self.node.pool.keep(answered.connection);
@@ -269,7 +287,7 @@
             self.record_broken(&reason);
             splitter.drop_partial();
             self.last_event = splitter.last();
-            self.take_repeat()
+            self.take_repeat(sent.unwrap_or_else(|| self.max_sent()))
                 .map_err(|_| AbortReason::UpstreamFailed)?;
             answered = match self.send().await {
                 Some(Ok(next)) if next.response.status().is_success() => next,
@@ -278,12 +296,10 @@
         }
     }
 
-    /// Records that the peer broke off its answer.
-    fn record_broken(&self, reason: &str) {
+    /// Records that the peer broke off its answer, or its server did.
+    fn record_broken(&mut self, reason: &str) {
         self.log("broken", reason);
-        if let Some(peer) = self.peer {
-            self.node.forwarding.avoid(peer);
-        }
+        self.broke_off.extend(self.peer.take());
     }
 
     fn log(&self, outcome: &str, reason: &str) {
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -18,6 +18,7 @@
 use crate::headers;
 use crate::node::Node;
 use crate::permits::Permit;
+use crate::relay::AttemptCount;
 use crate::request;
 
 /// Path on which a node serves requests of its peers' callers.
@@ -39,6 +40,8 @@
 /// In an answer: [`SERVED`], or why the peer did not begin to serve the request. Programs that do
 /// not know the path answer without it.
 const OUTCOME: HeaderName = HeaderName::from_static("fescuerack-outcome");
+/// In an answer that is a stream: attempts that were made until its head.
+const ATTEMPTS: HeaderName = HeaderName::from_static("fescuerack-attempts");
 const SERVED: HeaderValue = HeaderValue::from_static("served");
 
 /// Maximum number of requests of peers' callers that a node serves at a time.
@@ -103,9 +106,16 @@
     Some(reason.unwrap_or("unknown path").to_owned())
 }
 
+/// Returns the attempts that a peer has made until the head of a stream.
+#[must_use]
+pub fn attempts(headers: &HeaderMap) -> Option<u32> {
+    number(headers, &ATTEMPTS)?.try_into().ok()
+}
+
 /// Removes what an answer says of the hop.
 pub fn strip_outcome(headers: &mut HeaderMap) {
     headers.remove(OUTCOME);
+    headers.remove(ATTEMPTS);
 }
 
 /// Serves a request of a peer's caller.
@@ -123,6 +133,10 @@
     };
     let mut response = request::serve(node, request, Some(hop)).await;
     response.headers_mut().insert(OUTCOME, SERVED);
+    if let Some(AttemptCount(sent)) = response.extensions().get().copied() {
+        let sent = HeaderValue::from(sent);
+        response.headers_mut().insert(ATTEMPTS, sent);
+    }
     response.map(|body| Permitted::new(body, Some(permit)))
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,6 +45,10 @@
 /// inter-token latency.
 const DEFAULT_STALL_MS: u64 = 5_000;
 
+/// Number of attempts that were made until the head of a stream, as an extension of the response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptCount(pub u32);
+
 struct Stream {
     node: Rc<Node>,
     job: Rc<Job>,
@@ -99,7 +103,9 @@
     };
     let task = tokio::task::spawn_local(stream.run(response, sender));
     let body = ResponseBody::Relayed(Relayed::new(channel, task.abort_handle()));
-    verdict::with_status(status, headers, body)
+    let mut response = verdict::with_status(status, headers, body);
+    response.extensions_mut().insert(AttemptCount(sent));
+    response
 }
 
 impl Stream {
@@ -328,7 +334,8 @@
 
     /// Requests other servers to continue the stream, one after another.
     async fn resume(&mut self) -> Option<OpenResponse> {
-        if !self.job.route.resumable {
+        // The node that the caller called counts the attempts, and resumes the stream itself.
+        if !self.job.route.resumable || self.job.hop.is_some() {
             return None;
         }
         // An attempt of which no byte was sent leaves what was taken for it to the next server.
--- a/crates/gateway/tests/all/metrics.rs
+++ b/crates/gateway/tests/all/metrics.rs
@@ -30,6 +30,7 @@
         .store_calls
         .with_label_values(&["watch", "answered"])
         .inc();
+    metrics.forwarded.with_label_values(&["served"]).inc();
     metrics
         .peer_bytes
         .with_label_values(&["/follow", "out"])
--- a/crates/node/tests/soak/cuts.rs
+++ b/crates/node/tests/soak/cuts.rs
@@ -48,35 +48,41 @@
 }
 
 impl Client {
-    /// Looks up the process that has opened a connection from `address`.
+    /// Creates the client that has opened a connection from `address`.
     pub fn new(address: SocketAddr, cuts: watch::Receiver<Cuts>) -> Self {
         Self {
             address,
-            process: process(address),
+            process: None,
             cuts,
         }
     }
 
+    /// Looks up its process, which takes some milliseconds, once there are cuts.
+    fn look_up(&mut self) {
+        if self.process.is_none() && !self.cuts.borrow().0.is_empty() {
+            self.process = process(self.address);
+        }
+    }
+
     /// Returns whether it may open connections.
-    pub fn may_connect(&self) -> bool {
+    pub fn may_connect(&mut self) -> bool {
+        self.look_up();
         let cut = self.cuts.borrow().of(self.process);
         matches!(cut, None | Some(Cut::Silent))
     }
 
     /// Waits until its connections must end, and are no longer served while they are silent.
     pub async fn wait_until_cut(&mut self) {
-        if self.process.is_none() {
-            // The table may have been read while the system changed it.
+        loop {
+            self.look_up();
+            let cut = self.cuts.borrow_and_update().of(self.process);
+            if matches!(cut, Some(Cut::Silent | Cut::Reset)) {
+                return;
+            }
             if self.cuts.changed().await.is_err() {
+                // No cut can begin any more.
                 std::future::pending::<()>().await;
             }
-            self.process = process(self.address);
-        }
-        let process = self.process;
-        let is_cut = |cuts: &Cuts| matches!(cuts.of(process), Some(Cut::Silent | Cut::Reset));
-        if self.cuts.wait_for(is_cut).await.is_err() {
-            // No cut can begin any more.
-            std::future::pending::<()>().await;
         }
     }
 
