--- a/crates/node/tests/soak/cuts.rs
+++ b/crates/node/tests/soak/cuts.rs
@@ -1,10 +1,11 @@
 //! Nodes that are cut off from all backend servers. The links of servers are shared by all nodes,
 //! so they have to know which process has opened a connection.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Mutex;
+use std::time::Instant;
 
 use tokio::sync::watch;
 
@@ -57,16 +58,19 @@
         }
     }
 
-    /// Looks up its process, which takes some milliseconds, once there are cuts.
-    fn look_up(&mut self) {
+    /// Looks up its process once there are cuts. That takes long where the system has many
+    /// connections.
+    async fn look_up(&mut self) {
         if self.process.is_none() && !self.cuts.borrow().0.is_empty() {
-            self.process = process(self.address);
+            let (address, asked) = (self.address, Instant::now());
+            let found = tokio::task::spawn_blocking(move || process(address, asked)).await;
+            self.process = found.expect("the table is read");
         }
     }
 
     /// Returns whether it may open connections.
-    pub fn may_connect(&mut self) -> bool {
-        self.look_up();
+    pub async fn may_connect(&mut self) -> bool {
+        self.look_up().await;
         let cut = self.cuts.borrow().of(self.process);
         matches!(cut, None | Some(Cut::Silent))
     }
@@ -74,7 +78,7 @@
     /// Waits until its connections must end, and are no longer served while they are silent.
     pub async fn wait_until_cut(&mut self) {
         loop {
-            self.look_up();
+            self.look_up().await;
             let cut = self.cuts.borrow_and_update().of(self.process);
             if matches!(cut, Some(Cut::Silent | Cut::Reset)) {
                 return;
@@ -95,20 +99,17 @@
     }
 }
 
-thread_local! {
-    /// Processes by the local addresses of their connections, as last read.
-    static PROCESSES: RefCell<HashMap<SocketAddr, u32>> = RefCell::default();
-}
+/// Processes by the local addresses of their connections, and when they were read.
+static PROCESSES: Mutex<Option<(Instant, HashMap<SocketAddr, u32>)>> = Mutex::new(None);
 
-/// Returns the child process whose socket has the local address `address`.
-fn process(address: SocketAddr) -> Option<u32> {
-    let known = PROCESSES.with_borrow(|processes| processes.get(&address).copied());
-    known.or_else(|| {
-        let processes = read_processes();
-        let found = processes.get(&address).copied();
-        PROCESSES.set(processes);
-        found
-    })
+/// Returns the child process whose socket has the local address `address`, by a table that was read
+/// after `asked`.
+fn process(address: SocketAddr, asked: Instant) -> Option<u32> {
+    let mut processes = PROCESSES.lock().expect("no reader panics");
+    if processes.as_ref().is_none_or(|(read, _)| *read < asked) {
+        *processes = Some((Instant::now(), read_processes()));
+    }
+    processes.as_ref()?.1.get(&address).copied()
 }
 
 fn read_processes() -> HashMap<SocketAddr, u32> {
--- a/crates/node/tests/soak/proxy.rs
+++ b/crates/node/tests/soak/proxy.rs
@@ -96,7 +96,7 @@
     server: SocketAddr,
     link: watch::Receiver<Link>,
 ) {
-    if *link.borrow() == Link::Reset || !process.may_connect() {
+    if *link.borrow() == Link::Reset || !process.may_connect().await {
         // A failure has no consequence: the connection ends in any case.
         let _ = client.set_zero_linger();
         return;
