--- a/crates/core/tests/all/gateway/reach.rs
+++ b/crates/core/tests/all/gateway/reach.rs
@@ -46,7 +46,7 @@
     assert_eq!(reach.probed(at(80), probed(3, 1)), Some(Change::Confirmed));
 }
 
-/// Guards against an installation with one server, whose failure would send all requests to peers.
+/// Guards against a deployment with one server, whose failure would send all requests to peers.
 #[test]
 fn probed_too_few_servers_tell_nothing() {
     let mut reach = Reach::default();
