--- a/crates/core/src/gateway/crash.rs
+++ b/crates/core/src/gateway/crash.rs
@@ -51,7 +51,7 @@
 /// Maximum number of requests in a message to a peer.
 pub const MAX_SHARED: usize = 4;
 /// Number of nodes that are told of each crash of a request.
-const OWNERS: usize = 2;
+const OWNERS_OF_REQUEST: usize = 2;
 
 /// The end of a run, as it is told to the owners of the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -92,7 +92,7 @@
     ranked
         .into_iter()
         .map(|(_, name)| name)
-        .take(OWNERS)
+        .take(OWNERS_OF_REQUEST)
         .collect()
 }
 
--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -21,7 +21,7 @@
 const RETURN_PROBES: u32 = 2;
 /// Number of servers that must fail for a path to be lost.
 const MIN_SERVERS: usize = 2;
-/// Number of servers that a probe of a doubted path connects to.
+/// Number of servers that a probe of a doubted path asks.
 const PROBED_SERVERS: usize = 3;
 
 /// What the node believes about its path.
@@ -30,12 +30,10 @@
     /// Servers are reached.
     #[default]
     Good,
-    /// A server has failed, and none has been heard since.
+    /// A server has failed, and no other has been heard since.
     Doubted {
         /// Identity of the server.
         server: u64,
-        /// When it failed.
-        since: Instant,
     },
     /// No server is reached.
     Lost {
@@ -47,9 +45,9 @@
 /// How a probe has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Probed {
-    /// Servers that it has connected to, or tried to.
+    /// Servers that were asked.
     pub tried: usize,
-    /// Those that were reached.
+    /// Those that answered.
     pub reached: usize,
 }
 
@@ -113,15 +111,15 @@
         }
     }
 
-    /// Records that a server has failed: a connection to it could not be opened, or broke.
+    /// Records that a server has failed.
     pub fn doubt(&mut self, now: Instant, server: u64) {
         if self.state == State::Good {
-            self.state = State::Doubted { server, since: now };
+            self.state = State::Doubted { server };
             self.next_probe_at = now.plus_millis(DOUBT_MS);
         }
     }
 
-    /// Returns how many servers are to be probed now, if a probe is due. The next one is not due
+    /// Returns how many servers are to be asked now, if a probe is due. The next one is not due
     /// before this one has [ended](Self::probed).
     pub fn due_probe(&mut self, now: Instant) -> Option<usize> {
         if now < self.next_probe_at {
@@ -149,10 +147,7 @@
         match self.state {
             State::Good if reached == 0 && tried > 0 => {
                 // One server may be down; the others decide.
-                self.state = State::Doubted {
-                    server: 0,
-                    since: now,
-                };
+                self.state = State::Doubted { server: 0 };
                 self.next_probe_at = now;
                 None
             }
--- a/crates/core/src/gateway/share.rs
+++ b/crates/core/src/gateway/share.rs
@@ -34,7 +34,7 @@
 
 /// Part of an attempt that is added before rounding down, if each node rounds to the nearest
 /// number.
-const NEAREST: f64 = 0.5;
+const HALF_ATTEMPT: f64 = 0.5;
 
 /// The further attempts that a node may make within a window, besides those by ratio.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -118,13 +118,13 @@
         let nodes = f64::from(u32::try_from(self.nodes()).unwrap_or(u32::MAX));
         let attempts = slack / (FLEET_PARTS * nodes);
         // Before its first list the node may be one of many.
-        let is_rounding_covered = self.most > 0 && attempts >= NEAREST;
+        let is_rounding_covered = self.most > 0 && attempts >= HALF_ATTEMPT;
         let begins = self.registered_at.map(|at| at.plus_millis(window_ms));
         let has_begun = begins.is_some_and(|begins| now >= begins);
         Part {
             attempts: if has_begun { attempts } else { 0.0 },
             rounding: if is_rounding_covered {
-                NEAREST
+                HALF_ATTEMPT
             } else {
                 self.phase
             },
--- a/crates/core/tests/all/gateway/crash_fleet.rs
+++ b/crates/core/tests/all/gateway/crash_fleet.rs
@@ -19,7 +19,7 @@
 const MESSAGE_MS: u64 = 2;
 /// Milliseconds after the third crash from which on hardly any server may get the request.
 const KNOWN_WITHIN_MS: u64 = 3_000;
-const REQUEST: u64 = 5;
+const REQUEST_DIGEST: u64 = 5;
 
 /// Events of the fleet, by time in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,7 +79,7 @@
     }
 
     fn is_refused(&self, node: usize, at: u64) -> bool {
-        self.nodes[node].is_refused(Instant::from_millis(at), REQUEST)
+        self.nodes[node].is_refused(Instant::from_millis(at), REQUEST_DIGEST)
     }
 
     fn step(&mut self) -> u64 {
@@ -125,7 +125,7 @@
             .map(|number| format!("{seed}-{number}"))
             .collect();
         let mut fleet = Fleet::new(&names, interval_ms, &mut random);
-        let told = owners(REQUEST, names.iter().map(String::as_str));
+        let told = owners(REQUEST_DIGEST, names.iter().map(String::as_str));
         let told = told.iter().skip(usize::from(loses_owner));
         let told: Vec<usize> = told
             .map(|owner| names.iter().position(|name| name == owner).expect("listed"))
@@ -136,7 +136,7 @@
             let end = End::Crashed { server, ran_ms: 0 };
             for owner in &told {
                 let observation = Observation {
-                    request: REQUEST,
+                    request: REQUEST_DIGEST,
                     end,
                 };
                 fleet.nodes[*owner].observe(Instant::from_millis(0), observation);
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -24,8 +24,8 @@
 use crate::rollout::AnswerOutcome;
 use crate::verdict::Ended;
 
-/// Time within which the end of an answer that was held unread is received, if there is one.
-const HELD_READ_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time within which the end of an answer that was kept unread is received, if there is one.
+const UNREAD_END_TIMEOUT: Duration = Duration::from_millis(20);
 
 /// Path on which a node is told of the ends of runs of the requests that it owns.
 pub const PATH: &str = "/crash";
@@ -57,7 +57,7 @@
     }
 }
 
-/// Returns whether the server broke off an answer that was held unread and is not needed.
+/// Returns whether the server broke off an answer that was kept unread and is not needed.
 pub async fn is_broken_off(response: OpenResponse) -> bool {
     let mut body = response.answered.response.into_body();
     let read = async {
@@ -69,7 +69,7 @@
             }
         }
     };
-    let is_broken = tokio::time::timeout(HELD_READ_TIMEOUT, read).await;
+    let is_broken = tokio::time::timeout(UNREAD_END_TIMEOUT, read).await;
     // Without an end in time, the server still writes.
     is_broken.unwrap_or(false)
 }
--- a/crates/node/tests/soak/crashing.rs
+++ b/crates/node/tests/soak/crashing.rs
@@ -12,7 +12,7 @@
 /// Arrivals that are allowed from then on.
 const MAX_LATE: usize = 3;
 /// Arrivals that are answered with a failure first, if servers crash after failures.
-const FAILURES: usize = 3;
+const FAILURES_BEFORE_CRASHES: usize = 3;
 
 /// How servers crash.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,7 +75,7 @@
                 ));
             }
         }
-        if how == Crashes::AfterFailures && self.failures.get() < FAILURES {
+        if how == Crashes::AfterFailures && self.failures.get() < FAILURES_BEFORE_CRASHES {
             self.failures.set(self.failures.get() + 1);
             return Reaction::Fail;
         }
--- a/crates/node/tests/soak/disturbances.rs
+++ b/crates/node/tests/soak/disturbances.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use crate::plan::NODES;
-use crate::process::GRACE;
+use crate::process::GRACE_PERIOD;
 
 /// Time after the end of a fault at which its effects are over.
 pub const SETTLE_TIME: Duration = Duration::from_secs(3);
@@ -83,7 +83,7 @@
     /// Returns whether a node that was asked to stop may end a request which was sent `at`: a
     /// server still works on it in the last sixth of the grace period.
     pub fn may_end(&self, node: usize, at: Instant) -> bool {
-        let is_last_sixth = |asked: Instant| at >= asked && asked.elapsed() >= GRACE * 5 / 6;
+        let is_last_sixth = |asked: Instant| at >= asked && asked.elapsed() >= GRACE_PERIOD * 5 / 6;
         self.stops[node].get().is_some_and(is_last_sixth)
     }
 
--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -18,7 +18,7 @@
 const PEERS_PORT: u16 = 7_340;
 
 /// Time from the signal after which a node that stops is killed.
-pub const GRACE: Duration = Duration::from_secs(4);
+pub const GRACE_PERIOD: Duration = Duration::from_secs(4);
 
 /// A node.
 pub struct Process {
@@ -60,7 +60,7 @@
              bounds: {{grace_s: {}, retry_budget_ratio: {}, retry_budget_slack: {}, \
              retry_window_s: {}, canary_share: 0.15}}\n\
              platform: {{address: '{store}', ttl_min_ms: 1000}}\n",
-            GRACE.as_secs(),
+            GRACE_PERIOD.as_secs(),
             bound.ratio,
             bound.slack,
             bound.window_ms / 1_000
