--- a/crates/node/tests/soak/caller.rs
+++ b/crates/node/tests/soak/caller.rs
@@ -15,7 +15,6 @@
 use crate::disturbances::Disturbances;
 use crate::http::{self, Message};
 use crate::observations::{DEADLINE_MS, Kind, Observations, SentRequest};
-use crate::plan::NODES;
 
 /// API key that every configuration accepts.
 pub const KEY: &str = "key-of-acme";
@@ -50,7 +49,7 @@
     let mut rng = Pcg64::seed_from_u64(seed ^ number << 32);
     let mut sent = 0_u64;
     loop {
-        let node = rng.random_range(0..NODES);
+        let node = rng.random_range(0..context.nodes.len());
         let Some(mut stream) = connect(&context, node).await else {
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
--- a/crates/node/tests/soak/disturbances.rs
+++ b/crates/node/tests/soak/disturbances.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-use crate::plan::NODES;
 use crate::process::GRACE_PERIOD;
 
 /// Time after the end of a fault at which its effects are over.
@@ -11,29 +10,29 @@
 
 /// The ends of the faults, by what they affect.
 pub struct Disturbances {
-    nodes: [Cell<Instant>; NODES],
-    planned: [Cell<Instant>; NODES],
+    nodes: Vec<Cell<Instant>>,
+    planned: Vec<Cell<Instant>>,
     /// When nodes were last asked to stop.
-    stops: [Cell<Option<Instant>>; NODES],
+    stops: Vec<Cell<Option<Instant>>>,
     store: Cell<Instant>,
     backends: Cell<Instant>,
     /// Times in which nodes are cut off from all backend servers, and must serve.
-    cuts: [Cell<Option<(Instant, Instant)>>; NODES],
+    cuts: Vec<Cell<Option<(Instant, Instant)>>>,
 }
 
 impl Disturbances {
-    /// Creates a record without any fault.
-    pub fn new() -> Self {
+    /// Creates a record without any fault of `nodes` nodes.
+    pub fn new(nodes: usize) -> Self {
         let now = Instant::now()
             .checked_sub(SETTLE_TIME)
             .expect("a clock that runs");
         Self {
-            nodes: std::array::from_fn(|_| Cell::new(now)),
-            planned: std::array::from_fn(|_| Cell::new(now)),
-            stops: std::array::from_fn(|_| Cell::new(None)),
+            nodes: vec![Cell::new(now); nodes],
+            planned: vec![Cell::new(now); nodes],
+            stops: vec![Cell::new(None); nodes],
             store: Cell::new(now),
             backends: Cell::new(now),
-            cuts: std::array::from_fn(|_| Cell::new(None)),
+            cuts: vec![Cell::new(None); nodes],
         }
     }
 
@@ -47,7 +46,7 @@
     pub fn record_cut(&self, node: usize, duration: Duration) {
         let now = Instant::now();
         self.cuts[node].set(Some((now + SETTLE_TIME, now + duration)));
-        for node in 0..NODES {
+        for node in 0..self.nodes.len() {
             self.record_node(node, Duration::ZERO);
         }
         self.record_node(node, duration);
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -13,7 +13,11 @@
 //! $ FESCUERACK_SEED=100 FESCUERACK_SEEDS=50 cargo test -p fescuerack-node --test soak environment
 //! -- --nocapture
 //! ```
+//!
+//! `FESCUERACK_NODES` is the number of nodes in the runs that the environment chooses, 4 without it.
+//! A rule on a sum over all nodes is hardly broken by four of them.
 
+mod addresses;
 mod backend;
 mod caller;
 mod crashing;
@@ -46,13 +50,16 @@
 use rstest::rstest;
 
 use observations::Tally;
+use plan::Scale;
 
 /// Length of the part of a run in which faults start.
 const FAULTS_MS: u64 = 9_000;
+/// The same for runs with limits that must be kept from a moment on, for several windows.
+const LIMITS_MS: u64 = 18_000;
 
 /// Plays `steps` and checks that no guarantee was violated and that enough was observed.
 fn play_and_check(seed: u64, steps: &[plan::Step]) {
-    let (broken, tally) = world::play(seed, steps, &plan::BOUND);
+    let (broken, tally) = world::play(Scale::SMALL, seed, steps, &plan::BOUND);
     assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
     assert!(
         tally.good > 500 && tally.undisturbed > 50,
@@ -68,14 +75,14 @@
 // refused to all callers.
 #[case(3_042)]
 fn play_fixed_seed(#[case] seed: u64) {
-    play_and_check(seed, &plan::new(seed, FAULTS_MS));
+    play_and_check(seed, &plan::new(Scale::SMALL, seed, FAULTS_MS));
 }
 
 /// The same runs, with servers that start cold and evacuations of availability zones.
 #[rstest]
 #[case(1)]
 fn play_fixed_seed_with_zones(#[case] seed: u64) {
-    play_and_check(seed, &plan::with_zones(seed, FAULTS_MS));
+    play_and_check(seed, &plan::with_zones(Scale::SMALL, seed, FAULTS_MS));
 }
 
 /// The same runs, with servers that state in their answers that they are limited, leave or want
@@ -85,14 +92,23 @@
 // A request came in the moment in which the last servers of a service were evacuated.
 #[case(52_105)]
 fn play_fixed_seed_with_statements(#[case] seed: u64) {
-    play_and_check(seed, &plan::with_statements(seed, FAULTS_MS));
+    play_and_check(seed, &plan::with_statements(Scale::SMALL, seed, FAULTS_MS));
+}
+
+/// Guards against servers that get more than they have room for from all nodes together when these
+/// lose sight of each other.
+#[rstest]
+#[case::leases_end(9)]
+#[case::leases_end_in_an_outage(5)]
+fn play_fixed_seed_with_limits(#[case] seed: u64) {
+    play_and_check(seed, &plan::with_limits(Scale::SMALL, seed, LIMITS_MS));
 }
 
 /// Plays servers that fail most requests, and checks that no guarantee was violated and that nodes
 /// have repeated requests.
-fn play_failing_servers(seed: u64) -> (Vec<String>, Tally) {
-    let steps = plan::with_failing_servers(seed, FAULTS_MS);
-    let (mut broken, tally) = world::play(seed, &steps, &plan::NARROW_BOUND);
+fn play_failing_servers(scale: Scale, seed: u64) -> (Vec<String>, Tally) {
+    let steps = plan::with_failing_servers(scale, seed, FAULTS_MS);
+    let (mut broken, tally) = world::play(scale, seed, &steps, &plan::NARROW_BOUND);
     if tally.further < 100 {
         broken.push(format!("too few further attempts: {tally:?}"));
     }
@@ -107,7 +123,7 @@
 #[case(5)]
 #[case(7)]
 fn play_fixed_seed_with_failing_servers(#[case] seed: u64) {
-    let (broken, _) = play_failing_servers(seed);
+    let (broken, _) = play_failing_servers(Scale::SMALL, seed);
     assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
 }
 
@@ -117,7 +133,7 @@
 #[case(1)]
 #[case(2)]
 fn play_fixed_seed_with_cut_nodes(#[case] seed: u64) {
-    play_and_check(seed, &plan::with_cut_nodes(seed, FAULTS_MS));
+    play_and_check(seed, &plan::with_cut_nodes(Scale::SMALL, seed, FAULTS_MS));
 }
 
 /// The same, where the cuts spare one server.
@@ -125,7 +141,10 @@
 #[case(1)]
 #[case(2)]
 fn play_fixed_seed_with_spared_server(#[case] seed: u64) {
-    play_and_check(seed, &plan::with_spared_server(seed, FAULTS_MS));
+    play_and_check(
+        seed,
+        &plan::with_spared_server(Scale::SMALL, seed, FAULTS_MS),
+    );
 }
 
 /// Guards against changes that are not in force, or come back older, after the store has come back
@@ -134,14 +153,20 @@
 #[case(1)]
 #[case(2)]
 fn play_fixed_seed_with_returns_of_the_store(#[case] seed: u64) {
-    play_and_check(seed, &plan::with_returns_of_the_store(seed, FAULTS_MS));
+    play_and_check(
+        seed,
+        &plan::with_returns_of_the_store(Scale::SMALL, seed, FAULTS_MS),
+    );
 }
 
 /// Guards against brittle servers that fall over, one after the other, under what they turn away.
 #[rstest]
 #[case(1)]
 fn play_fixed_seed_with_brittle_servers(#[case] seed: u64) {
-    play_and_check(seed, &plan::with_brittle_servers(seed, FAULTS_MS));
+    play_and_check(
+        seed,
+        &plan::with_brittle_servers(Scale::SMALL, seed, FAULTS_MS),
+    );
 }
 
 /// Guards against requests that crash servers, in the middle of an answer or after failures, and go
@@ -150,7 +175,7 @@
 #[case(1)]
 #[case(2)]
 fn play_fixed_seed_with_crashing_requests(#[case] seed: u64) {
-    let (broken, tally) = play_crashing_requests(seed);
+    let (broken, tally) = play_crashing_requests(Scale::SMALL, seed);
     assert!(broken.is_empty(), "seed {seed}:\n{}", broken.join("\n"));
     assert!(tally.good > 500, "seed {seed}: {tally:?}");
     // What servers break off as they end is theirs; sound requests are not refused, and are served at
@@ -165,22 +190,27 @@
 #[case(1)]
 #[case(2)]
 fn serve_nine_in_ten_beside_crashing_requests(#[case] seed: u64) {
-    let (_, tally) = play_crashing_requests(seed);
+    let (_, tally) = play_crashing_requests(Scale::SMALL, seed);
     let all = tally.good + tally.refused + tally.unknown;
     assert!(10 * tally.good >= 9 * all, "seed {seed}: {tally:?}");
 }
 
-fn play_crashing_requests(seed: u64) -> (Vec<String>, Tally) {
-    world::play(seed, &plan::with_crashing_requests(seed), &plan::BOUND)
+fn play_crashing_requests(scale: Scale, seed: u64) -> (Vec<String>, Tally) {
+    world::play(
+        scale,
+        seed,
+        &plan::with_crashing_requests(seed),
+        &plan::BOUND,
+    )
 }
 
 /// Plays `FESCUERACK_SEEDS` seeds from `FESCUERACK_SEED` on, one after the other, and prints the
 /// observations of each.
 #[test]
 fn play_seeds_of_the_environment() {
-    play_seeds(|seed| {
-        let steps = plan::with_statements(seed, FAULTS_MS);
-        world::play(seed, &steps, &plan::BOUND)
+    play_seeds(|scale, seed| {
+        let steps = plan::with_statements(scale, seed, FAULTS_MS);
+        world::play(scale, seed, &steps, &plan::BOUND)
     });
 }
 
@@ -193,36 +223,56 @@
 /// The same, with nodes that are cut off from all servers.
 #[test]
 fn play_cut_nodes_of_the_environment() {
-    play_seeds(|seed| {
-        let steps = plan::with_cut_nodes(seed, FAULTS_MS);
-        world::play(seed, &steps, &plan::BOUND)
+    play_seeds(|scale, seed| {
+        let steps = plan::with_cut_nodes(scale, seed, FAULTS_MS);
+        world::play(scale, seed, &steps, &plan::BOUND)
     });
 }
 
 /// The same, with cuts that spare one server.
 #[test]
 fn play_spared_server_of_the_environment() {
-    play_seeds(|seed| {
-        let steps = plan::with_spared_server(seed, FAULTS_MS);
-        world::play(seed, &steps, &plan::BOUND)
+    play_seeds(|scale, seed| {
+        let steps = plan::with_spared_server(scale, seed, FAULTS_MS);
+        world::play(scale, seed, &steps, &plan::BOUND)
     });
 }
 
 /// The same, with a store that comes back from a copy.
 #[test]
 fn play_returns_of_the_environment() {
-    play_seeds(|seed| {
-        let steps = plan::with_returns_of_the_store(seed, FAULTS_MS);
-        world::play(seed, &steps, &plan::BOUND)
+    play_seeds(|scale, seed| {
+        let steps = plan::with_returns_of_the_store(scale, seed, FAULTS_MS);
+        world::play(scale, seed, &steps, &plan::BOUND)
     });
 }
 
 /// The same, with brittle servers.
 #[test]
 fn play_brittle_servers_of_the_environment() {
-    play_seeds(|seed| {
-        let steps = plan::with_brittle_servers(seed, FAULTS_MS);
-        world::play(seed, &steps, &plan::BOUND)
+    play_seeds(|scale, seed| {
+        let steps = plan::with_brittle_servers(scale, seed, FAULTS_MS);
+        world::play(scale, seed, &steps, &plan::BOUND)
+    });
+}
+
+/// The same, with servers that state limits, and nodes that lose sight of each other.
+#[test]
+fn play_limits_of_the_environment() {
+    play_seeds(|scale, seed| {
+        let steps = plan::with_limits(scale, seed, LIMITS_MS);
+        println!("seed {seed}: {:?}", steps.last());
+        world::play(scale, seed, &steps, &plan::BOUND)
+    });
+}
+
+/// The same, with brittle servers.
+#[test]
+fn play_brittle_lapses_of_the_environment() {
+    play_seeds(|scale, seed| {
+        let steps = plan::with_brittle_servers_and_lapses(scale, seed, LIMITS_MS);
+        println!("seed {seed}: {:?}", steps.last());
+        world::play(scale, seed, &steps, &plan::BOUND)
     });
 }
 
@@ -232,16 +282,19 @@
     play_seeds(play_crashing_requests);
 }
 
-fn play_seeds(play: impl Fn(u64) -> (Vec<String>, Tally)) {
+fn play_seeds(play: impl Fn(Scale, u64) -> (Vec<String>, Tally)) {
     let number = |name: &str, default| {
         let text = std::env::var(name).ok();
         text.map_or(default, |text| text.parse().expect("a number"))
     };
     let first: u64 = number("FESCUERACK_SEED", 3);
     let seeds: u64 = number("FESCUERACK_SEEDS", 1);
+    let nodes = number("FESCUERACK_NODES", 4);
+    let nodes = usize::try_from(nodes).expect("few nodes");
+    let scale = Scale { nodes };
     let mut failed = Vec::new();
     for seed in first..first + seeds {
-        let (broken, tally) = play(seed);
+        let (broken, tally) = play(scale, seed);
         println!("seed {seed}: {} broken, {tally:?}", broken.len());
         for line in &broken {
             println!("  {line}");
--- a/crates/node/tests/soak/plan.rs
+++ b/crates/node/tests/soak/plan.rs
@@ -9,8 +9,10 @@
 use crate::cuts::Cut;
 use crate::proxy::Link;
 
-/// Number of nodes in a run.
-pub const NODES: usize = 4;
+/// Zones of the nodes of a run: two, or four with many nodes.
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+/// Number of nodes from which on they are in all zones.
+const MANY_NODES: usize = 24;
 /// Number of backend servers in a run. Even ones answer plainly, odd ones stream.
 pub const BACKENDS: usize = 6;
 /// Bound on the repeats of all nodes.
@@ -61,6 +63,15 @@
 /// Mixed into the seed, so that these are drawn independently of the other faults.
 const CUT_SEED: u64 = 0x6375_7473;
 
+/// Mixed into the seed, so that faults of what nodes know of each other are drawn independently.
+const MEMBERSHIP_SEED: u64 = 0x6d65_6d62;
+/// Limit of a server that states one all the while, in tenths of a request a second.
+const STEADY_LIMIT_TENTHS: u32 = 10;
+/// Time from which such a limit must be kept.
+const LIMIT_KEPT_MS: u64 = 3_500;
+/// Time for which many nodes are suspended at once.
+const LONG_PAUSE_MS: u64 = 2_600;
+
 /// A fault of nodes, of the store or of backend servers, or an action of operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -78,6 +89,12 @@
     StoreBusy,
     /// The store answers no request, and the leases of all nodes end.
     StoreLapse,
+    /// The leases of all nodes end while the store answers.
+    Lapse,
+    /// The leases of every second node end while the store answers.
+    LapseHalf,
+    /// A node is killed, its lease ends, and it joins again.
+    Replace { node: usize },
     /// The store discards its history.
     StoreCompact,
     /// The links of a node to the store change their behaviour.
@@ -119,6 +136,24 @@
     CrashingRequest { how: Crashes },
 }
 
+/// How many nodes a run has.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale {
+    /// Number of nodes.
+    pub nodes: usize,
+}
+
+impl Scale {
+    /// A run that CI can bear beside others.
+    pub const SMALL: Self = Self { nodes: 4 };
+
+    /// Returns the zone of a node.
+    pub const fn zone(self, node: usize) -> &'static str {
+        let zones = if self.nodes < MANY_NODES { 2 } else { 4 };
+        ZONES[node % zones]
+    }
+}
+
 /// A fault and its time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Step {
@@ -131,7 +166,7 @@
 }
 
 /// Draws the faults of the first `length_ms` milliseconds.
-pub fn new(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn new(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut steps = Vec::new();
     let mut at_ms = QUIET_MS;
@@ -139,7 +174,7 @@
         steps.push(Step {
             at_ms,
             duration_ms: rng.random_range(DURATION_MS),
-            fault: fault(&mut rng),
+            fault: fault(scale, &mut rng),
         });
         at_ms += rng.random_range(INTERVAL_MS);
     }
@@ -147,9 +182,9 @@
 }
 
 /// Returns the faults of [`new`], with cold starts of servers and evacuations of zones.
-pub fn with_zones(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn with_zones(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ EVACUATION_SEED);
-    let mut steps = new(seed, length_ms);
+    let mut steps = new(scale, seed, length_ms);
     steps.push(Step {
         at_ms: 0,
         duration_ms: 0,
@@ -168,9 +203,9 @@
 
 /// Returns the faults of [`with_zones`], with servers that state in their answers that they are
 /// limited, leave or want rest.
-pub fn with_statements(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn with_statements(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ STATEMENT_SEED);
-    let mut steps = with_zones(seed, length_ms);
+    let mut steps = with_zones(scale, seed, length_ms);
     for _ in 0..STATEMENTS_PER_RUN {
         let limit = Fault::Limit {
             backend: rng.random_range(0..BACKENDS),
@@ -195,13 +230,13 @@
 
 /// Returns cuts of some nodes from all backend servers, beside changes of the configuration and
 /// planned stops.
-pub fn with_cut_nodes(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn with_cut_nodes(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ CUT_SEED);
     let mut steps = Vec::new();
-    let mut nodes: Vec<usize> = (0..NODES).collect();
+    let mut nodes: Vec<usize> = (0..scale.nodes).collect();
     for at_ms in [QUIET_MS, QUIET_MS + length_ms] {
         nodes.shuffle(&mut rng);
-        let (cut, others) = nodes.split_at(rng.random_range(1..NODES));
+        let (cut, others) = nodes.split_at(rng.random_range(1..scale.nodes));
         let how = [Cut::Silent, Cut::Reset, Cut::RefusesNew];
         let how = *how.choose(&mut rng).expect("some");
         let duration_ms = rng.random_range(CUT_MS);
@@ -225,9 +260,9 @@
 }
 
 /// Returns the cuts of [`with_cut_nodes`], which spare one server.
-pub fn with_spared_server(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn with_spared_server(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ SPARED_SEED);
-    let mut steps = with_cut_nodes(seed, length_ms);
+    let mut steps = with_cut_nodes(scale, seed, length_ms);
     let backend = rng.random_range(0..BACKENDS);
     steps.push(Step {
         at_ms: 0,
@@ -239,7 +274,7 @@
 
 /// Returns faults of nodes and changes of the configuration, and a store that comes back from a copy
 /// again and again.
-pub fn with_returns_of_the_store(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn with_returns_of_the_store(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ RETURN_SEED);
     let is_kept = |step: &Step| {
         matches!(
@@ -252,7 +287,10 @@
                 | Fault::StoreCompact
         )
     };
-    let mut steps: Vec<Step> = new(seed, length_ms).into_iter().filter(is_kept).collect();
+    let mut steps: Vec<Step> = new(scale, seed, length_ms)
+        .into_iter()
+        .filter(is_kept)
+        .collect();
     let mut at_ms = QUIET_MS;
     while at_ms < length_ms {
         let duration_ms = rng.random_range(DURATION_MS);
@@ -272,8 +310,89 @@
     steps
 }
 
+/// Returns two servers that state a limit all the while, others that crash and come back cold, and
+/// faults of what nodes know of each other.
+pub fn with_limits(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = Pcg64::seed_from_u64(seed ^ MEMBERSHIP_SEED);
+    let step = |at_ms, duration_ms, fault| Step {
+        at_ms,
+        duration_ms,
+        fault,
+    };
+    let limit = |backend| Fault::Limit {
+        backend,
+        tenths: STEADY_LIMIT_TENTHS,
+    };
+    let mut steps = vec![
+        step(0, 0, Fault::ColdStarts),
+        step(0, length_ms, limit(0)),
+        step(0, length_ms, limit(2)),
+    ];
+    // Servers are cold while nodes know little of each other.
+    for backend in [1, 3] {
+        let at_ms = LIMIT_KEPT_MS + rng.random_range(0..2_000);
+        steps.push(step(at_ms, 300, Fault::Crash { backend }));
+    }
+    steps.extend(membership_faults(scale, &mut rng, length_ms));
+    steps
+}
+
+/// Returns brittle servers, and faults of what nodes know of each other.
+pub fn with_brittle_servers_and_lapses(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
+    let mut rng = Pcg64::seed_from_u64(seed ^ MEMBERSHIP_SEED);
+    let brittle = ["books", "models"].map(|service| Step {
+        at_ms: 0,
+        duration_ms: length_ms,
+        fault: Fault::Brittle { service },
+    });
+    let mut steps = Vec::from(brittle);
+    steps.extend(membership_faults(scale, &mut rng, length_ms));
+    steps
+}
+
+/// Draws faults of one kind, from when limits must be kept until a window before the end.
+fn membership_faults(scale: Scale, rng: &mut Pcg64, length_ms: u64) -> Vec<Step> {
+    let kind = rng.random_range(0..8);
+    let begin = LIMIT_KEPT_MS + rng.random_range(0..2_500);
+    let again = length_ms - 6_000 + rng.random_range(0..1_500);
+    let outage_ms = rng.random_range(DURATION_MS);
+    let step = |at_ms, duration_ms, fault| Step {
+        at_ms,
+        duration_ms,
+        fault,
+    };
+    let mut nodes: Vec<usize> = (0..scale.nodes).collect();
+    nodes.shuffle(rng);
+    let in_turn = |count: usize, interval_ms: u64, duration_ms, fault: fn(usize) -> Fault| {
+        let times = (begin..length_ms).step_by(usize::try_from(interval_ms).expect("short"));
+        let turns = nodes.iter().take(count).zip(times);
+        let turns = turns.map(|(&node, at_ms)| step(at_ms, duration_ms, fault(node)));
+        turns.collect::<Vec<_>>()
+    };
+    match kind {
+        0 => vec![step(begin, 0, Fault::Lapse)],
+        1 => vec![step(begin, outage_ms, Fault::StoreLapse)],
+        2 => vec![
+            step(begin, outage_ms, Fault::StoreLapse),
+            step(again, outage_ms, Fault::StoreLapse),
+        ],
+        3 => vec![
+            step(begin, 0, Fault::LapseHalf),
+            step(again, 0, Fault::LapseHalf),
+        ],
+        4 => vec![step(begin, 0, Fault::Lapse), step(again, 0, Fault::Lapse)],
+        5 => nodes[..scale.nodes / 2]
+            .iter()
+            .map(|&node| step(begin, LONG_PAUSE_MS, Fault::Pause { node }))
+            .chain([step(begin, 0, Fault::Lapse)])
+            .collect(),
+        6 => in_turn(scale.nodes, 150, 0, |node| Fault::Kill { node }),
+        _ => in_turn(scale.nodes / 3, 150, 1_500, |node| Fault::Replace { node }),
+    }
+}
+
 /// Returns servers of both services that are brittle, beside stops and changes of the configuration.
-pub fn with_brittle_servers(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn with_brittle_servers(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ STATEMENT_SEED);
     let brittle = ["books", "models"].map(|service| Step {
         at_ms: QUIET_MS,
@@ -281,7 +400,7 @@
         fault: Fault::Brittle { service },
     });
     let mut steps = Vec::from(brittle);
-    let node = rng.random_range(0..NODES);
+    let node = rng.random_range(0..scale.nodes);
     for fault in [Fault::Configure, Fault::Stop { node }] {
         steps.push(Step {
             at_ms: rng.random_range(QUIET_MS..length_ms),
@@ -316,7 +435,7 @@
 /// Returns faults while all backend servers fail most requests: series of kills or pauses of all
 /// nodes, outages of the store in which the entries of the nodes lapse, and links that hold and let
 /// go.
-pub fn with_failing_servers(seed: u64, length_ms: u64) -> Vec<Step> {
+pub fn with_failing_servers(scale: Scale, seed: u64, length_ms: u64) -> Vec<Step> {
     let mut rng = Pcg64::seed_from_u64(seed ^ SERIES_SEED);
     let mut steps: Vec<Step> = (0..BACKENDS)
         .map(|backend| Step {
@@ -326,13 +445,13 @@
         })
         .collect();
     for _ in 0..SERIES_PER_RUN {
-        steps.extend(series(&mut rng, length_ms));
+        steps.extend(series(scale, &mut rng, length_ms));
     }
     steps
 }
 
 /// Draws a series of faults of one kind.
-fn series(rng: &mut Pcg64, length_ms: u64) -> Vec<Step> {
+fn series(scale: Scale, rng: &mut Pcg64, length_ms: u64) -> Vec<Step> {
     let kind = rng.random_range(0..4);
     let interval_ms = rng.random_range(900..2_500);
     let duration_ms = rng.random_range(DURATION_MS);
@@ -346,7 +465,7 @@
     let interval = usize::try_from(interval_ms).expect("short");
     let times = (begin..length_ms).step_by(interval);
     let of_nodes = |fault: fn(usize) -> Fault| {
-        let at = |at_ms| (0..NODES).map(move |node| step(at_ms, fault(node)));
+        let at = |at_ms| (0..scale.nodes).map(move |node| step(at_ms, fault(node)));
         times.clone().flat_map(at).collect()
     };
     match kind {
@@ -361,8 +480,8 @@
     }
 }
 
-fn fault(rng: &mut Pcg64) -> Fault {
-    let node = rng.random_range(0..NODES);
+fn fault(scale: Scale, rng: &mut Pcg64) -> Fault {
+    let node = rng.random_range(0..scale.nodes);
     let backend = rng.random_range(0..BACKENDS);
     let links = [
         Link::Slow,
--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -42,19 +42,19 @@
 }
 
 impl Process {
-    /// Creates a node at the loopback address `ip` with its files in `folder`.
+    /// Creates a node at the loopback address `ip` of `zone`, with its files in `folder`.
     pub fn new(
         number: usize,
         ip: Ipv4Addr,
+        zone: &str,
         store: SocketAddr,
         bound: &Bound,
         folder: &Path,
     ) -> Self {
         let name = format!("n{number}");
         let settings = folder.join(format!("{name}.yaml"));
-        let zone = if number.is_multiple_of(2) { "a" } else { "b" };
         let text = format!(
-            "node_name: {name}\nip: {ip}\nzone: {zone}\nzones: {{a: r, b: r}}\n\
+            "node_name: {name}\nip: {ip}\nzone: {zone}\nzones: {{a: r, b: r, c: r, d: r}}\n\
              listen: {{front: '{ip}:{CALLERS_PORT}', readiness: '{ip}:{READINESS_PORT}'}}\n\
              internal_ports: [{PEERS_PORT}, 7355]\n\
              bounds: {{grace_s: {}, retry_budget_ratio: {}, retry_budget_slack: {}, \
--- a/crates/node/tests/soak/unread_log.rs
+++ b/crates/node/tests/soak/unread_log.rs
@@ -7,6 +7,7 @@
 
 use tokio::sync::watch;
 
+use crate::addresses::Addresses;
 use crate::backend::Backend;
 use crate::caller::{self, Context, KEY, Request};
 use crate::cuts::Cuts;
@@ -35,11 +36,12 @@
     LocalSet::new().block_on(&runtime, async {
         let (store, observations) = (Store::new().await, Observations::new());
         world::configuration::configure(&store, 1);
-        let disturbances = Rc::new(Disturbances::new());
+        let disturbances = Rc::new(Disturbances::new(1));
         let (_, cuts) = watch::channel(Cuts::default());
         let _backend = Backend::new(0, &store, &observations, &disturbances, cuts).await;
-        let [ip, ..] = world::addresses();
-        let process = Process::new(0, ip, store.address, &plan::BOUND, folder.path());
+        let addresses = Addresses::new(1);
+        let ip = addresses.all()[0];
+        let process = Process::new(0, ip, "a", store.address, &plan::BOUND, folder.path());
         let mut process = process.with_unread_log();
         process.start();
         let context = Rc::new(Context {
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -4,22 +4,21 @@
 mod faults;
 
 use std::cell::{Cell, RefCell};
-use std::net::Ipv4Addr;
 use std::path::Path;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use fescuerack_core::gateway::budget::Bound;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 
+use crate::addresses::Addresses;
 use crate::backend::{Backend, COLD_DURATION};
 use crate::caller::{self, Context, KEY, Request};
 use crate::cuts::Cuts;
 use crate::disturbances::{Disturbances, SETTLE_TIME};
 use crate::observations::{Kind, Observations, Tally};
-use crate::plan::{BACKENDS, NODES, Step};
+use crate::plan::{BACKENDS, Scale, Step};
 use crate::process::{Process, State};
 use crate::proxy::Proxy;
 use crate::store::Store;
@@ -36,17 +35,12 @@
 const DOWNTIME: Duration = Duration::from_millis(300);
 /// Time for which a leaving server stays.
 const LEAVE_DURATION: Duration = Duration::from_millis(4_500);
-/// Time for which a server states a limit: until it must be kept, and a window of requests.
+/// Shortest time for which a server states a limit: until it must be kept, and a window of requests.
 const LIMIT_DURATION: Duration = Duration::from_millis(8_500);
 /// Time within which a change must be active, and after which a leaving server must get no
 /// requests. It includes a margin for a busy machine.
 const ACTIVATION_TIMEOUT: Duration = Duration::from_millis(3_500);
 
-/// Number of runs started in this process.
-static RUNS: AtomicU8 = AtomicU8::new(0);
-/// Maximum number of concurrent runs in a process. Each has eight addresses.
-const MAX_CONCURRENT_RUNS: u8 = 31;
-
 struct World {
     context: Rc<Context>,
     processes: Vec<RefCell<Process>>,
@@ -59,27 +53,19 @@
     version: Cell<u64>,
     /// Number of readiness probes, which are sent before the run starts.
     first_probes: Cell<u64>,
+    /// Dropped last: no other run may use them while processes run.
+    _addresses: Addresses,
 }
 
-/// Returns loopback addresses that no other run uses, because other runs may be active in this
-/// and in other processes.
-pub fn addresses() -> [Ipv4Addr; NODES] {
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let first = RUNS.fetch_add(1, Ordering::Relaxed) % MAX_CONCURRENT_RUNS * 8 + 1;
-    std::array::from_fn(|number| {
-        let last = first + u8::try_from(number).expect("few nodes");
-        Ipv4Addr::new(127, high.max(1), low, last)
-    })
-}
-
-/// Plays `steps`; returns the violated guarantees and the counts of the observations.
-pub fn play(seed: u64, steps: &[Step], bound: &Bound) -> (Vec<String>, Tally) {
+/// Plays `steps` with as many nodes as `scale` says; returns the violated guarantees and the counts of
+/// the observations.
+pub fn play(scale: Scale, seed: u64, steps: &[Step], bound: &Bound) -> (Vec<String>, Tally) {
     let folder = tempfile::tempdir().expect("a folder");
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .expect("a runtime");
-    let run = run(seed, steps, bound, folder.path());
+    let run = run(scale, seed, steps, bound, folder.path());
     let observations = LocalSet::new().block_on(&runtime, run);
     let mut broken = observations.violations();
     if !broken.is_empty() {
@@ -88,8 +74,14 @@
     (broken, observations.tally())
 }
 
-async fn run(seed: u64, steps: &[Step], bound: &Bound, folder: &Path) -> Observations {
-    let world = Rc::new(World::new(bound, folder).await);
+async fn run(
+    scale: Scale,
+    seed: u64,
+    steps: &[Step],
+    bound: &Bound,
+    folder: &Path,
+) -> Observations {
+    let world = Rc::new(World::new(scale, bound, folder).await);
     world.wait_until_ready().await;
     for number in 0..CALLERS {
         tokio::task::spawn_local(caller::run(world.context.clone(), number, seed));
@@ -111,8 +103,9 @@
     tokio::time::sleep(SETTLE_TIME).await;
     let before = world.context.observations.tally().good;
     // Without other faults, planned operations must affect no request.
-    let last = usize::try_from(seed).unwrap_or_default() % NODES;
-    let leaving = &world.backends[last];
+    let drawn = usize::try_from(seed).unwrap_or_default();
+    let last = drawn % scale.nodes;
+    let leaving = &world.backends[drawn % scale.nodes.min(BACKENDS)];
     leaving.leave();
     tokio::join!(
         world.stop(last),
@@ -130,10 +123,10 @@
 }
 
 impl World {
-    async fn new(bound: &Bound, folder: &Path) -> Self {
+    async fn new(scale: Scale, bound: &Bound, folder: &Path) -> Self {
         let store = Store::new().await;
         let observations = Observations::new();
-        let disturbances = Rc::new(Disturbances::new());
+        let disturbances = Rc::new(Disturbances::new(scale.nodes));
         configuration::configure(&store, 1);
         let (cuts, _) = watch::channel(Cuts::default());
         let mut backends = Vec::new();
@@ -144,9 +137,11 @@
         }
         let mut store_links = Vec::new();
         let mut processes = Vec::new();
-        for (number, ip) in addresses().into_iter().enumerate() {
+        let addresses = Addresses::new(scale.nodes);
+        for (number, &ip) in addresses.all().iter().enumerate() {
             let link = Proxy::new(store.address).await;
-            let mut process = Process::new(number, ip, link.address, bound, folder);
+            let zone = scale.zone(number);
+            let mut process = Process::new(number, ip, zone, link.address, bound, folder);
             process.start();
             processes.push(RefCell::new(process));
             store_links.push(link);
@@ -159,19 +154,20 @@
                 disturbances,
             }),
             processes,
-            is_down: (0..NODES).map(|_| Cell::new(false)).collect(),
+            is_down: (0..scale.nodes).map(|_| Cell::new(false)).collect(),
             store,
             store_links,
             backends,
             cuts,
             version: Cell::new(1),
             first_probes: Cell::new(0),
+            _addresses: addresses,
         }
     }
 
     async fn wait_until_ready(&self) {
         let until = Instant::now() + START_TIMEOUT;
-        for node in 0..NODES {
+        for node in 0..self.processes.len() {
             while !self.serves(node).await {
                 assert!(Instant::now() < until, "n{node} does not serve");
                 tokio::time::sleep(POLL_INTERVAL).await;
@@ -204,7 +200,7 @@
         loop {
             tokio::time::sleep(POLL_INTERVAL).await;
             self.record_unavailable_services();
-            for node in 0..NODES {
+            for node in 0..self.processes.len() {
                 let mut process = self.processes[node].borrow_mut();
                 if !self.is_down[node].get() && process.poll() == State::Exited {
                     let line = format!("{} has ended by itself", process.name());
--- a/crates/node/tests/soak/world/configuration.rs
+++ b/crates/node/tests/soak/world/configuration.rs
@@ -8,7 +8,6 @@
 use crate::backend::{COLD_DURATION, MAX_COLD_PER_SECOND, MODELS};
 use crate::caller::{self, KEY, Request};
 use crate::observations::Kind;
-use crate::plan::NODES;
 use crate::store::Store;
 
 impl World {
@@ -19,7 +18,7 @@
         configure(&self.store, version);
         let written_at = Instant::now();
         tokio::time::sleep(ACTIVATION_TIMEOUT).await;
-        for node in 0..NODES {
+        for node in 0..self.processes.len() {
             let is_newest = self.version.get() == version;
             if is_newest && self.context.disturbances.can_follow_store(node, written_at) {
                 self.probe(node, version).await;
--- a/crates/node/tests/soak/world/faults.rs
+++ b/crates/node/tests/soak/world/faults.rs
@@ -53,6 +53,9 @@
                 self.store.lapse();
                 self.set_store_mode(Mode::Silent, duration).await;
             }
+            Fault::Lapse => self.store.lapse(),
+            Fault::LapseHalf => self.store.lapse_half(),
+            Fault::Replace { node } => self.replace(node, duration).await,
             Fault::StoreCompact => {
                 disturbances.record_store(Duration::ZERO);
                 self.store.compact();
@@ -127,7 +130,7 @@
                 let statements = backend.statements();
                 statements.set_limit(Some(f64::from(tenths) / 10.0));
                 self.record_unavailable_services();
-                tokio::time::sleep(LIMIT_DURATION).await;
+                tokio::time::sleep(LIMIT_DURATION.max(duration)).await;
                 statements.set_limit(None);
             }
             Fault::StatedLeave { .. } => {
@@ -255,13 +258,25 @@
     }
 
     async fn kill(&self, node: usize) {
+        self.take_down(node, DOWNTIME, || {}).await;
+    }
+
+    /// Kills a node, ends its lease, and starts it again later, as an instance that joins.
+    async fn replace(&self, node: usize, absence: Duration) {
+        let key = format!("fescuerack/node/n{node}");
+        self.take_down(node, absence, || self.store.remove(&key))
+            .await;
+    }
+
+    async fn take_down(&self, node: usize, absence: Duration, once_down: impl FnOnce()) {
         if self.is_down[node].replace(true) {
             return;
         }
-        self.context.disturbances.record_node(node, DOWNTIME);
+        self.context.disturbances.record_node(node, absence);
         self.processes[node].borrow().signal("-KILL");
         self.wait_until_exited(node).await;
-        tokio::time::sleep(DOWNTIME).await;
+        once_down();
+        tokio::time::sleep(absence).await;
         self.context.disturbances.record_node(node, Duration::ZERO);
         self.processes[node].borrow_mut().start();
         self.is_down[node].set(false);
