Who is there is answered by one module of membership by names: a name whose entry has gone counts on, and whoever begins a duty waits

What servers saw: one that states 1.5 requests a second got 26, 120 and 217 in 4 s at 9, 40 and 78 nodes whose leases had ended (14 allowed); a cold one 9 to 38 in a second (5 allowed); eight brittle ones fell 8 or 9 times (2 allowed), a third of the requests were not served. Cause: each node took the list of the moment for all nodes there are; without the others it was sender and owner of all. Now core::gateway::membership keeps a name for ten seconds in which the store confirms the list, and all names while this node is not listed itself; core::gateway::duty says when a node begins what few do for all. Limits, owners, retries, collectors, hubs, watchers and probes take the same names.

--- a/crates/core/src/gateway/brittle.rs
+++ b/crates/core/src/gateway/brittle.rs
@@ -3,7 +3,7 @@
 //! Such a server says so in its answers, and may let fewer requests wait from then on. Nodes that
 //! each keep to a share of its room still overfill it together, since none knows what the others
 //! have sent in the last milliseconds; its load then fells the next server. So while the servers of
-//! a service are brittle, each of them has an [owner](Owners): one node, chosen by rendezvous
+//! a service are brittle, each of them has an [owner](owner): one node, chosen by rendezvous
 //! hashing, through which all requests for it go. The owner knows exactly what runs there, sends no
 //! more than the server can run at once, and lets a few requests wait itself.
 //!
@@ -12,9 +12,8 @@
 //! - **Refusals.** A server may run more than its owner counts: requests whose callers have left, which
 //!   some servers finish. After a refusal the owner [waits](pause_ms) so long that it meets half as many
 //!   as the server can turn away.
-//! - **Owners.** Nodes with the same list of nodes agree without messages. A node that becomes the
-//!   owner of a server which another one had waits until that one's requests have mostly ended; a
-//!   node that has just started knows too few others, and owns nothing.
+//! - **Owners.** Nodes that know the same [members](super::membership) agree without messages, and a new
+//!   owner waits as for any other [duty](super::duty).
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -22,17 +21,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::affinity;
-use super::shared_limit::SETTLE_MS;
 use crate::clock::Instant;
 
 /// Milliseconds for which the word of a service holds without being heard again.
 const KEPT_MS: u64 = 30_000;
 /// Maximum number of services in a message to a peer.
 const MAX_SHARED: usize = 32;
-/// Milliseconds for which a node caches whether it owns a server.
+/// Milliseconds for which a node caches who owns a server.
 pub const OWNER_TTL_MS: u64 = 500;
-/// Milliseconds after which a new owner sends requests to a server that had another one.
-const TAKEOVER_MS: u64 = 1_000;
 
 /// The word of a service in a message to a peer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -153,60 +149,3 @@
 pub fn owner<'a>(names: impl Iterator<Item = &'a str>, server: u64) -> Option<&'a str> {
     names.max_by_key(|name| affinity::mix(affinity::hash(name.as_bytes()) ^ affinity::mix(server)))
 }
-
-#[derive(Clone, Copy, Debug)]
-struct Ownership {
-    is_owner: bool,
-    /// When this node may use it as its owner.
-    from: Instant,
-    /// Until when this is cached.
-    until: Instant,
-}
-
-/// The brittle servers that this node owns.
-#[derive(Clone, Debug)]
-pub struct Owners {
-    /// Time from which this node may own servers.
-    ready_at: Instant,
-    known: HashMap<u64, Ownership>,
-}
-
-impl Owners {
-    /// Creates the state of a node that starts at `now`.
-    #[must_use]
-    pub fn new(now: Instant) -> Self {
-        Self {
-            ready_at: now.plus_millis(SETTLE_MS),
-            known: HashMap::new(),
-        }
-    }
-
-    /// Returns whether this node owns the server; `compute` finds out by the nodes.
-    pub fn owns(&mut self, now: Instant, server: u64, compute: impl FnOnce() -> bool) -> bool {
-        if now < self.ready_at {
-            return false;
-        }
-        let known = self.known.get(&server).copied();
-        let cached = known.filter(|known| now < known.until);
-        let ownership = cached.unwrap_or_else(|| {
-            let is_owner = compute();
-            let from = match known {
-                Some(known) if known.is_owner == is_owner => known.from,
-                Some(_) => now.plus_millis(TAKEOVER_MS),
-                None => now,
-            };
-            Ownership {
-                is_owner,
-                from,
-                until: now.plus_millis(OWNER_TTL_MS),
-            }
-        });
-        self.known.insert(server, ownership);
-        ownership.is_owner && now >= ownership.from
-    }
-
-    /// Drops the state of servers that are not brittle or not listed any more.
-    pub fn retain(&mut self, is_kept: impl Fn(u64) -> bool) {
-        self.known.retain(|&server, _| is_kept(server));
-    }
-}
--- a/crates/core/src/gateway/shared_limit.rs
+++ b/crates/core/src/gateway/shared_limit.rs
@@ -10,8 +10,9 @@
 //! between its requests. Rendezvous hashing of node and server selects them, so nodes with the same
 //! list of nodes agree without messages. While nodes disagree, because some are partitioned or have
 //! lost their entries, there are more senders. Only half of the requests of a window are used, so
-//! that two partitions of the fleet without contact stay within it in total. A node that has just
-//! started has discovered too few others, so it is not a sender for [`SETTLE_MS`].
+//! that two partitions of the fleet without contact stay within it in total. Which nodes there are is
+//! the matter of [`membership`](super::membership), and when a node that has become a sender begins,
+//! that of [`duty`](super::duty).
 //!
 //! Senders are chosen anew for each [round](Target::round) of a stated limit; see
 //! [`stated_limit`](super::stated_limit).
@@ -19,6 +20,7 @@
 use std::collections::HashMap;
 
 use super::affinity;
+use super::duty::{Duties, Standing};
 use crate::clock::Instant;
 
 /// Share of the requests of a window that is used while all nodes agree.
@@ -40,12 +42,6 @@
 /// Minimum rate in requests a second that a stated limit is taken for. Only an answer shows that a
 /// limit has ended, so a server that accepts nothing still gets a request now and then.
 const MIN_STATED_PER_S: f64 = 0.2;
-/// Milliseconds for which a node caches whether it is a sender for a server. Servers are picked
-/// more often than nodes join and leave.
-const MEMBERSHIP_TTL_MS: u64 = 500;
-/// Milliseconds after its start in which a node is not a sender. Nodes that start together register
-/// one after the other.
-pub const SETTLE_MS: u64 = 3_000;
 
 /// Number of requests that a server tolerates from all nodes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -201,23 +197,11 @@
     }
 }
 
-/// Whether the node is a sender for one server, and when it may send the next request.
-#[derive(Clone, Copy, Debug)]
-struct Membership {
-    is_sender: bool,
-    /// Hash for which `is_sender` was computed.
-    hash: u64,
-    /// Time until which `is_sender` is valid.
-    until: Instant,
-    pacer: Pacer,
-}
-
 /// The limits that one node keeps, by the identity of the server.
 #[derive(Debug)]
 pub struct Gate {
-    /// Time from which this node may be a sender.
-    ready_at: Instant,
-    memberships: HashMap<u64, Membership>,
+    senders: Duties,
+    pacers: HashMap<u64, Pacer>,
 }
 
 impl Gate {
@@ -225,20 +209,21 @@
     #[must_use]
     pub fn new(now: Instant) -> Self {
         Self {
-            ready_at: now.plus_millis(SETTLE_MS),
-            memberships: HashMap::new(),
+            senders: Duties::new(now),
+            pacers: HashMap::new(),
         }
     }
 
     /// Whether it holds no state.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.memberships.is_empty()
+        self.senders.is_empty()
     }
 
     /// Drops the state of servers that have no limit any more.
     pub fn retain(&mut self, is_limited: impl Fn(u64) -> bool) {
-        self.memberships.retain(|&identity, _| is_limited(identity));
+        self.senders.retain(&is_limited);
+        self.pacers.retain(|&identity, _| is_limited(identity));
     }
 
     /// Returns whether the node may send a request to the server now. `is_sender` computes whether
@@ -246,32 +231,20 @@
     pub fn admits(
         &mut self,
         now: Instant,
+        standing: Standing,
         target: &Target,
         is_sender: impl FnOnce() -> bool,
     ) -> bool {
-        if now < self.ready_at {
-            return false;
-        }
-        let known = self.memberships.get(&target.identity).copied();
-        let hash = target.hash();
-        let cached = known.filter(|known| known.hash == hash && now < known.until);
-        let membership = cached.unwrap_or_else(|| Membership {
-            is_sender: is_sender(),
-            hash,
-            until: now.plus_millis(MEMBERSHIP_TTL_MS),
-            pacer: known.map(|known| known.pacer).unwrap_or_default(),
-        });
-        self.memberships.insert(target.identity, membership);
-        membership.is_sender && membership.pacer.is_due(now)
+        let round = (target.identity, target.hash());
+        let is_sender = self.senders.has(now, standing, round, is_sender);
+        let pacer = self.pacers.get(&target.identity);
+        is_sender && pacer.is_none_or(|pacer| pacer.is_due(now))
     }
 
     /// Records that a request is sent to the server now, in a fleet of `nodes`.
     pub fn record_send(&mut self, now: Instant, target: &Target, nodes: usize) {
-        if let Some(membership) = self.memberships.get_mut(&target.identity) {
-            membership
-                .pacer
-                .record_send(now, target.limit.spacing_ms(nodes));
-        }
+        let pacer = self.pacers.entry(target.identity).or_default();
+        pacer.record_send(now, target.limit.spacing_ms(nodes));
     }
 
     /// Returns when a request to the server may be admitted again, by this node or, as far as it can
@@ -280,10 +253,11 @@
     pub fn next_at(&self, now: Instant, target: &Target, nodes: usize) -> Instant {
         let senders = u64::try_from(target.limit.senders(nodes).max(1)).unwrap_or(u64::MAX);
         let by_any = now.plus_millis(target.limit.spacing_ms(nodes) / senders);
-        let own = self.memberships.get(&target.identity);
-        match own.filter(|membership| membership.is_sender && now >= self.ready_at) {
-            Some(membership) => membership.pacer.next.clamp(now, by_any.max(now)),
-            None => by_any,
+        if !self.senders.had(target.identity) {
+            return by_any;
         }
+        let own = self.pacers.get(&target.identity).copied();
+        let next = own.unwrap_or_default().next;
+        next.clamp(now, by_any.max(now))
     }
 }
--- a/crates/core/tests/all/gateway/brittle.rs
+++ b/crates/core/tests/all/gateway/brittle.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::brittle::{Owners, Services, owner};
-use fescuerack_core::gateway::shared_limit::SETTLE_MS;
+use fescuerack_core::gateway::brittle::{Services, owner};
 
 const fn at(ms: u64) -> Instant {
     Instant::from_millis(1_000_000 + ms)
@@ -65,21 +64,3 @@
     }
     assert!(moved <= 50, "{moved} of 1,000 servers have another owner");
 }
-
-/// Guards against a server that gets twice what it can run while its owner changes, and against nodes
-/// that have just started and know no others.
-#[test]
-fn owns_new_owner_waits_for_the_one_before() {
-    let mut owners = Owners::new(at(0));
-    assert!(!owners.owns(at(10), 1, || true), "it has just started");
-    let ready = SETTLE_MS;
-    assert!(owners.owns(at(ready), 1, || true), "no other owned it");
-    assert!(!owners.owns(at(ready), 2, || false));
-    assert!(!owners.owns(at(ready + 600), 2, || true));
-    assert!(!owners.owns(at(ready + 1_500), 2, || true));
-    assert!(owners.owns(at(ready + 1_700), 2, || true));
-    assert!(
-        !owners.owns(at(ready + 2_300), 2, || false),
-        "it gives up at once"
-    );
-}
--- a/crates/core/tests/all/gateway/shared_limit.rs
+++ b/crates/core/tests/all/gateway/shared_limit.rs
@@ -1,6 +1,7 @@
 //! Tests of the rate limits of servers that all nodes keep together.
 
 use fescuerack_core::clock::Instant;
+use fescuerack_core::gateway::duty::Standing;
 use fescuerack_core::gateway::shared_limit::{Gate, Limit, Pacer, Target, is_sender};
 use proptest::prelude::*;
 use rstest::rstest;
@@ -125,6 +126,12 @@
     }
 }
 
+/// A node that has run for a while.
+const STANDING: Standing = Standing {
+    is_calm: true,
+    is_first_start: false,
+};
+
 /// Guards against callers that are told to return before any node can send a request, or long after.
 #[test]
 fn next_at_is_the_next_request_of_any_sender() {
@@ -137,12 +144,12 @@
     let (spacing_ms, senders) = (target.limit.spacing_ms(78), target.limit.senders(78));
     let wait_ms = spacing_ms / u64::try_from(senders).expect("few");
     let mut gate = Gate::new(Instant::ORIGIN);
-    assert!(!gate.admits(now, &target, || false));
+    assert!(!gate.admits(now, STANDING, &target, || false));
     assert_eq!(gate.next_at(now, &target, 78), now.plus_millis(wait_ms));
     let mut single = Gate::new(Instant::ORIGIN);
-    assert!(single.admits(now, &target, || true));
+    assert!(single.admits(now, STANDING, &target, || true));
     single.record_send(now, &target, 1);
     let next = single.next_at(now, &target, 1);
-    assert!(!single.admits(Instant(next.0 - 1), &target, || true));
-    assert!(single.admits(next, &target, || true));
+    assert!(!single.admits(Instant(next.0 - 1), STANDING, &target, || true));
+    assert!(single.admits(next, STANDING, &target, || true));
 }
--- a/crates/core/tests/all/gateway/stated_limit.rs
+++ b/crates/core/tests/all/gateway/stated_limit.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::shared_limit::{Gate, SETTLE_MS, is_sender};
+use fescuerack_core::gateway::duty::{SETTLE_MS, Standing};
+use fescuerack_core::gateway::shared_limit::{Gate, is_sender};
 use fescuerack_core::gateway::stated_limit::{Change, ROUND_MS, StatedLimits};
 use proptest::prelude::*;
 use rand::SeedableRng as _;
@@ -194,6 +195,12 @@
 /// The same where only three nodes have requests.
 const HIGH_DEMAND_PER_S: f64 = 20.0;
 
+/// Nodes of this fleet never count as calm: what they know of each other is given by the trouble.
+const STANDING: Standing = Standing {
+    is_calm: false,
+    is_first_start: false,
+};
+
 /// What disturbs the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
@@ -321,7 +328,7 @@
             let senders = target.limit.senders(list.len());
             let names = || list.iter().map(String::as_str);
             let is_sender = || is_sender(name, names(), target.hash(), senders);
-            if !node.gate.admits(at(now), &target, is_sender) {
+            if !node.gate.admits(at(now), STANDING, &target, is_sender) {
                 return;
             }
             node.gate.record_send(at(now), &target, list.len());
--- a/crates/gateway/src/apply.rs
+++ b/crates/gateway/src/apply.rs
@@ -35,7 +35,7 @@
         node.pool.forget(address);
     }
     observe_ages(node);
-    node.observe_node_count();
+    node.observe_members();
     let view = node.view.borrow();
     node.followed_revision.send_replace(view.revision);
     node.snapshots.publish(view.revision);
@@ -49,7 +49,7 @@
     node.metrics.unreadable.set(gauge(view.unreadable));
     node.metrics
         .nodes
-        .set(i64::try_from(view.node_count()).unwrap_or(i64::MAX));
+        .set(i64::try_from(view.membership.count()).unwrap_or(i64::MAX));
 }
 
 /// Observes the age of each change that became active. The age of what a node reads at its start is
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -217,7 +217,7 @@
 fn tell_owners(node: &Rc<Node>, observation: Observation) {
     let settings = node.settings.borrow();
     let view = node.view.borrow();
-    let names = view.nodes.keys().map(String::as_str);
+    let names = view.membership.names();
     for name in crash::owners(observation.key, names) {
         if name == settings.instance {
             node.suspects.borrow_mut().observe(now(), observation);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -178,7 +178,7 @@
         if now() < self.next_call {
             return false;
         }
-        let interval_ms = watcher::probe_interval_ms(node.view.borrow().node_count()).max(1);
+        let interval_ms = watcher::probe_interval_ms(node.view.borrow().membership.count()).max(1);
         let jitter_ms = node.random.borrow_mut().random_range(0..interval_ms);
         self.next_call = now().plus_millis(interval_ms / 2 + jitter_ms);
         true
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -197,10 +197,12 @@
         })
     }
 
-    /// Records in the retry share how many nodes are listed.
-    pub fn observe_node_count(&self) {
-        let view = self.view.borrow();
+    /// Records whether the store confirms the list of nodes, and in the retry share how many members
+    /// there are.
+    pub fn observe_members(&self) {
+        let mut view = self.view.borrow_mut();
         let is_confirmed = !view.outage.is_ongoing() && self.store_age_ms() < CONFIRMED_MS;
+        view.observe_members(now(), &self.settings.borrow().instance, is_confirmed);
         let mut share = self.retry_share.borrow_mut();
         share.observe(now(), view.nodes.len(), is_confirmed);
     }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -133,7 +133,7 @@
         if dropped > 0 {
             tracing::info!(event = "servers-not-back", count = dropped);
         }
-        node.observe_node_count();
+        node.observe_members();
         statements::sweep(&node, now());
         update_server_gauges(&node);
         node.snapshots.sweep(now());
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -36,6 +36,7 @@
 /// Keeps the node registered until the process ends.
 pub async fn run(node: Rc<Node>) {
     wait_for_state(&node).await;
+    record_start(&node);
     let mut former = former_lease(&node);
     loop {
         let lease = match renew_former(&node, former.take()).await {
@@ -63,6 +64,12 @@
     let _ = followed.wait_for(|revision| !revision.is_origin()).await;
 }
 
+fn record_start(node: &Node) {
+    let mut view = node.view.borrow_mut();
+    view.membership
+        .record_start(&node.settings.borrow().instance);
+}
+
 /// Returns the entry that this process would write, without a lease.
 fn entry(node: &Node) -> Peer {
     let settings = node.settings.borrow();
--- a/crates/gateway/src/server_brittle.rs
+++ b/crates/gateway/src/server_brittle.rs
@@ -12,7 +12,8 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity;
-use fescuerack_core::gateway::brittle::{self, Owners, Services, Shared};
+use fescuerack_core::gateway::brittle::{self, Services, Shared};
+use fescuerack_core::gateway::duty::Duties;
 use tokio::sync::Notify;
 
 use crate::clock::{deadline, now};
@@ -34,7 +35,7 @@
     instance: String,
     zone: String,
     services: RefCell<Services>,
-    owners: RefCell<Owners>,
+    owned: RefCell<Duties>,
     queues: RefCell<HashMap<Arc<str>, Rc<Queue>>>,
     /// Owners of servers, by identity.
     found: RefCell<HashMap<u64, Found>>,
@@ -74,7 +75,7 @@
             instance: instance.to_owned(),
             zone: zone.to_owned(),
             services: RefCell::default(),
-            owners: RefCell::new(Owners::new(now())),
+            owned: RefCell::new(Duties::new(now())),
             queues: RefCell::default(),
             found: RefCell::default(),
             pauses: RefCell::default(),
@@ -146,8 +147,9 @@
     }
 
     fn owns(&self, view: &View, server: &Server, now: Instant) -> bool {
-        let mut owners = self.owners.borrow_mut();
-        owners.owns(now, server.identity, || {
+        let mut owned = self.owned.borrow_mut();
+        let standing = view.membership.standing(now);
+        owned.has(now, standing, (server.identity, 0), || {
             self.owner(view, server, now).as_deref() == Some(&*self.instance)
         })
     }
@@ -266,7 +268,7 @@
             .values()
             .map(|server| (server.identity, &server.entry.service))
             .collect();
-        self.owners.borrow_mut().retain(|server| {
+        self.owned.borrow_mut().retain(|server| {
             let service = listed.get(&server);
             service.is_some_and(|service| services.is_brittle(now, service))
         });
--- a/crates/gateway/src/server_limit.rs
+++ b/crates/gateway/src/server_limit.rs
@@ -22,7 +22,8 @@
         return true;
     };
     let mut gate = node.gate.borrow_mut();
-    gate.admits(now, &target, || is_sender(node, view, &target))
+    let standing = view.membership.standing(now);
+    gate.admits(now, standing, &target, || is_sender(node, view, &target))
 }
 
 /// Records that a request is sent to `server` now.
@@ -31,20 +32,30 @@
         return;
     };
     let mut gate = node.gate.borrow_mut();
-    gate.record_send(now, &target, view.node_count());
+    gate.record_send(now, &target, view.membership.count());
     let requests = if server.is_cold(now) {
         &node.metrics.servers.cold_requests
     } else {
         &node.metrics.servers.limited_requests
     };
     requests.with_label_values(&[&*server.entry.service]).inc();
+    tracing::info!(
+        event = "limited-request",
+        server = &*server.entry.id,
+        cold = server.is_cold(now),
+        members = view.membership.count(),
+        missing = view.membership.missing_count(),
+        confirmed = view.membership.is_confirmed()
+    );
 }
 
 /// Returns when a request to `server` may be admitted again, by this node or by another.
 pub fn next_at(node: &Node, view: &View, server: &Server, now: Instant) -> Instant {
     let target = target(node, view, server, now);
     let gate = node.gate.borrow();
-    target.map_or(now, |target| gate.next_at(now, &target, view.node_count()))
+    target.map_or(now, |target| {
+        gate.next_at(now, &target, view.membership.count())
+    })
 }
 
 /// Records what the answer of `pick` to a request that was sent at `sent_at` states.
@@ -110,8 +121,8 @@
 /// Returns whether this node is a sender for the server.
 fn is_sender(node: &Node, view: &View, target: &Target) -> bool {
     let settings = node.settings.borrow();
-    let names = view.nodes.keys().map(String::as_str);
-    let senders = target.limit.senders(view.node_count());
+    let names = view.membership.names();
+    let senders = target.limit.senders(view.membership.count());
     shared_limit::is_sender(&settings.instance, names, target.hash(), senders)
 }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -13,6 +13,7 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::lease_expiry::Outage;
+use fescuerack_core::gateway::membership::Membership;
 use fescuerack_core::gateway::position::Position;
 use fescuerack_core::gateway::rank::Instance;
 use fescuerack_core::route::leaving::LeavingServers;
@@ -65,8 +66,10 @@
     pub servers: HashMap<Arc<str>, Server>,
     /// Roll-outs by service.
     pub orders: BTreeMap<Arc<str>, Order>,
-    /// All nodes by name, including this one once it has received its own entry.
+    /// The entries of all members by name, including this node once it has received its own entry.
     pub nodes: BTreeMap<String, Peer>,
+    /// Who is there, by the same names.
+    pub membership: Membership,
     /// Evacuated availability zones, whose servers get no requests, and when this node received the
     /// order.
     pub evacuated: BTreeMap<Arc<str>, Instant>,
@@ -373,11 +376,13 @@
         })
     }
 
-    /// Returns the number of nodes that have an entry; at least 1, since the entry of this node may
-    /// not have arrived yet.
-    #[must_use]
-    pub fn node_count(&self) -> usize {
-        self.nodes.len().max(1)
+    /// Records whether the store confirms the list of nodes to this node, `local`, and drops the
+    /// nodes that are no members any more.
+    pub fn observe_members(&mut self, now: Instant, local: &str, is_confirmed: bool) {
+        for name in self.membership.observe(now, local, is_confirmed) {
+            tracing::info!(event = "member-gone", instance = name);
+            self.nodes.remove(&name);
+        }
     }
 
     fn drop_tombstones(&mut self) {
--- a/crates/gateway/src/view/change.rs
+++ b/crates/gateway/src/view/change.rs
@@ -98,7 +98,7 @@
             Change::Evacuation { zone, is_ordered } => {
                 self.apply_evacuation(now, zone, is_ordered, item.revision);
             }
-            Change::Internal => self.apply_node_entry(item),
+            Change::Internal => self.apply_node_entry(now, item),
             Change::Unreadable(reason) => self.record_unreadable(item, &reason),
         }
     }
@@ -247,14 +247,16 @@
         self.orders.insert(order.rollout.service.clone(), order);
     }
 
-    fn apply_node_entry(&mut self, item: &Item) {
+    fn apply_node_entry(&mut self, now: Instant, item: &Item) {
         let Some(name) = item.key.strip_prefix(NODES) else {
             return;
         };
         let peer = item.value.as_deref().and_then(Peer::new);
-        match peer {
-            Some(peer) => self.nodes.insert(name.to_owned(), peer),
-            None => self.nodes.remove(name),
+        let Some(peer) = peer else {
+            self.membership.unlist(now, name);
+            return;
         };
+        self.membership.list(now, name);
+        self.nodes.insert(name.to_owned(), peer);
     }
 }
