A stream that ends with a blank line, a comment or a retry field is whole

What callers saw: all streams with the first block of a sound one are refused for a minute, .3 s after the first ones, when servers end their streams with one blank line more: what was left in the splitter counted as a partial event, and the break as a crash under each block. A partial event is now a field that belongs to one and is not dispatched; lines end with a line feed, a carriage return or both; a byte order mark may precede.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -3,11 +3,16 @@
 //! A server may fail in the middle of an event. Only whole events are forwarded, so that a resumed
 //! stream continues with the next event and the caller never receives a partial event followed by
 //! another one.
+//!
+//! Lines end with `\n`, `\r\n` or `\r`, and a blank line ends an event. Blank lines, comments and `retry`
+//! fields dispatch nothing, so a stream that ends with them is complete.
 
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an event in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Byte order mark, which may precede the first line.
+const BYTE_ORDER_MARK: &[u8] = b"\xEF\xBB\xBF";
 
 /// An event exceeds the maximum size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -45,10 +50,10 @@
         self.count
     }
 
-    /// Returns whether a partial event is buffered.
+    /// Returns whether an event has begun that has not ended: a field that belongs to one.
     #[must_use]
     pub fn is_partial(&self) -> bool {
-        !self.partial.is_empty()
+        lines(&self.partial).any(|line| begins_event(line))
     }
 
     /// Drops the partial event at the end of a broken stream.
@@ -90,22 +95,49 @@
     }
 }
 
-/// Returns the position after the blank line that ends the first event.
+/// Returns the first line without its end, and the position after that; `None` if it has not ended.
+fn first_line(bytes: &[u8]) -> Option<(&[u8], usize)> {
+    let end = bytes
+        .iter()
+        .position(|byte| matches!(byte, b'\n' | b'\r'))?;
+    let is_pair = bytes[end..].starts_with(b"\r\n");
+    Some((&bytes[..end], end + 1 + usize::from(is_pair)))
+}
+
+/// Returns the lines, including one at the end that has not ended.
+fn lines(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
+    std::iter::from_fn(move || {
+        if rest.is_empty() {
+            return None;
+        }
+        let (line, after) = first_line(rest).unwrap_or((rest, rest.len()));
+        rest = &rest[after..];
+        Some(line)
+    })
+}
+
+/// Returns the position after the blank line that ends the first event. The `\n` of a blank line that
+/// ends with `\r\n` may arrive later; it is then a blank line of its own, which dispatches nothing.
 fn end_of_event(bytes: &[u8]) -> Option<usize> {
     let mut from = 0;
-    while let Some(at) = bytes[from..].iter().position(|&byte| byte == b'\n') {
-        let next = from + at + 1;
-        match bytes.get(next..) {
-            Some([b'\n', ..]) => return Some(next + 1),
-            Some([b'\r', b'\n', ..]) => return Some(next + 2),
-            _ => from = next,
+    while let Some((line, after)) = first_line(&bytes[from..]) {
+        from += after;
+        if line.is_empty() {
+            return Some(from);
         }
     }
     None
 }
 
+/// Returns whether a line, which may not have ended, belongs to an event.
+fn begins_event(line: &[u8]) -> bool {
+    let name = line.split(|&byte| byte == b':').next().unwrap_or_default();
+    !name.is_empty() && name != b"retry"
+}
+
 fn id_of(event: &[u8]) -> Option<u64> {
-    event.split(|&byte| byte == b'\n').find_map(|line| {
+    lines(event).find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     })
