An answer without the server's proof ends no limit and no brittleness

What servers saw: a part in front of a limited server answers for it once, and all nodes take the limit for ended. An answer without X-Server-Signature may still name a limit; it does not end one. The test failed before (the limit was gone after three such answers) and passes.

--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -93,6 +93,8 @@
     pub is_not_run: bool,
     /// Whether the response carries the identifier of the request that was sent.
     pub is_for_request: bool,
+    /// Whether the response carries the server's proof, so that no part in front of it has made it.
+    pub is_proved: bool,
     /// The model's confidence in its answer, in percent.
     pub confidence: Option<u8>,
     /// Requests a second that the server accepts from all nodes together, at least zero.
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -42,7 +42,11 @@
         return;
     }
     log(pick, id, head);
-    server_limit::record_statement(node, pick, sent_at, head.limit);
+    // What a part in front of the server answers for it does not say that the server is well again.
+    let may_say = |is_absent: bool| head.is_proved || !is_absent;
+    if may_say(head.limit == Stated::Absent) {
+        server_limit::record_statement(node, pick, sent_at, head.limit);
+    }
     server_leaving::record_statement(node, pick, head.is_leaving);
     server_rest::record_statement(node, pick, head.rest_ms);
     if head.max_refusals == Stated::Unreadable {
@@ -53,8 +57,10 @@
         node.brittle
             .record_refusal(pick.identity, head.max_refusals);
     }
-    node.brittle
-        .record_statement(&pick.service, sent_at, head.max_refusals, OWN_ANSWER);
+    if may_say(head.max_refusals == Stated::Absent) {
+        node.brittle
+            .record_statement(&pick.service, sent_at, head.max_refusals, OWN_ANSWER);
+    }
 }
 
 /// Returns the statements for a peer.
