Instances that the list has lost are counted on by the own door too

What would be seen: a list that loses most of 340 instances for a moment leaves each remaining one with most of the store's rate and of the limits of organisations: only those that had sent it a message within 30 s were kept (20 of 340 in the test, which failed before). The module of membership moves to the core's root, and the own door's view asks it. The names that are missing are kept apart, so that a tick costs nothing while none is.

--- a/crates/core/src/gateway/brittle.rs
+++ b/crates/core/src/gateway/brittle.rs
@@ -12,7 +12,7 @@
 //! - **Refusals.** A server may run more than its owner counts: requests whose callers have left, which
 //!   some servers finish. After a refusal the owner [waits](pause_ms) so long that it meets half as many
 //!   as the server can turn away.
-//! - **Owners.** Nodes that know the same [members](super::membership) agree without messages, and a new
+//! - **Owners.** Nodes that know the same [members](crate::membership) agree without messages, and a new
 //!   owner waits as for any other [duty](super::duty).
 
 use std::collections::HashMap;
--- a/crates/core/src/gateway/duty.rs
+++ b/crates/core/src/gateway/duty.rs
@@ -1,7 +1,7 @@
 //! When a node begins what one or a few nodes do for all: sending to a server with a limit, or owning a
 //! brittle one.
 //!
-//! Nodes that know the same [members](super::membership) agree without messages who has a duty. While they
+//! Nodes that know the same [members](crate::membership) agree without messages who has a duty. While they
 //! do not, a duty may be had twice, and what all nodes send to a server sums up to more than it bears. So:
 //!
 //! - A node that has just started knows too few others. It begins once the list is
@@ -13,8 +13,8 @@
 
 use std::collections::HashMap;
 
-use super::membership::CALM_MS;
 use crate::clock::Instant;
+use crate::membership::{CALM_MS, Standing};
 
 /// Milliseconds after which a node begins a duty although the list is not calm. Nodes that start
 /// together register one after the other.
@@ -23,15 +23,6 @@
 /// nodes join and leave.
 const CACHED_MS: u64 = 500;
 
-/// What a node knows of its own place among the members.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Standing {
-    /// Whether the others know the same members.
-    pub is_calm: bool,
-    /// Whether no process before this one on the same instance can have had duties a moment ago.
-    pub is_first_start: bool,
-}
-
 /// Whether the node has one duty.
 #[derive(Clone, Copy, Debug)]
 struct Duty {
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -24,7 +24,6 @@
 //! - [`rest`]: which servers have asked a node for rest;
 //! - [`session`]: which sessions stay on the version on which they started;
 //! - [`lease_expiry`]: which backend servers are removed after an outage of the store;
-//! - [`membership`]: which nodes there are;
 //! - [`duty`]: when a node begins what one or few nodes do for all;
 //! - [`rank`]: which nodes take on duties for the others;
 //! - [`position`]: how changes of the store are ordered;
@@ -43,7 +42,6 @@
 pub mod health;
 pub mod lease_expiry;
 pub mod load;
-pub mod membership;
 pub mod outlier;
 pub mod position;
 pub mod rank;
--- a/crates/core/src/gateway/shared_limit.rs
+++ b/crates/core/src/gateway/shared_limit.rs
@@ -11,7 +11,7 @@
 //! list of nodes agree without messages. While nodes disagree, because some are partitioned or have
 //! lost their entries, there are more senders. Only half of the requests of a window are used, so
 //! that two partitions of the fleet without contact stay within it in total. Which nodes there are is
-//! the matter of [`membership`](super::membership), and when a node that has become a sender begins,
+//! the matter of [`membership`](crate::membership), and when a node that has become a sender begins,
 //! that of [`duty`](super::duty).
 //!
 //! Senders are chosen anew for each [round](Target::round) of a stated limit; see
@@ -20,8 +20,9 @@
 use std::collections::HashMap;
 
 use super::affinity;
-use super::duty::{Duties, Standing};
+use super::duty::Duties;
 use crate::clock::Instant;
+use crate::membership::Standing;
 
 /// Share of the requests of a window that is used while all nodes agree.
 const USED_SHARE: f64 = 0.5;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,7 @@
 //! trace. Each module defines its own state, messages and invariants; a violated invariant stops
 //! the process.
 //!
-//! [`gateway`] serves the gateway crate and [`clock`] serves both; the other modules serve the node
+//! [`gateway`] serves the gateway crate, and [`clock`] and [`membership`] serve both; the other modules serve the node
 //! crate and the crates around it. Both products solve some of the same problems with different
 //! evidence.
 //!
@@ -20,6 +20,7 @@
 pub mod gateway;
 pub mod ledger;
 pub mod member;
+pub mod membership;
 pub mod num;
 pub mod order;
 pub mod poison;
--- a/crates/core/src/member/view.rs
+++ b/crates/core/src/member/view.rs
@@ -2,6 +2,8 @@
 //!
 //! - A listed instance is live until it announces that it is leaving, the list
 //!   reports it as leaving, or exchanges with it fail repeatedly.
+//! - An instance that the list drops is known for a while: the list may have lost it, with others, though it
+//!   serves ([`membership`](crate::membership)).
 //! - An instance that sends messages is live even if the list does not show it
 //!   yet, because the list lags for joining instances too.
 //! - An instance's announcement that it is leaving holds for that incarnation
@@ -16,6 +18,7 @@
 
 use super::Key;
 use crate::clock::Instant;
+use crate::membership::Membership;
 
 /// Whether an instance accepts work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -58,6 +61,8 @@
     local_zone: String,
     instances: SlotMap<Key, Instance>,
     index: BTreeMap<String, Key>,
+    /// Who is there by the platform's list.
+    membership: Membership,
 }
 
 impl View {
@@ -84,6 +89,7 @@
             local_zone: zone.to_owned(),
             instances: SlotMap::with_key(),
             index: BTreeMap::new(),
+            membership: Membership::new(),
         }
     }
 
@@ -96,11 +102,12 @@
     ) {
         let mut listed = BTreeSet::new();
         for (id, zone, address, state) in list {
+            listed.insert(id);
+            self.membership.list(now, id);
             if id == self.local_id {
                 continue;
             }
             let key = self.find_or_insert(id, zone, address);
-            listed.insert(key);
             let instance = &mut self.instances[key];
             instance.listed = true;
             instance.zone.clear();
@@ -109,9 +116,14 @@
                 instance.state = State::Leaving;
             }
         }
-        for (key, instance) in &mut self.instances {
-            instance.listed = listed.contains(&key);
+        for instance in self.instances.values_mut() {
+            instance.listed = listed.contains(instance.id.as_str());
         }
+        let known: Vec<String> = self.membership.names().map(str::to_owned).collect();
+        for name in known.iter().filter(|name| !listed.contains(name.as_str())) {
+            self.membership.unlist(now, name);
+        }
+        self.membership.observe(now, &self.local_id, true);
         self.expire_unlisted(now);
     }
 
@@ -246,14 +258,15 @@
         key
     }
 
-    /// Removes the instances that are neither listed nor recently active.
+    /// Removes the instances that are neither members by the list nor recently active.
     fn expire_unlisted(&mut self, now: Instant) {
         let index = &mut self.index;
+        let membership = &self.membership;
         self.instances.retain(|_, instance| {
             let is_recent = instance
                 .last_received
                 .is_some_and(|received| now < received.plus_millis(Self::UNLISTED_RETENTION_MS));
-            let is_kept = instance.listed || is_recent;
+            let is_kept = membership.contains(&instance.id) || is_recent;
             if !is_kept {
                 index.remove(&instance.id);
             }
--- a/crates/core/src/gateway/membership.rs
+++ b/crates/core/src/membership.rs
@@ -6,11 +6,11 @@
 //!
 //! - **A name whose entry is gone is not gone.** Its lease may have ended though the node serves, in an
 //!   outage of the store or because its renewals were late; if many leases end, each node is alone
-//!   in its list. So a name that is [missing](Presence::Missing) is a member for [`RETURN_MS`] of
+//!   in its list. So a name that is missing is a member for [`RETURN_MS`] of
 //!   time in which the store confirms the list, since nodes whose leases have ended register again
 //!   within that time.
-//! - **A node that is not listed itself knows little.** What has ended its own lease may have ended
-//!   others. No name goes while the entry of this node is missing.
+//! - **A node that has lost its own entry knows little.** What has ended its lease may have ended
+//!   others. No name goes until it is listed again.
 //! - **Whoever begins a duty waits.** A node may begin one once the list has been
 //!   [unchanged](Membership::is_calm) for [`CALM_MS`]: those that had it before then know the
 //!   same list, and have given it up.
@@ -18,9 +18,8 @@
 //! What remains: a node that the store turns away for longer than a lease and [`RETURN_MS`] is dropped
 //! by the others, though it serves. The two parts each count with what they know.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::duty::Standing;
 use crate::clock::Instant;
 
 /// Milliseconds for which a name is a member after its entry has gone, while the store confirms the
@@ -29,22 +28,22 @@
 /// Milliseconds without a change after which nodes know the same list.
 pub const CALM_MS: u64 = 1_000;
 
-/// What is known of a member.
+/// What a node knows of its own place among the members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Presence {
-    /// The store lists it.
-    Listed,
-    /// Its entry has gone; it is a member until the given time.
-    Missing {
-        /// When it is no member any more, if the store confirms the list until then.
-        until: Instant,
-    },
+pub struct Standing {
+    /// Whether the others know the same members.
+    pub is_calm: bool,
+    /// Whether no process before this one on the same instance can have had duties a moment ago.
+    pub is_first_start: bool,
 }
 
 /// The members, as one node knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Membership {
-    members: BTreeMap<String, Presence>,
+    members: BTreeSet<String>,
+    /// Members whose entries have gone, and when they are no members any more if the store confirms the
+    /// list until then.
+    missing: BTreeMap<String, Instant>,
     /// When a name last became a member or ceased to be one.
     changed_at: Instant,
     is_confirmed: bool,
@@ -62,47 +61,40 @@
     /// Records that this node, `local`, has read the list for the first time and not yet registered: a
     /// process before it on the same instance is listed until its lease ends.
     pub fn record_start(&mut self, local: &str) {
-        self.is_first_start = !self.members.contains_key(local);
+        self.is_first_start = !self.contains(local);
     }
 
     /// Records that the store lists `name`.
     pub fn list(&mut self, now: Instant, name: &str) {
-        if self.members.get(name) == Some(&Presence::Listed) {
-            return;
-        }
-        let before = self.members.insert(name.to_owned(), Presence::Listed);
-        if before.is_none() {
+        self.missing.remove(name);
+        if !self.contains(name) {
+            self.members.insert(name.to_owned());
             self.changed_at = now;
         }
     }
 
     /// Records that the entry of `name` has gone.
     pub fn unlist(&mut self, now: Instant, name: &str) {
-        let Some(presence) = self.members.get_mut(name) else {
-            return;
-        };
-        if *presence == Presence::Listed {
+        if self.contains(name) && !self.missing.contains_key(name) {
             let until = now.plus_millis(RETURN_MS);
-            *presence = Presence::Missing { until };
+            self.missing.insert(name.to_owned(), until);
         }
     }
 
     /// Records whether the store confirms the list to this node, `local`, and returns the names that
     /// are no members any more.
     pub fn observe(&mut self, now: Instant, local: &str, is_confirmed: bool) -> Vec<String> {
+        let has_lost_itself = self.missing.contains_key(local);
         self.is_confirmed = is_confirmed;
-        self.is_listed_itself = self.members.get(local) == Some(&Presence::Listed);
-        if !is_confirmed || !self.is_listed_itself {
+        self.is_listed_itself = self.contains(local) && !has_lost_itself;
+        if !is_confirmed || has_lost_itself {
             self.keep_missing(now);
             return Vec::new();
         }
-        let is_over = |presence: &mut Presence| match presence {
-            Presence::Listed => false,
-            Presence::Missing { until } => now >= *until,
-        };
-        let gone = self.members.extract_if(.., |_, presence| is_over(presence));
-        let gone: Vec<String> = gone.map(|(name, _)| name).collect();
-        if !gone.is_empty() {
+        let over = self.missing.extract_if(.., |_, until| now >= *until);
+        let gone: Vec<String> = over.map(|(name, _)| name).collect();
+        for name in &gone {
+            self.members.remove(name);
             self.changed_at = now;
         }
         gone
@@ -110,16 +102,20 @@
 
     /// Keeps what is missing: nothing is known of it at this time.
     fn keep_missing(&mut self, now: Instant) {
-        for presence in self.members.values_mut() {
-            if let Presence::Missing { until } = presence {
-                *until = now.plus_millis(RETURN_MS);
-            }
+        for until in self.missing.values_mut() {
+            *until = now.plus_millis(RETURN_MS);
         }
     }
 
+    /// Returns whether `name` is a member.
+    #[must_use]
+    pub fn contains(&self, name: &str) -> bool {
+        self.members.contains(name)
+    }
+
     /// Returns the names of all members, in order.
     pub fn names(&self) -> impl Iterator<Item = &str> {
-        self.members.keys().map(String::as_str)
+        self.members.iter().map(String::as_str)
     }
 
     /// Returns the number of members; at least 1, since the entry of this node may not have arrived yet.
@@ -131,10 +127,7 @@
     /// Returns the number of members whose entries have gone.
     #[must_use]
     pub fn missing_count(&self) -> usize {
-        let presences = self.members.values();
-        presences
-            .filter(|presence| **presence != Presence::Listed)
-            .count()
+        self.missing.len()
     }
 
     /// Returns whether the store confirms the list.
--- a/crates/core/tests/all/gateway/duty.rs
+++ b/crates/core/tests/all/gateway/duty.rs
@@ -1,8 +1,8 @@
 //! Tests of when a node begins what one or few nodes do for all.
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::duty::{Duties, SETTLE_MS, Standing};
-use fescuerack_core::gateway::membership::CALM_MS;
+use fescuerack_core::gateway::duty::{Duties, SETTLE_MS};
+use fescuerack_core::membership::{CALM_MS, Standing};
 
 const CALM: Standing = Standing {
     is_calm: true,
--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -14,7 +14,6 @@
 mod health;
 mod lease_expiry;
 mod load;
-mod membership;
 mod membership_fleet;
 mod outlier;
 mod reach;
--- a/crates/core/tests/all/gateway/shared_limit.rs
+++ b/crates/core/tests/all/gateway/shared_limit.rs
@@ -1,8 +1,8 @@
 //! Tests of the rate limits of servers that all nodes keep together.
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::duty::Standing;
 use fescuerack_core::gateway::shared_limit::{Gate, Limit, Pacer, Target, is_sender};
+use fescuerack_core::membership::Standing;
 use proptest::prelude::*;
 use rstest::rstest;
 
--- a/crates/core/tests/all/gateway/stated_limit.rs
+++ b/crates/core/tests/all/gateway/stated_limit.rs
@@ -3,9 +3,10 @@
 use std::collections::VecDeque;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::duty::{SETTLE_MS, Standing};
+use fescuerack_core::gateway::duty::SETTLE_MS;
 use fescuerack_core::gateway::shared_limit::{Gate, is_sender};
 use fescuerack_core::gateway::stated_limit::{Change, ROUND_MS, StatedLimits};
+use fescuerack_core::membership::Standing;
 use proptest::prelude::*;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
--- a/crates/core/tests/all/main.rs
+++ b/crates/core/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod gateway;
 mod member;
+mod membership;
 mod order;
 mod poison;
 mod replay;
--- a/crates/core/tests/all/member.rs
+++ b/crates/core/tests/all/member.rs
@@ -288,3 +288,32 @@
         assert_eq!(selected, ["b"]);
     }
 }
+
+/// Guards against instances that each take most of what all may have together, the store's rate and the
+/// limits of organisations, since the list has lost most of the others for a moment.
+#[test]
+fn observe_list_that_has_lost_most_instances_counts_them_on() {
+    let names: Vec<String> = (0..340).map(|number| format!("n{number}")).collect();
+    let mut view = View::new("n0", "espoo-a");
+    let list = |names: &[String], view: &mut View, millis: u64| {
+        let list = names
+            .iter()
+            .map(|name| (name.as_str(), "espoo-a", "address:1", State::Live));
+        view.observe(Instant::from_millis(millis), list);
+        view.size()
+    };
+    assert_eq!(list(&names, &mut view, 0), 340);
+    assert_eq!(
+        list(&names[..20], &mut view, 500),
+        340,
+        "most entries have gone"
+    );
+    assert_eq!(list(&[], &mut view, 1_000), 340, "all have gone");
+    assert_eq!(list(&names, &mut view, 60_000), 340, "all are back");
+    assert_eq!(list(&names[..20], &mut view, 60_500), 340);
+    assert_eq!(
+        list(&names[..20], &mut view, 90_000),
+        20,
+        "320 are gone for good"
+    );
+}
--- a/crates/core/tests/all/gateway/membership.rs
+++ b/crates/core/tests/all/membership.rs
@@ -1,7 +1,7 @@
 //! Tests of who is there.
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::membership::{CALM_MS, Membership, RETURN_MS};
+use fescuerack_core::membership::{CALM_MS, Membership, RETURN_MS};
 
 fn at(millis: u64) -> Instant {
     Instant::from_millis(millis)
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -53,7 +53,7 @@
     /// Returns whether an event has begun that has not ended: a field that belongs to one.
     #[must_use]
     pub fn is_partial(&self) -> bool {
-        lines(&self.partial).any(|line| begins_event(line))
+        lines(&self.partial).any(begins_event)
     }
 
     /// Drops the partial event at the end of a broken stream.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -13,9 +13,9 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::lease_expiry::Outage;
-use fescuerack_core::gateway::membership::Membership;
 use fescuerack_core::gateway::position::Position;
 use fescuerack_core::gateway::rank::Instance;
+use fescuerack_core::membership::Membership;
 use fescuerack_core::route::leaving::LeavingServers;
 use serde::{Deserialize, Serialize};
 
