--- a/crates/core/src/gateway/brittle.rs
+++ b/crates/core/src/gateway/brittle.rs
@@ -3,7 +3,7 @@
 //! Such a server says so in its answers, and may let fewer requests wait from then on. Nodes that
 //! each keep to a share of its room still overfill it together, since none knows what the others
 //! have sent in the last milliseconds; its load then fells the next server. So while the servers of
-//! a service are brittle, each of them has an [owner](owner): one node, chosen by rendezvous
+//! a service are brittle, each of them has an [`owner`]: one node, chosen by rendezvous
 //! hashing, through which all requests for it go. The owner knows exactly what runs there, sends no
 //! more than the server can run at once, and lets a few requests wait itself.
 //!
