A node that starts hears what servers have stated before it is ready

A node that is not in its own list reports to nobody, so it hears nothing of limits, brittle services, servers that leave and crashing requests until its entry has come back and the next report has been answered; it is ready long before.

Cause: what nodes tell each other was no part of the state that a node must have before it is ready.

Change: gateway::initial_sync asks three other nodes of the zone, if there are any, and the node is ready with the first answer, or when all have failed, or after 0.3 s. A node that has just started answers with an error, so that nodes which start together do not wait for each other.

--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -88,6 +88,16 @@
             .saturating_add(u32::try_from(rounds).unwrap_or(u32::MAX))
     }
 
+    /// Returns the statement in a message to a peer.
+    fn shared(&self, now: Instant) -> Shared {
+        Shared {
+            per_second: self.per_second,
+            sequence: self.sequence,
+            age_ms: now.millis_since(self.heard_at),
+            round: self.round,
+        }
+    }
+
     fn is_kept(&self, now: Instant) -> bool {
         self.per_second.is_some() || now.millis_since(self.heard_at) < SHARE_END_MS
     }
@@ -198,15 +208,7 @@
             .filter(|(_, statement)| statement.is_shared(now));
         let digest: Vec<(u64, Shared)> = shared
             .take(MAX_SHARED)
-            .map(|(&identity, statement)| {
-                let shared = Shared {
-                    per_second: statement.per_second,
-                    sequence: statement.sequence,
-                    age_ms: now.millis_since(statement.heard_at),
-                    round: statement.round,
-                };
-                (identity, shared)
-            })
+            .map(|(&identity, statement)| (identity, statement.shared(now)))
             .collect();
         if let Some((identity, _)) = digest.last() {
             self.last_shared = *identity;
@@ -214,6 +216,15 @@
         digest.into_iter().collect()
     }
 
+    /// Returns all statements, for a node that starts.
+    #[must_use]
+    pub fn all(&self, now: Instant) -> Digest {
+        let shared = self.statements.iter();
+        shared
+            .map(|(&identity, statement)| (identity, statement.shared(now)))
+            .collect()
+    }
+
     /// Returns the limit of a server; `None` if it has none.
     #[must_use]
     pub fn target(&self, now: Instant, identity: u64) -> Option<Target> {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -79,6 +79,13 @@
     }
 }
 
+/// Waits until the node has the state of the store for the first time.
+pub async fn wait_for_state(node: &Node) {
+    let mut followed = node.followed_revision.subscribe();
+    // The sender lives as long as the node.
+    let _ = followed.wait_for(|revision| !revision.is_origin()).await;
+}
+
 /// Gets the whole state, at the start or after the store has lost the history since this node's
 /// revision.
 ///
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`follow`] receives changes of the store from a [`source`], the store itself or a peer that is
 //!   polled for [`updates`]. [`apply`] applies them to the [`view`], which contains every backend
 //!   [`server`].
+//! - [`initial_sync`] asks another node what servers have stated, and then the node is ready.
 //! - [`registration`] enters the node in the store, [`peer`] exchanges state with other nodes, and
 //!   [`load_report`] publishes the load and the failures of backend servers, the state of
 //!   [`load_exchange`].
@@ -51,6 +52,7 @@
 pub mod forward;
 pub mod headers;
 pub mod hop;
+pub mod initial_sync;
 pub mod intake;
 pub mod large;
 pub mod listeners;
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -225,7 +225,7 @@
         let node = node.clone();
         let path = path.clone();
         tokio::task::spawn_local(serve_plain(stream, move |request| {
-            let is_ready = node.view.borrow().is_ready() && !node.is_stopping.get();
+            let is_ready = node.is_ready() && !node.is_stopping.get();
             let status = match (request.uri().path() == path, is_ready) {
                 (false, _) => StatusCode::NOT_FOUND,
                 (true, true) => StatusCode::OK,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -134,6 +134,8 @@
     pub store_answered: Cell<Instant>,
     /// Notifies the registration that an outage of the store has ended.
     pub store_regained: Notify,
+    /// Whether the [initial sync](crate::initial_sync) is over.
+    pub has_synced: Cell<bool>,
     /// Whether the process is stopping.
     pub is_stopping: Cell<bool>,
     /// Metrics.
@@ -191,6 +193,7 @@
             followed_revision: watch::Sender::new(Position::ORIGIN),
             store_answered: Cell::new(Instant::ORIGIN),
             store_regained: Notify::new(),
+            has_synced: Cell::new(false),
             is_stopping: Cell::new(false),
             metrics: Metrics::new()?,
             random: RefCell::new(random),
@@ -207,6 +210,12 @@
         share.observe(now(), view.nodes.len(), is_confirmed);
     }
 
+    /// Whether requests can be routed by what this node knows.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.view.borrow().is_ready() && self.has_synced.get()
+    }
+
     /// Milliseconds since the store last answered.
     #[must_use]
     pub fn store_age_ms(&self) -> u64 {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -9,7 +9,7 @@
 //!   all nodes derive from the list of nodes in the same way.
 //!
 //! [`serve`] also answers the reports to hubs ([`load_report`]), the polls of nodes that follow
-//! this one ([`updates`]), and the requests for large items ([`publisher`]) and [`snapshot`]s.
+//! this one ([`updates`]), the question of a node that starts ([`initial_sync`]), and the requests for large items ([`publisher`]) and [`snapshot`]s.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
@@ -34,6 +34,7 @@
 use crate::clock::{age_ms, now};
 use crate::evidence;
 use crate::fetch;
+use crate::initial_sync;
 use crate::large::Notice;
 use crate::load_report;
 use crate::message::{self, Direction};
@@ -336,6 +337,7 @@
         load_report::MEMBER_PATH | load_report::GROUP_PATH | load_report::ZONE_PATH => {
             load_report::serve(node, path, body)?.into()
         }
+        initial_sync::PATH => initial_sync::serve(node)?.into(),
         evidence::PATH => {
             evidence::receive(node, body)?;
             Bytes::new()
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -16,7 +16,9 @@
 use crate::node::Node;
 use crate::platform::Platform;
 use crate::settings::Settings;
-use crate::{fetch, follow, load_report, peer, reach, registration, rollout, statements};
+use crate::{
+    fetch, follow, initial_sync, load_report, peer, reach, registration, rollout, statements,
+};
 
 /// Number of threads for work on large items, besides the one that serves requests. The work is
 /// sequential, and each further thread would take more of the processor from requests.
@@ -78,6 +80,7 @@
     stopped: watch::Receiver<Option<Instant>>,
 ) {
     tokio::task::spawn_local(follow::run(node.clone()));
+    tokio::task::spawn_local(initial_sync::run(node.clone()));
     tokio::task::spawn_local(fetch::run(node.clone()));
     tokio::task::spawn_local(registration::run(node.clone()));
     tokio::task::spawn_local(peer::run(node.clone()));
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -14,6 +14,7 @@
 
 use crate::clock::now;
 use crate::entry::{NODES, Peer};
+use crate::follow;
 use crate::node::Node;
 use crate::platform::{StoreRequest, StoreResponse};
 use crate::store::Fault;
@@ -35,7 +36,7 @@
 
 /// Keeps the node registered until the process ends.
 pub async fn run(node: Rc<Node>) {
-    wait_for_state(&node).await;
+    follow::wait_for_state(&node).await;
     record_start(&node);
     let mut former = former_lease(&node);
     loop {
@@ -58,12 +59,6 @@
     })
 }
 
-async fn wait_for_state(node: &Node) {
-    let mut followed = node.followed_revision.subscribe();
-    // The sender lives as long as the node.
-    let _ = followed.wait_for(|revision| !revision.is_origin()).await;
-}
-
 fn record_start(node: &Node) {
     let mut view = node.view.borrow_mut();
     view.membership
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -62,7 +62,7 @@
     }
     let id = head.id.clone();
     let mut deadline = arrived.plus_millis(head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS));
-    wait_for_configuration(&node, arrived).await;
+    wait_until_ready(&node, arrived).await;
     let mut name: Arc<str> = Arc::from("");
     let result = match intake::admit(&node, &request, &head) {
         Ok(admitted) => {
@@ -81,12 +81,12 @@
     finish(&node, result, &id, &name, arrived, deadline)
 }
 
-/// Waits a short time for the first configuration. Callers reach a process that has just started
+/// Waits a short time until the node is ready. Callers reach a process that has just started
 /// some milliseconds before it has read the store. If it rejected their requests, they would retry
 /// much later and with one attempt fewer.
-async fn wait_for_configuration(node: &Node, arrived: Instant) {
+async fn wait_until_ready(node: &Node, arrived: Instant) {
     let until = arrived.plus_millis(STARTUP_WAIT_MS);
-    while !node.view.borrow().is_ready() && now() < until {
+    while !node.is_ready() && now() < until {
         tokio::time::sleep(STARTUP_POLL_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/server_leaving.rs
+++ b/crates/gateway/src/server_leaving.rs
@@ -42,6 +42,11 @@
     view.leaving.newest(now(), SHARE_MS, MAX_SHARED)
 }
 
+/// Returns the notices of all servers that are listed, for a node that starts.
+pub fn all(node: &Node) -> Digest {
+    node.view.borrow().leaving.digest(now())
+}
+
 /// Merges the notices that the peer `source` has passed on.
 pub fn receive(node: &Node, source: &str, digest: &Digest) {
     let mut view = node.view.borrow_mut();
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -71,6 +71,14 @@
     }
 }
 
+/// Returns all statements, for a node that starts.
+pub fn all(node: &Node) -> Digest {
+    Digest {
+        limits: node.stated_limits.borrow().all(now()),
+        leaving: server_leaving::all(node),
+    }
+}
+
 /// Receives the statements that the peer `source` has passed on.
 pub fn receive(node: &Node, source: &str, digest: &Digest) {
     server_limit::receive(node, source, &digest.limits);
