Limits that a whole service states at once reach every node

Cause: a message names 24 statements and the next one goes on behind them, whoever gets it. A hub answers its members in the same order each time, so a member gets the same part again and again when the number of members times 24 is a multiple of the number of statements.

Evidence: 96 servers state a limit, one hub, reports each 250 ms: after 3 s the 24 members know 24 to 96 of them, 8 members 24 to 96; with 90 servers all.

Change: each peer has its own turn (core::gateway::turns), and what has changed within the last second goes before what is only confirmed. After 3 s all members know all 96, in all three cases. A limit that falls from 20 to 1 waits no longer behind limits that are only confirmed.

--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -17,11 +17,11 @@
 //! A server that restarts has another identity, and no limit until it states one again.
 
 use std::collections::BTreeMap;
-use std::ops::Bound;
 
 use serde::{Deserialize, Serialize};
 
 use super::shared_limit::{Limit, Target};
+use super::turns::Turns;
 use crate::clock::Instant;
 
 /// Milliseconds after which an unconfirmed limit passes to other senders. Most answers begin within
@@ -34,7 +34,9 @@
 /// Milliseconds for which the end of a limit is kept and passed on, longer than any limit, so that
 /// no older statement returns.
 const SHARE_END_MS: u64 = 60_000;
-/// Maximum number of statements in a message to a peer. With more, messages take turns.
+/// Milliseconds for which a change is passed on before what most peers know.
+const CHANGE_MS: u64 = 1_000;
+/// Maximum number of statements in a message to a peer. With more, they take turns.
 const MAX_SHARED: usize = 24;
 /// Maximum number of servers whose statements are stored: a fleet of ten thousand servers in need.
 const MAX_STATEMENTS: usize = 16_384;
@@ -74,6 +76,8 @@
     sequence: u32,
     /// When a node last heard it.
     heard_at: Instant,
+    /// When this node heard a limit that differs from the one before.
+    changed_at: Instant,
     /// When it got its sequence number.
     numbered_at: Instant,
     /// Round in which it was last heard.
@@ -115,8 +119,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct StatedLimits {
     statements: BTreeMap<u64, Statement>,
-    /// Server after which the next message to a peer begins.
-    last_shared: u64,
+    turns: Turns,
 }
 
 impl StatedLimits {
@@ -164,6 +167,9 @@
                 sequence.saturating_add(1)
             },
             heard_at: now,
+            changed_at: known
+                .filter(|_| is_same)
+                .map_or(now, |known| known.changed_at),
             numbered_at: if is_repeated { numbered_at } else { now },
             round: known.map_or(0, |known| known.round(now)),
         };
@@ -183,10 +189,12 @@
                 continue;
             }
             let heard_at = now.minus_millis(shared.age_ms);
+            let same = known.filter(|known| known.per_second == shared.per_second);
             let statement = Statement {
                 per_second: shared.per_second,
                 sequence: shared.sequence,
                 heard_at,
+                changed_at: same.map_or(now, |known| known.changed_at),
                 numbered_at: heard_at,
                 round: shared.round,
             };
@@ -198,22 +206,24 @@
         changes
     }
 
-    /// Returns the statements for a peer, as many as a message may have.
-    pub fn digest(&mut self, now: Instant) -> Digest {
-        let after = (Bound::Excluded(self.last_shared), Bound::Unbounded);
-        let first = self.statements.range(after);
-        let rest = self.statements.range(..=self.last_shared);
-        let shared = first
-            .chain(rest)
-            .filter(|(_, statement)| statement.is_shared(now));
-        let digest: Vec<(u64, Shared)> = shared
-            .take(MAX_SHARED)
-            .map(|(&identity, statement)| (identity, statement.shared(now)))
-            .collect();
-        if let Some((identity, _)) = digest.last() {
-            self.last_shared = *identity;
+    /// Returns the statements for `peer`, as many as a message may have: changes first.
+    pub fn digest(&mut self, now: Instant, peer: &str) -> Digest {
+        let statements = self.statements.iter();
+        let shared = statements.filter(|(_, statement)| statement.is_shared(now));
+        let (mut changes, mut others): (Vec<_>, Vec<_>) =
+            shared.partition(|(_, statement)| now.millis_since(statement.changed_at) < CHANGE_MS);
+        for entries in [&mut changes, &mut others] {
+            self.turns.sort(peer, entries, |&(&identity, _)| identity);
+        }
+        changes.append(&mut others);
+        changes.truncate(MAX_SHARED);
+        if let Some(&(&identity, _)) = changes.last() {
+            self.turns.record(peer, identity);
         }
-        digest.into_iter().collect()
+        let digest = changes.into_iter();
+        digest
+            .map(|(&identity, statement)| (identity, statement.shared(now)))
+            .collect()
     }
 
     /// Returns all statements, for a node that starts.
--- a/crates/core/tests/all/gateway/stated_limit.rs
+++ b/crates/core/tests/all/gateway/stated_limit.rs
@@ -4,6 +4,7 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::duty::SETTLE_MS;
+use fescuerack_core::gateway::load::REPORT_INTERVAL_MS;
 use fescuerack_core::gateway::shared_limit::{Gate, is_sender};
 use fescuerack_core::gateway::stated_limit::{Change, ROUND_MS, StatedLimits};
 use fescuerack_core::membership::Standing;
@@ -73,25 +74,25 @@
 #[test]
 fn merge_passes_limit_change_and_end_on() {
     let (mut own, mut peer) = (with_limit(4.0), StatedLimits::new());
-    let learnt = peer.merge(at(100), &own.digest(at(100)));
+    let learnt = peer.merge(at(100), &own.digest(at(100), "peer"));
     assert_eq!(learnt, [(SERVER, Change::Learnt(4.0), 100)]);
     own.record(at(200), at(150), SERVER, Some(2.0));
-    let changed = peer.merge(at(300), &own.digest(at(300)));
+    let changed = peer.merge(at(300), &own.digest(at(300), "peer"));
     assert_eq!(changed, [(SERVER, Change::Changed(2.0), 100)]);
     own.record(at(400), at(350), SERVER, None);
-    let ended = peer.merge(at(500), &own.digest(at(500)));
+    let ended = peer.merge(at(500), &own.digest(at(500), "peer"));
     assert_eq!(ended, [(SERVER, Change::Ended, 100)]);
-    assert!(peer.merge(at(600), &own.digest(at(600))).is_empty());
+    assert!(peer.merge(at(600), &own.digest(at(600), "peer")).is_empty());
 }
 
 /// Guards against the end of a limit that an older message undoes.
 #[test]
 fn merge_older_message_does_not_undo_the_end() {
     let (mut own, mut peer) = (with_limit(4.0), StatedLimits::new());
-    let old = own.digest(at(100));
+    let old = own.digest(at(100), "peer");
     peer.merge(at(100), &old);
     own.record(at(400), at(350), SERVER, None);
-    peer.merge(at(500), &own.digest(at(500)));
+    peer.merge(at(500), &own.digest(at(500), "peer"));
     assert!(peer.merge(at(600), &old).is_empty());
     assert!(peer.target(at(600), SERVER).is_none());
 }
@@ -103,8 +104,8 @@
     let (mut own, mut peer) = (with_limit(4.0), StatedLimits::new());
     for step in 1..20 {
         let now = at(step * 500);
-        peer.merge(now, &own.digest(now.minus_millis(200)));
-        own.merge(now, &peer.digest(now.minus_millis(200)));
+        peer.merge(now, &own.digest(now.minus_millis(200), "peer"));
+        own.merge(now, &peer.digest(now.minus_millis(200), "own"));
     }
     let round = own.target(at(10_000), SERVER).expect("a limit").round;
     assert_eq!(u64::from(round), 10_000 / ROUND_MS);
@@ -130,13 +131,44 @@
         own.record(at(0), at(0), server, Some(4.0));
     }
     for step in 1..=5 {
-        let digest = own.digest(at(step));
+        let digest = own.digest(at(step), "peer");
         assert!(digest.len() <= 24);
         peer.merge(at(step), &digest);
     }
     assert_eq!(peer.limited_count(), 100);
 }
 
+/// Milliseconds after a server's first statement from which its limit must be kept.
+const KEPT_FROM_MS: u64 = 3_000;
+
+/// Guards against nodes that never hear of most limits, when a whole service states one at once: the hub
+/// answers its members in the same order each time, and each would get the same part.
+#[rstest]
+#[case::same_part(24, 96)]
+#[case::whole_service(24, 90)]
+#[case::small_group(8, 96)]
+fn digest_names_all_servers_to_each_member(#[case] members: usize, #[case] servers: u64) {
+    let mut hub = StatedLimits::new();
+    let mut nodes = vec![StatedLimits::new(); members];
+    for server in 0..servers {
+        nodes[0].record(at(0), at(0), server, Some(4.0));
+    }
+    let mut now = 0;
+    while now < KEPT_FROM_MS {
+        now += REPORT_INTERVAL_MS;
+        for (index, node) in nodes.iter_mut().enumerate() {
+            hub.merge(at(now), &node.digest(at(now), "hub"));
+            node.merge(at(now), &hub.digest(at(now), &index.to_string()));
+        }
+    }
+    let known: Vec<usize> = nodes.iter().map(StatedLimits::limited_count).collect();
+    let all = usize::try_from(servers).expect("few");
+    assert!(
+        known.iter().all(|count| *count == all),
+        "{known:?} of {all}"
+    );
+}
+
 /// Guards against state that grows with every server that has ever been in need.
 #[test]
 fn sweep_drops_servers_that_are_gone_and_old_ends() {
@@ -166,13 +198,13 @@
             now += 300;
             nodes[node].record(at(now), at(now), SERVER, limit.map(f64::from));
             if let Some(&(from, to)) = order.get(index) {
-                let digest = nodes[from].digest(at(now));
+                let digest = nodes[from].digest(at(now), &to.to_string());
                 nodes[to].merge(at(now), &digest);
             }
         }
         for _ in 0..3 {
             for (from, to) in [(0, 1), (1, 2), (2, 0)] {
-                let digest = nodes[from].digest(at(now));
+                let digest = nodes[from].digest(at(now), &to.to_string());
                 nodes[to].merge(at(now), &digest);
             }
         }
@@ -351,9 +383,10 @@
             if index == hub || self.nodes[index].is_cut {
                 continue;
             }
-            let report = self.nodes[index].limits.digest(at(now));
+            let report = self.nodes[index].limits.digest(at(now), "hub");
             self.nodes[hub].limits.merge(at(now), &report);
-            let reply = self.nodes[hub].limits.digest(at(now));
+            let member = index.to_string();
+            let reply = self.nodes[hub].limits.digest(at(now), &member);
             self.nodes[index].limits.merge(at(now), &reply);
         }
     }
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -225,10 +225,11 @@
     path: &str,
     report: &Report,
 ) -> anyhow::Result<Tables> {
-    let report = encode(node, report)?;
+    let peer = address.to_string();
+    let report = encode(node, &peer, report)?;
     let answer = message::exchange(node, address, path, report, message::HEAD_TIMEOUT).await?;
     let message = decode(&answer)?;
-    receive(node, &address.to_string(), &message);
+    receive(node, &peer, &message);
     Ok(message.tables)
 }
 
@@ -243,11 +244,11 @@
     brittle: Vec<Shared>,
 }
 
-/// Encodes a report or the answer to one, followed by what servers have stated and which requests
-/// have crashed them.
-fn encode(node: &Node, tables: &impl Serialize) -> anyhow::Result<Vec<u8>> {
+/// Encodes a report or the answer to one for `peer`, followed by what servers have stated and which
+/// requests have crashed them.
+fn encode(node: &Node, peer: &str, tables: &impl Serialize) -> anyhow::Result<Vec<u8>> {
     let bytes = postcard::to_stdvec(tables)?;
-    let bytes = postcard::to_extend(&statements::digest(node), bytes)?;
+    let bytes = postcard::to_extend(&statements::digest(node, peer), bytes)?;
     let bytes = postcard::to_extend(&EarlierMarks::default(), bytes)?;
     let marks = node.suspects.borrow_mut().marks(now());
     let bytes = postcard::to_extend(&marks, bytes)?;
@@ -292,7 +293,8 @@
 /// When the report cannot be decoded.
 pub fn serve(node: &Rc<Node>, path: &str, report: &[u8]) -> anyhow::Result<Vec<u8>> {
     let message: Message<Report> = decode(report)?;
-    receive(node, &message.tables.node, &message);
+    let peer = message.tables.node.clone();
+    receive(node, &peer, &message);
     let report = message.tables;
     let level = match path {
         GROUP_PATH => Level::Zone,
@@ -300,5 +302,5 @@
         _ => Level::Group,
     };
     let sum = node.load.receive_report(now(), level, report);
-    encode(node, &sum)
+    encode(node, &peer, &sum)
 }
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -63,10 +63,10 @@
     }
 }
 
-/// Returns the statements for a peer.
-pub fn digest(node: &Node) -> Digest {
+/// Returns the statements for `peer`.
+pub fn digest(node: &Node, peer: &str) -> Digest {
     Digest {
-        limits: node.stated_limits.borrow_mut().digest(now()),
+        limits: node.stated_limits.borrow_mut().digest(now(), peer),
         leaving: server_leaving::digest(node),
     }
 }
--- a/crates/gateway/tests/all/statements.rs
+++ b/crates/gateway/tests/all/statements.rs
@@ -30,7 +30,7 @@
     assert_eq!(limits.limited_count(), 10_000, "none is dropped");
     let later = now.plus_millis(9_000);
     let digest = Digest {
-        limits: limits.digest(later),
+        limits: limits.digest(later, "hub"),
         leaving: leaving.newest(later, SHARE_MS, MAX_SHARED),
     };
     let mut suspects = Suspects::default();
