--- a/crates/core/src/gateway/turns.rs
+++ b/crates/core/src/turns.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use super::affinity;
+use crate::gateway::affinity;
 
 /// Maximum number of peers that have a turn of their own: the members of a group and the hubs. With
 /// more, all begin anew.
