Keys of crashing requests are named to every node

Cause: as with limits, the turn of keys in messages belonged to the node that tells, not to the peer that is told. With 16 refused keys and 24 members, eight keys a message, each member got the same eight in each answer.

Evidence: marks_names_all_keys_to_each_member, red before (8 of 16 refused at each member after 2 s), green now (16).

Change: each peer has its own turn (core::turns).

--- a/crates/core/src/gateway/crash/suspects.rs
+++ b/crates/core/src/gateway/crash/suspects.rs
@@ -9,6 +9,7 @@
 use super::{CRASH_LIMIT, RETENTION_MS, SAME_EVENT_MS};
 use crate::clock::Instant;
 use crate::gateway::affinity;
+use crate::turns::Turns;
 
 /// Maximum number of records that are kept.
 const MAX_RECORDS: usize = 4096;
@@ -53,8 +54,7 @@
     hazard: Hazard,
     /// Hash of this node's name.
     node: u64,
-    /// Number of keys that were told to peers, so that all have their turn.
-    told: usize,
+    turns: Turns,
     /// When servers ended, by the short identifier of their start.
     ended: HashMap<u32, Instant>,
 }
@@ -305,14 +305,14 @@
         }
     }
 
-    /// Returns what this node knows, to be sent to peers: what is refused first, then what has been
+    /// Returns what this node knows, to be sent to `peer`: what is refused first, then what has been
     /// found sound, then what is suspected; other keys each time, if there are many.
     ///
     /// That is what it knows as an owner or has heard. What it has only seen itself is for the owners,
     /// who know of all proofs. Keys with fewer than two servers are omitted, since most single crashes
     /// are caused by the server and not by the request.
     #[must_use]
-    pub fn marks(&mut self, now: Instant) -> Vec<Mark> {
+    pub fn marks(&mut self, now: Instant, peer: &str) -> Vec<Mark> {
         let mut ranked: [Vec<Mark>; 3] = Default::default();
         for (&key, record) in &self.records {
             if let Some((rank, mark)) = self.mark(now, key, record) {
@@ -325,9 +325,7 @@
             if rank.is_empty() {
                 continue;
             }
-            rank.sort_unstable_by_key(|mark| mark.key);
-            let turn = self.told % rank.len();
-            rank.rotate_left(turn);
+            self.turns.sort(peer, &mut rank, |mark| mark.key.0);
             let count = rank.len();
             let before = marks.len();
             for mark in rank {
@@ -338,7 +336,9 @@
             }
             let sent = marks.len() - before;
             if sent < count {
-                self.told = self.told.wrapping_add(sent);
+                if let Some(last) = marks.last() {
+                    self.turns.record(peer, last.key.0);
+                }
                 break;
             }
         }
--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -14,7 +14,6 @@
 //! - [`wait`]: how long a request waits behind the load on its server;
 //! - [`shared_limit`]: which nodes may use a server that accepts few requests, and how often;
 //! - [`stated_limit`]: which servers have stated such a limit in their answers;
-//! - [`turns`]: which entries of a long list the next message to a peer names;
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`share`]: how much of the slack of all nodes one node may use for them;
 //! - [`standstill`]: from when on requests count that waited while the process stood still;
@@ -54,6 +53,5 @@
 pub mod slowness;
 pub mod standstill;
 pub mod stated_limit;
-pub mod turns;
 pub mod wait;
 pub mod watcher;
--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -21,8 +21,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::shared_limit::{Limit, Target};
-use super::turns::Turns;
 use crate::clock::Instant;
+use crate::turns::Turns;
 
 /// Milliseconds after which an unconfirmed limit passes to other senders. Most answers begin within
 /// this time.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,8 +5,8 @@
 //! trace. Each module defines its own state, messages and invariants; a violated invariant stops
 //! the process.
 //!
-//! [`gateway`] serves the gateway crate, and [`clock`] and [`membership`] serve both; the other modules serve the node
-//! crate and the crates around it. Both products solve some of the same problems with different
+//! [`gateway`] serves the gateway crate, and [`clock`], [`membership`] and [`turns`] serve both; the
+//! other modules serve the node crate and the crates around it. Both products solve some of the same problems with different
 //! evidence.
 //!
 //! An *instance* is a machine of the router; the process on it is a *node*.
@@ -28,5 +28,6 @@
 pub mod route;
 pub mod session;
 pub mod store;
+pub mod turns;
 
 pub use fescuerack_config::key;
--- a/crates/core/src/route/leaving.rs
+++ b/crates/core/src/route/leaving.rs
@@ -11,6 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::clock::Instant;
+use crate::gateway::affinity;
+use crate::turns::Turns;
 
 /// Milliseconds for which a notice counts.
 pub const NOTICE_EXPIRY_MS: u64 = 120_000;
@@ -31,6 +33,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LeavingServers {
     leaving: BTreeMap<String, Instant>,
+    turns: Turns,
 }
 
 impl LeavingServers {
@@ -99,6 +102,25 @@
         }
     }
 
+    /// Returns at most `max` notices for `peer`, none older than `max_age_ms`; others each time, if there
+    /// are more.
+    pub fn in_turn(&mut self, now: Instant, max_age_ms: u64, max: usize, peer: &str) -> Digest {
+        let notices = self.leaving.iter().map(|(id, noticed_at)| {
+            let key = affinity::hash(id.as_bytes());
+            (key, id, now.millis_since(*noticed_at))
+        });
+        let mut notices: Vec<_> = notices.filter(|(.., age)| *age < max_age_ms).collect();
+        self.turns.sort(peer, &mut notices, |&(key, ..)| key);
+        notices.truncate(max);
+        if let Some(&(key, ..)) = notices.last() {
+            self.turns.record(peer, key);
+        }
+        let notices = notices.into_iter();
+        Digest {
+            leaving: notices.map(|(_, id, age)| (id.clone(), age)).collect(),
+        }
+    }
+
     /// Merges a digest from a peer; returns whether any server is newly leaving. The latest notice
     /// counts, so order and repetition of digests do not matter.
     pub fn merge(&mut self, now: Instant, digest: &Digest) -> bool {
--- a/crates/core/tests/all/gateway/crash.rs
+++ b/crates/core/tests/all/gateway/crash.rs
@@ -7,6 +7,7 @@
     CRASH_LIMIT, Key, MAX_SHARED, Mark, Observation, PROOF_MS, RETENTION_MS, SAME_EVENT_MS,
     Suspects, owners,
 };
+use fescuerack_core::gateway::load::REPORT_INTERVAL_MS;
 
 const NOW: Instant = Instant::from_millis(1_000_000);
 const KEY: Key = Key(5);
@@ -47,7 +48,12 @@
 
 /// Passes what one node knows to another.
 fn pass(from: &mut Suspects, to: &mut Suspects, now: Instant) {
-    for mark in from.marks(now) {
+    pass_to("to", from, to, now);
+}
+
+/// Passes what one node knows to another one with the name `name`.
+fn pass_to(name: &str, from: &mut Suspects, to: &mut Suspects, now: Instant) {
+    for mark in from.marks(now, name) {
         to.receive(now, &mark);
     }
 }
@@ -74,7 +80,7 @@
         }
         now = now.plus_millis(TRIALS_MS);
         assert!(!is_refused(&one, now, KEY) && !is_refused(&other, now, KEY));
-        assert!(one.marks(now).is_empty() && other.marks(now).is_empty());
+        assert!(one.marks(now, "peer").is_empty() && other.marks(now, "peer").is_empty());
     }
 }
 
@@ -84,7 +90,7 @@
     let mut hub = Suspects::default();
     hub.receive(NOW, &mark(KEY, &[1, 2, 3], 1_000));
     assert_eq!(
-        hub.marks(NOW.plus_millis(500)),
+        hub.marks(NOW.plus_millis(500), "peer"),
         [mark(KEY, &[1, 2, 3], 1_500)]
     );
 }
@@ -99,7 +105,7 @@
     crash(&mut peer, NOW, NOW, KEY, 2);
     crash(&mut peer, NOW, NOW, KEY, 3);
     assert!(!is_refused(&local, NOW, KEY));
-    for mark in peer.marks(NOW) {
+    for mark in peer.marks(NOW, "peer") {
         local.receive(NOW, &mark);
     }
     assert!(is_refused(&local, NOW, KEY));
@@ -130,6 +136,38 @@
     assert!(!is_refused(&suspects, later, KEY));
 }
 
+/// Guards against a crashing request that most nodes never hear of, since the hub names its members the
+/// same keys in each answer.
+#[test]
+fn marks_names_all_keys_to_each_member() {
+    let keys = 0..16;
+    let mut hub = Suspects::default();
+    for key in keys.clone() {
+        for server in 0..servers() {
+            crash(&mut hub, NOW, NOW, Key(key), server);
+        }
+    }
+    let mut members = vec![Suspects::default(); 24];
+    let mut now = NOW;
+    for _ in 0..8 {
+        now = now.plus_millis(REPORT_INTERVAL_MS);
+        for (index, member) in members.iter_mut().enumerate() {
+            pass_to(&index.to_string(), &mut hub, member, now);
+        }
+    }
+    let refuses = |member: &Suspects| {
+        let refused = keys
+            .clone()
+            .filter(|&key| is_refused(member, now, Key(key)));
+        refused.count()
+    };
+    let refused: Vec<usize> = members.iter().map(refuses).collect();
+    assert!(
+        refused.iter().all(|count| *count == 16),
+        "{refused:?} of 16"
+    );
+}
+
 /// Many requests are broken by crashes that the servers cause themselves. Memory stays bounded.
 #[test]
 fn record_crash_memory_is_bounded() {
@@ -138,7 +176,7 @@
         crash(&mut suspects, NOW, NOW, Key(digest), 1);
         crash(&mut suspects, NOW, NOW, Key(digest), 2);
     }
-    assert_eq!(suspects.marks(NOW).len(), MAX_SHARED);
+    assert_eq!(suspects.marks(NOW, "peer").len(), MAX_SHARED);
     for digest in 0..100_000 {
         suspects.receive(NOW, &mark(Key(digest), &[1, 2], 0));
     }
@@ -196,7 +234,7 @@
         crash(&mut suspects, at, NOW.minus_millis(500), KEY, server);
     }
     assert!(!is_refused(&suspects, NOW.plus_millis(100), KEY));
-    assert!(suspects.marks(NOW.plus_millis(100)).is_empty());
+    assert!(suspects.marks(NOW.plus_millis(100), "peer").is_empty());
     // Runs that begin after each crash crash theirs, too.
     for server in [101, 102] {
         let at = NOW.plus_millis(u64::from(server));
@@ -257,7 +295,7 @@
         now <= NOW.plus_millis(PROOF_MS),
         "a change is known in time"
     );
-    assert!(!suspects.marks(now).is_empty());
+    assert!(!suspects.marks(now, "peer").is_empty());
 }
 
 /// Guards against a caller who repeats a request that crashes servers each second, and costs three
--- a/crates/core/tests/all/gateway/crash_fleet.rs
+++ b/crates/core/tests/all/gateway/crash_fleet.rs
@@ -215,7 +215,7 @@
     }
 
     fn pass(&mut self, from: usize, to: usize, at: u64, now: Instant) {
-        for mark in self.nodes[from].marks(now) {
+        for mark in self.nodes[from].marks(now, &to.to_string()) {
             if self.nodes[to].receive(now, &mark) {
                 self.tell_proof(at, now, to, mark.key);
             }
--- a/crates/core/tests/all/route.rs
+++ b/crates/core/tests/all/route.rs
@@ -349,6 +349,31 @@
         assert_eq!(leaving.digest(NOW).leaving.len(), 128);
     }
 
+    /// Guards against servers that get requests for long after their notice, since many others leave at
+    /// the same time and a message names only some of them.
+    #[test]
+    fn digest_in_turn_names_all_servers_to_each_member() {
+        let mut hub = LeavingServers::new();
+        let mut members = vec![LeavingServers::new(); 24];
+        for server in 0..96 {
+            hub.record(NOW, &format!("s{server}"));
+        }
+        let mut now = NOW;
+        for _ in 0..8 {
+            now = now.plus_millis(250);
+            for (index, member) in members.iter_mut().enumerate() {
+                let digest = hub.in_turn(now, 10_000, 24, &index.to_string());
+                member.merge(now, &digest);
+            }
+        }
+        let count = |member: &LeavingServers| {
+            let known = (0..96).filter(|server| member.is_leaving(&format!("s{server}")));
+            known.count()
+        };
+        let known: Vec<usize> = members.iter().map(count).collect();
+        assert!(known.iter().all(|count| *count == 96), "{known:?} of 96");
+    }
+
     /// Guards against messages that name old notices instead of new ones.
     #[test]
     fn newest_is_bounded_and_leaves_out_what_is_old() {
--- a/crates/gateway/src/initial_sync.rs
+++ b/crates/gateway/src/initial_sync.rs
@@ -88,7 +88,8 @@
 }
 
 async fn ask(node: &Rc<Node>, address: SocketAddr) -> anyhow::Result<()> {
-    let answer = message::exchange(node, address, PATH, Vec::new(), TIMEOUT).await?;
+    let name = node.settings.borrow().instance.clone().into_bytes();
+    let answer = message::exchange(node, address, PATH, name, TIMEOUT).await?;
     let known: Known = postcard::from_bytes(&answer)?;
     statements::receive(node, &address.to_string(), &known.stated);
     node.brittle.receive(&address.to_string(), &known.brittle);
@@ -96,16 +97,17 @@
     Ok(())
 }
 
-/// Answers the question of another node.
+/// Answers the question of the node with the encoded `name`.
 ///
 /// # Errors
 ///
 /// When this node has just started, too, and does not know.
-pub fn serve(node: &Node) -> anyhow::Result<Vec<u8>> {
+pub fn serve(node: &Node, name: &[u8]) -> anyhow::Result<Vec<u8>> {
     ensure!(node.has_synced.get(), "this node has just started");
+    let peer = std::str::from_utf8(name)?;
     let known = Known {
         stated: statements::all(node),
-        marks: node.suspects.borrow_mut().marks(now()),
+        marks: node.suspects.borrow_mut().marks(now(), peer),
         brittle: node.brittle.digest(),
     };
     Ok(postcard::to_stdvec(&known)?)
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -337,7 +337,7 @@
         load_report::MEMBER_PATH | load_report::GROUP_PATH | load_report::ZONE_PATH => {
             load_report::serve(node, path, body)?.into()
         }
-        initial_sync::PATH => initial_sync::serve(node)?.into(),
+        initial_sync::PATH => initial_sync::serve(node, body)?.into(),
         evidence::PATH => {
             evidence::receive(node, body)?;
             Bytes::new()
--- a/crates/gateway/src/server_leaving.rs
+++ b/crates/gateway/src/server_leaving.rs
@@ -36,10 +36,10 @@
     }
 }
 
-/// Returns the notices for a peer.
-pub fn digest(node: &Node) -> Digest {
-    let view = node.view.borrow();
-    view.leaving.newest(now(), SHARE_MS, MAX_SHARED)
+/// Returns the notices for `peer`.
+pub fn digest(node: &Node, peer: &str) -> Digest {
+    let mut view = node.view.borrow_mut();
+    view.leaving.in_turn(now(), SHARE_MS, MAX_SHARED, peer)
 }
 
 /// Returns the notices of all servers that are listed, for a node that starts.
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -67,7 +67,7 @@
 pub fn digest(node: &Node, peer: &str) -> Digest {
     Digest {
         limits: node.stated_limits.borrow_mut().digest(now(), peer),
-        leaving: server_leaving::digest(node),
+        leaving: server_leaving::digest(node, peer),
     }
 }
 
--- a/crates/gateway/tests/all/statements.rs
+++ b/crates/gateway/tests/all/statements.rs
@@ -31,7 +31,7 @@
     let later = now.plus_millis(9_000);
     let digest = Digest {
         limits: limits.digest(later, "hub"),
-        leaving: leaving.newest(later, SHARE_MS, MAX_SHARED),
+        leaving: leaving.in_turn(later, SHARE_MS, MAX_SHARED, "hub"),
     };
     let mut suspects = Suspects::default();
     for key in 0..SERVERS {
@@ -48,7 +48,7 @@
             suspects.observe(now, Observation { key, end });
         }
     }
-    let marks = suspects.marks(later);
+    let marks = suspects.marks(later, "hub");
     let crashes: usize = marks.iter().map(|mark| mark.crashes.len()).sum();
     assert_eq!(crashes, crash::MAX_SHARED_CRASHES);
     let bytes = postcard::to_stdvec(&(digest, marks)).expect("bytes").len();
