Soak: a cut reads only the processes that it cuts off

Evidence: the run now prints the longest look-up.

Change: only the processes that are cut off are read, one reader a run, and the lines of ended connections, nearly all of them, are not split.

--- a/crates/node/tests/soak/cuts.rs
+++ b/crates/node/tests/soak/cuts.rs
@@ -4,10 +4,12 @@
 use std::collections::HashMap;
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Mutex;
+use std::ops::Range;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 
 /// How a node is cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,6 +27,7 @@
 pub struct Cuts {
     cut: Vec<(u32, Cut)>,
     spared: Option<SocketAddr>,
+    sockets: Arc<Mutex<Sockets>>,
 }
 
 impl Cuts {
@@ -56,6 +59,7 @@
 pub struct Client {
     address: SocketAddr,
     server: SocketAddr,
+    /// `None` if it is not known, or is none of those that are cut off.
     process: Option<u32>,
     cuts: watch::Receiver<Cuts>,
 }
@@ -71,14 +75,18 @@
         }
     }
 
-    /// Looks up its process once there are cuts. That takes long where the system has many
-    /// connections.
+    /// Looks up its process among those that are cut off.
     async fn look_up(&mut self) {
-        if self.process.is_none() && !self.cuts.borrow().cut.is_empty() {
-            let (address, asked) = (self.address, Instant::now());
-            let found = tokio::task::spawn_blocking(move || process(address, asked)).await;
-            self.process = found.expect("the table is read");
+        let cuts = self.cuts.borrow().clone();
+        if self.process.is_some() || cuts.cut.is_empty() {
+            return;
         }
+        let asked = Instant::now();
+        let processes = cuts.cut.iter().map(|(process, _)| *process).collect();
+        let mut sockets = cuts.sockets.lock().await;
+        self.process = sockets.owner(self.address, processes, asked).await;
+        let took = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
+        LONGEST_LOOK_UP_MS.fetch_max(took, Ordering::Relaxed);
     }
 
     /// Returns whether it may open connections.
@@ -91,8 +99,9 @@
     /// Waits until its connections must end, and are no longer served while they are silent.
     pub async fn wait_until_cut(&mut self) {
         loop {
+            self.cuts.mark_unchanged();
             self.look_up().await;
-            let cut = self.cuts.borrow_and_update().of(self.process, self.server);
+            let cut = self.cuts.borrow().of(self.process, self.server);
             if matches!(cut, Some(Cut::Silent | Cut::Reset)) {
                 return;
             }
@@ -112,22 +121,46 @@
     }
 }
 
-/// Processes by the local addresses of their connections, and when they were read.
-static PROCESSES: Mutex<Option<(Instant, HashMap<SocketAddr, u32>)>> = Mutex::new(None);
+/// Milliseconds that the longest look-up of a process has taken so far.
+pub static LONGEST_LOOK_UP_MS: AtomicU64 = AtomicU64::new(0);
 
-/// Returns the child process whose socket has the local address `address`, by a table that was read
-/// after `asked`.
-fn process(address: SocketAddr, asked: Instant) -> Option<u32> {
-    let mut processes = PROCESSES.lock().expect("no reader panics");
-    if processes.as_ref().is_none_or(|(read, _)| *read < asked) {
-        *processes = Some((Instant::now(), read_processes()));
+/// Which process has the socket with which local address, among those that are cut off. Each connection
+/// that is opened during a cut waits for an answer, so only these processes are read.
+#[derive(Debug, Default)]
+struct Sockets {
+    read_at: Option<Instant>,
+    processes: Vec<u32>,
+    owners: HashMap<SocketAddr, u32>,
+}
+
+impl Sockets {
+    /// Returns which of `processes` has the socket with the local address `address`, by tables that
+    /// were read after `asked`.
+    async fn owner(
+        &mut self,
+        address: SocketAddr,
+        processes: Vec<u32>,
+        asked: Instant,
+    ) -> Option<u32> {
+        let is_fresh = self.read_at.is_some_and(|read_at| read_at >= asked);
+        if !is_fresh || self.processes != processes {
+            let read_at = Instant::now();
+            let read = tokio::task::spawn_blocking(move || (read_owners(&processes), processes));
+            (self.owners, self.processes) = read.await.expect("the tables are read");
+            self.read_at = Some(read_at);
+        }
+        self.owners.get(&address).copied()
     }
-    processes.as_ref()?.1.get(&address).copied()
 }
 
-fn read_processes() -> HashMap<SocketAddr, u32> {
+/// Place of the state of a connection in a line of the system's table, whose columns are of fixed width.
+const STATE: Range<usize> = 34..36;
+/// State of a connection that has ended.
+const TIME_WAIT: &str = "06";
+
+fn read_owners(processes: &[u32]) -> HashMap<SocketAddr, u32> {
     let mut by_inode = HashMap::new();
-    for process in children() {
+    for &process in processes {
         let Ok(sockets) = fs::read_dir(format!("/proc/{process}/fd")) else {
             continue;
         };
@@ -144,21 +177,10 @@
         let process = by_inode.get(&format!("socket:[{inode}]"))?;
         Some((address(words[1])?, *process))
     };
-    table.lines().filter_map(process).collect()
-}
-
-fn children() -> Vec<u32> {
-    let Ok(threads) = fs::read_dir("/proc/self/task") else {
-        return Vec::new();
-    };
-    let lists = threads.flatten().map(|thread| {
-        let list = fs::read_to_string(thread.path().join("children"));
-        list.unwrap_or_default()
-    });
-    let text = lists.collect::<Vec<String>>().join(" ");
-    text.split_whitespace()
-        .filter_map(|word| word.parse().ok())
-        .collect()
+    // Most lines are connections that have ended, which have no process; to split them takes most of
+    // the time.
+    let are_open = |line: &&str| line.get(STATE) != Some(TIME_WAIT);
+    table.lines().filter(are_open).filter_map(process).collect()
 }
 
 /// Parses an address as the system writes it, in hexadecimal digits and host byte order.
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use fescuerack_core::gateway::budget::Bound;
@@ -15,7 +16,7 @@
 use crate::addresses::Addresses;
 use crate::backend::{Backend, COLD_DURATION};
 use crate::caller::{self, Context, KEY, Request};
-use crate::cuts::Cuts;
+use crate::cuts::{Cuts, LONGEST_LOOK_UP_MS};
 use crate::disturbances::{Disturbances, SETTLE_TIME};
 use crate::observations::{Kind, Observations, Tally};
 use crate::plan::{BACKENDS, Scale, Step};
@@ -53,6 +54,8 @@
     version: Cell<u64>,
     /// Number of readiness probes, which are sent before the run starts.
     first_probes: Cell<u64>,
+    /// Longest time for which this process did not run its tasks.
+    longest_standstill: Cell<Duration>,
     /// Dropped last: no other run may use them while processes run.
     _addresses: Addresses,
 }
@@ -119,6 +122,11 @@
         let line = "nothing is answered after all faults".to_owned();
         world.context.observations.record_violation(line);
     }
+    println!(
+        "the run itself stood still for {:?} at most, and searched a process for {} ms",
+        world.longest_standstill.get(),
+        LONGEST_LOOK_UP_MS.load(Ordering::Relaxed)
+    );
     world.context.observations.clone()
 }
 
@@ -161,6 +169,7 @@
             cuts,
             version: Cell::new(1),
             first_probes: Cell::new(0),
+            longest_standstill: Cell::default(),
             _addresses: addresses,
         }
     }
@@ -198,7 +207,11 @@
     /// server.
     async fn watch(self: Rc<Self>) {
         loop {
+            let began = Instant::now();
             tokio::time::sleep(POLL_INTERVAL).await;
+            let late = began.elapsed().saturating_sub(POLL_INTERVAL);
+            self.longest_standstill
+                .set(self.longest_standstill.get().max(late));
             self.record_unavailable_services();
             for node in 0..self.processes.len() {
                 let mut process = self.processes[node].borrow_mut();
