Soak: signals and starts do not hold up callers, servers and links

Cause of the reds of runs with cuts that were left: to send a signal, the soak's only thread started `kill` and waited for it; to start a node, it waited until the system ran it. Beside a busy machine that took up to 2.6 s, in which all callers, servers and links of the run stood still, and "nothing was wrong".

Change: signals are sent by the system call (rustix), and another thread waits for starts.

--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -1,5 +1,6 @@
 //! A node: the program in a process, with its settings file and log.
 
+use std::cell::RefCell;
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -7,6 +8,7 @@
 use std::time::Duration;
 
 use fescuerack_core::gateway::budget::Bound;
+use rustix::process::{Pid, Signal, kill_process};
 
 use crate::program::Build;
 
@@ -82,8 +84,17 @@
         self
     }
 
-    /// Starts the process.
-    pub fn start(&mut self) {
+    /// Starts the process. Another thread waits until the system runs it, which takes seconds on a busy
+    /// machine, while this one runs callers and servers.
+    pub async fn start(process: &RefCell<Self>) {
+        let mut command = process.borrow_mut().command();
+        let spawned = tokio::task::spawn_blocking(move || command.spawn()).await;
+        let child = spawned.expect("the thread runs");
+        process.borrow_mut().child = Some(child.expect("start the program"));
+    }
+
+    /// Returns the command of the next start.
+    fn command(&mut self) -> Command {
         let log = || match &self.log {
             Some(path) => {
                 let log = File::options().create(true).append(true).open(path);
@@ -93,24 +104,21 @@
         };
         let build = Build::of_start(&self.name, self.starts);
         self.starts += 1;
-        let command = Command::new(build.path())
+        let mut command = Command::new(build.path());
+        command
             .args(["gateway", "--settings"])
             .arg(&self.settings)
             .stdin(Stdio::null())
             .stderr(log())
-            .stdout(log())
-            .spawn();
-        self.child = Some(command.expect("start the program"));
+            .stdout(log());
+        command
     }
 
-    /// Sends a signal, given as an option of `kill`.
-    pub fn signal(&self, signal: &str) {
+    /// Sends a signal.
+    pub fn signal(&self, signal: Signal) {
         if let Some(child) = &self.child {
-            let sent = Command::new("kill")
-                .args([signal, &child.id().to_string()])
-                .stderr(Stdio::null())
-                .status();
-            sent.expect("send a signal");
+            // One that has exited has its number until it is polled.
+            kill_process(Pid::from_child(child), signal).expect("send a signal");
         }
     }
 
--- a/crates/node/tests/soak/unread_log.rs
+++ b/crates/node/tests/soak/unread_log.rs
@@ -1,5 +1,6 @@
 //! A log pipe that nobody reads.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,10 +43,10 @@
         let addresses = Addresses::new(1);
         let ip = addresses.all()[0];
         let process = Process::new(0, ip, "a", store.address, &plan::BOUND, folder.path());
-        let mut process = process.with_unread_log();
-        process.start();
+        let process = RefCell::new(process.with_unread_log());
+        Process::start(&process).await;
         let context = Rc::new(Context {
-            nodes: vec![process.callers],
+            nodes: vec![process.borrow().callers],
             observations,
             disturbances,
         });
@@ -69,7 +70,7 @@
         for caller in callers {
             caller.await.expect("all its requests are served");
         }
-        assert_eq!(process.poll(), State::Running);
+        assert_eq!(process.borrow_mut().poll(), State::Running);
         assert!(
             context.observations.violations().is_empty(),
             "{:?}",
--- a/crates/node/tests/soak/world.rs
+++ b/crates/node/tests/soak/world.rs
@@ -149,9 +149,10 @@
         for (number, &ip) in addresses.all().iter().enumerate() {
             let link = Proxy::new(store.address).await;
             let zone = scale.zone(number);
-            let mut process = Process::new(number, ip, zone, link.address, bound, folder);
-            process.start();
-            processes.push(RefCell::new(process));
+            let process = Process::new(number, ip, zone, link.address, bound, folder);
+            let process = RefCell::new(process);
+            Process::start(&process).await;
+            processes.push(process);
             store_links.push(link);
         }
         let nodes = processes.iter().map(|one| one.borrow().callers).collect();
@@ -214,11 +215,11 @@
                 .set(self.longest_standstill.get().max(late));
             self.record_unavailable_services();
             for node in 0..self.processes.len() {
-                let mut process = self.processes[node].borrow_mut();
-                if !self.is_down[node].get() && process.poll() == State::Exited {
-                    let line = format!("{} has ended by itself", process.name());
+                let process = &self.processes[node];
+                if !self.is_down[node].get() && process.borrow_mut().poll() == State::Exited {
+                    let line = format!("{} has ended by itself", process.borrow().name());
                     self.context.observations.record_violation(line);
-                    process.start();
+                    Process::start(process).await;
                 }
             }
         }
--- a/crates/node/tests/soak/world/faults.rs
+++ b/crates/node/tests/soak/world/faults.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
 use serde_json::json;
 
 use super::configuration;
@@ -16,7 +17,7 @@
 use crate::cuts::Cut;
 use crate::observations::Kind;
 use crate::plan::{Fault, Step};
-use crate::process::State;
+use crate::process::{Process, State};
 use crate::proxy::Link;
 use crate::statements::REST;
 use crate::store::Mode;
@@ -39,13 +40,13 @@
             Fault::Stop { node } => self.stop(node).await,
             Fault::Pause { node } => {
                 disturbances.record_node(node, duration);
-                self.processes[node].borrow().signal("-STOP");
+                self.processes[node].borrow().signal(Signal::STOP);
                 tokio::time::sleep(duration).await;
-                self.processes[node].borrow().signal("-CONT");
+                self.processes[node].borrow().signal(Signal::CONT);
             }
             Fault::Reload { node } => {
                 disturbances.record_planned(node, Duration::ZERO);
-                self.processes[node].borrow().signal("-HUP");
+                self.processes[node].borrow().signal(Signal::HUP);
             }
             Fault::StoreSilent => self.set_store_mode(Mode::Silent, duration).await,
             Fault::StoreBusy => self.set_store_mode(Mode::Busy, duration).await,
@@ -273,12 +274,12 @@
             return;
         }
         self.context.disturbances.record_node(node, absence);
-        self.processes[node].borrow().signal("-KILL");
+        self.processes[node].borrow().signal(Signal::KILL);
         self.wait_until_exited(node).await;
         once_down();
         tokio::time::sleep(absence).await;
         self.context.disturbances.record_node(node, Duration::ZERO);
-        self.processes[node].borrow_mut().start();
+        Process::start(&self.processes[node]).await;
         self.is_down[node].set(false);
     }
 
@@ -289,7 +290,7 @@
         let signalled_at = Instant::now();
         self.context.disturbances.record_planned(node, STOP_TIMEOUT);
         self.context.disturbances.record_stop(node);
-        self.processes[node].borrow().signal("-TERM");
+        self.processes[node].borrow().signal(Signal::TERM);
         if !self.wait_until_exited(node).await {
             if self
                 .context
@@ -300,13 +301,13 @@
                     format!("n{node} still runs {STOP_TIMEOUT:?} after it was asked to stop");
                 self.context.observations.record_violation(line);
             }
-            self.processes[node].borrow().signal("-KILL");
+            self.processes[node].borrow().signal(Signal::KILL);
             self.wait_until_exited(node).await;
         }
         self.context
             .disturbances
             .record_planned(node, Duration::ZERO);
-        self.processes[node].borrow_mut().start();
+        Process::start(&self.processes[node]).await;
         self.is_down[node].set(false);
     }
 
