--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -210,18 +210,21 @@
     pub fn digest(&mut self, now: Instant, peer: &str) -> Digest {
         let statements = self.statements.iter();
         let shared = statements.filter(|(_, statement)| statement.is_shared(now));
-        let (mut changes, mut others): (Vec<_>, Vec<_>) =
+        let (mut changed, mut confirmed): (Vec<_>, Vec<_>) =
             shared.partition(|(_, statement)| now.millis_since(statement.changed_at) < CHANGE_MS);
-        for entries in [&mut changes, &mut others] {
+        for entries in [&mut changed, &mut confirmed] {
             self.turns.sort(peer, entries, |&(&identity, _)| identity);
         }
-        changes.append(&mut others);
-        changes.truncate(MAX_SHARED);
-        if let Some(&(&identity, _)) = changes.last() {
+        let named: Vec<_> = changed
+            .into_iter()
+            .chain(confirmed)
+            .take(MAX_SHARED)
+            .collect();
+        if let Some(&(&identity, _)) = named.last() {
             self.turns.record(peer, identity);
         }
-        let digest = changes.into_iter();
-        digest
+        let named = named.into_iter();
+        named
             .map(|(&identity, statement)| (identity, statement.shared(now)))
             .collect()
     }
--- a/crates/core/tests/all/gateway/crash.rs
+++ b/crates/core/tests/all/gateway/crash.rs
@@ -155,17 +155,14 @@
             pass_to(&index.to_string(), &mut hub, member, now);
         }
     }
-    let refuses = |member: &Suspects| {
+    let count = |member: &Suspects| {
         let refused = keys
             .clone()
             .filter(|&key| is_refused(member, now, Key(key)));
         refused.count()
     };
-    let refused: Vec<usize> = members.iter().map(refuses).collect();
-    assert!(
-        refused.iter().all(|count| *count == 16),
-        "{refused:?} of 16"
-    );
+    let counts: Vec<usize> = members.iter().map(count).collect();
+    assert!(counts.iter().all(|count| *count == 16), "{counts:?} of 16");
 }
 
 /// Many requests are broken by crashes that the servers cause themselves. Memory stays bounded.
--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -11,13 +11,13 @@
 use fescuerack_core::gateway::canary::Stage;
 use fescuerack_core::gateway::load;
 
-use crate::allowance::{self, Withheld};
 use crate::attempt::Job;
 use crate::clock::now;
 use crate::node::Node;
 use crate::platform::Progress;
 use crate::rollout;
 use crate::server::Server;
+use crate::server_capacity::{self, Withheld};
 use crate::server_limit;
 use crate::view::{Order, View};
 
@@ -139,7 +139,7 @@
     if !is_allowed(node, job, server) {
         return Some(Exclusion::OutsideRegions);
     }
-    allowance::withheld(node, view, server, now).map(Exclusion::Withheld)
+    server_capacity::withheld(node, view, server, now).map(Exclusion::Withheld)
 }
 
 /// Returns whether no server may run the request now only because brittle ones have no place for it at
--- a/crates/gateway/src/initial_sync.rs
+++ b/crates/gateway/src/initial_sync.rs
@@ -5,7 +5,6 @@
 //! them a moment after its first requests. Each of many nodes that start would send one to a server
 //! that all others spare.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,6 +17,7 @@
 use tokio::task::JoinSet;
 
 use crate::clock::{age_ms, now};
+use crate::entry::Peer;
 use crate::evidence;
 use crate::follow;
 use crate::message;
@@ -75,16 +75,15 @@
 fn sources(node: &Node) -> Vec<SocketAddr> {
     let view = node.view.borrow();
     let settings = node.settings.borrow();
-    let mut by_zone: BTreeMap<bool, Vec<SocketAddr>> = BTreeMap::new();
-    for (name, peer) in &view.nodes {
-        if *name != settings.instance {
-            let is_remote = peer.zone != settings.zone;
-            by_zone.entry(is_remote).or_default().push(peer.address);
-        }
-    }
-    let nearest = by_zone.into_values().next().unwrap_or_default();
+    let others = view.nodes.iter();
+    let others = others.filter(|(name, _)| **name != settings.instance);
+    let (near, far): (Vec<&Peer>, Vec<&Peer>) = others
+        .map(|(_, peer)| peer)
+        .partition(|peer| peer.zone == settings.zone);
+    let asked = if near.is_empty() { far } else { near };
     let mut random = node.random.borrow_mut();
-    nearest.sample(&mut *random, SOURCES).copied().collect()
+    let asked = asked.sample(&mut *random, SOURCES);
+    asked.map(|peer| peer.address).collect()
 }
 
 async fn ask(node: &Rc<Node>, address: SocketAddr) -> anyhow::Result<()> {
@@ -97,7 +96,7 @@
     Ok(())
 }
 
-/// Answers the question of the node with the encoded `name`.
+/// Answers the question of the node with the name `name`.
 ///
 /// # Errors
 ///
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,11 +28,10 @@
 //! retry budget, [`verdict`] decides what happens to an answer, and [`relay`] forwards streams;
 //! [`evidence`] records whether the request crashes servers, and [`outbox`] what peers are told of
 //! that. All of them share the HTTP client in
-//! [`upstream`]. [`allowance`] says what a server may get from this node now. When [`reach`] finds
+//! [`upstream`]. [`server_capacity`] says what a server may get from this node now. When [`reach`] finds
 //! that no server is reached, or another node owns the [brittle servers](server_brittle),
 //! [`forward`] sends requests through a peer ([`hop`]). The load-balancing decisions are in `fescuerack_core::gateway`.
 
-pub mod allowance;
 pub mod apply;
 pub mod arrival;
 pub mod attempt;
@@ -83,6 +82,7 @@
 pub mod routes;
 pub mod server;
 pub mod server_brittle;
+pub mod server_capacity;
 pub mod server_leaving;
 pub mod server_limit;
 pub mod server_rest;
