Limits of servers are a struct that takes what it needs, not the node

server_limit::ServerLimits holds the statements, the gate and its metrics, as BrittleServers does; the file leaves the circle of files around gateway::Node, and Node has one field in place of two.

--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -18,7 +18,6 @@
 use crate::rollout;
 use crate::server::Server;
 use crate::server_capacity::{self, Withheld};
-use crate::server_limit;
 use crate::view::{Order, View};
 
 /// Why a ready server may not be used now.
@@ -102,7 +101,8 @@
             Some(Exclusion::Withheld(limit @ (Withheld::Cold | Withheld::Limited))) => {
                 excluded.cold += usize::from(limit == Withheld::Cold);
                 excluded.limited += usize::from(limit == Withheld::Limited);
-                excluded.add_retry(server_limit::next_at(node, &view, server, now));
+                let excess = node.settings.borrow().warmup;
+                excluded.add_retry(node.limits.next_at(&view, server, excess, now));
             }
             Some(Exclusion::Withheld(Withheld::Resting(end))) => {
                 excluded.resting += 1;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -63,7 +63,7 @@
 }
 
 /// Metrics of backend servers that accept few requests or none.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct ServerMetrics {
     /// Requests to servers that were warming up, by service.
     pub cold_requests: IntCounterVec,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,10 +13,8 @@
 use fescuerack_core::gateway::rest::Rests;
 use fescuerack_core::gateway::session::Recent;
 use fescuerack_core::gateway::share::Share;
-use fescuerack_core::gateway::shared_limit::Gate;
 use fescuerack_core::gateway::slowness::Baseline;
 use fescuerack_core::gateway::standstill::Standstill;
-use fescuerack_core::gateway::stated_limit::StatedLimits;
 use fescuerack_core::gateway::wait::Wait;
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -34,6 +32,7 @@
 use crate::reach::Path;
 use crate::rollout::TrackedAttempt;
 use crate::server_brittle::BrittleServers;
+use crate::server_limit::ServerLimits;
 use crate::settings::Settings;
 use crate::snapshot::Snapshots;
 use crate::source::{FailedNodes, Parent};
@@ -100,10 +99,8 @@
     pub forwarding: Forwarding,
     /// Load and attempt counts of this node and its peers.
     pub load: Exchange,
-    /// Limits that servers have stated in their answers.
-    pub stated_limits: RefCell<StatedLimits>,
-    /// State of keeping these limits and those of servers that are warming up.
-    pub gate: RefCell<Gate>,
+    /// Limits of servers that are warming up or have stated one.
+    pub limits: ServerLimits,
     /// Servers that have asked this node for rest.
     pub rests: RefCell<Rests>,
     /// Servers that end when they turn too many requests away.
@@ -157,6 +154,8 @@
         let store = Store::new(settings.store, pool.clone(), platform.clone());
         let suspects = Suspects::new(&settings.instance);
         let brittle = BrittleServers::new(&settings.instance, &settings.zone);
+        let metrics = Metrics::new()?;
+        let limits = ServerLimits::new(&settings.instance, metrics.servers.clone());
         Ok(Self {
             settings: RefCell::new(settings),
             platform,
@@ -176,8 +175,7 @@
             path: Path::default(),
             forwarding: Forwarding::default(),
             load: Exchange::default(),
-            stated_limits: RefCell::default(),
-            gate: RefCell::new(Gate::new(now())),
+            limits,
             rests: RefCell::default(),
             brittle,
             unreadable_headers: RefCell::default(),
@@ -195,7 +193,7 @@
             store_regained: Notify::new(),
             has_synced: Cell::new(false),
             is_stopping: Cell::new(false),
-            metrics: Metrics::new()?,
+            metrics,
             random: RefCell::new(random),
         })
     }
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -17,7 +17,6 @@
 use crate::node::Node;
 use crate::platform::{Progress, RequestHead};
 use crate::server::Server;
-use crate::server_limit;
 use crate::view::View;
 
 /// Prompt tokens that add as much work as a request without a prompt: the chunk that an engine
@@ -261,7 +260,8 @@
         let mut recent = node.recent_sessions.borrow_mut();
         recent.record(now, job.session, settings.session_ms);
     }
-    server_limit::record_request(node, &view, server, now);
+    node.limits
+        .record_request(&view, server, settings.warmup, now);
     Some(Pick {
         id: server.entry.id.clone(),
         identity: server.identity,
--- a/crates/gateway/src/server_capacity.rs
+++ b/crates/gateway/src/server_capacity.rs
@@ -3,7 +3,7 @@
 //! | limit | source | kept by |
 //! | --- | --- | --- |
 //! | rest | a refusal to this node | this node, until the rest ends ([`server_rest`]) |
-//! | warm-up | its entry | few senders, each at intervals ([`server_limit`]) |
+//! | warm-up | its entry | few senders, each at intervals ([`server_limit`](crate::server_limit)) |
 //! | stated rate | its answers to any node | the same senders |
 //! | brittle | its answers to any node | its owner, one request a slot ([`server_brittle`](crate::server_brittle)) |
 //!
@@ -13,7 +13,6 @@
 
 use crate::node::Node;
 use crate::server::Server;
-use crate::server_limit;
 use crate::server_rest;
 use crate::view::View;
 
@@ -39,7 +38,8 @@
     if !node.brittle.has_place(view, server, now) {
         return Some(Withheld::NoPlace);
     }
-    if server_limit::admits(node, view, server, now) {
+    let excess = node.settings.borrow().warmup;
+    if node.limits.admits(view, server, excess, now) {
         return None;
     }
     Some(if server.is_cold(now) {
--- a/crates/gateway/src/statements.rs
+++ b/crates/gateway/src/statements.rs
@@ -10,11 +10,10 @@
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 
-use crate::clock::now;
 use crate::node::Node;
 use crate::pick::Pick;
 use crate::platform::{ResponseHead, Stated};
-use crate::{server_leaving, server_limit, server_rest};
+use crate::{server_leaving, server_rest};
 
 /// Source of a statement in the log, if it is an answer to this node.
 pub const OWN_ANSWER: &str = "answer";
@@ -45,7 +44,7 @@
     // What a part in front of the server answers for it does not say that the server is well again.
     let may_say = |is_absent: bool| head.is_proved || !is_absent;
     if may_say(head.limit == Stated::Absent) {
-        server_limit::record_statement(node, pick, sent_at, head.limit);
+        record_limit(node, pick, sent_at, head.limit);
     }
     server_leaving::record_statement(node, pick, head.is_leaving);
     server_rest::record_statement(node, pick, head.rest_ms);
@@ -63,10 +62,23 @@
     }
 }
 
+fn record_limit(node: &Node, pick: &Pick, sent_at: Instant, limit: Stated<f64>) {
+    let per_second = match limit {
+        Stated::Absent => None,
+        Stated::Value(per_second) => Some(per_second),
+        Stated::Unreadable => {
+            let mut unreadable = node.unreadable_headers.borrow_mut();
+            unreadable.record(node, pick, "limit");
+            return;
+        }
+    };
+    node.limits.record_statement(pick, sent_at, per_second);
+}
+
 /// Returns the statements for `peer`.
 pub fn digest(node: &Node, peer: &str) -> Digest {
     Digest {
-        limits: node.stated_limits.borrow_mut().digest(now(), peer),
+        limits: node.limits.digest(peer),
         leaving: server_leaving::digest(node, peer),
     }
 }
@@ -74,20 +86,21 @@
 /// Returns all statements, for a node that starts.
 pub fn all(node: &Node) -> Digest {
     Digest {
-        limits: node.stated_limits.borrow().all(now()),
+        limits: node.limits.all(),
         leaving: server_leaving::all(node),
     }
 }
 
 /// Receives the statements that the peer `source` has passed on.
 pub fn receive(node: &Node, source: &str, digest: &Digest) {
-    server_limit::receive(node, source, &digest.limits);
+    node.limits
+        .receive(&node.view.borrow(), source, &digest.limits);
     server_leaving::receive(node, source, &digest.leaving);
 }
 
 /// Drops what is over, and updates the gauges.
 pub fn sweep(node: &Node, now: Instant) {
-    server_limit::sweep(node, now);
+    node.limits.sweep(&node.view.borrow(), now);
     server_leaving::sweep(node, now);
     server_rest::sweep(node, now);
     let brittle = node.brittle.sweep(&node.view.borrow(), now);
