--- a/crates/core/src/gateway/stated_limit.rs
+++ b/crates/core/src/gateway/stated_limit.rs
@@ -34,7 +34,7 @@
 /// Milliseconds for which the end of a limit is kept and passed on, longer than any limit, so that
 /// no older statement returns.
 const SHARE_END_MS: u64 = 60_000;
-/// Milliseconds for which a change is passed on before what most peers know.
+/// Milliseconds for which a changed limit is passed on before confirmed ones, which most peers know.
 const CHANGE_MS: u64 = 1_000;
 /// Maximum number of statements in a message to a peer. With more, they take turns.
 const MAX_SHARED: usize = 24;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,8 @@
 //! the process.
 //!
 //! [`gateway`] serves the gateway crate, and [`clock`], [`membership`] and [`turns`] serve both; the
-//! other modules serve the node crate and the crates around it. Both products solve some of the same problems with different
-//! evidence.
+//! other modules serve the node crate and the crates around it. Both products solve some of the same
+//! problems with different evidence.
 //!
 //! An *instance* is a machine of the router; the process on it is a *node*.
 
--- a/crates/gateway/src/initial_sync.rs
+++ b/crates/gateway/src/initial_sync.rs
@@ -1,9 +1,9 @@
 //! What a node that has just started asks of another one before it is ready: what backend servers have
 //! stated, which services are brittle, and which requests crash servers.
 //!
-//! Nodes tell each other these with their [load reports](crate::load_report), so a node would hear of
-//! them a moment after its first requests. Each of many nodes that start would send one to a server
-//! that all others spare.
+//! Nodes tell each other these with their [load reports](crate::load_report), so a node that does not
+//! ask hears of them a moment after its first requests. Many such nodes together send a server that
+//! all others spare more than it has room for.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,8 +28,8 @@
 //! retry budget, [`verdict`] decides what happens to an answer, and [`relay`] forwards streams;
 //! [`evidence`] records whether the request crashes servers, and [`outbox`] what peers are told of
 //! that. All of them share the HTTP client in
-//! [`upstream`]. [`server_capacity`] says what a server may get from this node now. When [`reach`] finds
-//! that no server is reached, or another node owns the [brittle servers](server_brittle),
+//! [`upstream`]. [`server_capacity`] says what a server may get from this node now. When [`reach`]
+//! finds that no server is reached, or another node owns the [brittle servers](server_brittle),
 //! [`forward`] sends requests through a peer ([`hop`]). The load-balancing decisions are in `fescuerack_core::gateway`.
 
 pub mod apply;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -9,7 +9,8 @@
 //!   all nodes derive from the list of nodes in the same way.
 //!
 //! [`serve`] also answers the reports to hubs ([`load_report`]), the polls of nodes that follow
-//! this one ([`updates`]), the question of a node that starts ([`initial_sync`]), and the requests for large items ([`publisher`]) and [`snapshot`]s.
+//! this one ([`updates`]), the question of a node that starts ([`initial_sync`]), and the requests for
+//! large items ([`publisher`]) and [`snapshot`]s.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
