--- a/crates/core/tests/all/gateway/bootstrap.rs
+++ b/crates/core/tests/all/gateway/bootstrap.rs
@@ -7,7 +7,7 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::bootstrap::{
-    Action, Bootstrap, PROVIDERS, Provider, Receivers, Refusal, WAIT_MS, max_receivers,
+    Action, Bootstrap, PROVIDERS_PER_ZONE, Provider, Receivers, Refusal, WAIT_MS, max_receivers,
 };
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -139,7 +139,7 @@
         });
         Self {
             nodes: nodes.collect(),
-            records: vec![vec![None; PROVIDERS]; ZONES],
+            records: vec![vec![None; PROVIDERS_PER_ZONE]; ZONES],
             entries,
             events,
             random,
@@ -153,7 +153,7 @@
     }
 
     /// Names the nodes at `numbers` within each zone as its providers.
-    fn with_records(mut self, numbers: [usize; PROVIDERS]) -> Self {
+    fn with_records(mut self, numbers: [usize; PROVIDERS_PER_ZONE]) -> Self {
         for (zone, records) in self.records.iter_mut().enumerate() {
             for (slot, number) in numbers.iter().enumerate() {
                 records[slot] = Some(Provider {
@@ -312,7 +312,7 @@
 
 /// Calls of the nodes that read the store, and one of each node when it waits to claim a record.
 fn allowed_calls(fleet: &Fleet) -> u64 {
-    let reads = u64::try_from(ZONES * PROVIDERS).expect("few");
+    let reads = u64::try_from(ZONES * PROVIDERS_PER_ZONE).expect("few");
     let nodes = u64::try_from(fleet.nodes.len()).expect("few");
     reads * fleet.entries.div_ceil(PAGE_ENTRIES) + nodes
 }
@@ -348,7 +348,7 @@
     let mut fleet = Fleet::new(count, servers);
     let ready_at = fleet.play();
     assert!(ready_at <= RECOVERY_MS / 2, "{ready_at} ms");
-    assert!(fleet.store_reads <= (ZONES * PROVIDERS) as u64);
+    assert!(fleet.store_reads <= (ZONES * PROVIDERS_PER_ZONE) as u64);
     for records in &fleet.records {
         let first = records[0].expect("each zone has a provider");
         let link_mbps = fleet.nodes[index(first.address)].link_mbps;
@@ -372,7 +372,7 @@
     let mut fleet = Fleet::new(count, servers).with_records([gone, gone + 1]);
     let ready_at = fleet.play();
     assert!(ready_at <= RECOVERY_MS, "{ready_at} ms");
-    assert!(fleet.store_reads <= (ZONES * PROVIDERS) as u64);
+    assert!(fleet.store_reads <= (ZONES * PROVIDERS_PER_ZONE) as u64);
 }
 
 /// Guards against a store that refuses the providers while it serves others: the nodes of their zone
@@ -385,5 +385,5 @@
     fleet.refuses = |node| [0, LARGE_EVERY].contains(&(node / ZONES));
     let ready_at = fleet.play();
     assert!(ready_at <= RECOVERY_MS, "{ready_at} ms");
-    assert!(fleet.store_reads <= 2 * (ZONES * PROVIDERS) as u64);
+    assert!(fleet.store_reads <= 2 * (ZONES * PROVIDERS_PER_ZONE) as u64);
 }
--- a/crates/core/tests/all/gateway/membership_fleet.rs
+++ b/crates/core/tests/all/gateway/membership_fleet.rs
@@ -53,6 +53,8 @@
     Standstill,
     /// All processes stand still, and continue one after the other.
     StandstillOfAll,
+    /// The nodes that have sent to the servers last die; their entries stay for 12 s.
+    SendersDie,
 }
 
 struct Node {
@@ -99,6 +101,8 @@
     on_the_way: BTreeMap<u64, Vec<(usize, Rc<Change>)>>,
     listed: Vec<String>,
     arrivals: Vec<Vec<u64>>,
+    /// Node that has sent to each server last.
+    last_senders: Vec<Option<usize>>,
     /// Round of the limit of each server, and when it began or a request was last sent.
     rounds: Vec<(u32, u64)>,
 }
@@ -127,6 +131,7 @@
             on_the_way: BTreeMap::new(),
             listed,
             arrivals: vec![Vec::new(); servers],
+            last_senders: vec![None; servers],
             rounds: vec![(0, 0); servers],
         }
     }
@@ -181,6 +186,7 @@
             {
                 self.join(now, &format!("j{}", turn(100)));
             }
+            Trouble::SendersDie if since == 0 => self.kill_senders(now),
             Trouble::Restarts if is_turn(200) && turn(200) < count => {
                 self.restart(now, turn(200));
             }
@@ -198,6 +204,14 @@
         }
     }
 
+    fn kill_senders(&mut self, now: u64) {
+        for index in self.last_senders.clone().into_iter().flatten() {
+            self.nodes[index].is_gone = true;
+            let name = self.nodes[index].name.clone();
+            self.plan(now + 12_000, &name, false);
+        }
+    }
+
     fn begin_standstill(&mut self, now: u64, trouble: Trouble) {
         for index in 0..self.nodes.len() {
             let until = now + STANDSTILL_MS;
@@ -271,7 +285,7 @@
             }
             self.publish(now);
             let is_tick = now.is_multiple_of(250);
-            for node in &mut self.nodes {
+            for (index, node) in self.nodes.iter_mut().enumerate() {
                 if now < node.suspended_until {
                     continue;
                 }
@@ -281,13 +295,15 @@
                 if node.is_gone || now < node.down_until {
                     continue;
                 }
-                let servers = self.arrivals.iter_mut().zip(&mut self.rounds);
-                for (server, (arrivals, (round, since))) in (0..).zip(servers) {
+                let servers = self.arrivals.iter_mut().zip(&mut self.last_senders);
+                let servers = servers.zip(&mut self.rounds);
+                for (server, ((arrivals, sender), (round, since))) in (0..).zip(servers) {
                     if now >= *since + ROUND_MS {
                         (*round, *since) = (*round + 1, now);
                     }
                     if sends(node, now, server, *round, self.limit) {
                         arrivals.push(now);
+                        *sender = Some(index);
                         *since = now;
                     }
                 }
@@ -308,6 +324,18 @@
         self.arrivals.iter().map(most).max().unwrap_or_default()
     }
 
+    /// Returns the longest time without an arrival at a server, from `from` on.
+    fn longest_gap(&self, from: u64) -> u64 {
+        let longest = |arrivals: &Vec<u64>| {
+            let since = arrivals
+                .partition_point(|one| *one < from)
+                .saturating_sub(1);
+            let gaps = arrivals[since..].windows(2).map(|pair| pair[1] - pair[0]);
+            gaps.max().unwrap_or_default()
+        };
+        self.arrivals.iter().map(longest).max().unwrap_or_default()
+    }
+
     fn sent(&self, from: u64, to: u64) -> usize {
         let all = self.arrivals.iter().flatten();
         all.filter(|one| (from..to).contains(*one)).count()
@@ -361,7 +389,8 @@
         Trouble::RestartAll,
         Trouble::Replacements,
         Trouble::Standstill,
-        Trouble::StandstillOfAll
+        Trouble::StandstillOfAll,
+        Trouble::SendersDie
     )]
     trouble: Trouble,
 ) {
@@ -381,7 +410,10 @@
         fleet.sent(4_000, TROUBLE_MS),
         fleet.sent(TROUBLE_MS, LENGTH_MS),
     );
-    println!("{count} {stated:?} {trouble:?}: {most} of {max}; {quiet} in 6 s, {troubled} in 24 s");
+    let gap = fleet.longest_gap(TROUBLE_MS);
+    println!(
+        "{count} {stated:?} {trouble:?}: {most} of {max}; {quiet} in 6 s, {troubled} in 24 s, gap {gap} ms"
+    );
     // At least half as many as when nothing happens.
     assert!(troubled >= 2 * quiet, "{troubled} after {quiet}");
 }
