--- a/crates/core/benches/member.rs
+++ b/crates/core/benches/member.rs
@@ -125,7 +125,7 @@
     fn step(&mut self, millis: u64) {
         for index in 0..self.exchanges.len() {
             if self.exchanges[index].take_urgent() {
-                for _ in 0..Exchange::FANOUT {
+                for _ in 0..Exchange::URGENT_EXCHANGES {
                     self.exchange(index, millis);
                 }
             }
--- a/crates/core/src/gateway/bootstrap.rs
+++ b/crates/core/src/gateway/bootstrap.rs
@@ -3,7 +3,7 @@
 //! When a thousand nodes start at once and each reads ten thousand entries from the store, the reads
 //! grow with the product of nodes and servers: gigabytes, half a minute of the store's link, and
 //! every read that times out begins again. In each availability zone therefore only
-//! [`PROVIDERS`] nodes read the store. They are named by records in the store, and the others ask
+//! [`PROVIDERS_PER_ZONE`] nodes read the store. They are named by records in the store, and the others ask
 //! them for a snapshot. A node serves a few others, by its link, one after the other, and refers the
 //! rest to these. So a tree forms even before the providers have read the store, and the number of
 //! sources multiplies while no node sends more than a few copies.
@@ -19,7 +19,7 @@
 use crate::clock::Instant;
 
 /// Number of providers of an availability zone: the second covers the loss of the first.
-pub const PROVIDERS: usize = 2;
+pub const PROVIDERS_PER_ZONE: usize = 2;
 /// Milliseconds that a request for a snapshot waits at a node that is not ready itself.
 pub const WAIT_MS: u64 = 2_000;
 /// Milliseconds without an answer after which a provider counts as lost. A process that was killed
@@ -56,7 +56,7 @@
 /// The record of a provider.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Provider {
-    /// Number of the record within the zone, below [`PROVIDERS`].
+    /// Number of the record within the zone, below [`PROVIDERS_PER_ZONE`].
     pub slot: usize,
     /// Address on which the node listens for its peers.
     pub address: SocketAddr,
@@ -287,7 +287,7 @@
 
     /// Returns the first record that has no provider, or a lost one, and its revision.
     fn vacancy(&self, now: Instant) -> Option<(usize, Position)> {
-        (0..PROVIDERS).find_map(|slot| {
+        (0..PROVIDERS_PER_ZONE).find_map(|slot| {
             let provider = self.providers.iter().find(|one| one.slot == slot);
             match provider {
                 None => Some((slot, Position::ORIGIN)),
--- a/crates/core/src/gateway/crash/blame.rs
+++ b/crates/core/src/gateway/crash/blame.rs
@@ -45,7 +45,7 @@
 /// Minimum wait in milliseconds that a run without a head counts for.
 const MIN_WAIT_MS: f64 = 50.0;
 /// Number of other runs from which their phases say as much as the hazard.
-const SMOOTHING: f64 = 2.0;
+const SMOOTHING_RUNS: f64 = 2.0;
 /// Milliseconds in which the observed runs count for a third of what they counted for.
 const HAZARD_WINDOW_MS: f64 = 10_000.0;
 /// What a node assumes before it has seen anything: an end in 100 s of runs.
@@ -145,7 +145,8 @@
             let share = if run.is_stream { HEADLESS_SHARE } else { 1.0 };
             (self.chance(now, wait_ms) / share, company.unanswered)
         };
-        let alike = (f64::from(alike) + chance * SMOOTHING) / (f64::from(company.all) + SMOOTHING);
+        let alike = (f64::from(alike) + chance * SMOOTHING_RUNS)
+            / (f64::from(company.all) + SMOOTHING_RUNS);
         let weight = Weight::of_chance(chance.max(alike));
         (weight > Weight::default()).then_some(weight)
     }
--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -43,7 +43,7 @@
 const HEARD_PER_LOST: usize = 3;
 
 /// Identity in place of a server's if all are silent.
-const ANY: u64 = 0;
+const ANY_SERVER: u64 = 0;
 
 /// What the node believes about its links as a whole.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -271,7 +271,7 @@
             return None;
         }
         let probe = match self.state {
-            State::Doubted { server: ANY } => Probe::Sample(MAX_PROBED_SERVERS),
+            State::Doubted { server: ANY_SERVER } => Probe::Sample(MAX_PROBED_SERVERS),
             State::Doubted { .. } => Probe::Sample(SAMPLED_SERVERS),
             State::Suspected => Probe::Lost(MAX_PROBED_SERVERS),
             State::Cut if self.is_full_due && now >= self.next_full_at => {
@@ -362,7 +362,7 @@
             self.next_probe_at = now.plus_millis(RETURN_INTERVAL_MS);
         } else if reached == 0 && tried > 0 {
             // One server may be down; the others decide.
-            self.state = State::Doubted { server: ANY };
+            self.state = State::Doubted { server: ANY_SERVER };
             self.heard.clear();
             self.next_probe_at = now;
         }
--- a/crates/core/src/member/exchange.rs
+++ b/crates/core/src/member/exchange.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use super::message::{Message, OLDEST_PROTOCOL, PROTOCOL};
+use super::message::{Message, OLDEST_PROTOCOL, PROTOCOL_VERSION};
 use super::replay_window::{ReplayWindow, is_timely};
 use super::{DigestScheduler, Key, Replica, State, View};
 use crate::clock::Instant;
@@ -91,7 +91,7 @@
     /// Number of peers with which exchanges start at once when shared state
     /// changes. Each of them does the same, so the change reaches nearly all
     /// instances after a few hops; the periodic exchanges reach the rest.
-    pub const FANOUT: usize = 3;
+    pub const URGENT_EXCHANGES: usize = 3;
 
     /// Creates the exchange of a process without peers.
     #[must_use]
@@ -133,7 +133,7 @@
     }
 
     /// Returns whether there are updates that must be sent at once, and clears
-    /// that mark: the caller starts [`Exchange::FANOUT`] exchanges.
+    /// that mark: the caller starts [`Exchange::URGENT_EXCHANGES`] exchanges.
     pub fn take_urgent(&mut self) -> bool {
         let is_changed = self.replica.take_urgent();
         std::mem::take(&mut self.is_urgent) || is_changed
@@ -208,7 +208,7 @@
     fn message(&mut self, time: Time, revision: u64) -> Message {
         self.sequence += 1;
         Message {
-            protocol: PROTOCOL,
+            protocol: PROTOCOL_VERSION,
             fleet: self.identity.fleet.clone(),
             origin: self.identity.id.clone(),
             zone: self.identity.zone.clone(),
--- a/crates/core/src/member/message.rs
+++ b/crates/core/src/member/message.rs
@@ -16,7 +16,7 @@
 ///
 /// A later release may add fields and slices, which earlier ones ignore, at the
 /// same version. The version rises only for other changes.
-pub const PROTOCOL: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 1;
 /// Oldest version of the protocol that this process accepts.
 pub const OLDEST_PROTOCOL: u32 = 1;
 
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -34,7 +34,7 @@
 
 pub use digest_scheduler::DigestScheduler;
 pub use exchange::{Exchange, Identity, Payload, Refusal, Time};
-pub use message::{Message, OLDEST_PROTOCOL, PROTOCOL};
+pub use message::{Message, OLDEST_PROTOCOL, PROTOCOL_VERSION};
 pub use owner::{owner, owners};
 pub use replay_window::{MAX_CLOCK_SKEW_MS, ReplayWindow};
 pub use replica::Replica;
--- a/crates/gateway/src/delta_codec.rs
+++ b/crates/gateway/src/delta_codec.rs
@@ -13,7 +13,7 @@
 
 /// Compression level, the lowest of the library's usual range. A higher one takes longer for a
 /// small change and makes the frame of a large change no smaller.
-const LEVEL: i32 = 1;
+const COMPRESSION_LEVEL: i32 = 1;
 /// Range of the window sizes that the format supports, as powers of two.
 const WINDOW_LOG: std::ops::RangeInclusive<u32> = 10..=27;
 
@@ -30,7 +30,8 @@
 /// When the library fails.
 pub fn encode(base: &str, text: &str) -> anyhow::Result<Vec<u8>> {
     let mut frame = Vec::new();
-    let mut encoder = write::Encoder::with_ref_prefix(&mut frame, LEVEL, base.as_bytes())?;
+    let mut encoder =
+        write::Encoder::with_ref_prefix(&mut frame, COMPRESSION_LEVEL, base.as_bytes())?;
     // The frame can refer only to data within the window, so both texts must fit into it.
     encoder.window_log(window_log(base.len() + text.len()))?;
     encoder.long_distance_matching(true)?;
--- a/crates/gateway/src/initial_sync.rs
+++ b/crates/gateway/src/initial_sync.rs
@@ -27,10 +27,10 @@
 /// Path of the question.
 pub const PATH: &str = "/known";
 /// Number of nodes that are asked at once: some may have stopped with others of their zone.
-const SOURCES: usize = 3;
+const MAX_ASKED_NODES: usize = 3;
 /// Time after which the node is ready without an answer. Callers wait for it, and most answers take
 /// milliseconds.
-const TIMEOUT: Duration = Duration::from_millis(300);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// What a node knows.
 #[derive(Debug, Serialize, Deserialize)]
@@ -45,7 +45,7 @@
 pub async fn run(node: Rc<Node>) {
     follow::wait_for_state(&node).await;
     let started = now();
-    let source = tokio::time::timeout(TIMEOUT, ask_any(&node)).await;
+    let source = tokio::time::timeout(ANSWER_TIMEOUT, ask_any(&node)).await;
     let source = source.unwrap_or_default();
     node.has_synced.set(true);
     let source = source.map(|address| address.to_string());
@@ -82,13 +82,13 @@
         .partition(|peer| peer.zone == settings.zone);
     let asked = if near.is_empty() { far } else { near };
     let mut random = node.random.borrow_mut();
-    let asked = asked.sample(&mut *random, SOURCES);
+    let asked = asked.sample(&mut *random, MAX_ASKED_NODES);
     asked.map(|peer| peer.address).collect()
 }
 
 async fn ask(node: &Rc<Node>, address: SocketAddr) -> anyhow::Result<()> {
     let name = node.settings.borrow().instance.clone().into_bytes();
-    let answer = message::exchange(node, address, PATH, name, TIMEOUT).await?;
+    let answer = message::exchange(node, address, PATH, name, ANSWER_TIMEOUT).await?;
     let known: Known = postcard::from_bytes(&answer)?;
     statements::receive(node, &address.to_string(), &known.stated);
     node.brittle.receive(&address.to_string(), &known.brittle);
--- a/crates/node/src/peer_fallback.rs
+++ b/crates/node/src/peer_fallback.rs
@@ -34,7 +34,7 @@
 /// Name of the JSON-RPC method.
 const METHOD: &str = "aid";
 /// JSON-RPC error code of a refused call.
-const REFUSED: i32 = -32_001;
+const REFUSED_CODE: i32 = -32_001;
 
 /// A request from one instance to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -62,7 +62,7 @@
         let key = shared.settings.peer_key.as_bytes();
         let request: Request = peer::open(key, &sealed).map_err(|refusal| {
             shared.metrics.count("aid.refused");
-            ErrorObjectOwned::owned(REFUSED, refusal.to_string(), None::<()>)
+            ErrorObjectOwned::owned(REFUSED_CODE, refusal.to_string(), None::<()>)
         })?;
         Ok::<_, ErrorObjectOwned>(answer(shared, request))
     })?;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -32,7 +32,7 @@
 /// Maximum number of peers that are queried at a time for an operator.
 const MAX_CONCURRENT_QUERIES: usize = 32;
 /// JSON-RPC error code of a refused message.
-const REFUSED: i32 = -32_001;
+const REFUSED_CODE: i32 = -32_001;
 
 /// Starts the peers' port; returns its address.
 ///
@@ -56,7 +56,7 @@
         let sealed: Sealed = params.one()?;
         answer(shared, &sealed).map_err(|reason| {
             shared.metrics.count("peers.refused");
-            ErrorObjectOwned::owned(REFUSED, reason, None::<()>)
+            ErrorObjectOwned::owned(REFUSED_CODE, reason, None::<()>)
         })
     })?;
     peer_fallback::register(&mut module)?;
@@ -70,7 +70,11 @@
         let woken = tokio::time::timeout(period, shared.wake.notified()).await;
         publish(&shared);
         let is_urgent = lock(&shared.member).take_urgent();
-        let exchanges = if is_urgent { Exchange::FANOUT } else { 1 };
+        let exchanges = if is_urgent {
+            Exchange::URGENT_EXCHANGES
+        } else {
+            1
+        };
         if woken.is_ok() && !is_urgent {
             continue;
         }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -25,13 +25,13 @@
 }
 
 impl Fault {
-    const COUNT: usize = 8;
+    const KIND_COUNT: usize = 8;
 }
 
 /// Values of the faults of one stand-in; 0 means that the fault is off.
 #[derive(Debug, Default)]
 pub struct Faults {
-    values: [AtomicU64; Fault::COUNT],
+    values: [AtomicU64; Fault::KIND_COUNT],
 }
 
 impl Faults {
