Soak: a socket is known by both of its ends, so no other node is cut off

Cause: the soak found the process of a connection by its local address. The system gives one local address to several sockets with other remote ones, so the connection of one node was taken for that of another, which was cut off.

Change: the key is the local and the remote address. Test: owners_local_address_of_two_processes_is_told_apart; with the local address as the key, as before, its last check cannot hold.

--- a/crates/node/tests/soak/cuts.rs
+++ b/crates/node/tests/soak/cuts.rs
@@ -84,7 +84,8 @@
         let asked = Instant::now();
         let processes = cuts.cut.iter().map(|(process, _)| *process).collect();
         let mut sockets = cuts.sockets.lock().await;
-        self.process = sockets.owner(self.address, processes, asked).await;
+        let ends = (self.address, self.server);
+        self.process = sockets.owner(ends, processes, asked).await;
         let took = u64::try_from(asked.elapsed().as_millis()).unwrap_or(u64::MAX);
         LONGEST_LOOK_UP_MS.fetch_max(took, Ordering::Relaxed);
     }
@@ -124,24 +125,22 @@
 /// Milliseconds that the longest look-up of a process has taken so far.
 pub static LONGEST_LOOK_UP_MS: AtomicU64 = AtomicU64::new(0);
 
-/// Which process has the socket with which local address, among those that are cut off. Each connection
-/// that is opened during a cut waits for an answer, so only these processes are read.
+/// The local and the remote address of a socket. The system gives one local address to several sockets
+/// with other remote ones.
+type Ends = (SocketAddr, SocketAddr);
+
+/// Which process has which socket, among those that are cut off. Each connection that is opened during a
+/// cut waits for an answer, so only these processes are read.
 #[derive(Debug, Default)]
 struct Sockets {
     read_at: Option<Instant>,
     processes: Vec<u32>,
-    owners: HashMap<SocketAddr, u32>,
+    owners: HashMap<Ends, u32>,
 }
 
 impl Sockets {
-    /// Returns which of `processes` has the socket with the local address `address`, by tables that
-    /// were read after `asked`.
-    async fn owner(
-        &mut self,
-        address: SocketAddr,
-        processes: Vec<u32>,
-        asked: Instant,
-    ) -> Option<u32> {
+    /// Returns which of `processes` has the socket with `ends`, by tables that were read after `asked`.
+    async fn owner(&mut self, ends: Ends, processes: Vec<u32>, asked: Instant) -> Option<u32> {
         let is_fresh = self.read_at.is_some_and(|read_at| read_at >= asked);
         if !is_fresh || self.processes != processes {
             let read_at = Instant::now();
@@ -149,7 +148,7 @@
             (self.owners, self.processes) = read.await.expect("the tables are read");
             self.read_at = Some(read_at);
         }
-        self.owners.get(&address).copied()
+        self.owners.get(&ends).copied()
     }
 }
 
@@ -158,7 +157,7 @@
 /// State of a connection that has ended.
 const TIME_WAIT: &str = "06";
 
-fn read_owners(processes: &[u32]) -> HashMap<SocketAddr, u32> {
+fn read_owners(processes: &[u32]) -> HashMap<Ends, u32> {
     let mut by_inode = HashMap::new();
     for &process in processes {
         let Ok(sockets) = fs::read_dir(format!("/proc/{process}/fd")) else {
@@ -171,11 +170,16 @@
         }
     }
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    owners(&table, &by_inode)
+}
+
+/// Returns the processes of the sockets in the system's table of connections.
+fn owners(table: &str, by_inode: &HashMap<String, u32>) -> HashMap<Ends, u32> {
     let process = |line: &str| {
         let words: Vec<&str> = line.split_whitespace().collect();
         let inode = words.get(9)?;
         let process = by_inode.get(&format!("socket:[{inode}]"))?;
-        Some((address(words[1])?, *process))
+        Some(((address(words[1])?, address(words[2])?), *process))
     };
     // Most lines are connections that have ended, which have no process; to split them takes most of
     // the time.
@@ -190,3 +194,21 @@
     let port = u16::from_str_radix(port, 16).ok()?;
     Some(SocketAddr::from((Ipv4Addr::from(ip.to_le_bytes()), port)))
 }
+
+/// Guards against a node that is cut off in place of another one, whose socket has the same local address
+/// and another remote one.
+#[test]
+fn owners_local_address_of_two_processes_is_told_apart() {
+    let line = |remote: &str, inode: u32| {
+        format!(
+            "   0: 0100007F:C001 {remote} 01 00000000:00000000 00:00000000 00000000     0        0 {inode} 1\n"
+        )
+    };
+    let table = line("0100007F:1F90", 11) + &line("0100007F:2382", 12);
+    let by_inode = HashMap::from([("socket:[11]".to_owned(), 7)]);
+    let owners = owners(&table, &by_inode);
+    let local = SocketAddr::from((Ipv4Addr::LOCALHOST, 0xC001));
+    let remote = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+    assert_eq!(owners.get(&(local, remote(0x1F90))), Some(&7));
+    assert_eq!(owners.get(&(local, remote(0x2382))), None);
+}
