Cut nodes send as large a share through peers as of the servers is lost

Callers of cut nodes were refused (RECOVER) while servers crashed: all cut nodes sent all requests to the few servers that they reached, four of 144, since each saw a free slot there in its own count; 3,055 requests got one to three 503s of them. Class: a decision of each node that is right only if no other takes it. Now a node that has lost most servers of a service draws by the request, and lost/all of them take the way through a peer, so a reached server gets the load that it would get if all nodes reached all.

--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
+use fescuerack_core::gateway::affinity;
 use fescuerack_core::gateway::health::Health;
 use fescuerack_core::gateway::reach::{Change, Probe, ProbeEnd, Reach, State};
 use http_body_util::Full;
@@ -112,38 +113,35 @@
 }
 
 /// Returns whether the request is better served by a peer: this node reaches no server that may run
-/// it, or, of a service of which it has lost most, only servers without a free slot.
+/// it, or it has lost most servers of the service. Then as large a share of the requests takes the way
+/// through peers as of the servers is lost: all cut nodes reach the same few servers, which would
+/// otherwise get the requests of all of them.
 #[must_use]
 pub fn needs_peer(node: &Node, job: &Job, service: &Arc<str>, model: Option<&str>) -> bool {
     let reach = node.path.reach.borrow();
     if reach.is_whole() {
         return false;
     }
-    let now = now();
     let view = node.view.borrow();
-    let is_lost = |server: &&Server| !reach.is_usable(server.identity);
-    let listed = || {
-        let servers = view.servers.values();
-        servers.filter(|server| server.entry.service == *service && server.is_ready())
-    };
-    let lost = listed().filter(is_lost).count();
-    if lost == 0 {
+    let is_lost = |server: &Server| !reach.is_usable(server.identity);
+    let servers = view.servers.values();
+    let listed = servers.filter(|server| server.entry.service == *service && server.is_ready());
+    let (lost, reached): (Vec<&Server>, Vec<&Server>) = listed.partition(|server| is_lost(server));
+    if lost.is_empty() {
         return false;
     }
-    let servers = eligible::servers(node, &view, job, service, model, &[]);
-    let mut usable = servers
-        .into_iter()
-        .filter(|server| !is_lost(server))
-        .peekable();
-    if usable.peek().is_none() {
+    let usable = eligible::servers(node, &view, job, service, model, &[]);
+    if usable.into_iter().all(is_lost) {
         return true;
     }
-    let has_slot = |server: &Server| {
-        let load = server.work + node.load.peer_work(now, server.identity);
-        load < f64::from(server.entry.slots)
-    };
-    let is_mostly_lost = lost * 2 > listed().count();
-    is_mostly_lost && !usable.any(has_slot)
+    lost.len() > reached.len() && is_drawn(&job.head.id, lost.len(), lost.len() + reached.len())
+}
+
+/// Returns whether the request with the given identifier is among `part` of `all`. Only the attempts of
+/// one request draw the same.
+fn is_drawn(id: &str, part: usize, all: usize) -> bool {
+    let draw = affinity::hash(id.as_bytes()) % u64::try_from(all).unwrap_or(u64::MAX);
+    draw < u64::try_from(part).unwrap_or(u64::MAX)
 }
 
 /// Probes servers when it is due until the process ends.
