Servers that end elsewhere excuse at most twice as many broken links

Class: a yes or no in place of a count. Now the number of told ends is given, and up to twice as many refusing servers are taken for ended.

--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -11,7 +11,8 @@
 //! quarters of 64 servers are down at the same moment, while each is down for a third of the time, is
 //! below 10⁻⁹. Fewer servers may well all end within seconds. A cut takes its links at one moment, so
 //! a server that failed before another lost one was still heard has ended by itself and does not
-//! count, nor does one that refuses while nodes tell of servers that end. One server that is reached never hides that the others are not.
+//! count. Nor do servers that refuse count, up to twice as many as nodes have told of that ended lately: the news of
+//! some is still on its way. One server that is reached never hides that the others are not.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -39,6 +40,8 @@
 /// Milliseconds within which failures may have one cause. An answer that was on its way when the links
 /// failed arrives later.
 const AT_ONCE_MS: u64 = 300;
+/// Number of refusing servers that may have ended for each one of which nodes have told.
+const ENDED_PER_TOLD: usize = 2;
 /// Number of other servers, for each lost link, that end a doubt when they are heard.
 const HEARD_PER_LOST: usize = 3;
 
@@ -258,8 +261,7 @@
             self.lose(now, server);
         }
         if self.state == State::Good {
-            self.state = State::Doubted { server };
-            self.heard.clear();
+            self.begin_doubt(server);
             self.next_probe_at = now.plus_millis(DOUBT_MS);
         }
     }
@@ -294,14 +296,14 @@
         Some(probe)
     }
 
-    /// Records how the probes of servers have ended. `has_ends` states whether nodes have told of
-    /// several servers that ended lately, so that those which refuse may have ended, too.
+    /// Records how the probes of servers have ended. `told_ends` is the number of servers that ended
+    /// lately as far as nodes have told, so that some which refuse may have ended, too.
     pub fn probed(
         &mut self,
         now: Instant,
         probe: Probe,
         ends: &[(u64, ProbeEnd)],
-        has_ends: bool,
+        told_ends: usize,
     ) -> Option<Change> {
         for &(server, end) in ends {
             self.record(now, server, end);
@@ -322,7 +324,7 @@
                 }
                 self.record_silent(now, ends);
                 if probe == Probe::Sample(MAX_PROBED_SERVERS) {
-                    return Some(self.judge(now, has_ends));
+                    return Some(self.judge(now, told_ends));
                 }
                 self.state = State::Suspected;
                 self.next_probe_at = now;
@@ -330,7 +332,7 @@
             }
             State::Suspected => {
                 self.record_silent(now, ends);
-                Some(self.judge(now, has_ends))
+                Some(self.judge(now, told_ends))
             }
             State::Cut => {
                 self.record_silent(now, ends);
@@ -362,16 +364,20 @@
             self.next_probe_at = now.plus_millis(RETURN_INTERVAL_MS);
         } else if reached == 0 && tried > 0 {
             // One server may be down; the others decide.
-            self.state = State::Doubted { server: ANY_SERVER };
-            self.heard.clear();
+            self.begin_doubt(ANY_SERVER);
             self.next_probe_at = now;
         }
         None
     }
 
+    fn begin_doubt(&mut self, server: u64) {
+        self.state = State::Doubted { server };
+        self.heard.clear();
+    }
+
     /// Decides when all servers have been probed.
-    fn judge(&mut self, now: Instant, has_ends: bool) -> Change {
-        if !self.is_mostly_lost_at_once(has_ends) {
+    fn judge(&mut self, now: Instant, told_ends: usize) -> Change {
+        if !self.is_mostly_lost_at_once(told_ends) {
             return self.confirm(now);
         }
         self.state = State::Cut;
@@ -439,15 +445,16 @@
 
     /// Returns whether at least three quarters of the links are lost, without those of servers that
     /// have ended by themselves.
-    fn is_mostly_lost_at_once(&self, has_ends: bool) -> bool {
+    fn is_mostly_lost_at_once(&self, told_ends: usize) -> bool {
         let last_heard = self.lost_links().filter_map(|link| link.heard_at).max();
-        let has_ended = |link: &Link| {
+        let failed_earlier = |link: &&Link| {
             let failed_at = link.failed_at.unwrap_or_default();
-            let is_earlier =
-                last_heard.is_some_and(|heard_at| failed_at.plus_millis(AT_ONCE_MS) < heard_at);
-            is_earlier || (has_ends && link.is_refused)
+            last_heard.is_some_and(|heard_at| failed_at.plus_millis(AT_ONCE_MS) < heard_at)
         };
-        let lost = self.lost_links().filter(|link| !has_ended(link)).count();
+        let at_once = self.lost_links().filter(|link| !failed_earlier(link));
+        let (refused, unreached): (Vec<&Link>, Vec<&Link>) =
+            at_once.partition(|link| link.is_refused);
+        let lost = unreached.len() + refused.len().saturating_sub(ENDED_PER_TOLD * told_ends);
         let (reached, _) = self.counts();
         lost >= MIN_SERVERS && lost * 4 >= (lost + reached) * 3
     }
--- a/crates/core/tests/all/gateway/reach.rs
+++ b/crates/core/tests/all/gateway/reach.rs
@@ -22,6 +22,9 @@
     (1..=tried).map(|server| (server, end(server))).collect()
 }
 
+/// Number of servers of which nodes tell that they have ended, in a deployment of 15.
+const TOLD_ENDS: usize = 8;
+
 /// Server whose failure begins the doubt.
 const FAILED: u64 = 1_000;
 
@@ -32,11 +35,11 @@
     reach.doubt(at(0), FAILED, true);
     let sample = reach.due_probe(at(100)).expect("it is due");
     assert_eq!(sample, Probe::Sample(8));
-    let mut change = reach.probed(at(100), sample, &ends(all.min(8), reached), false);
+    let mut change = reach.probed(at(100), sample, &ends(all.min(8), reached), 0);
     if reach.state() == State::Suspected {
         let rest = reach.due_probe(at(100)).expect("it is due");
         assert_eq!(rest, Probe::Lost(64));
-        change = reach.probed(at(100), rest, &ends(all, reached), false);
+        change = reach.probed(at(100), rest, &ends(all, reached), 0);
     }
     (reach, change)
 }
@@ -83,7 +86,7 @@
         reach.hear(at(200), 77);
         assert!(!reach.is_usable(77), "one heard over an old connection");
         let probe = reach.due_probe(at(700)).expect("it is due");
-        reach.probed(at(700), probe, &[(77, ProbeEnd::Answered)], false);
+        reach.probed(at(700), probe, &[(77, ProbeEnd::Answered)], 0);
         assert!(reach.is_usable(77), "one that has answered a probe");
     }
 }
@@ -118,11 +121,11 @@
             let mut reach = Reach::default();
             reach.doubt(at(0), FAILED, true);
             let sample = reach.due_probe(at(100)).expect("it is due");
-            reach.probed(at(100), sample, &servers[..8], false);
+            reach.probed(at(100), sample, &servers[..8], 0);
             if let Some(rest) = reach.due_probe(at(100)) {
                 let lost = servers.iter().copied();
                 let lost: Vec<_> = lost.filter(|one| !reach.is_usable(one.0)).collect();
-                reach.probed(at(100), rest, &lost, false);
+                reach.probed(at(100), rest, &lost, 0);
             }
             cuts += usize::from(reach.is_cut());
         }
@@ -153,9 +156,9 @@
                     }
                 })
                 .collect();
-            reach.probed(at(now + 40), probe, &ended, false);
+            reach.probed(at(now + 40), probe, &ended, 0);
             if let Some(rest) = reach.due_probe(at(now + 41)) {
-                reach.probed(at(now + 41), rest, &ended, false);
+                reach.probed(at(now + 41), rest, &ended, 0);
             }
         }
         assert!(!reach.is_cut(), "after {server} servers");
@@ -173,14 +176,31 @@
         let mut reach = Reach::default();
         reach.doubt(at(0), FAILED, false);
         let sample = reach.due_probe(at(100)).expect("it is due");
-        reach.probed(at(100), sample, &servers[..8], true);
+        reach.probed(at(100), sample, &servers[..8], TOLD_ENDS);
         let rest = reach.due_probe(at(100)).expect("it is due");
-        reach.probed(at(100), rest, &servers, true);
+        reach.probed(at(100), rest, &servers, TOLD_ENDS);
         assert_eq!(reach.is_cut(), is_cut);
         assert!(reach.is_usable(1) && !reach.is_usable(2));
     }
 }
 
+/// Guards against a node that is cut by resets and takes all servers for ended, since three have ended
+/// elsewhere: what breaks at it would count against requests and servers.
+#[test]
+fn probed_few_ends_elsewhere_hide_no_cut() {
+    let mut servers: Vec<_> = (1..=144)
+        .map(|server| (server, ProbeEnd::Refused))
+        .collect();
+    servers[0].1 = ProbeEnd::Answered;
+    let mut reach = Reach::default();
+    reach.doubt(at(0), FAILED, false);
+    let sample = reach.due_probe(at(100)).expect("it is due");
+    reach.probed(at(100), sample, &servers[8..16], 3);
+    let rest = reach.due_probe(at(100)).expect("it is due");
+    let change = reach.probed(at(100), rest, &servers[..64], 3);
+    assert_eq!(change, Some(Change::Cut));
+}
+
 /// Guards against an overloaded server that is left out because a probe of it was slow, while others
 /// are reached.
 #[test]
@@ -190,7 +210,7 @@
     let sample = reach.due_probe(at(100)).expect("it is due");
     let mut servers = ends(8, 8);
     servers[0].1 = ProbeEnd::Silent;
-    let change = reach.probed(at(100), sample, &servers, false);
+    let change = reach.probed(at(100), sample, &servers, 0);
     assert_eq!(change, Some(Change::Confirmed));
     assert!(reach.is_usable(1));
 }
@@ -214,7 +234,7 @@
     while !reach.is_cut() {
         if let Some(probe) = reach.due_probe(at(now)) {
             now += 400;
-            reach.probed(at(now), probe, &ends(8, 0), false);
+            reach.probed(at(now), probe, &ends(8, 0), 0);
         }
         now += 200;
         assert!(now <= 3_000, "not cut after {now} ms");
@@ -231,7 +251,7 @@
         for now in (from..from + 60_000).step_by(200) {
             if let Some(probe) = reach.due_probe(at(now)) {
                 assert_eq!(probe, Probe::Sample(1));
-                reach.probed(at(now), probe, &ends(1, 1), false);
+                reach.probed(at(now), probe, &ends(1, 1), 0);
                 probes += 1;
             }
         }
@@ -251,11 +271,11 @@
     let mut reach = cut();
     let probe = reach.due_probe(at(700)).expect("it is due");
     assert_eq!(probe, Probe::Lost(2));
-    assert_eq!(reach.probed(at(700), probe, &ends(2, 1), false), None);
+    assert_eq!(reach.probed(at(700), probe, &ends(2, 1), 0), None);
     assert!(reach.is_cut() && reach.is_usable(1) && !reach.is_usable(2));
     let probe = reach.due_probe(at(1_200)).expect("it is due");
     assert_eq!(probe, Probe::Lost(64));
-    let change = reach.probed(at(1_200), probe, &ends(64, 60), false);
+    let change = reach.probed(at(1_200), probe, &ends(64, 60), 0);
     assert_eq!(change, Some(Change::Regained));
     assert!(reach.is_usable(60) && !reach.is_usable(61));
     assert_eq!(reach.state(), State::Good);
@@ -270,7 +290,7 @@
     for now in (200..60_200).step_by(200) {
         if let Some(probe) = reach.due_probe(at(now)) {
             assert_eq!(probe, Probe::Lost(2));
-            reach.probed(at(now), probe, &ends(2, 0), false);
+            reach.probed(at(now), probe, &ends(2, 0), 0);
             probed += 2;
         }
     }
@@ -294,7 +314,7 @@
 fn doubt_server_of_a_cut_node_is_probed_again() {
     let mut reach = cut();
     let probe = reach.due_probe(at(700)).expect("it is due");
-    reach.probed(at(700), probe, &ends(1, 1), false);
+    reach.probed(at(700), probe, &ends(1, 1), 0);
     assert!(reach.is_cut() && reach.is_usable(1));
     reach.doubt(at(800), 1, false);
     assert!(!reach.is_usable(1));
--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -34,8 +34,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// The same while the path is in doubt.
 const DOUBT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// Number of servers that must have ended lately for refusing ones to be taken for ended.
-const MIN_ENDS: usize = 3;
 /// Maximum number of failures that are held back.
 const MAX_HELD: usize = 1_024;
 
@@ -159,9 +157,9 @@
         let due = node.path.reach.borrow_mut().due_probe(now());
         if let Some(due) = due {
             let ends = probe(&node, due).await;
-            let has_ends = node.suspects.borrow().recent_ends(now()) >= MIN_ENDS;
+            let told_ends = node.suspects.borrow().recent_ends(now());
             let mut reach = node.path.reach.borrow_mut();
-            let change = reach.probed(now(), due, &ends, has_ends);
+            let change = reach.probed(now(), due, &ends, told_ends);
             drop(reach);
             reset_health(&node, &ends);
             apply(&node, change);
