A doubt forgets which servers answered before it

With three cuts in a row nodes believed the third up to 7 s late: 74 servers had answered after the second cut and were held for reached, and only the others were asked again. Class: a belief that is made of old answers. When the links are suspected, answers from before the doubt are forgotten, so that those servers are asked, too.

--- a/crates/core/src/gateway/reach.rs
+++ b/crates/core/src/gateway/reach.rs
@@ -12,7 +12,8 @@
 //! below 10⁻⁹. Fewer servers may well all end within seconds. A cut takes its links at one moment, so
 //! a server that failed before another lost one was still heard has ended by itself and does not
 //! count. Nor do servers that refuse count, up to twice as many as nodes have told of that ended lately: the news of
-//! some is still on its way. One server that is reached never hides that the others are not.
+//! some is still on its way. One server that is reached never hides that the others are not, and an answer from before the
+//! failure says nothing of now.
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -86,6 +87,8 @@
 struct Link {
     known: Known,
     heard_at: Option<Instant>,
+    /// When it last answered a probe.
+    answered_at: Option<Instant>,
     /// When it failed for the first time since it was heard.
     failed_at: Option<Instant>,
     /// Whether the last probe was refused.
@@ -136,6 +139,7 @@
     /// Servers that were heard since the doubt began.
     heard: BTreeSet<u64>,
     heard_at: Instant,
+    doubted_at: Instant,
     /// Attempts that wait for a server, and since when there is one.
     waiting: u32,
     waiting_since: Instant,
@@ -261,7 +265,7 @@
             self.lose(now, server);
         }
         if self.state == State::Good {
-            self.begin_doubt(server);
+            self.begin_doubt(now, server);
             self.next_probe_at = now.plus_millis(DOUBT_MS);
         }
     }
@@ -323,6 +327,7 @@
                     return Some(self.confirm(now));
                 }
                 self.record_silent(now, ends);
+                self.forget_earlier_answers();
                 if probe == Probe::Sample(MAX_PROBED_SERVERS) {
                     return Some(self.judge(now, told_ends));
                 }
@@ -364,15 +369,27 @@
             self.next_probe_at = now.plus_millis(RETURN_INTERVAL_MS);
         } else if reached == 0 && tried > 0 {
             // One server may be down; the others decide.
-            self.begin_doubt(ANY_SERVER);
+            self.begin_doubt(now, ANY_SERVER);
             self.next_probe_at = now;
         }
         None
     }
 
-    fn begin_doubt(&mut self, server: u64) {
+    fn begin_doubt(&mut self, now: Instant, server: u64) {
         self.state = State::Doubted { server };
         self.heard.clear();
+        self.doubted_at = now;
+    }
+
+    /// Forgets the answers from before the doubt, so that those servers are probed, too.
+    fn forget_earlier_answers(&mut self) {
+        let doubted_at = self.doubted_at;
+        for link in self.links.values_mut() {
+            let is_earlier = link.answered_at.is_none_or(|at| at < doubted_at);
+            if link.known == Known::Reached && is_earlier {
+                link.known = Known::Untried;
+            }
+        }
     }
 
     /// Decides when all servers have been probed.
@@ -399,6 +416,7 @@
             ProbeEnd::Answered => {
                 let link = self.learn(server, Known::Reached);
                 link.heard_at = Some(now);
+                link.answered_at = Some(now);
                 link.failed_at = None;
             }
             ProbeEnd::Refused | ProbeEnd::Unreached => self.lose(now, server),
--- a/crates/core/tests/all/gateway/reach.rs
+++ b/crates/core/tests/all/gateway/reach.rs
@@ -201,6 +201,26 @@
     assert_eq!(change, Some(Change::Cut));
 }
 
+/// Guards against a node that has had its servers back for a moment and does not see the next cut, as
+/// it takes what they answered before for what they would answer now.
+#[test]
+fn probed_earlier_answers_hide_no_later_cut() {
+    let mut reach = cut();
+    let probe = reach.due_probe(at(700)).expect("it is due");
+    reach.probed(at(700), probe, &ends(2, 2), 0);
+    let probe = reach.due_probe(at(1_200)).expect("it is due");
+    let change = reach.probed(at(1_200), probe, &ends(64, 40), 0);
+    assert_eq!(change, Some(Change::Regained));
+    reach.doubt(at(2_000), FAILED, true);
+    let sample = reach.due_probe(at(2_100)).expect("it is due");
+    reach.probed(at(2_500), sample, &ends(8, 0), 0);
+    assert_eq!(reach.state(), State::Suspected);
+    assert!((1..=64).all(|server| !reach.is_usable(server)));
+    let rest = reach.due_probe(at(2_500)).expect("it is due");
+    let change = reach.probed(at(2_900), rest, &ends(64, 0), 0);
+    assert_eq!(change, Some(Change::Cut));
+}
+
 /// Guards against an overloaded server that is left out because a probe of it was slow, while others
 /// are reached.
 #[test]
