Runs of doubted keys take permits from owners; waiting ones are called back

gateway::trial asks the owners, first the first one; the second asks the first itself before it grants. A repeat asks of every key under which a server has ended. The permit lives with the pick of the attempt, is kept every .5 s, and ends with the proof, the end of the server or the attempt. A run without a permit that still waits at its server is called back (its connection is closed) when a key of it needs one that nothing has proved sound, or is refused; by the log up to 1.6 s passed between sending and running. It says nothing of server or request, and 'not run' is not claimed. message::Client holds what messages to peers need, so that trial takes it and the suspects in place of the node.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -65,6 +65,8 @@
     NotRun(NotRunReason),
     /// No usable head was received, and the server may have run the request.
     Failed(AnswerOutcome),
+    /// Servers have ended under its keys meanwhile, and its connection is closed without a head.
+    CalledBack,
     /// A head was received.
     Responded(Box<OpenResponse>),
 }
@@ -143,7 +145,14 @@
     let sent = node
         .pool
         .send(pick.address, request, job.route.is_repeatable());
-    let Ok(sent) = tokio::time::timeout_at(deadline(until), sent).await else {
+    let sent = tokio::select! {
+        sent = tokio::time::timeout_at(deadline(until), sent) => sent,
+        () = evidence::called_back(node, job, &pick) => {
+            record_outcome(node, job, &pick, started, None, "called-back", "");
+            return AttemptResult::CalledBack;
+        }
+    };
+    let Ok(sent) = sent else {
         // An overloaded server is silent too. Ejecting it at once would move its work to the other
         // servers, which would become silent in turn. A time-out is therefore one failure in the
         // average of `health` and is not recorded in the attempt counts that all nodes share.
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -6,7 +6,8 @@
 //! without a head before it. A complete answer proves it sound, unless it is a failure: a server
 //! that fails may not have begun to run the request. So does a stream that is [written
 //! on](record_writing). An answer of which only the head was read, a time-out and an answer to
-//! another request say nothing.
+//! another request say nothing. Nor does an attempt that is [called back](called_back) while it waits at its
+//! server.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,8 +15,9 @@
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::crash::blame::{Run, Weight};
+use fescuerack_core::gateway::crash::permit::TrialEnd;
 use fescuerack_core::gateway::crash::report::End;
-use fescuerack_core::gateway::crash::{self, Crashed, Key, Mark, Observation};
+use fescuerack_core::gateway::crash::{self, Crashed, Key, Mark, Observation, Suspects};
 use fescuerack_core::gateway::load;
 use http_body_util::BodyExt as _;
 use hyper::StatusCode;
@@ -28,11 +30,15 @@
 use crate::pick::Pick;
 use crate::platform::ResponseHead;
 use crate::rollout::AnswerOutcome;
+use crate::trial::{Owner, Reason, Trial};
 use crate::verdict::Ended;
 
 /// Time within which the end of an answer that was kept unread is received, if there is one.
 const UNREAD_END_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// A request waits for a permit for the time that it has left, divided by this, at most.
+const WAIT_DIVISOR: u32 = 4;
+
 /// Path on which a node is told of the ends of runs of the requests that it owns.
 pub const PATH: &str = "/crash/ends";
 /// Time for which observations are collected for one message.
@@ -47,8 +53,14 @@
         AnswerOutcome::Succeeded(_) => {
             let began = ended.pick.head_at.unwrap_or(ended.pick.at);
             record_proof(node, &ended.keys, began);
+            ended.pick.end_trial(TrialEnd::Proved {
+                age_ms: age_ms(began),
+            });
+        }
+        AnswerOutcome::Unread(_) => {
+            ended.pick.end_trial(TrialEnd::Void);
+            return;
         }
-        AnswerOutcome::Unread(_) => return,
         AnswerOutcome::Failed | AnswerOutcome::TimedOut => {}
     }
     let mut suspects = node.suspects.borrow_mut();
@@ -61,9 +73,11 @@
     let Some(head_at) = pick.head_at else {
         return false;
     };
-    let is_proved = age_ms(head_at) >= crash::blame::WRITING_ON_MS;
+    let age_ms = age_ms(head_at);
+    let is_proved = age_ms >= crash::blame::WRITING_ON_MS;
     if is_proved {
         record_proof(node, &job.keys, head_at);
+        pick.end_trial(TrialEnd::Proved { age_ms });
     }
     is_proved
 }
@@ -78,24 +92,70 @@
     }
 }
 
-/// Records that an attempt of the request begins.
+/// Waits until an attempt of the request may begin, for a part of the time that is left, and records that
+/// it does. Returns the permits that its run holds, if it needs any.
 ///
 /// # Errors
 ///
-/// When the request crashes servers: the time before which it is not sent to one.
-pub fn admit(node: &Node, job: &Job) -> Result<(), Instant> {
-    let mut suspects = node.suspects.borrow_mut();
-    if let Some(until) = suspects.refused_until(now(), &job.keys) {
-        tracing::warn!(
-            event = "crashing-request",
-            id = job.head.id,
-            keys = ?job.keys,
-            ms = until.millis_since(now())
-        );
+/// When the request crashes servers, or may do so: the time before which it is not sent to one.
+pub async fn admit(node: &Node, job: &Job, is_repeat: bool) -> Result<Option<Rc<Trial>>, Instant> {
+    let refused_until = node.suspects.borrow().refused_until(now(), &job.keys);
+    if let Some(until) = refused_until {
+        log_refusal(job, Reason::Refused, until);
         return Err(until);
     }
-    suspects.begin(now(), &job.keys);
-    Ok(())
+    let give_up = now() + job.deadline.since(now()) / WAIT_DIVISOR;
+    let admitted = node
+        .trials
+        .admit(&job.keys, is_repeat, give_up, |key| owners(node, key));
+    match admitted.await {
+        Ok(trial) => {
+            node.suspects.borrow_mut().begin(now(), &job.keys);
+            Ok(trial)
+        }
+        Err(withheld) => {
+            log_refusal(job, withheld.reason, withheld.until);
+            Err(withheld.until)
+        }
+    }
+}
+
+fn log_refusal(job: &Job, reason: Reason, until: Instant) {
+    tracing::warn!(
+        event = "crashing-request",
+        id = job.head.id,
+        keys = ?job.keys,
+        reason = ?reason,
+        ms = until.millis_since(now())
+    );
+}
+
+/// Waits until a run is called back that waits at its server: servers have ended under one of its keys
+/// since it began.
+pub async fn called_back(node: &Node, job: &Job, pick: &Pick) {
+    let has_permits = pick.trial.is_some();
+    loop {
+        let raised = node.crash_alarm.notified();
+        let is_called_back = {
+            let suspects = node.suspects.borrow();
+            suspects.is_called_back(now(), &job.keys, has_permits)
+        };
+        if is_called_back {
+            return;
+        }
+        raised.await;
+    }
+}
+
+/// Changes what is known of keys, and notifies waiting runs if one is in doubt since.
+fn change<R>(node: &Node, change: impl FnOnce(&mut Suspects) -> R) -> R {
+    let mut suspects = node.suspects.borrow_mut();
+    let alarms = suspects.alarms();
+    let result = change(&mut suspects);
+    if suspects.alarms() > alarms {
+        node.crash_alarm.notify_waiters();
+    }
+    result
 }
 
 /// Returns whether the server broke off an answer that was kept unread and is not needed.
@@ -122,17 +182,18 @@
 /// When they cannot be decoded.
 pub fn receive(node: &Node, observations: &[u8]) -> anyhow::Result<()> {
     let observations: Vec<Observation> = postcard::from_bytes(observations)?;
-    let mut suspects = node.suspects.borrow_mut();
-    for observation in observations {
-        suspects.observe(now(), observation);
-    }
+    change(node, |suspects| {
+        for observation in observations {
+            suspects.observe(now(), observation);
+        }
+    });
     Ok(())
 }
 
 /// Receives what a peer knows, and tells the owners of keys that this node has proved sound since.
 pub fn receive_marks(node: &Rc<Node>, marks: &[Mark]) {
     for mark in marks {
-        let is_disproved = node.suspects.borrow_mut().receive(now(), mark);
+        let is_disproved = change(node, |suspects| suspects.receive(now(), mark));
         if is_disproved {
             tell_proof(node, mark.key);
         }
@@ -152,9 +213,8 @@
         weight,
     };
     for &key in &ended.keys {
-        let mut suspects = node.suspects.borrow_mut();
-        let proved_ms = suspects.proved_ms(now(), key);
-        let counts = suspects.record_crash(now(), key, crashed);
+        let proved_ms = node.suspects.borrow().proved_ms(now(), key);
+        let counts = change(node, |suspects| suspects.record_crash(now(), key, crashed));
         tracing::info!(
             event = "crash-counted",
             id = ended.id,
@@ -163,9 +223,8 @@
             wrote_ms = pick.head_at.map(|head_at| at.millis_since(head_at)),
             weight = weight.0,
             counts,
-            is_refused = suspects.is_refused(*at, &[key])
+            is_refused = node.suspects.borrow().is_refused(*at, &[key])
         );
-        drop(suspects);
         if counts {
             let end = End::Crashed {
                 server,
@@ -190,6 +249,7 @@
         usual_wait_ms: wait.millis(pick.load),
         is_stream: ended.is_stream,
         company: ended.company,
+        has_permits: pick.trial.is_some(),
     };
     node.suspects.borrow().weigh(ended.at, &run)
 }
@@ -213,24 +273,38 @@
     tell_owners(node, Observation { key, end });
 }
 
-/// Tells the owners of a key how a run ended, together with what else they are to be told.
-fn tell_owners(node: &Rc<Node>, observation: Observation) {
+/// Returns the owners of a key, the first of which is asked first.
+fn owners(node: &Node, key: Key) -> Vec<Owner> {
     let settings = node.settings.borrow();
     let view = node.view.borrow();
-    let names = view.membership.names();
-    for name in crash::owners(observation.key, names) {
+    let owner = |name: &str| {
         if name == settings.instance {
-            node.suspects.borrow_mut().observe(now(), observation);
-            continue;
+            Owner::Own
+        } else {
+            Owner::Peer(view.nodes[name].address)
         }
-        let owner = view.nodes[name].address;
-        match node.observations.add(now(), owner, observation) {
+    };
+    let names = crash::owners(key, view.membership.names());
+    names.into_iter().map(owner).collect()
+}
+
+/// Tells the owners of a key how a run ended, together with what else they are to be told.
+fn tell_owners(node: &Rc<Node>, observation: Observation) {
+    for owner in owners(node, observation.key) {
+        let address = match owner {
+            Owner::Own => {
+                change(node, |suspects| suspects.observe(now(), observation));
+                continue;
+            }
+            Owner::Peer(address) => address,
+        };
+        match node.observations.add(now(), address, observation) {
             Added::First => {
-                tokio::task::spawn_local(tell_collected(node.clone(), owner));
+                tokio::task::spawn_local(tell_collected(node.clone(), address));
             }
             Added::Behind => {}
             Added::Dropped => {
-                tracing::warn!(event = "crash-untold", key = observation.key.0, peer = name);
+                tracing::warn!(event = "crash-untold", key = observation.key.0, peer = %address);
             }
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -91,6 +91,7 @@
 pub mod source;
 pub mod statements;
 pub mod store;
+pub mod trial;
 pub mod unreadable_headers;
 pub mod updates;
 pub mod upstream;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -10,11 +10,12 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::{Method, Request};
+use prometheus::IntCounterVec;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::node::Node;
-use crate::upstream::{self, PEER_IDLE_TIMEOUT, Sent};
+use crate::upstream::{self, PEER_IDLE_TIMEOUT, Pool, Sent};
 
 /// Default timeout for the head of a response. Nodes respond in milliseconds; connecting to one that
 /// is down takes longer and must not delay messages to others.
@@ -31,18 +32,63 @@
     Out,
 }
 
-/// Counts the bytes of a message. A node whose link is saturated by messages responds late, and only
-/// this metric distinguishes it from one that is short of processor time.
-pub fn count_bytes(node: &Node, path: &str, direction: Direction, bytes: usize) {
-    let direction = match direction {
-        Direction::In => "in",
-        Direction::Out => "out",
-    };
-    let counter = node
-        .metrics
-        .peer_bytes
-        .with_label_values(&[path, direction]);
-    counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+/// Sends messages to peers, and counts their bytes.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool,
+    bytes: IntCounterVec,
+}
+
+impl Client {
+    /// Creates a client that uses the connections of `pool` and the counter `bytes`.
+    #[must_use]
+    pub const fn new(pool: Pool, bytes: IntCounterVec) -> Self {
+        Self { pool, bytes }
+    }
+
+    /// Counts the bytes of a message. A node whose link is saturated by messages responds late, and only
+    /// this metric distinguishes it from one that is short of processor time.
+    pub fn count_bytes(&self, path: &str, direction: Direction, bytes: usize) {
+        let direction = match direction {
+            Direction::In => "in",
+            Direction::Out => "out",
+        };
+        let counter = self.bytes.with_label_values(&[path, direction]);
+        counter.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
+    /// Sends an encoded message to a peer and returns the body of the response.
+    ///
+    /// # Errors
+    ///
+    /// When no head arrives within `head_timeout`, or the response cannot be read.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        head_timeout: Duration,
+    ) -> anyhow::Result<Bytes> {
+        let body = Bytes::from(body);
+        self.count_bytes(path, Direction::Out, body.len());
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(HOST, address.to_string())
+            .body(Full::new(body))?;
+        let sent = tokio::time::timeout(head_timeout, self.pool.send(address, request, true)).await;
+        let answered = match sent.context("no answer in time")? {
+            Sent::Answered(answered) => answered,
+            Sent::NotSent(reason) | Sent::Broken(reason) => anyhow::bail!(reason),
+        };
+        let status = answered.response.status();
+        let body = answered.response.into_body();
+        let body = upstream::collect(body, MAX_BYTES, PEER_IDLE_TIMEOUT).await?;
+        self.pool.keep(answered.connection);
+        self.count_bytes(path, Direction::In, body.len());
+        ensure!(status.is_success(), "status {status}");
+        Ok(body)
+    }
 }
 
 /// Sends a message to a peer and decodes the response.
@@ -74,23 +120,6 @@
     body: Vec<u8>,
     head_timeout: Duration,
 ) -> anyhow::Result<Bytes> {
-    let body = Bytes::from(body);
-    count_bytes(node, path, Direction::Out, body.len());
-    let request = Request::builder()
-        .method(Method::POST)
-        .uri(path)
-        .header(HOST, address.to_string())
-        .body(Full::new(body))?;
-    let sent = tokio::time::timeout(head_timeout, node.pool.send(address, request, true)).await;
-    let answered = match sent.context("no answer in time")? {
-        Sent::Answered(answered) => answered,
-        Sent::NotSent(reason) | Sent::Broken(reason) => anyhow::bail!(reason),
-    };
-    let status = answered.response.status();
-    let body = answered.response.into_body();
-    let body = upstream::collect(body, MAX_BYTES, PEER_IDLE_TIMEOUT).await?;
-    node.pool.keep(answered.connection);
-    count_bytes(node, path, Direction::In, body.len());
-    ensure!(status.is_success(), "status {status}");
-    Ok(body)
+    let client = &node.messages;
+    client.exchange(address, path, body, head_timeout).await
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
 use std::sync::Arc;
 
 use fescuerack_core::clock::Instant;
@@ -25,6 +26,7 @@
 use crate::clock::{age_ms, now};
 use crate::forward::Forwarding;
 use crate::load_exchange::Exchange;
+use crate::message::Client;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
 use crate::platform::Platform;
@@ -37,6 +39,7 @@
 use crate::snapshot::Snapshots;
 use crate::source::{FailedNodes, Parent};
 use crate::store::Store;
+use crate::trial::Trials;
 use crate::unreadable_headers::UnreadableHeaders;
 use crate::updates::Batches;
 use crate::upstream::Pool;
@@ -79,8 +82,14 @@
     pub standstill: RefCell<Standstill>,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<HashMap<Arc<str>, Budget>>,
+    /// Client for messages to peers.
+    pub messages: Client,
     /// Requests suspected to crash servers.
-    pub suspects: RefCell<Suspects>,
+    pub suspects: Rc<RefCell<Suspects>>,
+    /// Permits for their runs.
+    pub trials: Trials,
+    /// Notifies waiting runs that keys have come in doubt.
+    pub crash_alarm: Notify,
     /// What runs on each server.
     pub runs: RefCell<Runs>,
     /// Observations on such requests that are to be told.
@@ -152,9 +161,11 @@
         let pool = Pool::new();
         let mut random = SmallRng::from_rng(&mut rand::rng());
         let store = Store::new(settings.store, pool.clone(), platform.clone());
-        let suspects = Suspects::new(&settings.instance);
+        let suspects = Rc::new(RefCell::new(Suspects::new(&settings.instance)));
         let brittle = BrittleServers::new(&settings.instance, &settings.zone);
         let metrics = Metrics::new()?;
+        let messages = Client::new(pool.clone(), metrics.peer_bytes.clone());
+        let trials = Trials::new(suspects.clone(), messages.clone());
         let limits = ServerLimits::new(&settings.instance, metrics.servers.clone());
         Ok(Self {
             settings: RefCell::new(settings),
@@ -165,7 +176,10 @@
             retry_share: RefCell::new(Share::new(random.random())),
             standstill: RefCell::default(),
             retry_budgets: RefCell::default(),
-            suspects: RefCell::new(suspects),
+            messages,
+            suspects,
+            trials,
+            crash_alarm: Notify::new(),
             runs: RefCell::default(),
             observations: Outbox::default(),
             evidence: RefCell::default(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -45,6 +45,7 @@
 use crate::publisher;
 use crate::rollout;
 use crate::snapshot;
+use crate::trial;
 use crate::updates;
 
 /// Path of an exchange.
@@ -314,8 +315,8 @@
     match answer {
         Ok(None) => Ok(status_response(StatusCode::NOT_FOUND)),
         Ok(Some(body)) => {
-            message::count_bytes(&node, &path, Direction::In, received);
-            message::count_bytes(&node, &path, Direction::Out, body.len());
+            node.messages.count_bytes(&path, Direction::In, received);
+            node.messages.count_bytes(&path, Direction::Out, body.len());
             Ok(Response::new(Paced::new(body, permits)))
         }
         Err(error) => {
@@ -339,6 +340,7 @@
             load_report::serve(node, path, body)?.into()
         }
         initial_sync::PATH => initial_sync::serve(node, body)?.into(),
+        trial::PATH => node.trials.serve(body).await?.into(),
         evidence::PATH => {
             evidence::receive(node, body)?;
             Bytes::new()
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -9,6 +9,7 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity::{self, Candidate, Pools};
 use fescuerack_core::gateway::crash::company::RunKey;
+use fescuerack_core::gateway::crash::permit::TrialEnd;
 
 use crate::attempt::Job;
 use crate::catalog::{Kind, Route};
@@ -17,6 +18,7 @@
 use crate::node::Node;
 use crate::platform::{Progress, RequestHead};
 use crate::server::Server;
+use crate::trial::Trial;
 use crate::view::View;
 
 /// Prompt tokens that add as much work as a request without a prompt: the chunk that an engine
@@ -56,6 +58,17 @@
     pub at: Instant,
     /// When the head of its answer was received.
     pub head_at: Option<Instant>,
+    /// Permits of the run, if it needs any.
+    pub trial: Option<Rc<Trial>>,
+}
+
+impl Pick {
+    /// Says how the run has ended, or what it has shown, as far as it has permits.
+    pub fn end_trial(&self, end: TrialEnd) {
+        if let Some(trial) = &self.trial {
+            trial.end(end);
+        }
+    }
 }
 
 /// A guard that counts a request as running on a server until it is dropped.
@@ -274,6 +287,7 @@
         load: candidates[index].load,
         at: now,
         head_at: None,
+        trial: None,
     })
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -357,16 +357,17 @@
                 }
                 self.sent += 1;
             }
-            evidence::admit(&self.node, &self.job).ok()?;
+            let trial = evidence::admit(&self.node, &self.job, true).await.ok()?;
             let route = &self.job.route;
             let name = self.model.map(|rank| route.models[rank].clone());
-            let pick = pick::pick(
+            let mut pick = pick::pick(
                 &self.node,
                 &self.job,
                 &self.service,
                 name.as_deref(),
                 &self.tried,
             )?;
+            pick.trial = trial;
             let named = self.model.zip(name.as_deref());
             let model = named.map(|(rank, name)| ChosenModel { rank, name });
             let result = attempt::run(
@@ -387,7 +388,7 @@
                 }
                 AttemptResult::Responded(_) => Some(AnswerOutcome::Failed),
                 AttemptResult::Failed(outcome) => Some(outcome),
-                AttemptResult::NotRun(_) => None,
+                AttemptResult::NotRun(_) | AttemptResult::CalledBack => None,
             };
             if let Some(outcome) = failed {
                 verdict::record_end(&self.node, &self.job, &pick, self.model, outcome);
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -272,11 +272,12 @@
         if let Some(result) = forward(node, job, service, progress, true).await {
             return result;
         }
-        if let Err(until) = evidence::admit(node, job) {
-            return Err(exhausted(progress, Some(until)));
-        }
+        let is_repeat = progress.sent > 0;
+        let admitted = evidence::admit(node, job, is_repeat).await;
+        let trial = admitted.map_err(|until| exhausted(progress, Some(until)))?;
         wait_for_place(node, job, service, progress).await?;
-        let pick = pick_server(node, job, service, progress)?;
+        let mut pick = pick_server(node, job, service, progress)?;
+        pick.trial = trial;
         let model = progress
             .model
             .map(|rank| (rank, job.route.models[rank].clone()));
@@ -308,6 +309,13 @@
                     return Err(exhausted(progress, eligible::retry_at(node, job, service)));
                 }
             }
+            AttemptResult::CalledBack => {
+                progress.sent += 1;
+                let may_repeat = job.route.is_repeatable();
+                if !may_repeat || !take_retry(node, job, service, progress.sent, "called-back") {
+                    return Err(Refusal::OutcomeUnknown);
+                }
+            }
             AttemptResult::Failed(ended) => {
                 verdict::record_end(node, job, &pick, progress.model, ended);
                 progress.tried.push(pick.id.clone());
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -7,6 +7,7 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::crash::Key;
 use fescuerack_core::gateway::crash::company::Company;
+use fescuerack_core::gateway::crash::permit::TrialEnd;
 use fescuerack_core::gateway::slowness::Timing;
 use fescuerack_core::gateway::{affinity, escalation};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
@@ -188,6 +189,9 @@
     model: Option<usize>,
     outcome: AnswerOutcome,
 ) {
+    if outcome == AnswerOutcome::Broken && !node.path.is_cut() {
+        pick.end_trial(TrialEnd::Crashed);
+    }
     let ended = Ended {
         id: job.head.id.clone(),
         keys: job.keys.clone(),
