Heads without end are given up, and their server is left out

Class: an input without a bound in bytes and time. Every connection that a node opens (servers, peers, store, probes) now bounds the bytes of a head, and the time from its first byte.

--- a/crates/core/src/gateway/health.rs
+++ b/crates/core/src/gateway/health.rs
@@ -40,6 +40,8 @@
     Broken,
     /// The server could not be reached. It is ejected immediately.
     Unreached,
+    /// It sent bytes without end that were no answer. It is ejected immediately.
+    Endless,
 }
 
 /// Health of one server, by the attempts of the local node.
@@ -50,6 +52,8 @@
     ejection_ms: u64,
     /// Whether it is ejected because it could not be reached.
     is_unreached: bool,
+    /// Whether it has sent bytes without end, and no whole answer since.
+    is_on_trial: bool,
 }
 
 impl Health {
@@ -65,6 +69,18 @@
         self.ejected_until.is_none_or(|until| now >= until)
     }
 
+    /// Whether the server is available for one request at a time: its heads are good, and only a whole
+    /// answer tells that what follows them is, too.
+    #[must_use]
+    pub const fn is_on_trial(&self) -> bool {
+        self.is_on_trial
+    }
+
+    /// Records a whole answer.
+    pub const fn confirm(&mut self) {
+        self.is_on_trial = false;
+    }
+
     /// Returns the average of failures, from 0 to 1.
     #[must_use]
     pub const fn failures(&self) -> f64 {
@@ -81,12 +97,14 @@
         self.failures += NEWEST_WEIGHT * (failure - self.failures);
         if outcome == Outcome::Succeeded {
             self.is_unreached = false;
-            if self.failures < RETURN_AVERAGE / 2.0 {
+            if self.failures < RETURN_AVERAGE / 2.0 && !self.is_on_trial {
                 self.ejection_ms = 0;
             }
             return false;
         }
-        let is_ejected = outcome == Outcome::Unreached || self.failures >= EJECTION_THRESHOLD;
+        self.is_on_trial |= outcome == Outcome::Endless;
+        let is_immediate = matches!(outcome, Outcome::Unreached | Outcome::Endless);
+        let is_ejected = is_immediate || self.failures >= EJECTION_THRESHOLD;
         if is_ejected && self.is_available(now) {
             self.ejection_ms = (self.ejection_ms * 2).clamp(BASE_EJECTION_MS, MAX_EJECTION_MS);
             self.ejected_until = Some(now.plus_millis(self.ejection_ms));
--- a/crates/core/tests/all/gateway/permit_fleet.rs
+++ b/crates/core/tests/all/gateway/permit_fleet.rs
@@ -15,6 +15,9 @@
 
 /// Key under which servers end.
 const BAD: Key = Key(7);
+/// What a run holds: the owner that has granted its permit, and the holder.
+type Held = Option<(usize, u64)>;
+
 /// Key under which servers have ended with others, and that is sound.
 const SOUND: Key = Key(8);
 /// Milliseconds from one request with the bad key to the next, at any nodes.
@@ -55,9 +58,9 @@
     /// A request with the key arrives at a node.
     Request(usize, Key),
     /// Its server ends; what its run held.
-    Crash(usize, Option<(usize, u64)>),
+    Crash(usize, Held),
     /// It is written on.
-    Proof(usize, Option<(usize, u64)>),
+    Proof(usize, Held),
     /// A node hears what an owner knows of the bad key.
     News(usize, usize),
     /// An owner is told that a server with this number has ended.
@@ -135,8 +138,8 @@
         match self.trouble {
             Trouble::None => true,
             Trouble::Killed => false,
-            Trouble::Cut => node % 2 == 0 || node == self.owners[0][1],
-            Trouble::CutFromOther => node % 2 == 0 && node != self.owners[0][1],
+            Trouble::Cut => node.is_multiple_of(2) || node == self.owners[0][1],
+            Trouble::CutFromOther => node.is_multiple_of(2) && node != self.owners[0][1],
             Trouble::Paused => at >= since + 3_000,
         }
     }
@@ -146,18 +149,19 @@
         self.reaches(at, node, owner) || self.reaches(at, self.owners[0][1], owner)
     }
 
-    /// Returns what a request with the key gets: whether it may be sent, and what its run holds.
-    fn admit(&mut self, at: u64, node: usize, key: Key) -> Option<Option<(usize, u64)>> {
+    /// Returns what the run of a request with the key holds, if it may be sent.
+    fn admit(&mut self, at: u64, node: usize, key: Key) -> Result<Held, ()> {
         let now = time(at);
         if self.nodes[node].is_refused(now, &[key]) {
-            return None;
+            return Err(());
         }
         let marks = self.nodes[node].doubts(now, &[key], PERMIT_ENDS);
         if marks.is_empty() {
-            return Some(None);
+            return Ok(None);
         }
         let owners = self.owners(key).to_vec();
-        let asked = (owners.iter().copied()).find(|&owner| self.reaches(at, node, owner))?;
+        let asked = (owners.iter().copied()).find(|&owner| self.reaches(at, node, owner));
+        let asked = asked.ok_or(())?;
         let owner = if self.reaches(at, asked, owners[0]) {
             owners[0]
         } else {
@@ -167,9 +171,9 @@
         let holder = self.next_holder;
         let answers = self.nodes[owner].take_permits(now, Holder(holder), &marks);
         match answers[0] {
-            Answer::Granted => Some(Some((owner, holder))),
-            Answer::Free { .. } => Some(None),
-            Answer::Busy { .. } | Answer::Refused { .. } => None,
+            Answer::Granted => Ok(Some((owner, holder))),
+            Answer::Free { .. } => Ok(None),
+            Answer::Busy { .. } | Answer::Refused { .. } => Err(()),
         }
     }
 
@@ -178,7 +182,7 @@
         if key == SOUND {
             self.sound += 1;
         }
-        let Some(held) = admitted else {
+        let Ok(held) = admitted else {
             return;
         };
         if key == SOUND {
@@ -190,13 +194,13 @@
         }
     }
 
-    fn crash(&mut self, at: u64, node: usize, held: Option<(usize, u64)>) {
+    fn crash(&mut self, at: u64, node: usize, held: Held) {
         self.ends.push(at);
         self.next_server += 1;
         let server = self.next_server;
         self.accuse(at, node, BAD, server);
         // The sound key runs there as well at times.
-        if server % 2 == 0 {
+        if server.is_multiple_of(2) {
             self.accuse(at, node, SOUND, server);
         }
         for owner in self.owners[0].clone() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -195,6 +195,18 @@
             );
             AttemptResult::Failed(AnswerOutcome::Broken)
         }
+        Sent::Unreadable(reason) => {
+            record_outcome(
+                node,
+                job,
+                &pick,
+                started,
+                Some(Outcome::Endless),
+                "unreadable",
+                &reason,
+            );
+            AttemptResult::Failed(AnswerOutcome::Failed)
+        }
         Sent::Answered(answered) => {
             in_flight.mark_prefill_done();
             let head_ms = now().since(started).as_secs_f64() * 1_000.0;
@@ -329,6 +341,12 @@
     request
 }
 
+/// Records that a server whose head was received goes on to send bytes that are no answer.
+pub fn record_endless(node: &Rc<Node>, job: &Job, pick: &Pick, reason: &str) {
+    let outcome = Some(Outcome::Endless);
+    record_outcome(node, job, pick, pick.at, outcome, "endless", reason);
+}
+
 /// Records an outcome in the health of the server and logs the attempt.
 fn record_outcome(
     node: &Rc<Node>,
@@ -357,8 +375,8 @@
         {
             let short = load::short_id(server.identity);
             match outcome {
-                Outcome::Succeeded | Outcome::Failed => {
-                    let is_failure = outcome == Outcome::Failed;
+                Outcome::Succeeded | Outcome::Failed | Outcome::Endless => {
+                    let is_failure = outcome != Outcome::Succeeded;
                     node.load.record_attempt(ended, short, is_failure);
                 }
                 Outcome::Broken | Outcome::Unreached => {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -251,7 +251,7 @@
         let is_repeatable = self.job.route.is_repeatable();
         match self.node.pool.send(peer, request, is_repeatable).await {
             Sent::NotSent(reason) => Sending::NotRun(reason),
-            Sent::Broken(reason) => Sending::Unknown(reason),
+            Sent::Broken(reason) | Sent::Unreadable(reason) => Sending::Unknown(reason),
             Sent::Answered(answered) => {
                 let Some(reason) = hop::refusal(answered.response.headers()) else {
                     return Sending::Served(answered);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod fetch;
 pub mod follow;
 pub mod forward;
+pub mod head_limit;
 pub mod headers;
 pub mod hop;
 pub mod initial_sync;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -79,7 +79,9 @@
         let sent = tokio::time::timeout(head_timeout, self.pool.send(address, request, true)).await;
         let answered = match sent.context("no answer in time")? {
             Sent::Answered(answered) => answered,
-            Sent::NotSent(reason) | Sent::Broken(reason) => anyhow::bail!(reason),
+            Sent::NotSent(reason) | Sent::Broken(reason) | Sent::Unreadable(reason) => {
+                anyhow::bail!(reason)
+            }
         };
         let status = answered.response.status();
         let body = answered.response.into_body();
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -116,7 +116,9 @@
         let answered = match tokio::time::timeout(timeout, sent).await {
             Ok(Sent::Answered(answered)) => answered,
             Ok(Sent::NotSent(reason)) => return Err(Fault::NotDone(reason)),
-            Ok(Sent::Broken(reason)) => return Err(Fault::Unknown(reason)),
+            Ok(Sent::Broken(reason) | Sent::Unreadable(reason)) => {
+                return Err(Fault::Unknown(reason));
+            }
             Err(_) => return Err(Fault::Unknown(format!("no answer in {timeout:?}"))),
         };
         let (head, body) = answered.response.into_parts();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -21,6 +21,7 @@
 use hyper_util::rt::TokioIo;
 
 use crate::clock::now;
+use crate::head_limit::{self, HeadLimit};
 use crate::net;
 
 /// Maximum idle time in milliseconds of a connection that is reused for a repeatable request.
@@ -81,6 +82,8 @@
     NotSent(String),
     /// It was sent at least in part, and no response was received; holds the reason.
     Broken(String),
+    /// It was sent, and what was received is no head of a response; holds the reason.
+    Unreadable(String),
     /// The head of a response was received.
     Answered(Answered),
 }
@@ -98,6 +101,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    head_limit: HeadLimit,
     address: SocketAddr,
     idle_since: Instant,
 }
@@ -238,6 +242,8 @@
 
     async fn open(&self, address: SocketAddr) -> anyhow::Result<Connection> {
         let stream = net::connect(address).await?;
+        let head_limit = HeadLimit::default();
+        let stream = head_limit::Limited::new(stream, head_limit.clone());
         let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
         self.opened.set(self.opened.get() + 1);
         tokio::task::spawn_local(async move {
@@ -247,6 +253,7 @@
         });
         Ok(Connection {
             sender,
+            head_limit,
             address,
             idle_since: now(),
         })
@@ -259,14 +266,25 @@
 }
 
 async fn transmit(mut connection: Connection, request: Request<Full<Bytes>>) -> Transmitted {
-    match connection.sender.try_send_request(request).await {
+    connection.head_limit.begin();
+    let result = connection.sender.try_send_request(request).await;
+    connection.head_limit.end();
+    match result {
         Ok(response) => Transmitted::Done(Sent::Answered(Answered {
             response,
             connection,
         })),
         Err(mut error) => match error.take_message() {
             Some(request) => Transmitted::Unsent(request),
-            None => Transmitted::Done(Sent::Broken(error.into_error().to_string())),
+            None => Transmitted::Done(failure(&error.into_error())),
         },
     }
 }
+
+fn failure(error: &hyper::Error) -> Sent {
+    if head_limit::is_unreadable(error) {
+        Sent::Unreadable(error.to_string())
+    } else {
+        Sent::Broken(error.to_string())
+    }
+}
