Streams without events are hedged; bodies without end leave their server out

Callers got a 200 and nothing of use until their deadline when a server wrote a line that never ends, blank lines, comments or half events: any byte counted as life, also against the hedge and as a proof that the request is sound. Class: progress is taken from bytes in place of what the caller waits for. Now only events are progress. A stream has stalled if no event came for the pause of its route or, before the first, for what is unusual in its service (core::gateway::first_event); blank lines and comments are bounded, and are forwarded with the next event. A server that goes on to send no event, or a body over the limit, is left out at once. A plain body without a length keeps half of the time for another attempt.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod crash;
 pub mod duty;
 pub mod escalation;
+pub mod first_event;
 pub mod health;
 pub mod lease_expiry;
 pub mod load;
--- a/crates/gateway/src/eligible.rs
+++ b/crates/gateway/src/eligible.rs
@@ -222,6 +222,7 @@
     let has_ended = node.runs.borrow().has_ended(now, server.identity);
     node.path.is_usable(server.identity)
         && server.health.is_available(now)
+        && !(server.health.is_on_trial() && server.running > 0)
         && !node.load.is_ejected(now, short_id)
         && !has_ended
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,6 +10,7 @@
 use fescuerack_core::gateway::canary::Counts;
 use fescuerack_core::gateway::crash::Suspects;
 use fescuerack_core::gateway::crash::company::Runs;
+use fescuerack_core::gateway::first_event::FirstEvent;
 use fescuerack_core::gateway::position::Position;
 use fescuerack_core::gateway::rest::Rests;
 use fescuerack_core::gateway::session::Recent;
@@ -120,6 +121,8 @@
     pub baselines: RefCell<HashMap<u64, Baseline>>,
     /// Estimates of how long requests wait at a server, by service.
     pub waits: RefCell<HashMap<Arc<str>, Wait>>,
+    /// Estimates of how long streams take to their first event, by service.
+    pub first_events: RefCell<HashMap<Arc<str>, FirstEvent>>,
     /// When changes of the store arrived.
     pub arrivals: RefCell<Arrivals>,
     /// State of serving large items to other nodes.
@@ -195,6 +198,7 @@
             unreadable_headers: RefCell::default(),
             baselines: RefCell::default(),
             waits: RefCell::default(),
+            first_events: RefCell::default(),
             arrivals: RefCell::default(),
             publisher: Publisher::default(),
             batches: Batches::default(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,9 +5,13 @@
 //! event. The caller keeps the head of the first server. A stream that cannot be resumed is
 //! aborted, so that the caller can detect the truncation.
 //!
+//! A server stalls if it sends no event for too long, whatever else it sends: blank lines, comments and an
+//! event that does not end give the caller nothing. Before the first event, too long is what is
+//! [unusual](fescuerack_core::gateway::first_event).
+//!
 //! A stalled server may still be working: an engine that prefills long prompts of other requests
 //! generates a token in half a second. So a hedged request is sent to another server. The stalled
-//! server continues if it sends anything before the head of the other one is received; otherwise
+//! server continues if it sends an event before the head of the other one is received; otherwise
 //! the other one continues. If no other server can be used, the relay waits for the stalled one.
 
 use std::rc::Rc;
@@ -20,7 +24,7 @@
 use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use hyper::Response;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 
 use crate::attempt::{self, AttemptResult, ChosenModel, Job, NotRunReason, OpenResponse};
 use crate::body::{AbortReason, Relayed, ResponseBody};
@@ -42,6 +46,9 @@
 const STALL_FACTOR: f64 = 1.6;
 /// Minimum number of events for a meaningful mean time between events.
 const MIN_EVENTS: u32 = 4;
+/// The first event is waited for as long as the time that is left, divided by this, until it is known what is
+/// usual.
+const FIRST_EVENT_DIVISOR: u32 = 4;
 /// Milliseconds without an event before a hedged request is sent, if the route states no target
 /// inter-token latency.
 const DEFAULT_STALL_MS: u64 = 5_000;
@@ -64,15 +71,22 @@
     last_event_at: Option<Instant>,
 }
 
-/// What a server sends next: a frame, an error, or the end of the body.
-type NextFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+/// What a server sends next.
+enum Next {
+    /// Whole events.
+    Events(Bytes),
+    /// The end of the body, with what precedes it.
+    End(Bytes),
+    /// The body breaks off, or is no stream of events.
+    Broken(AnswerOutcome, String),
+}
 
 /// How the segment of a stream from one server ended.
 enum Segment {
     /// The stream is complete.
     Done,
-    /// The server failed, for the reason given.
-    Broken(String),
+    /// The server failed in this way, for the reason given.
+    Broken(AnswerOutcome, String),
     /// The server stalled, and another one continues.
     Hedged(Box<OpenResponse>),
     /// The caller disconnected.
@@ -164,14 +178,8 @@
                     return Ok("whole");
                 }
                 Segment::CallerLeft => return Ok("caller-left"),
-                Segment::Broken(reason) => {
-                    verdict::record_end(
-                        &self.node,
-                        &self.job,
-                        &pick,
-                        self.model,
-                        AnswerOutcome::Broken,
-                    );
+                Segment::Broken(ended, reason) => {
+                    verdict::record_end(&self.node, &self.job, &pick, self.model, ended);
                     tracing::info!(
                         event = "stream-broken",
                         id = self.job.head.id,
@@ -185,7 +193,10 @@
                     if let Some(result) = self.continue_at_peer(sender).await {
                         return result.map(|()| "through-peer");
                     }
-                    response = self.resume().await.ok_or(AbortReason::UpstreamFailed)?;
+                    response = self
+                        .resume(self.splitter.last())
+                        .await
+                        .ok_or(AbortReason::UpstreamFailed)?;
                 }
                 Segment::Hedged(next) => {
                     verdict::record_end(
@@ -245,75 +256,91 @@
         } = response;
         let mut body = answered.response.into_body();
         let mut is_proved = false;
-        let stall_timeout = self.stall_timeout();
+        let mut has_begun = false;
         loop {
-            let next = match tokio::time::timeout(stall_timeout, body.frame()).await {
+            let stalled_at = now() + self.stall_timeout(has_begun);
+            let next = self.next(&pick, &mut body);
+            let next = match tokio::time::timeout_at(deadline(stalled_at), next).await {
                 Ok(next) => next,
                 Err(_) => match self.hedge(&pick, &mut body).await {
                     Ok(next) => next,
                     Err(response) => return Segment::Hedged(response),
                 },
             };
-            let frame = match next {
-                Some(Ok(frame)) => {
-                    reach::hear(&self.node, pick.identity);
-                    if !is_proved {
-                        is_proved = evidence::record_writing(&self.node, &self.job, &pick);
-                    }
-                    frame
-                }
-                Some(Err(error)) => return Segment::Broken(error.to_string()),
-                None if self.splitter.is_partial() => {
-                    return Segment::Broken("ended within an event".to_owned());
-                }
-                None => break,
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
+            let (events, is_over) = match next {
+                Next::Events(events) => (events, false),
+                Next::End(rest) => (rest, true),
+                Next::Broken(ended, reason) => return Segment::Broken(ended, reason),
             };
-            let events = match self.splitter.push(&data) {
-                Ok(events) => events,
-                Err(error) => return Segment::Broken(error.to_string()),
-            };
-            if events.is_empty() {
-                continue;
+            if !is_over {
+                self.record_event(&pick, !has_begun);
+                has_begun = true;
+                if !is_proved {
+                    is_proved = evidence::record_writing(&self.node, &self.job, &pick);
+                }
             }
-            self.record_pause();
-            if sender.send_data(events).await.is_err() {
+            if !events.is_empty() && sender.send_data(events).await.is_err() {
                 return Segment::CallerLeft;
             }
+            if is_over {
+                break;
+            }
         }
         self.node.pool.keep(answered.connection);
         drop(in_flight);
         Segment::Done
     }
 
-    /// Waits for the next frame of the stalled server at `pick` while a hedged request to another
-    /// server is in progress. Returns the frame, or the other server's response as an error if its
-    /// head is received first.
-    async fn hedge(
-        &mut self,
-        pick: &Pick,
-        body: &mut Incoming,
-    ) -> Result<NextFrame, Box<OpenResponse>> {
+    /// Waits for the next events of a server.
+    async fn next(&mut self, pick: &Pick, body: &mut Incoming) -> Next {
+        next_events(&self.node, &self.job, pick, body, &mut self.splitter).await
+    }
+
+    /// Waits for the next events of the stalled server at `pick` while a hedged request to another
+    /// server is in progress. Returns them, or the other server's response as an error if its head
+    /// is received first.
+    async fn hedge(&mut self, pick: &Pick, body: &mut Incoming) -> Result<Next, Box<OpenResponse>> {
         self.tried.push(pick.id.clone());
+        let is_babbling = self.splitter.has_rest();
         tracing::info!(
             event = "stream-silent",
             id = self.job.head.id,
             server = &*pick.id,
-            last = self.splitter.last()
+            last = self.splitter.last(),
+            is_babbling
         );
+        if is_babbling {
+            attempt::record_endless(&self.node, &self.job, pick, "no event");
+        }
+        // Both would need it at the same time.
+        let mut splitter = std::mem::take(&mut self.splitter);
+        let last = splitter.last();
+        let (node, job) = (self.node.clone(), self.job.clone());
         let other = tokio::select! {
             biased;
-            next = body.frame() => return Ok(next),
-            other = self.resume() => other,
+            next = next_events(&node, &job, pick, body, &mut splitter) => Ok(next),
+            other = self.resume(last) => Err(other),
         };
+        self.splitter = splitter;
         match other {
-            Some(response) => Err(Box::new(response)),
-            None => Ok(body.frame().await),
+            Ok(next) => Ok(next),
+            Err(Some(response)) => Err(Box::new(response)),
+            Err(None) => Ok(self.next(pick, body).await),
         }
     }
 
+    /// Records that events were received; `is_first` if they are the first of the server.
+    fn record_event(&mut self, pick: &Pick, is_first: bool) {
+        self.record_pause();
+        let Some(head_at) = pick.head_at.filter(|_| is_first) else {
+            return;
+        };
+        let millis = now().since(head_at).as_secs_f64() * 1_000.0;
+        let mut first_events = self.node.first_events.borrow_mut();
+        let estimate = first_events.entry(self.service.clone()).or_default();
+        estimate.observe(millis);
+    }
+
     fn record_pause(&mut self) {
         let now = now();
         if let Some(last_event_at) = self.last_event_at.replace(now) {
@@ -330,19 +357,31 @@
         (events >= MIN_EVENTS).then(|| elapsed_ms / f64::from(events))
     }
 
-    fn stall_timeout(&self) -> Duration {
+    /// Returns the time without an event after which the server has stalled. `has_begun` states whether it
+    /// has sent one.
+    fn stall_timeout(&self, has_begun: bool) -> Duration {
         let route = &self.job.route;
         if !route.resumable {
             return Duration::from_mins(10);
         }
-        match route.inter_token_target_ms {
+        let pause = match route.inter_token_target_ms {
             Some(target_ms) => Duration::from_millis(target_ms).mul_f64(STALL_FACTOR),
             None => Duration::from_millis(DEFAULT_STALL_MS),
+        };
+        if has_begun {
+            return pause;
         }
+        let first_events = self.node.first_events.borrow();
+        let estimate = first_events.get(&self.service).copied().unwrap_or_default();
+        let silence = match estimate.silence_ms() {
+            Some(millis) => Duration::from_secs_f64(millis / 1_000.0),
+            None => self.job.deadline.since(now()) / FIRST_EVENT_DIVISOR,
+        };
+        pause.min(silence)
     }
 
-    /// Requests other servers to continue the stream, one after another.
-    async fn resume(&mut self) -> Option<OpenResponse> {
+    /// Requests other servers to continue the stream after the event `last`, one after another.
+    async fn resume(&mut self, last: Option<u64>) -> Option<OpenResponse> {
         // The node that the caller called counts the attempts, and resumes the stream itself.
         if !self.job.route.resumable || self.job.hop.is_some() {
             return None;
@@ -375,7 +414,7 @@
                 &self.job,
                 pick.clone(),
                 model,
-                self.splitter.last(),
+                last,
                 self.job.deadline,
             )
             .await;
@@ -397,3 +436,37 @@
         }
     }
 }
+
+/// Waits for the next events of a server. It may be cancelled: what has been received stays in `splitter`.
+async fn next_events(
+    node: &Rc<Node>,
+    job: &Job,
+    pick: &Pick,
+    body: &mut Incoming,
+    splitter: &mut Splitter,
+) -> Next {
+    loop {
+        let frame = match body.frame().await {
+            Some(Ok(frame)) => frame,
+            Some(Err(error)) => return Next::Broken(AnswerOutcome::Broken, error.to_string()),
+            None if splitter.is_partial() => {
+                let reason = "ended within an event".to_owned();
+                return Next::Broken(AnswerOutcome::Broken, reason);
+            }
+            None => return Next::End(splitter.take_rest()),
+        };
+        reach::hear(node, pick.identity);
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        match splitter.push(&data) {
+            Ok(events) if events.is_empty() => {}
+            Ok(events) => return Next::Events(events),
+            Err(error) => {
+                let reason = error.to_string();
+                attempt::record_endless(node, job, pick, &reason);
+                return Next::Broken(AnswerOutcome::Failed, reason);
+            }
+        }
+    }
+}
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -11,12 +11,14 @@
 use fescuerack_core::gateway::slowness::Timing;
 use fescuerack_core::gateway::{affinity, escalation};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
 use hyper::{HeaderMap, Response, StatusCode};
+use tokio::time::error::Elapsed;
 
-use crate::attempt::{Job, OpenResponse};
+use crate::attempt::{self, Job, OpenResponse};
 use crate::body::ResponseBody;
 use crate::catalog::Kind;
-use crate::clock::now;
+use crate::clock::{deadline, now};
 use crate::evidence;
 use crate::headers;
 use crate::node::Node;
@@ -114,9 +116,16 @@
     response: OpenResponse,
 ) -> Verdict {
     let (mut head, body) = response.answered.response.into_parts();
-    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect().await;
+    let until = deadline(body_deadline(job, progress, &body));
+    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+    let collected = tokio::time::timeout_at(until, collected).await;
+    let collected = collected.unwrap_or_else(|elapsed| Err(elapsed.into()));
     let ended = match &collected {
-        Err(error) if error.is::<LengthLimitError>() => AnswerOutcome::Failed,
+        Err(error) if error.is::<LengthLimitError>() => {
+            attempt::record_endless(node, job, &response.pick, "body");
+            AnswerOutcome::Failed
+        }
+        Err(error) if error.is::<Elapsed>() => AnswerOutcome::TimedOut,
         Err(_) => AnswerOutcome::Broken,
         Ok(_) if head.status.is_server_error() => AnswerOutcome::Failed,
         Ok(_) => AnswerOutcome::Succeeded(Timing {
@@ -157,6 +166,17 @@
     }
 }
 
+/// Returns until when a body is read. One without a length may have no end, so half of the time is kept for
+/// another attempt, if one may follow.
+fn body_deadline(job: &Job, progress: &RequestProgress, body: &Incoming) -> Instant {
+    let has_length = body.size_hint().exact().is_some();
+    let is_last = progress.sent >= job.route.attempts;
+    if has_length || is_last || !job.route.is_repeatable() {
+        return job.deadline;
+    }
+    now() + job.deadline.since(now()) / 2
+}
+
 /// The end of an attempt.
 #[derive(Clone, Debug)]
 pub struct Ended {
@@ -206,6 +226,9 @@
         outcome,
         at: now(),
     };
+    if matches!(outcome, AnswerOutcome::Succeeded(_)) {
+        confirm_health(node, pick);
+    }
     match outcome {
         AnswerOutcome::Broken | AnswerOutcome::TimedOut => {
             reach::doubt(node, pick.identity, false, Held::End(Box::new(ended)));
@@ -216,6 +239,14 @@
     }
 }
 
+fn confirm_health(node: &Node, pick: &Pick) {
+    let mut view = node.view.borrow_mut();
+    let server = view.servers.get_mut(&pick.id);
+    if let Some(server) = server.filter(|server| server.identity == pick.identity) {
+        server.health.confirm();
+    }
+}
+
 /// Counts the end of an attempt.
 pub fn count_end(node: &Rc<Node>, ended: &Ended) {
     rollout::record_outcome(
