Memory of all answers that are read whole is bounded, not only of each

Class: a bound for each where the sum matters. buffers::Buffers: 32 MB for all answers that a node reads at a time, of servers and of peers, and each may take half of what the others leave, so that large ones keep out no small ones. An answer of over 16 MB is not served any more (32 MB before). The peak of a process was not measured.

--- a/crates/core/src/gateway/first_event.rs
+++ b/crates/core/src/gateway/first_event.rs
@@ -5,9 +5,9 @@
 
 /// Weight of the newest stream in the mean.
 const NEWEST_WEIGHT: f64 = 0.1;
-/// Time without a first event, as a multiple of the mean, from which a stream is silent.
+/// Time without a first event from which a stream is silent, as a multiple of the mean.
 const SILENCE_FACTOR: f64 = 8.0;
-/// Minimum of the same in milliseconds: a server that reads prompts between two steps is silent as long.
+/// Minimum of that time in milliseconds: a server that reads prompts of other requests is silent as long.
 const MIN_SILENCE_MS: f64 = 500.0;
 
 /// Estimate for the streams of one service.
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -273,7 +273,7 @@
     tell_owners(node, Observation { key, end });
 }
 
-/// Returns the owners of a key, the first of which is asked first.
+/// Returns the owners of a key, the first of which is asked first; this node as long as it knows of none.
 fn owners(node: &Node, key: Key) -> Vec<Owner> {
     let settings = node.settings.borrow();
     let view = node.view.borrow();
@@ -285,6 +285,9 @@
         }
     };
     let names = crash::owners(key, view.membership.names());
+    if names.is_empty() {
+        return vec![Owner::Own];
+    }
     names.into_iter().map(owner).collect()
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,8 +13,8 @@
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
+use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
-use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
 use rand::seq::SliceRandom as _;
@@ -46,8 +46,6 @@
 const SERVED_MS: u64 = 5_000;
 /// Frames that are buffered for a slow caller before back-pressure on the peer.
 const BUFFERED_FRAMES: usize = 16;
-/// Maximum size in bytes of an answer that is not a stream.
-const MAX_ANSWER_BYTES: usize = 32 << 20;
 
 /// State of sending and serving requests through peers.
 #[derive(Debug, Default)]
@@ -143,10 +141,10 @@
                 return Some(Ok(self.relay(answered)));
             }
             let (head, body) = answered.response.into_parts();
-            match Limited::new(body, MAX_ANSWER_BYTES).collect().await {
+            match self.node.buffers.collect(body).await {
                 Ok(body) => {
                     self.node.pool.keep(answered.connection);
-                    let body = ResponseBody::buffered(body.to_bytes());
+                    let body = ResponseBody::buffered(body);
                     return Some(Ok(response(head.status, head.headers, body)));
                 }
                 Err(error) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod attempt_deadline;
 pub mod body;
 pub mod bootstrap;
+pub mod buffers;
 pub mod catalog;
 pub mod clock;
 pub mod delta;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,6 +24,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::arrival::Arrivals;
+use crate::buffers::Buffers;
 use crate::clock::{age_ms, now};
 use crate::forward::Forwarding;
 use crate::load_exchange::Exchange;
@@ -105,6 +106,8 @@
     pub peer_sessions: RefCell<Recent>,
     /// Path to the backend servers.
     pub path: Path,
+    /// Memory of answers that are being read.
+    pub buffers: Buffers,
     /// State of sending and serving requests through peers.
     pub forwarding: Forwarding,
     /// Load and attempt counts of this node and its peers.
@@ -190,6 +193,7 @@
             recent_sessions: RefCell::default(),
             peer_sessions: RefCell::default(),
             path: Path::default(),
+            buffers: Buffers::default(),
             forwarding: Forwarding::default(),
             load: Exchange::default(),
             limits,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -312,7 +312,7 @@
         if is_babbling {
             attempt::record_endless(&self.node, &self.job, pick, "no event");
         }
-        // Both would need it at the same time.
+        // Reading and resuming would both borrow it.
         let mut splitter = std::mem::take(&mut self.splitter);
         let last = splitter.last();
         let (node, job) = (self.node.clone(), self.job.clone());
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -27,10 +27,10 @@
 const OWNER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which the first owner answers the second.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum interval at which a busy permit is asked for again: the run before may prove the key sound
-/// at any moment.
+/// Maximum milliseconds until a busy permit is asked for again: the run before may prove the key sound at
+/// any moment.
 const MAX_WAIT_MS: u64 = 100;
-/// Minimum of the same.
+/// Minimum milliseconds of the same.
 const MIN_WAIT_MS: u64 = 20;
 /// Milliseconds after which a request may come again if no owner of a key has answered.
 const NO_OWNER_MS: u64 = 1_000;
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -10,13 +10,12 @@
 use fescuerack_core::gateway::crash::permit::TrialEnd;
 use fescuerack_core::gateway::slowness::Timing;
 use fescuerack_core::gateway::{affinity, escalation};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
 use hyper::{HeaderMap, Response, StatusCode};
-use tokio::time::error::Elapsed;
 
 use crate::attempt::{self, Job, OpenResponse};
 use crate::body::ResponseBody;
+use crate::buffers::Failure;
 use crate::catalog::Kind;
 use crate::clock::{deadline, now};
 use crate::evidence;
@@ -29,9 +28,6 @@
 use crate::relay;
 use crate::rollout::{self, AnswerOutcome};
 
-/// Maximum size in bytes of an answer that is buffered before it is sent to the caller.
-const MAX_BUFFERED_BYTES: usize = 32 << 20;
-
 /// What happens to a request after the head of an answer.
 pub enum Verdict {
     /// The answer is sent to the caller.
@@ -117,16 +113,16 @@
 ) -> Verdict {
     let (mut head, body) = response.answered.response.into_parts();
     let until = deadline(body_deadline(job, progress, &body));
-    let collected = Limited::new(body, MAX_BUFFERED_BYTES).collect();
+    let collected = node.buffers.collect(body);
     let collected = tokio::time::timeout_at(until, collected).await;
-    let collected = collected.unwrap_or_else(|elapsed| Err(elapsed.into()));
+    let collected = collected.unwrap_or(Err(Failure::TooSlow));
     let ended = match &collected {
-        Err(error) if error.is::<LengthLimitError>() => {
+        Err(Failure::TooLong(_)) => {
             attempt::record_endless(node, job, &response.pick, "body");
             AnswerOutcome::Failed
         }
-        Err(error) if error.is::<Elapsed>() => AnswerOutcome::TimedOut,
-        Err(_) => AnswerOutcome::Broken,
+        Err(Failure::TooSlow) => AnswerOutcome::TimedOut,
+        Err(Failure::Broken(_)) => AnswerOutcome::Broken,
         Ok(_) if head.status.is_server_error() => AnswerOutcome::Failed,
         Ok(_) => AnswerOutcome::Succeeded(Timing {
             head_ms: response.head_ms,
@@ -149,10 +145,7 @@
                 return Verdict::Refuse(Refusal::OutcomeUnknown);
             }
             headers::strip_hop_by_hop(&mut head.headers);
-            Verdict::Answer(Response::from_parts(
-                head,
-                ResponseBody::buffered(body.to_bytes()),
-            ))
+            Verdict::Answer(Response::from_parts(head, ResponseBody::buffered(body)))
         }
         Err(error) => {
             tracing::info!(event = "answer-broken", id = job.head.id, server = &*response.pick.id, reason = %error);
