--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -1,4 +1,4 @@
-//! Runs of requests under whose keys servers have ended: with a [permit] from an owner of each key.
+//! Runs of requests under whose keys servers have ended: with a [permit](fescuerack_core::gateway::crash::permit) from an owner of each key.
 //!
 //! The owners are asked one after the other in a fixed order, so that runs with several keys do not wait
 //! for each other. If the first owner of a key does not answer, the second is asked, which asks the first
