--- a/crates/gateway/src/reach.rs
+++ b/crates/gateway/src/reach.rs
@@ -132,7 +132,11 @@
     if usable.into_iter().all(is_lost) {
         return true;
     }
-    lost.len() > reached.len() && is_drawn(&job.head.id, lost.len(), lost.len() + reached.len())
+    // While servers are being asked, those that have not answered are not lost yet.
+    let is_known = reach.state() != State::Suspected;
+    is_known
+        && lost.len() > reached.len()
+        && is_drawn(&job.head.id, lost.len(), lost.len() + reached.len())
 }
 
 /// Returns whether the request with the given identifier is among `part` of `all`. Only the attempts of
