A request in doubt goes to a server that has not ended under it

Cause, by the logs of a red run: two servers had ended under the request. The next run took a permit and was sent to one of those two again, 35 ms after it had broken off. The second end of one server is the same end to the record, so the permit was spent, nothing was learnt, and another server had to end before the request was refused. Before a fleet such a server is gone: the permit is spent on a connection that is refused, while sound requests with the key wait.

choose_apart drew among all servers that were usable; nothing told it under which ones the request had ended.

Change: candidates are seen with a Witness, which says how many runs have begun there and whether it has ended under a key of the request. Those that have are used only if no other is left.

--- a/crates/core/src/gateway/affinity.rs
+++ b/crates/core/src/gateway/affinity.rs
@@ -88,17 +88,27 @@
         .or_else(|| choose(candidates, Some(prefix), draw))
 }
 
+/// What a server shows of requests that may crash it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Witness {
+    /// Number of runs there that have just begun.
+    pub begun: u32,
+    /// Whether it has ended, or broken its link, under a key of the request.
+    pub has_ended: bool,
+}
+
 /// Like [`choose`], for a request that may crash its server: it goes to any server where few runs have
-/// just begun, so that it is told from them. `begun` holds their numbers, by candidate.
+/// just begun, so that it is told from them, and that has not ended under it before: such a server is
+/// gone, or its end says nothing new. `witnesses` are those of the candidates.
 ///
 /// The server with the fewest runs, or the least load, is too often one that has ended unnoticed.
 #[must_use]
-pub fn choose_apart(candidates: &[Candidate], begun: &[u32], draw: u64) -> Option<usize> {
-    let usable = usable(candidates);
+pub fn choose_apart(candidates: &[Candidate], witnesses: &[Witness], draw: u64) -> Option<usize> {
+    let usable = other_than_ended(usable(candidates), witnesses);
     let mean = mean_load(candidates, &usable);
-    let fewest = usable.iter().map(|&index| begun[index]).min()?;
+    let fewest = usable.iter().map(|&index| witnesses[index].begun).min()?;
     let is_apart = |index: &usize| {
-        begun[*index] <= fewest.saturating_add(1) && candidates[*index].load <= mean
+        witnesses[*index].begun <= fewest.saturating_add(1) && candidates[*index].load <= mean
     };
     let apart: Vec<usize> = usable.iter().copied().filter(is_apart).collect();
     let pool = if apart.is_empty() { usable } else { apart };
@@ -107,6 +117,15 @@
     pool.get(index).copied()
 }
 
+/// Returns the servers of `usable` that have not ended under the request, or all if there is no other.
+fn other_than_ended(usable: Vec<usize>, witnesses: &[Witness]) -> Vec<usize> {
+    let others = usable.iter().copied();
+    let others: Vec<usize> = others
+        .filter(|&index| !witnesses[index].has_ended)
+        .collect();
+    if others.is_empty() { usable } else { others }
+}
+
 /// Whether a prompt whose shared prefix has `shared` tokens goes to a home server in its own zone.
 #[must_use]
 pub const fn prefers_local_zone(shared: u32) -> bool {
--- a/crates/core/src/gateway/crash/suspects.rs
+++ b/crates/core/src/gateway/crash/suspects.rs
@@ -310,6 +310,14 @@
         keys.iter().any(is_in_doubt)
     }
 
+    /// Whether a server has ended, or broken its link, under one of these keys since they were proved sound.
+    #[must_use]
+    pub fn has_ended(&self, keys: &[Key], server: u32) -> bool {
+        let records = keys.iter().filter_map(|key| self.records.get(key));
+        let mut crashes = records.flat_map(|record| &record.crashes);
+        crashes.any(|crash| crash.server == server)
+    }
+
     /// Returns the crashes that no later answer of the server refutes.
     fn unrefuted(&self, record: &Record) -> Vec<Crash> {
         let is_refuted = |crash: &Crash| {
--- a/crates/core/tests/all/gateway/affinity.rs
+++ b/crates/core/tests/all/gateway/affinity.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use fescuerack_core::gateway::affinity::{self, Candidate, Pools};
+use fescuerack_core::gateway::affinity::{self, Candidate, Pools, Witness};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 use rstest::rstest;
@@ -236,3 +236,30 @@
     assert!(affinity::prefers_local_zone(172));
     assert!(!affinity::prefers_local_zone(6_300));
 }
+
+/// Guards against a request that has ended a server and is sent there again: the server is gone, or a
+/// second end of the same server says nothing, so another one ends before the request is refused.
+#[rstest]
+#[case::others_are_left(&[1, 3], true)]
+#[case::only_one_is_left(&[0, 1, 2, 4, 5], true)]
+#[case::none_is_left(&[0, 1, 2, 3, 4, 5], false)]
+fn choose_apart_prefers_servers_that_have_not_ended(
+    #[case] ended: &[usize],
+    #[case] is_other: bool,
+) {
+    let mut candidates = servers(6);
+    // Those that have ended look idle.
+    for (index, candidate) in candidates.iter_mut().enumerate() {
+        candidate.load = if ended.contains(&index) { 0.0 } else { 2.0 };
+    }
+    let witnesses: Vec<Witness> = (0..candidates.len())
+        .map(|index| Witness {
+            begun: u32::from(!ended.contains(&index)),
+            has_ended: ended.contains(&index),
+        })
+        .collect();
+    for draw in 0..200 {
+        let index = affinity::choose_apart(&candidates, &witnesses, draw).expect("a server");
+        assert_eq!(!ended.contains(&index), is_other, "draw {draw}");
+    }
+}
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -7,9 +7,10 @@
 use std::sync::Arc;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::affinity::{self, Candidate, Pools};
+use fescuerack_core::gateway::affinity::{self, Candidate, Pools, Witness};
 use fescuerack_core::gateway::crash::company::RunKey;
 use fescuerack_core::gateway::crash::permit::TrialEnd;
+use fescuerack_core::gateway::load;
 
 use crate::attempt::Job;
 use crate::catalog::{Kind, Route};
@@ -253,12 +254,9 @@
     let index = match prefix {
         // Requests that have lost a server together do not meet again at the next one.
         _ if is_in_doubt => {
-            let runs = node.runs.borrow();
-            let begun = servers
-                .iter()
-                .map(|server| runs.unsettled(now, server.identity));
+            let witnesses = witnesses(node, job, &servers, now);
             let number = u64::try_from(tried.len()).unwrap_or_default();
-            affinity::choose_apart(&candidates, &begun.collect::<Vec<_>>(), draw ^ number)
+            affinity::choose_apart(&candidates, &witnesses, draw ^ number)
         }
         Some(prefix) if affinity::prefers_local_zone(shared_tokens(head)) => {
             affinity::choose_in_zone(&candidates, prefix, draw)
@@ -291,6 +289,17 @@
     })
 }
 
+/// Returns what servers show of requests that may crash them.
+fn witnesses(node: &Node, job: &Job, servers: &[&Server], now: Instant) -> Vec<Witness> {
+    let runs = node.runs.borrow();
+    let suspects = node.suspects.borrow();
+    let witness = |server: &&Server| Witness {
+        begun: runs.unsettled(now, server.identity),
+        has_ended: suspects.has_ended(&job.keys, load::short_id(server.identity)),
+    };
+    servers.iter().map(witness).collect()
+}
+
 /// Returns the mean work, in requests of usual size, of the servers that would run a request to the
 /// model at `rank`; `None` if there are none.
 #[must_use]
