Own door: the crash of a restarted server counts again

A poison request whose second run met the server that it had crashed before was never refused: it crashed that one server again and again. After a run that had ended well, crashes of that server did not count at all.

Evidence: the random test of poison requests used a fresh name for each crash. With two names that come again it fails on the earlier code (suspects_random_faults_lose_at_most_two_servers, more than two servers lost), and so do the two new tests, which say what happens.

Change: the crash of a second run, or after a survival, counts whatever the name is. Other crashes of one name are still one, as several copies of a request may see the same crash; two instances that see it give it the same name.

--- a/crates/core/src/poison/mod.rs
+++ b/crates/core/src/poison/mod.rs
@@ -15,6 +15,10 @@
 //! So the second run distinguishes them. Suspects never share a server, so that a harmless request
 //! is not suspected a second time because of the poison request.
 //!
+//! A server that has started again has the same name as before, so the crash of a second run counts
+//! whatever its server's name is. Other crashes of a server with the same name may be one, which several
+//! copies of the request have seen.
+//!
 //! Only the instance that saw the crash may make the second run; all others refuse the request
 //! until they learn that it has completed. The second run also needs a permit, a compare-and-swap
 //! of the fingerprint's [`Record`] in the store, so that two instances that both saw a crash cannot
@@ -45,6 +49,8 @@
 /// Maximum number of suspicions in a digest.
 const MAX_DIGEST_REPORTS: usize = 8;
 
+/// Suffix of the name of a server that has crashed under the same request before.
+const RESTARTED: &str = " (restarted)";
 /// Prefix of the keys in the store.
 pub const PREFIX: &str = "poison/";
 
@@ -192,11 +198,19 @@
         verdict != Verdict::Refuse
     }
 
-    /// Records that `server` crashed while it ran a request.
+    /// Records that `server` crashed while it ran a request. The crash of a server that has started
+    /// again counts like that of another one.
     pub fn record_crash(&mut self, now: Instant, fingerprint: Fingerprint, server: &str) {
-        self.running.remove(&fingerprint);
-        let lost = BTreeSet::from([server.to_owned()]);
-        self.suspect(now, fingerprint, &lost, false, true);
+        let is_second_run = self.running.remove(&fingerprint).is_some();
+        let known = self.known.get(&fingerprint);
+        let is_again = known
+            .is_some_and(|known| (is_second_run || known.survived) && known.lost.contains(server));
+        let name = if is_again {
+            format!("{server}{RESTARTED}")
+        } else {
+            server.to_owned()
+        };
+        self.suspect(now, fingerprint, &BTreeSet::from([name]), false, true);
     }
 
     /// Records that a request no longer runs, without any outcome.
--- a/crates/core/tests/all/poison.rs
+++ b/crates/core/tests/all/poison.rs
@@ -14,6 +14,8 @@
 
 const INSTANCES: usize = 3;
 const REQUESTS: u64 = 4;
+/// Servers that start again under their names whenever they have crashed.
+const SERVERS: u32 = 2;
 
 #[derive(Clone, Debug)]
 enum Op {
@@ -119,7 +121,7 @@
         }
         self.servers += 1;
         *self.lost.entry(request).or_default() += 1;
-        let server = format!("server-{}", self.servers);
+        let server = format!("server-{}", self.servers % SERVERS);
         self.suspects[index].record_crash(self.now, request, &server);
         self.push(index);
         let lost = self.lost[&request];
@@ -183,3 +185,34 @@
         panic!("{error}");
     }
 }
+
+/// Guards against a poison request that crashes one server again and again, because the server has
+/// the same name whenever it has started again.
+#[test]
+fn record_crash_of_a_restarted_server_counts() {
+    let now = Instant::ORIGIN;
+    let request = Fingerprint(1);
+    let server = Names::new().servers.intern("a");
+    let mut suspects = Suspects::new();
+    suspects.record_crash(now, request, "a");
+    // Another copy of the request ran there, too.
+    suspects.record_crash(now, request, "a");
+    assert_eq!(suspects.verdict(now, request), Verdict::Permit);
+    assert!(suspects.start(now, request, server));
+    suspects.record_crash(now, request, "a");
+    assert_eq!(suspects.verdict(now, request), Verdict::Refuse);
+}
+
+/// Guards against the same after a run that has ended well.
+#[test]
+fn record_crash_of_a_restarted_server_counts_after_survival() {
+    let now = Instant::ORIGIN;
+    let request = Fingerprint(1);
+    let server = Names::new().servers.intern("a");
+    let mut suspects = Suspects::new();
+    suspects.record_crash(now, request, "a");
+    assert!(suspects.start(now, request, server));
+    assert!(suspects.record_survival(request));
+    suspects.record_crash(now, request, "a");
+    assert_eq!(suspects.verdict(now, request), Verdict::Refuse);
+}
--- a/crates/node/src/versions/suspects.rs
+++ b/crates/node/src/versions/suspects.rs
@@ -160,7 +160,9 @@
 pub fn record_end(shared: &NodeState, attempt: &Attempt, result: Result<(), &Fault>) {
     let crashed = matches!(result, Err(Fault::Unknown(_))) && has_crashed(shared, attempt);
     let now = shared.now();
-    lock(&shared.versions.suspects).release(attempt.fingerprint);
+    if !crashed {
+        lock(&shared.versions.suspects).release(attempt.fingerprint);
+    }
     let event = match result {
         Err(_) if crashed => {
             let name = lock(&shared.routes)
