Suspects have one door for changes, and their news a module

What a node knows of crashing keys was a RefCell and an alarm of Node, and a change had to remember the alarm. An owner that learnt of ends by a call for a permit did not raise it, so what waited at its servers was called back with the next news (by reading, some 50 ms later; no test).

gateway::suspects::Shared holds both: every change goes through it, and Trials and attempts take it in place of Node's fields.

--- a/crates/core/src/gateway/crash/mod.rs
+++ b/crates/core/src/gateway/crash/mod.rs
@@ -35,14 +35,16 @@
 pub mod blame;
 pub mod company;
 mod key;
+mod news;
 pub mod permit;
 mod record;
 pub mod report;
 mod suspects;
 
 pub use key::{Key, MAX_KEYS};
+pub use news::{MAX_SHARED, MAX_SHARED_CRASHES};
 pub use report::{Mark, Observation, owners};
-pub use suspects::{Crashed, MAX_SHARED, MAX_SHARED_CRASHES, Suspects};
+pub use suspects::{Crashed, Suspects};
 
 /// Minimum number of crashed servers from which a request is refused.
 pub const CRASH_LIMIT: usize = 3;
--- a/crates/core/src/gateway/crash/suspects.rs
+++ b/crates/core/src/gateway/crash/suspects.rs
@@ -20,14 +20,6 @@
 const MAX_SERVERS: usize = 16_384;
 /// Milliseconds by which the times of two observations of different nodes may be off.
 const JITTER_MS: u64 = 20;
-/// Maximum number of keys in a message to a peer.
-pub const MAX_SHARED: usize = 9;
-/// Maximum number of crashes in a message to a peer.
-pub const MAX_SHARED_CRASHES: usize = MAX_SHARED * CRASH_LIMIT;
-/// Milliseconds for which an end is told before earlier ones: until all nodes have heard of it.
-const END_NEWS_MS: u64 = 2_000;
-/// Milliseconds for which peers are told that a key which they have suspected is sound.
-const PROOF_NEWS_MS: u64 = 5_000;
 /// Milliseconds that a proof of this node must be newer than the one a peer knows, to be told.
 const PROOF_STEP_MS: u64 = 500;
 
@@ -47,7 +39,7 @@
 /// What a node knows of keys under which servers crash.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    records: HashMap<Key, Record>,
+    pub(super) records: HashMap<Key, Record>,
     /// When the latest run began here that proves a key sound.
     proofs: HashMap<Key, Instant>,
     /// When the last request that a server has answered was sent to it, by the short identifier of
@@ -57,7 +49,7 @@
     hazard: Hazard,
     /// Hash of this node's name.
     node: u64,
-    turns: Turns,
+    pub(super) turns: Turns,
     /// When servers ended, by the short identifier of their start.
     ended: HashMap<u32, Instant>,
     /// Permits that this node grants as an owner.
@@ -319,7 +311,7 @@
     }
 
     /// Returns the crashes that no later answer of the server refutes.
-    fn unrefuted(&self, record: &Record) -> Vec<Crash> {
+    pub(super) fn unrefuted(&self, record: &Record) -> Vec<Crash> {
         let is_refuted = |crash: &Crash| {
             let answered = self.answered.get(&crash.server);
             answered.is_some_and(|sent_at| *sent_at > crash.at)
@@ -438,88 +430,6 @@
         }
     }
 
-    /// Returns what this node knows, to be sent to `peer`: what is refused first, then what is newly
-    /// suspected, found sound, and suspected otherwise; other keys each time, if there are many.
-    ///
-    /// That is what it knows as an owner or has heard. What it has only seen itself is for the owners,
-    /// who know of all proofs. Keys with fewer than two servers are omitted, since most single crashes
-    /// are caused by the server and not by the request.
-    #[must_use]
-    pub fn marks(&mut self, now: Instant, peer: &str) -> Vec<Mark> {
-        let mut ranked: [Vec<Mark>; 4] = Default::default();
-        for (&key, record) in &self.records {
-            if let Some((rank, mark)) = self.mark(now, key, record) {
-                ranked[rank].push(mark);
-            }
-        }
-        let mut marks: Vec<Mark> = Vec::new();
-        let mut crashes = 0;
-        for mut rank in ranked {
-            if rank.is_empty() {
-                continue;
-            }
-            self.turns.sort(peer, &mut rank, |mark| mark.key.0);
-            let count = rank.len();
-            let before = marks.len();
-            for mark in rank {
-                crashes += mark.crashes.len();
-                if marks.len() < MAX_SHARED && crashes <= MAX_SHARED_CRASHES {
-                    marks.push(mark);
-                }
-            }
-            let sent = marks.len() - before;
-            if sent < count {
-                if let Some(last) = marks.last() {
-                    self.turns.record(peer, last.key.0);
-                }
-                break;
-            }
-        }
-        marks
-    }
-
-    /// Whether there is anything to be sent to peers.
-    #[must_use]
-    pub fn has_marks(&self, now: Instant) -> bool {
-        let mut records = self.records.iter();
-        records.any(|(&key, record)| self.mark(now, key, record).is_some())
-    }
-
-    fn mark(&self, now: Instant, key: Key, record: &Record) -> Option<(usize, Mark)> {
-        if !record.is_shared {
-            return None;
-        }
-        let mut crashes = self.unrefuted(record);
-        crashes.retain(|crash| crash.weight > Weight::default());
-        let is_new = now < record.last_at().plus_millis(RETENTION_MS);
-        let is_proved = |at: Instant| now < at.plus_millis(PROOF_NEWS_MS);
-        let is_news = record.proved_at.is_some_and(is_proved);
-        let is_suspected = is_new && crashes.len() >= PERMIT_ENDS;
-        let is_latest = now < record.last_at().plus_millis(END_NEWS_MS);
-        let proved_ms = self.proved_ms(now, key);
-        let rank = if is_suspected && record::are_enough(&crashes) && !is_news {
-            0
-        } else if is_suspected && is_latest && proved_ms.is_none() {
-            1
-        } else if is_news {
-            2
-        } else if is_suspected {
-            3
-        } else {
-            return None;
-        };
-        let mark = Mark {
-            key,
-            crashes: if is_suspected {
-                record::newest(&crashes, now)
-            } else {
-                Vec::new()
-            },
-            proved_ms,
-        };
-        Some((rank, mark))
-    }
-
     /// Returns the record of a key, with the proof that this node has.
     fn entry(&mut self, now: Instant, key: Key) -> &mut Record {
         let proved_at = self.proofs.get(&key).copied();
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -17,7 +17,7 @@
 use fescuerack_core::gateway::crash::blame::{Run, Weight};
 use fescuerack_core::gateway::crash::permit::TrialEnd;
 use fescuerack_core::gateway::crash::report::End;
-use fescuerack_core::gateway::crash::{self, Crashed, Key, Mark, Observation, Suspects};
+use fescuerack_core::gateway::crash::{self, Crashed, Key, Mark, Observation};
 use fescuerack_core::gateway::load;
 use http_body_util::BodyExt as _;
 use hyper::StatusCode;
@@ -63,8 +63,8 @@
         }
         AnswerOutcome::Failed | AnswerOutcome::TimedOut => {}
     }
-    let mut suspects = node.suspects.borrow_mut();
-    suspects.record_run(now(), ran_ms, is_broken);
+    node.suspects
+        .change(|suspects| suspects.record_run(now(), ran_ms, is_broken));
 }
 
 /// Records that a server goes on to write the answer of a request; returns whether it has written
@@ -87,8 +87,8 @@
     // Another server at the address answers with this status.
     if head.is_for_request && status != StatusCode::MISDIRECTED_REQUEST {
         let server = load::short_id(pick.identity);
-        let mut suspects = node.suspects.borrow_mut();
-        suspects.record_answer(now(), server, pick.at);
+        node.suspects
+            .change(|suspects| suspects.record_answer(now(), server, pick.at));
     }
 }
 
@@ -110,7 +110,8 @@
         .admit(&job.keys, is_repeat, give_up, |key| owners(node, key));
     match admitted.await {
         Ok(trial) => {
-            node.suspects.borrow_mut().begin(now(), &job.keys);
+            node.suspects
+                .change(|suspects| suspects.begin(now(), &job.keys));
             Ok(trial)
         }
         Err(withheld) => {
@@ -134,28 +135,7 @@
 /// since it began.
 pub async fn called_back(node: &Node, job: &Job, pick: &Pick) {
     let has_permits = pick.trial.is_some();
-    loop {
-        let raised = node.crash_alarm.notified();
-        let is_called_back = {
-            let suspects = node.suspects.borrow();
-            suspects.is_called_back(now(), &job.keys, has_permits)
-        };
-        if is_called_back {
-            return;
-        }
-        raised.await;
-    }
-}
-
-/// Changes what is known of keys, and notifies waiting runs if one is in doubt since.
-fn change<R>(node: &Node, change: impl FnOnce(&mut Suspects) -> R) -> R {
-    let mut suspects = node.suspects.borrow_mut();
-    let alarms = suspects.alarms();
-    let result = change(&mut suspects);
-    if suspects.alarms() > alarms {
-        node.crash_alarm.notify_waiters();
-    }
-    result
+    node.suspects.called_back(&job.keys, has_permits).await;
 }
 
 /// Returns whether the server broke off an answer that was kept unread and is not needed.
@@ -182,7 +162,7 @@
 /// When they cannot be decoded.
 pub fn receive(node: &Node, observations: &[u8]) -> anyhow::Result<()> {
     let observations: Vec<Observation> = postcard::from_bytes(observations)?;
-    change(node, |suspects| {
+    node.suspects.change(|suspects| {
         for observation in observations {
             suspects.observe(now(), observation);
         }
@@ -193,7 +173,9 @@
 /// Receives what a peer knows, and tells the owners of keys that this node has proved sound since.
 pub fn receive_marks(node: &Rc<Node>, marks: &[Mark]) {
     for mark in marks {
-        let is_disproved = change(node, |suspects| suspects.receive(now(), mark));
+        let is_disproved = node
+            .suspects
+            .change(|suspects| suspects.receive(now(), mark));
         if is_disproved {
             tell_proof(node, mark.key);
         }
@@ -214,7 +196,9 @@
     };
     for &key in &ended.keys {
         let proved_ms = node.suspects.borrow().proved_ms(now(), key);
-        let counts = change(node, |suspects| suspects.record_crash(now(), key, crashed));
+        let counts = node
+            .suspects
+            .change(|suspects| suspects.record_crash(now(), key, crashed));
         tracing::info!(
             event = "crash-counted",
             id = ended.id,
@@ -257,7 +241,9 @@
 /// Records that a run which began at `began` proves its request sound.
 fn record_proof(node: &Rc<Node>, keys: &[Key], began: Instant) {
     for &key in keys {
-        let is_news = node.suspects.borrow_mut().record_proof(now(), key, began);
+        let is_news = node
+            .suspects
+            .change(|suspects| suspects.record_proof(now(), key, began));
         if is_news {
             tell_proof(node, key);
         }
@@ -296,7 +282,8 @@
     for owner in owners(node, observation.key) {
         let address = match owner {
             Owner::Own => {
-                change(node, |suspects| suspects.observe(now(), observation));
+                node.suspects
+                    .change(|suspects| suspects.observe(now(), observation));
                 continue;
             }
             Owner::Peer(address) => address,
--- a/crates/gateway/src/initial_sync.rs
+++ b/crates/gateway/src/initial_sync.rs
@@ -106,7 +106,7 @@
     let peer = std::str::from_utf8(name)?;
     let known = Known {
         stated: statements::all(node),
-        marks: node.suspects.borrow_mut().marks(now(), peer),
+        marks: node.suspects.change(|suspects| suspects.marks(now(), peer)),
         brittle: node.brittle.digest(),
     };
     Ok(postcard::to_stdvec(&known)?)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod source;
 pub mod statements;
 pub mod store;
+pub mod suspects;
 pub mod trial;
 pub mod unreadable_headers;
 pub mod updates;
--- a/crates/gateway/src/load_report.rs
+++ b/crates/gateway/src/load_report.rs
@@ -250,7 +250,7 @@
     let bytes = postcard::to_stdvec(tables)?;
     let bytes = postcard::to_extend(&statements::digest(node, peer), bytes)?;
     let bytes = postcard::to_extend(&EarlierMarks::default(), bytes)?;
-    let marks = node.suspects.borrow_mut().marks(now(), peer);
+    let marks = node.suspects.change(|suspects| suspects.marks(now(), peer));
     let bytes = postcard::to_extend(&marks, bytes)?;
     Ok(postcard::to_extend(&node.brittle.digest(), bytes)?)
 }
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -8,7 +8,6 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::budget::Budget;
 use fescuerack_core::gateway::canary::Counts;
-use fescuerack_core::gateway::crash::Suspects;
 use fescuerack_core::gateway::crash::company::Runs;
 use fescuerack_core::gateway::first_event::FirstEvent;
 use fescuerack_core::gateway::position::Position;
@@ -41,6 +40,7 @@
 use crate::snapshot::Snapshots;
 use crate::source::{FailedNodes, Parent};
 use crate::store::Store;
+use crate::suspects::Shared;
 use crate::trial::Trials;
 use crate::unreadable_headers::UnreadableHeaders;
 use crate::updates::Batches;
@@ -87,11 +87,9 @@
     /// Client for messages to peers.
     pub messages: Client,
     /// Requests suspected to crash servers.
-    pub suspects: Rc<RefCell<Suspects>>,
+    pub suspects: Rc<Shared>,
     /// Permits for their runs.
     pub trials: Trials,
-    /// Notifies waiting runs that keys have come in doubt.
-    pub crash_alarm: Notify,
     /// What runs on each server.
     pub runs: RefCell<Runs>,
     /// Observations on such requests that are to be told.
@@ -167,7 +165,7 @@
         let pool = Pool::new();
         let mut random = SmallRng::from_rng(&mut rand::rng());
         let store = Store::new(settings.store, pool.clone(), platform.clone());
-        let suspects = Rc::new(RefCell::new(Suspects::new(&settings.instance)));
+        let suspects = Rc::new(Shared::new(&settings.instance));
         let brittle = BrittleServers::new(&settings.instance, &settings.zone);
         let metrics = Metrics::new()?;
         let messages = Client::new(pool.clone(), metrics.peer_bytes.clone());
@@ -185,7 +183,6 @@
             messages,
             suspects,
             trials,
-            crash_alarm: Notify::new(),
             runs: RefCell::default(),
             observations: Outbox::default(),
             evidence: RefCell::default(),
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::now;
 use crate::message::Client;
+use crate::suspects::Shared;
 
 /// Path on which a node is asked for permits, as an owner.
 pub const PATH: &str = "/crash/permits";
@@ -100,14 +101,14 @@
 /// Takes permits from owners.
 #[derive(Clone)]
 pub struct Trials {
-    suspects: Rc<RefCell<Suspects>>,
+    suspects: Rc<Shared>,
     client: Client,
 }
 
 impl Trials {
     /// Creates the trials of a node with what it knows of keys.
     #[must_use]
-    pub const fn new(suspects: Rc<RefCell<Suspects>>, client: Client) -> Self {
+    pub const fn new(suspects: Rc<Shared>, client: Client) -> Self {
         Self { suspects, client }
     }
 
@@ -211,7 +212,8 @@
             crashes: Vec::new(),
             proved_ms,
         };
-        self.suspects.borrow_mut().receive(now(), &mark);
+        self.suspects
+            .change(|suspects| suspects.receive(now(), &mark));
     }
 
     /// Asks the first of the owners that answers.
@@ -317,16 +319,19 @@
                 }
             }
         }
-        let mut suspects = self.suspects.borrow_mut();
-        match message.call {
-            Call::Take { holder, marks } => return suspects.take_permits(now(), holder, &marks),
-            Call::Keep { holder, keys } => suspects.keep_permits(now(), holder, &keys),
-            Call::End { holder, keys, end } => {
-                suspects.end_permits(now(), holder, &keys, end);
-            }
-        }
-        Vec::new()
+        self.suspects
+            .change(|suspects| answer(suspects, message.call))
+    }
+}
+
+/// Answers a call as an owner.
+fn answer(suspects: &mut Suspects, call: Call) -> Vec<Answer> {
+    match call {
+        Call::Take { holder, marks } => return suspects.take_permits(now(), holder, &marks),
+        Call::Keep { holder, keys } => suspects.keep_permits(now(), holder, &keys),
+        Call::End { holder, keys, end } => suspects.end_permits(now(), holder, &keys, end),
     }
+    Vec::new()
 }
 
 fn log_answers(holder: Holder, owner: Owner, marks: &[Mark], answers: &[Answer]) {
