A peer that has lost its own servers meanwhile sends a cut node's request on to another

Cause, by the logs: a cut node asks a peer that has been cut by the same event, but has had no request since and does not know. It finds out by this request: its first attempt breaks, it waits for its probes, and then spent its repeats on servers that it knew to be lost, or had no repeat left; its 502, or its 503 where no connection could be opened, went to the caller as the peer's answer. A peer that knew was passed over.

Class: whose failure it is. The failure was the peer's path, and was answered as the request's.

Change: after each failed attempt for a peer's caller the node waits until its links are judged.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -80,8 +80,8 @@
     Served(Answered),
     /// It was surely not run.
     NotRun(String),
-    /// It may have been run.
-    Unknown(String),
+    /// It may have been run, by `sent` attempts in all.
+    Unknown { reason: String, sent: u32 },
 }
 
 /// A request on its way through peers.
@@ -166,7 +166,7 @@
             }
             let until = deadline(self.send_deadline());
             let sending = tokio::time::timeout_at(until, self.send_to(peer)).await;
-            let sending = sending.unwrap_or_else(|_| Sending::Unknown("no answer".to_owned()));
+            let sending = sending.unwrap_or_else(|_| self.unknown("no answer".to_owned()));
             match sending {
                 Sending::Served(answered) => {
                     self.log("served", "");
@@ -180,10 +180,10 @@
                     let valid_ms = if is_full { FULL_MS } else { REFUSAL_MS };
                     self.record_reply(peer, false, valid_ms);
                 }
-                Sending::Unknown(reason) => {
+                Sending::Unknown { reason, sent } => {
                     self.log("unknown", &reason);
                     self.record_reply(peer, false, REFUSAL_MS);
-                    if let Err(refusal) = self.take_repeat(self.max_sent()) {
+                    if let Err(refusal) = self.take_repeat(sent) {
                         return Some(Err(refusal));
                     }
                 }
@@ -249,14 +249,33 @@
         let is_repeatable = self.job.route.is_repeatable();
         match self.node.pool.send(peer, request, is_repeatable).await {
             Sent::NotSent(reason) => Sending::NotRun(reason),
-            Sent::Broken(reason) | Sent::Unreadable(reason) => Sending::Unknown(reason),
-            Sent::Answered(answered) => {
-                let Some(reason) = hop::refusal(answered.response.headers()) else {
-                    return Sending::Served(answered);
-                };
-                self.node.pool.discard(answered);
-                Sending::NotRun(reason)
+            Sent::Broken(reason) | Sent::Unreadable(reason) => self.unknown(reason),
+            Sent::Answered(answered) => self.classify(answered),
+        }
+    }
+
+    /// Returns what the head of a peer's answer says.
+    fn classify(&self, answered: Answered) -> Sending {
+        let headers = answered.response.headers();
+        let sending = if let Some(reason) = hop::refusal(headers) {
+            Sending::NotRun(reason)
+        } else if let Some(sent) = hop::path_lost(headers) {
+            Sending::Unknown {
+                reason: "path lost".to_owned(),
+                sent: sent.saturating_sub(u32::from(self.keeps_attempt())),
             }
+        } else {
+            return Sending::Served(answered);
+        };
+        self.node.pool.discard(answered);
+        sending
+    }
+
+    /// Returns what is known of a request that a peer may have run without saying how often.
+    fn unknown(&self, reason: String) -> Sending {
+        Sending::Unknown {
+            reason,
+            sent: self.max_sent(),
         }
     }
 
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -42,6 +42,8 @@
 const OUTCOME: HeaderName = HeaderName::from_static("fescuerack-outcome");
 /// In an answer that is a stream: attempts that were made until its head.
 const ATTEMPTS: HeaderName = HeaderName::from_static("fescuerack-attempts");
+/// In an answer of a node that has found meanwhile that it reaches no server: attempts until then.
+const PATH_LOST: HeaderName = HeaderName::from_static("fescuerack-path-lost");
 const SERVED: HeaderValue = HeaderValue::from_static("served");
 
 /// Maximum number of requests of peers' callers that a node serves at a time.
@@ -112,6 +114,13 @@
     number(headers, &ATTEMPTS)?.try_into().ok()
 }
 
+/// Returns the attempts that a peer had made when it found that it reaches no server; `None` if it has
+/// served the request.
+#[must_use]
+pub fn path_lost(headers: &HeaderMap) -> Option<u32> {
+    number(headers, &PATH_LOST)?.try_into().ok()
+}
+
 /// Removes what an answer says of the hop.
 pub fn strip_outcome(headers: &mut HeaderMap) {
     headers.remove(OUTCOME);
@@ -123,6 +132,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotTaken(pub &'static str);
 
+/// States, as an extension of a response, after how many attempts the node has found that it reaches no
+/// server for a request of a peer's caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PathLost(pub u32);
+
 /// Reason of a node that has too many requests, but may take one soon.
 pub const FULL: &str = "full";
 
@@ -148,6 +162,10 @@
         let sent = HeaderValue::from(sent);
         response.headers_mut().insert(ATTEMPTS, sent);
     }
+    if let Some(PathLost(sent)) = response.extensions().get().copied() {
+        let sent = HeaderValue::from(sent);
+        response.headers_mut().insert(PATH_LOST, sent);
+    }
     response.map(|body| Permitted::new(body, Some(permit)))
 }
 
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -51,6 +51,9 @@
     Full,
     /// The request may have been run; no answer was received.
     OutcomeUnknown,
+    /// The request came through a peer, and may have been run by one of this many attempts. Since then
+    /// this node has found that it reaches no server for it.
+    PathLost(u32),
     /// The request may have been run; its deadline has passed.
     DeadlineExceeded,
 }
@@ -67,7 +70,7 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::IncompleteBody => StatusCode::BAD_REQUEST,
-            Self::OutcomeUnknown => StatusCode::BAD_GATEWAY,
+            Self::OutcomeUnknown | Self::PathLost(_) => StatusCode::BAD_GATEWAY,
             Self::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -85,6 +88,7 @@
             Self::Unreached => "unreached",
             Self::Full => "full",
             Self::OutcomeUnknown => "unknown",
+            Self::PathLost(_) => "path-lost",
             Self::DeadlineExceeded => "late",
         }
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -21,7 +21,7 @@
 use crate::eligible;
 use crate::evidence;
 use crate::forward::Forward;
-use crate::hop::{self, Hop, NotTaken};
+use crate::hop::{self, Hop, NotTaken, PathLost};
 use crate::intake;
 use crate::node::Node;
 use crate::pick::{self, Pick};
@@ -109,10 +109,17 @@
         Err(Refusal::Full) => Some(NotTaken(hop::FULL)),
         _ => None,
     };
+    let path_lost = match &result {
+        Err(Refusal::PathLost(sent)) => Some(PathLost(*sent)),
+        _ => None,
+    };
     let mut response = result.unwrap_or_else(|refusal| refusal.response(now(), deadline, spread));
     if let Some(not_taken) = not_taken {
         response.extensions_mut().insert(not_taken);
     }
+    if let Some(path_lost) = path_lost {
+        response.extensions_mut().insert(path_lost);
+    }
     let elapsed = now().since(arrived);
     node.metrics
         .requests
@@ -295,6 +302,9 @@
                 progress.tried.push(pick.id.clone());
                 let may_continue = match reason {
                     NotRunReason::Unreachable => {
+                        if let Some(refusal) = path_lost(node, job, service, progress).await {
+                            return Err(refusal);
+                        }
                         progress.connect_failures += 1;
                         progress.slow_connect_failures +=
                             u32::from(age_ms(pick.at) >= SLOW_CONNECT_MS);
@@ -320,6 +330,9 @@
                 verdict::record_end(node, job, &pick, progress.model, ended);
                 progress.tried.push(pick.id.clone());
                 progress.sent += 1;
+                if let Some(refusal) = path_lost(node, job, service, progress).await {
+                    return Err(refusal);
+                }
                 let may_repeat = job.route.is_repeatable() && !progress.is_fallback_due();
                 if !may_repeat || !take_retry(node, job, service, progress.sent, "failed") {
                     let is_over = now() >= job.deadline;
@@ -342,6 +355,27 @@
     }
 }
 
+/// Returns the refusal of a request of a peer's caller if this node reaches no server for it, as it may
+/// have found by the last attempt. Then the peer asks another node, and no repeat is spent here.
+async fn path_lost(
+    node: &Node,
+    job: &Job,
+    service: &Arc<str>,
+    progress: &RequestProgress,
+) -> Option<Refusal> {
+    job.hop?;
+    node.path.settled().await;
+    let model = progress.model.map(|rank| &*job.route.models[rank]);
+    if !reach::needs_peer(node, job, service, model) {
+        return None;
+    }
+    Some(if progress.may_have_run {
+        Refusal::PathLost(progress.sent)
+    } else {
+        Refusal::Unreached
+    })
+}
+
 /// Returns whether another server is tried after one that could not be reached. If this node reaches
 /// none, and no peer takes the request, the others would fail as well.
 fn may_try_another(node: &Node, job: &Job, service: &Arc<str>, progress: &RequestProgress) -> bool {
