A weak answer repeats no request that may run only once

What callers saw: a booking on a route with models ran twice when the smallest model was unsure of its answer; so did streams without `resumable`.

Cause: each caller of `take_retry` asked by itself whether a request may run again. Six did, the escalation in `verdict::decide` did not.

The second run follows the weak answer within 2 ms, with `further-attempt` reason `weak`.

Change: a further attempt takes a `repeat::Permission`, which only a route or an attempt that has not run the request gives, so a caller cannot leave the question out. A request that may run only once gets its model before it runs: the largest while servers have spare capacity, smaller ones under load (`escalation::only`, `gateway::model`). If no server has that model, a smaller one is taken before a larger one.

--- a/crates/core/src/gateway/escalation.rs
+++ b/crates/core/src/gateway/escalation.rs
@@ -13,6 +13,9 @@
 //! The threshold decreases under load: a weaker answer in time is better than a strong one that is
 //! too late. For the same reason a larger model is used only if its answer is expected to end before
 //! the deadline ([`select`]); an answer that is at hand is not discarded for one that will not be there.
+//!
+//! A request that may run only once cannot escalate: whichever model runs it gives the answer. Its model
+//! is chosen before it runs ([`only`]).
 
 use std::time::Duration;
 
@@ -59,12 +62,45 @@
     pub deadline: Instant,
 }
 
+impl Limits {
+    /// Returns whether the first token is expected after the target.
+    fn is_late(&self, outlook: Outlook) -> bool {
+        let target = self.target;
+        target.is_some_and(|target| outlook.first_token > target)
+    }
+}
+
 /// Returns the model to use first, as an index into a list ordered from small to large.
 #[must_use]
 pub const fn first(models: usize) -> Option<usize> {
     if models == 0 { None } else { Some(0) }
 }
 
+/// Returns the model of a request that may run only once: the largest one while the servers have spare
+/// capacity, smaller ones under load, and the smallest if no larger one is expected to answer in time.
+///
+/// `pressure` is the mean load, in requests of usual size, of the servers that would run the largest
+/// model. A model without an outlook has no server.
+#[must_use]
+pub fn only(
+    models: usize,
+    pressure: f64,
+    now: Instant,
+    limits: Limits,
+    outlook: impl Fn(usize) -> Option<Outlook>,
+) -> Option<usize> {
+    let largest = models.checked_sub(1)?;
+    let step_down = whole((excess(pressure) * float(largest)).ceil());
+    let wanted = largest.saturating_sub(step_down);
+    let is_in_time = |rank: usize| {
+        outlook(rank).is_some_and(|outlook| {
+            ends_in_time(now, limits.deadline, outlook) && !limits.is_late(outlook)
+        })
+    };
+    let chosen = (1..=wanted).rev().find(|rank| is_in_time(*rank));
+    chosen.or(first(models))
+}
+
 /// Returns the model to use next when `model` has answered with `confidence`, or `None` when the
 /// answer is kept. An answer without a confidence is kept.
 ///
@@ -103,9 +139,7 @@
     let is_useful = confidence.is_some_and(|confidence| confidence >= MIN_USEFUL_CONFIDENCE);
     let is_in_time = |rank: usize| {
         outlook(rank).is_none_or(|outlook| {
-            let is_late = limits
-                .target
-                .is_some_and(|target| outlook.first_token > target);
+            let is_late = limits.is_late(outlook);
             ends_in_time(now, limits.deadline, outlook) && !(is_late && is_useful)
         })
     };
@@ -120,6 +154,11 @@
 
 /// Returns the share of the threshold that applies at `pressure`.
 fn threshold_share(pressure: f64) -> f64 {
+    1.0 - excess(pressure) * (1.0 - MIN_THRESHOLD_SHARE)
+}
+
+/// Returns where `pressure` lies between [`LOW_PRESSURE`], zero, and [`HIGH_PRESSURE`], one.
+fn excess(pressure: f64) -> f64 {
     let excess = (pressure - LOW_PRESSURE) / (HIGH_PRESSURE - LOW_PRESSURE);
-    1.0 - excess.clamp(0.0, 1.0) * (1.0 - MIN_THRESHOLD_SHARE)
+    excess.clamp(0.0, 1.0)
 }
--- a/crates/core/tests/all/gateway/escalation.rs
+++ b/crates/core/tests/all/gateway/escalation.rs
@@ -79,3 +79,27 @@
     let found = escalation::select(2, 0, Some(5), NOW, limits, |_| None);
     assert_eq!(found, Some(2));
 }
+
+/// Guards against requests that may run only once and get a model that load or time does not allow, or one
+/// that no server has.
+#[rstest]
+#[case::idle(0.0, [Some(outlook(1, 4)), Some(outlook(1, 6))], Some(2))]
+#[case::some_load(40.0, [Some(outlook(1, 4)), Some(outlook(1, 6))], Some(1))]
+#[case::full(escalation::HIGH_PRESSURE, [Some(outlook(1, 4)), Some(outlook(1, 6))], Some(0))]
+#[case::largest_ends_too_late(0.0, [Some(outlook(1, 4)), Some(outlook(1, 7))], Some(1))]
+#[case::largest_begins_too_late(0.0, [Some(outlook(1, 4)), Some(outlook(3, 4))], Some(1))]
+#[case::no_server_has_the_largest(0.0, [Some(outlook(1, 4)), None], Some(1))]
+#[case::no_server_has_a_larger_one(0.0, [None, None], Some(0))]
+fn only_largest_that_load_and_time_allow(
+    #[case] pressure: f64,
+    #[case] outlooks: [Option<Outlook>; 2],
+    #[case] chosen: Option<usize>,
+) {
+    let limits = Limits {
+        target: Some(NOW + Duration::from_secs(2)),
+        deadline: NOW + Duration::from_secs(8),
+    };
+    let of_rank = |rank: usize| outlooks.get(rank - 1).copied().flatten();
+    let found = escalation::only(3, pressure, NOW, limits, of_rank);
+    assert_eq!(found, chosen);
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -27,8 +27,8 @@
 use crate::hop::{self, Hop};
 use crate::node::Node;
 use crate::permits::Permits;
-use crate::progress::take_retry;
 use crate::refusal::{self, Refusal};
+use crate::repeat::{Permission, take_retry};
 use crate::upstream::{Answered, Sent};
 use crate::verdict;
 
@@ -224,15 +224,15 @@
         self.sent = sent.max(self.sent + 1);
         self.is_counted = true;
         self.has_repeated = true;
-        let is_repeatable = self.job.route.is_repeatable() && now() < self.job.deadline;
-        if is_repeatable && take_retry(&self.node, &self.job, &self.service, self.sent, "peer") {
+        let permission = Permission::of_route(&self.job.route);
+        let (node, job, service) = (&self.node, &self.job, &self.service);
+        if now() >= job.deadline {
+            return Err(Refusal::DeadlineExceeded);
+        }
+        if take_retry(permission, node, job, service, self.sent, "peer") {
             return Ok(());
         }
-        Err(if now() >= self.job.deadline {
-            Refusal::DeadlineExceeded
-        } else {
-            Refusal::OutcomeUnknown
-        })
+        Err(Refusal::OutcomeUnknown)
     }
 
     async fn send_to(&self, peer: SocketAddr) -> Sending {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,8 +24,8 @@
 //! [`intake`] reads a request. [`request`] then makes one [`attempt`] after another, at servers
 //! that [`pick`] selects from the [`eligible`] ones; servers with a [`server_limit`] get few
 //! requests, [leaving](server_leaving) ones and those that [rest](server_rest) none; servers state
-//! all three in their answers ([`statements`]). [`progress`] holds the state of the request and its
-//! retry budget, [`verdict`] decides what happens to an answer, and [`relay`] forwards streams;
+//! all three in their answers ([`statements`]). [`progress`] holds the state of the request,
+//! [`repeat`] decides whether it may be sent once more, [`verdict`] decides what happens to an answer, and [`relay`] forwards streams;
 //! [`evidence`] records whether the request crashes servers, and [`outbox`] what peers are told of
 //! that. All of them share the HTTP client in
 //! [`upstream`]. [`server_capacity`] says what a server may get from this node now. When [`reach`]
@@ -64,6 +64,7 @@
 pub mod logs;
 pub mod message;
 pub mod metrics;
+pub mod model;
 pub mod net;
 pub mod node;
 pub mod offload;
@@ -81,6 +82,7 @@
 pub mod refusal;
 pub mod registration;
 pub mod relay;
+pub mod repeat;
 pub mod request;
 pub mod rollout;
 pub mod routes;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -1,12 +1,11 @@
-//! The state of a request across its attempts, and its retry budget.
+//! The state of a request across its attempts.
 
 use std::sync::Arc;
 
 use fescuerack_core::clock::Instant;
 
 use crate::attempt::{Job, OpenResponse};
-use crate::clock::{age_ms, now};
-use crate::node::Node;
+use crate::clock::now;
 
 /// The fallback answer is sent when the remaining time is the whole time of the request divided by
 /// this. The answer is complete by then, so only its bytes have to reach the caller.
@@ -71,56 +70,3 @@
             .is_some_and(|fallback| now() >= fallback.until)
     }
 }
-
-/// Takes a further attempt from the attempts of the route and the retry budget of the service.
-/// Returns whether it is allowed.
-pub fn take_retry(node: &Node, job: &Job, service: &Arc<str>, sent: u32, reason: &str) -> bool {
-    if sent >= job.route.attempts {
-        count_retry(node, service, "over-attempts");
-        return false;
-    }
-    let suspects = node.suspects.borrow();
-    if suspects.is_refused(now(), &job.keys) || suspects.is_suspected(now(), &job.keys) {
-        count_retry(node, service, "crashing");
-        return false;
-    }
-    let bound = node.settings.borrow().retries;
-    let share = node.retry_share.borrow();
-    let part = share.of(now(), bound.slack, bound.window_ms);
-    let account = node
-        .retry_budgets
-        .borrow_mut()
-        .entry(service.clone())
-        .or_default()
-        .take(now(), &bound, part);
-    let label = if account.is_taken {
-        reason
-    } else {
-        "over-budget"
-    };
-    count_retry(node, service, label);
-    tracing::info!(
-        event = "further-attempt",
-        id = job.head.id,
-        service = &**service,
-        reason,
-        taken = account.is_taken,
-        sent,
-        requests = account.requests,
-        further = account.further,
-        max = account.max,
-        share = part.attempts,
-        rounding = part.rounding,
-        nodes = share.nodes(),
-        confirmed_ms = share.confirmed_at().map(age_ms),
-        registered_ms = share.registered_at().map(age_ms)
-    );
-    account.is_taken
-}
-
-fn count_retry(node: &Node, service: &str, label: &str) {
-    node.metrics
-        .further_attempts
-        .with_label_values(&[service, label])
-        .inc();
-}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -43,8 +43,8 @@
 use crate::forward::Forward;
 use crate::node::Node;
 use crate::pick::{self, Pick};
-use crate::progress;
 use crate::reach;
+use crate::repeat::{Permission, take_retry};
 use crate::rollout::AnswerOutcome;
 use crate::stream_progress::StreamProgress;
 use crate::verdict;
@@ -284,14 +284,22 @@
         sender: &mut Sender<Bytes, AbortReason>,
     ) -> Option<Result<(), AbortReason>> {
         let job = &self.job;
-        if job.hop.is_some() || !job.route.resumable {
+        if job.hop.is_some() {
             return None;
         }
+        let permission = Some(Permission::of_route(&job.route)?);
         let model = self.model.map(|rank| &*job.route.models[rank]);
         if !reach::needs_peer(&self.node, job, &self.service, model) {
             return None;
         }
-        if !progress::take_retry(&self.node, job, &self.service, self.sent, "peer") {
+        if !take_retry(
+            permission,
+            &self.node,
+            job,
+            &self.service,
+            self.sent,
+            "peer",
+        ) {
             return Some(Err(AbortReason::UpstreamFailed));
         }
         let forward = Forward::new(&self.node, job, &self.service, self.sent, true);
@@ -448,7 +456,8 @@
     /// Reserves an attempt at another server if the stream at `pick` would end too late and that server
     /// would end it in time. Nothing is reserved, and the stream stays, if none can be used.
     async fn leave(&mut self, pick: &Pick) -> Option<Pick> {
-        if !self.may_resume() || self.sent >= self.job.route.attempts {
+        self.permission()?;
+        if self.sent >= self.job.route.attempts {
             return None;
         }
         self.tried.push(pick.id.clone());
@@ -484,20 +493,19 @@
         Some(next)
     }
 
-    /// Whether the stream may be resumed by this node. The node that the caller called counts the
-    /// attempts, and resumes the stream itself.
-    fn may_resume(&self) -> bool {
-        self.job.route.resumable && self.job.hop.is_none()
+    /// Returns the permission to resume the stream, if this node may. The node that the caller called
+    /// counts the attempts, and resumes the stream itself.
+    fn permission(&self) -> Option<Permission> {
+        let permission = Permission::of_route(&self.job.route);
+        permission.filter(|_| self.job.hop.is_none())
     }
 
     /// Takes a further attempt for `reason`, unless one `is_taken`, and selects its server.
     async fn reserve(&mut self, reason: &str, is_taken: bool) -> Option<Pick> {
-        if !self.may_resume() {
-            return None;
-        }
+        let permission = Some(self.permission()?);
         if !is_taken {
-            let sent = self.sent;
-            if !progress::take_retry(&self.node, &self.job, &self.service, sent, reason) {
+            let (node, job, service) = (&self.node, &self.job, &self.service);
+            if !take_retry(permission, node, job, service, self.sent, reason) {
                 return None;
             }
             self.sent += 1;
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
-use fescuerack_core::gateway::escalation;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use rand::RngExt as _;
@@ -23,12 +22,14 @@
 use crate::forward::Forward;
 use crate::hop::{self, Hop, NotTaken, PathLost};
 use crate::intake;
+use crate::model;
 use crate::node::Node;
 use crate::pick::{self, Pick};
-use crate::progress::{Fallback, RequestProgress, take_retry};
+use crate::progress::{Fallback, RequestProgress};
 use crate::reach;
 use crate::refusal::Refusal;
 use crate::relay;
+use crate::repeat::{Permission, take_retry};
 use crate::rollout::AnswerOutcome;
 use crate::verdict::{self, Verdict};
 
@@ -151,7 +152,7 @@
     let service = pick::choose_service(&job.route, &job.head.id).ok_or(Refusal::NotRun)?;
     let mut progress = RequestProgress::default();
     if job.head.any_model {
-        progress.model = escalation::first(job.route.models.len());
+        progress.model = model::first(node, &job, &service);
     }
     if let Some(result) = forward(node, &job, &service, &mut progress, false).await {
         return result;
@@ -312,7 +313,8 @@
                     }
                     NotRunReason::Reported => {
                         progress.sent += 1;
-                        take_retry(node, job, service, progress.sent, "not-run")
+                        let permission = Some(Permission::of_not_run(reason));
+                        take_retry(permission, node, job, service, progress.sent, "not-run")
                     }
                 };
                 if !may_continue {
@@ -321,8 +323,8 @@
             }
             AttemptResult::CalledBack => {
                 progress.sent += 1;
-                let may_repeat = job.route.is_repeatable();
-                if !may_repeat || !take_retry(node, job, service, progress.sent, "called-back") {
+                let permission = Permission::of_route(&job.route);
+                if !take_retry(permission, node, job, service, progress.sent, "called-back") {
                     return Err(Refusal::OutcomeUnknown);
                 }
             }
@@ -333,8 +335,10 @@
                 if let Some(refusal) = path_lost(node, job, service, progress).await {
                     return Err(refusal);
                 }
-                let may_repeat = job.route.is_repeatable() && !progress.is_fallback_due();
-                if !may_repeat || !take_retry(node, job, service, progress.sent, "failed") {
+                let permission = Permission::of_route(&job.route);
+                if progress.is_fallback_due()
+                    || !take_retry(permission, node, job, service, progress.sent, "failed")
+                {
                     let is_over = now() >= job.deadline;
                     return Err(if is_over {
                         Refusal::DeadlineExceeded
@@ -410,43 +414,75 @@
     Err(exhausted(progress, eligible::retry_at(node, job, service)))
 }
 
-/// Selects a server for the next attempt. If limits keep the request from all servers with the
-/// model that the gateway has chosen, it may take a larger one.
+/// Selects a server for the next attempt. If no server has the model that the gateway has chosen, another
+/// model may be taken.
 fn pick_server(
     node: &Rc<Node>,
-    job: &Rc<Job>,
+    job: &Job,
     service: &Arc<str>,
     progress: &mut RequestProgress,
 ) -> Result<Pick, Refusal> {
-    loop {
-        let name = progress.model.map(|rank| &*job.route.models[rank]);
-        if let Some(pick) = pick::pick(node, job, service, name, &progress.tried) {
-            return Ok(pick);
+    let Some(chosen) = progress.model else {
+        let pick = pick_of_model(node, job, service, None, progress);
+        return pick.ok_or_else(|| exhausted(progress, eligible::retry_at(node, job, service)));
+    };
+    for rank in model::alternatives(job, chosen) {
+        // Larger models are slower, so they are taken only where limits keep a request from smaller ones.
+        if rank > chosen && !has_limits(node, job, service) {
+            break;
         }
-        let excluded = eligible::count_excluded(node, job, service, now());
-        tracing::info!(
-            event = "no-server",
-            id = job.head.id,
-            service = &**service,
-            model = name,
-            tried = progress.tried.len(),
-            evacuated = excluded.evacuated,
-            elsewhere = excluded.outside_regions,
-            cold = excluded.cold,
-            limited = excluded.limited,
-            resting = excluded.resting,
-            brittle = excluded.brittle,
-            leaving = excluded.leaving
-        );
-        let larger = progress
-            .model
-            .map(|rank| rank + 1)
-            .filter(|rank| *rank < job.route.models.len() && excluded.retry_at.is_some());
-        match larger {
-            Some(rank) => progress.model = Some(rank),
-            None => return Err(exhausted(progress, eligible::retry_at(node, job, service))),
+        if let Some(pick) = pick_of_model(node, job, service, Some(rank), progress) {
+            progress.model = Some(rank);
+            return Ok(pick);
         }
     }
+    Err(exhausted(progress, eligible::retry_at(node, job, service)))
+}
+
+/// Returns whether limits keep the request from a server for now.
+fn has_limits(node: &Node, job: &Job, service: &Arc<str>) -> bool {
+    let excluded = eligible::count_excluded(node, job, service, now());
+    excluded.retry_at.is_some()
+}
+
+/// Selects a server that has loaded the model at `rank`.
+fn pick_of_model(
+    node: &Node,
+    job: &Job,
+    service: &Arc<str>,
+    rank: Option<usize>,
+    progress: &RequestProgress,
+) -> Option<Pick> {
+    let name = rank.map(|rank| &*job.route.models[rank]);
+    let pick = pick::pick(node, job, service, name, &progress.tried);
+    if pick.is_none() {
+        log_no_server(node, job, service, name, progress);
+    }
+    pick
+}
+
+fn log_no_server(
+    node: &Node,
+    job: &Job,
+    service: &Arc<str>,
+    model: Option<&str>,
+    progress: &RequestProgress,
+) {
+    let excluded = eligible::count_excluded(node, job, service, now());
+    tracing::info!(
+        event = "no-server",
+        id = job.head.id,
+        service = &**service,
+        model,
+        tried = progress.tried.len(),
+        evacuated = excluded.evacuated,
+        elsewhere = excluded.outside_regions,
+        cold = excluded.cold,
+        limited = excluded.limited,
+        resting = excluded.resting,
+        brittle = excluded.brittle,
+        leaving = excluded.leaving
+    );
 }
 
 /// Returns the refusal of a request that no server is left for. `retry_at` is when the first server
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -3,16 +3,13 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity;
 use fescuerack_core::gateway::crash::Key;
 use fescuerack_core::gateway::crash::company::Company;
 use fescuerack_core::gateway::crash::permit::TrialEnd;
-use fescuerack_core::gateway::escalation::{self, Limits, Outlook};
 use fescuerack_core::gateway::slowness::Timing;
-use fescuerack_core::num;
 use hyper::body::{Body as _, Incoming};
 use hyper::{HeaderMap, Response, StatusCode};
 
@@ -23,12 +20,14 @@
 use crate::clock::{deadline, now};
 use crate::evidence;
 use crate::headers;
+use crate::model;
 use crate::node::Node;
-use crate::pick::{self, Pick};
-use crate::progress::{Fallback, RequestProgress, take_retry};
+use crate::pick::Pick;
+use crate::progress::{Fallback, RequestProgress};
 use crate::reach::{self, Held};
 use crate::refusal::Refusal;
 use crate::relay;
+use crate::repeat::{Permission, take_retry};
 use crate::rollout::{self, AnswerOutcome};
 
 /// What happens to a request after the head of an answer.
@@ -50,10 +49,11 @@
     response: OpenResponse,
 ) -> Verdict {
     let status = response.answered.response.status();
+    let permission = Permission::of_route(&job.route);
     if let Some(rank) = progress.model
         && status.is_success()
-        && let Some(next) = escalation_rank(node, job, service, rank, response.head.confidence)
-        && take_retry(node, job, service, progress.sent, "weak")
+        && let Some(next) = model::larger(node, job, service, rank, response.head.confidence)
+        && take_retry(permission, node, job, service, progress.sent, "weak")
     {
         node.metrics
             .dropped_answers
@@ -84,68 +84,6 @@
     buffer_answer(node, job, service, progress, response).await
 }
 
-/// Returns the model to escalate to if the answer of the model at `rank` is of low confidence.
-fn escalation_rank(
-    node: &Node,
-    job: &Job,
-    service: &Arc<str>,
-    rank: usize,
-    confidence: Option<u8>,
-) -> Option<usize> {
-    let models = job.route.models.len();
-    let pressure = pick::pressure(node, job, service, models.checked_sub(1)?).unwrap_or_default();
-    let wanted = escalation::next(models, rank, confidence, pressure);
-    let next = wanted.and_then(|wanted| {
-        let outlook = |rank| outlook(node, job, service, rank);
-        escalation::select(wanted, rank, confidence, now(), limits(job), outlook)
-    });
-    tracing::info!(
-        event = "judged-answer",
-        id = job.head.id,
-        model = rank,
-        confidence,
-        pressure,
-        wanted,
-        next
-    );
-    next
-}
-
-fn limits(job: &Job) -> Limits {
-    let target_ms = job.route.target_latency_ms;
-    Limits {
-        target: target_ms.map(|millis| job.arrived.plus_millis(millis)),
-        deadline: job.deadline,
-    }
-}
-
-/// Returns what is expected of the answer of the model at `rank`; `None` if no server may run it.
-fn outlook(node: &Node, job: &Job, service: &Arc<str>, rank: usize) -> Option<Outlook> {
-    let first_token = now() + pick::expected_first_token(node, job, service, rank)?;
-    let generation = expected_generation(node, job, service, rank);
-    Some(Outlook {
-        first_token,
-        end: generation.map(|generation| first_token + generation),
-    })
-}
-
-/// Returns the time from the first token to the end of an answer, by the usual time between events
-/// and the length that the caller expects; `None` if either is unknown.
-fn expected_generation(
-    node: &Node,
-    job: &Job,
-    service: &Arc<str>,
-    rank: usize,
-) -> Option<Duration> {
-    let view = node.view.borrow();
-    let service = view.catalog.as_ref()?.services.get(service)?;
-    let events = f64::from(job.head.length_hint?) / f64::from(service.event_tokens?);
-    let baselines = node.baselines.borrow();
-    let baseline = baselines.get(&latency_class(job, Some(rank)))?;
-    let millis = events * baseline.event_interval_ms()?;
-    Some(num::seconds(millis / 1_000.0))
-}
-
 /// Buffers an answer that is not a stream, so that the request can be retried if it is truncated.
 async fn buffer_answer(
     node: &Rc<Node>,
@@ -154,6 +92,7 @@
     progress: &mut RequestProgress,
     response: OpenResponse,
 ) -> Verdict {
+    let permission = Permission::of_route(&job.route);
     let (mut head, body) = response.answered.response.into_parts();
     let until = deadline(body_deadline(job, progress, &body));
     let collected = node.buffers.collect(body);
@@ -178,8 +117,9 @@
     match collected {
         Ok(body) => {
             node.pool.keep(response.answered.connection);
-            let may_repeat = job.route.is_repeatable() && head.status.is_server_error();
-            if may_repeat && take_retry(node, job, service, progress.sent, "error") {
+            if head.status.is_server_error()
+                && take_retry(permission, node, job, service, progress.sent, "error")
+            {
                 progress.tried.push(response.pick.id.clone());
                 return Verdict::Retry;
             }
@@ -193,8 +133,7 @@
         Err(error) => {
             tracing::info!(event = "answer-broken", id = job.head.id, server = &*response.pick.id, reason = %error);
             progress.tried.push(response.pick.id.clone());
-            if job.route.is_repeatable() && take_retry(node, job, service, progress.sent, "broken")
-            {
+            if take_retry(permission, node, job, service, progress.sent, "broken") {
                 return Verdict::Retry;
             }
             Verdict::Refuse(Refusal::OutcomeUnknown)
