A held answer reaches the caller, in whichever way the larger model fails

What callers saw: on a plain route with models, 200 without a byte of the body and a closed connection, each time that the larger model failed after a smaller one had answered whole.

Cause: the answer was held as an open response and relayed as a stream of events, which a plain body is not ("ended within an event"); the sound server was also counted as crashed. And each kind of failure decided for itself whether to fall back: statuses below 500, failures of peers, streams that break before their first event, a stopping process and waits beyond the reserve did not.

Change: `gateway::fallback`. A plain answer is read whole before its confidence is judged; half of the time is kept for the larger model if the body stalls. A stream is read on while it is held, within the memory of all answers, since a server cuts off what nobody reads. Held answers are due at the reserve, whatever the request waits for, and half a second before a stopping process ends.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::pick::{self, InFlight, Pick};
 use crate::platform::{RequestHead, ResponseHead, UpstreamHead};
 use crate::reach::{self, Held};
+use crate::read_ahead::ReadAhead;
 use crate::rollout::{self, AnswerOutcome, TrackingGuard};
 use crate::statements;
 use crate::upstream::{Answered, Sent};
@@ -80,7 +81,7 @@
     Reported,
 }
 
-/// A response whose head was received and whose body has not been read.
+/// A response whose head was received.
 pub struct OpenResponse {
     /// Head, body and connection.
     pub answered: Answered,
@@ -92,8 +93,10 @@
     pub head_ms: f64,
     /// Expected milliseconds until the head, by the work on the server.
     pub expected_head_ms: f64,
-    /// Counts the request as running on the server.
-    pub in_flight: InFlight,
+    /// What has been read of the body ahead.
+    pub ahead: ReadAhead,
+    /// Counts the request as running on the server, until its end has been read.
+    pub in_flight: Option<InFlight>,
     /// Keeps the attempt among [`Node::tracked_attempts`] until its outcome is counted.
     pub tracking_guard: Option<TrackingGuard>,
 }
@@ -316,7 +319,8 @@
         pick,
         head_ms: received.head_ms,
         expected_head_ms: received.expected_head_ms,
-        in_flight: received.in_flight,
+        ahead: ReadAhead::default(),
+        in_flight: Some(received.in_flight),
         tracking_guard: received.tracking_guard,
     }))
 }
--- a/crates/gateway/src/attempt_deadline.rs
+++ b/crates/gateway/src/attempt_deadline.rs
@@ -24,10 +24,7 @@
 /// answer is sent.
 #[must_use]
 pub fn of(job: &Job, progress: &RequestProgress) -> Instant {
-    let latest = progress
-        .fallback
-        .as_ref()
-        .map_or(job.deadline, |fallback| fallback.until);
+    let latest = progress.answer_until(job);
     let is_last = progress.sent + 1 >= job.route.attempts;
     let (Some(target_ms), false, true) = (
         job.route.target_latency_ms,
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -5,8 +5,8 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use http_body_util::Full;
 use http_body_util::channel::Channel;
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::task::AbortHandle;
 
@@ -86,6 +86,8 @@
 /// does not work for a caller that has disconnected.
 #[derive(Debug)]
 pub struct Relayed {
+    /// First bytes, if they have been waited for.
+    first: Option<Bytes>,
     channel: Channel<Bytes, AbortReason>,
     task: AbortHandle,
 }
@@ -94,7 +96,22 @@
     /// Creates a body from the receiver of a channel and the task that sends to it.
     #[must_use]
     pub const fn new(channel: Channel<Bytes, AbortReason>, task: AbortHandle) -> Self {
-        Self { channel, task }
+        Self {
+            first: None,
+            channel,
+            task,
+        }
+    }
+
+    /// Waits for the first bytes; returns whether there are any.
+    async fn begin(&mut self) -> bool {
+        while self.first.is_none() {
+            let Some(Ok(frame)) = self.channel.frame().await else {
+                return false;
+            };
+            self.first = frame.into_data().ok();
+        }
+        true
     }
 }
 
@@ -110,6 +127,14 @@
     pub fn buffered(bytes: Bytes) -> Self {
         Self::Buffered(Full::new(bytes))
     }
+
+    /// Waits until the body has begun; returns whether it does. It may be cancelled.
+    pub async fn begin(&mut self) -> bool {
+        match self {
+            Self::Buffered(_) => true,
+            Self::Relayed(body) => body.begin().await,
+        }
+    }
 }
 
 impl Body for ResponseBody {
@@ -124,21 +149,24 @@
             Self::Buffered(body) => Pin::new(body)
                 .poll_frame(context)
                 .map_err(|never| match never {}),
-            Self::Relayed(body) => Pin::new(&mut body.channel).poll_frame(context),
+            Self::Relayed(body) => match body.first.take() {
+                Some(first) => Poll::Ready(Some(Ok(Frame::data(first)))),
+                None => Pin::new(&mut body.channel).poll_frame(context),
+            },
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(body) => body.is_end_stream(),
-            Self::Relayed(body) => body.channel.is_end_stream(),
+            Self::Relayed(body) => body.first.is_none() && body.channel.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(body) => body.size_hint(),
-            Self::Relayed(body) => body.channel.size_hint(),
+            Self::Relayed(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/gateway/src/buffers.rs
+++ b/crates/gateway/src/buffers.rs
@@ -31,14 +31,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct Buffers(Rc<Cell<usize>>);
 
-/// The bytes of one answer, which are given back when it has been read or given up.
-struct Reserved {
+/// The bytes of one answer, which are given back when this is dropped.
+#[derive(Debug)]
+pub struct Reserved {
     in_all: Rc<Cell<usize>>,
     bytes: usize,
 }
 
 impl Reserved {
-    fn add(&mut self, bytes: usize) -> Result<(), Failure> {
+    /// Adds bytes of the answer.
+    ///
+    /// # Errors
+    ///
+    /// When it would take more memory than it may.
+    pub fn add(&mut self, bytes: usize) -> Result<(), Failure> {
         let of_others = self.in_all.get() - self.bytes;
         let max = MAX_BYTES_IN_ALL.saturating_sub(of_others) / 2;
         if self.bytes + bytes > max {
@@ -57,16 +63,22 @@
 }
 
 impl Buffers {
+    /// Returns the bytes of an answer of which none has been read.
+    #[must_use]
+    pub fn reserve(&self) -> Reserved {
+        Reserved {
+            in_all: self.0.clone(),
+            bytes: 0,
+        }
+    }
+
     /// Reads a body whole.
     ///
     /// # Errors
     ///
     /// When it breaks off, or takes more memory than it may.
     pub async fn collect(&self, mut body: Incoming) -> Result<Bytes, Failure> {
-        let mut reserved = Reserved {
-            in_all: self.0.clone(),
-            bytes: 0,
-        };
+        let mut reserved = self.reserve();
         let mut whole = BytesMut::new();
         while let Some(frame) = body.frame().await {
             if let Ok(data) = frame?.into_data() {
--- a/crates/gateway/src/evidence.rs
+++ b/crates/gateway/src/evidence.rs
@@ -19,10 +19,9 @@
 use fescuerack_core::gateway::crash::report::End;
 use fescuerack_core::gateway::crash::{self, Crashed, Key, Mark, Observation};
 use fescuerack_core::gateway::load;
-use http_body_util::BodyExt as _;
 use hyper::StatusCode;
 
-use crate::attempt::{Job, OpenResponse};
+use crate::attempt::Job;
 use crate::clock::{age_ms, now};
 use crate::message::{self, HEAD_TIMEOUT};
 use crate::node::Node;
@@ -33,9 +32,6 @@
 use crate::trial::{Owner, Reason, Trial};
 use crate::verdict::Ended;
 
-/// Time within which the end of an answer that was kept unread is received, if there is one.
-const UNREAD_END_TIMEOUT: Duration = Duration::from_millis(20);
-
 /// A request waits for a permit for the time that it has left, divided by this, at most.
 const WAIT_DIVISOR: u32 = 4;
 
@@ -138,23 +134,6 @@
     node.suspects.called_back(&job.keys, has_permits).await;
 }
 
-/// Returns whether the server broke off an answer that was kept unread and is not needed.
-pub async fn is_broken_off(response: OpenResponse) -> bool {
-    let mut body = response.answered.response.into_body();
-    let read = async {
-        loop {
-            match body.frame().await {
-                Some(Ok(_)) => {}
-                Some(Err(_)) => return true,
-                None => return false,
-            }
-        }
-    };
-    let is_broken = tokio::time::timeout(UNREAD_END_TIMEOUT, read).await;
-    // Without an end in time, the server still writes.
-    is_broken.unwrap_or(false)
-}
-
 /// Receives encoded observations of a peer.
 ///
 /// # Errors
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -171,7 +171,7 @@
 
 /// Returns the permit to serve a request of a peer's caller, or why this node does not.
 fn admit(node: &Node, headers: &HeaderMap) -> Result<Permit, &'static str> {
-    if node.is_stopping.get() {
+    if node.is_stopping() {
         return Err("stopping");
     }
     if number(headers, &CONFIGURATION) > Some(configuration(node)) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,11 +21,12 @@
 //!
 //! Nodes send each other messages by [`message`].
 //!
-//! [`intake`] reads a request. [`request`] then makes one [`attempt`] after another, at servers
+//! [`intake`] reads a [`request`]. [`attempts`] then makes one [`attempt`] after another, at servers
 //! that [`pick`] selects from the [`eligible`] ones; servers with a [`server_limit`] get few
 //! requests, [leaving](server_leaving) ones and those that [rest](server_rest) none; servers state
 //! all three in their answers ([`statements`]). [`progress`] holds the state of the request,
-//! [`repeat`] decides whether it may be sent once more, [`verdict`] decides what happens to an answer, and [`relay`] forwards streams;
+//! [`repeat`] decides whether it may be sent once more, [`verdict`] decides what happens to an answer, [`fallback`] holds one of
+//! low confidence while a larger [`model`] is asked, and [`relay`] forwards streams;
 //! [`evidence`] records whether the request crashes servers, and [`outbox`] what peers are told of
 //! that. All of them share the HTTP client in
 //! [`upstream`]. [`server_capacity`] says what a server may get from this node now. When [`reach`]
@@ -36,6 +37,7 @@
 pub mod arrival;
 pub mod attempt;
 pub mod attempt_deadline;
+pub mod attempts;
 pub mod body;
 pub mod bootstrap;
 pub mod buffers;
@@ -48,6 +50,7 @@
 pub mod entry;
 pub mod events;
 pub mod evidence;
+pub mod fallback;
 pub mod fetch;
 pub mod follow;
 pub mod forward;
@@ -79,6 +82,7 @@
 pub mod publisher;
 pub mod reach;
 pub mod read;
+pub mod read_ahead;
 pub mod refusal;
 pub mod registration;
 pub mod relay;
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -116,8 +116,9 @@
 }
 
 async fn shut_down(node: &Node, phase: &watch::Sender<Phase>, requested_at: Instant) {
-    node.is_stopping.set(true);
     let grace_ms = node.settings.borrow().grace_ms;
+    let end = requested_at.plus_millis(grace_ms.saturating_sub(EXIT_MARGIN_MS));
+    node.exits_at.send_replace(Some(end));
     tracing::info!(
         event = "stopping",
         in_progress = node.metrics.in_progress.get(),
@@ -126,7 +127,6 @@
     phase.send_replace(Phase::Draining);
     tokio::time::sleep_until(deadline(requested_at.plus_millis(ACCEPT_AFTER_SIGNAL_MS))).await;
     phase.send_replace(Phase::Closing);
-    let end = requested_at.plus_millis(grace_ms.saturating_sub(EXIT_MARGIN_MS));
     // Each open connection holds a receiver; the listener has dropped the ones it held.
     // Requests of peers' callers have none.
     let is_serving = || phase.receiver_count() > 0 || node.forwarding.served.count() > 0;
@@ -225,7 +225,7 @@
         let node = node.clone();
         let path = path.clone();
         tokio::task::spawn_local(serve_plain(stream, move |request| {
-            let is_ready = node.is_ready() && !node.is_stopping.get();
+            let is_ready = node.is_ready() && !node.is_stopping();
             let status = match (request.uri().path() == path, is_ready) {
                 (false, _) => StatusCode::NOT_FOUND,
                 (true, true) => StatusCode::OK,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -152,8 +152,8 @@
     pub store_regained: Notify,
     /// Whether the [initial sync](crate::initial_sync) is over.
     pub has_synced: Cell<bool>,
-    /// Whether the process is stopping.
-    pub is_stopping: Cell<bool>,
+    /// When the process ends, once it is stopping.
+    pub exits_at: watch::Sender<Option<Instant>>,
     /// Metrics.
     pub metrics: Metrics,
     /// Random numbers for spreading load and calls. Decisions on which nodes must agree do not use
@@ -219,7 +219,7 @@
             store_answered: Cell::new(Instant::ORIGIN),
             store_regained: Notify::new(),
             has_synced: Cell::new(false),
-            is_stopping: Cell::new(false),
+            exits_at: watch::Sender::new(None),
             metrics,
             random: RefCell::new(random),
         })
@@ -241,6 +241,12 @@
         self.view.borrow().is_ready() && self.has_synced.get()
     }
 
+    /// Returns whether the process is stopping.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.exits_at.borrow().is_some()
+    }
+
     /// Milliseconds since the store last answered.
     #[must_use]
     pub fn store_age_ms(&self) -> u64 {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -4,12 +4,9 @@
 
 use fescuerack_core::clock::Instant;
 
-use crate::attempt::{Job, OpenResponse};
+use crate::attempt::Job;
 use crate::clock::now;
-
-/// The fallback answer is sent when the remaining time is the whole time of the request divided by
-/// this. The answer is complete by then, so only its bytes have to reach the caller.
-const FALLBACK_RESERVE_DIVISOR: u32 = 20;
+use crate::fallback::Fallback;
 
 /// The state of a request across its attempts.
 #[derive(Default)]
@@ -28,45 +25,20 @@
     pub model: Option<usize>,
     /// Whether no peer takes the request.
     pub has_no_peer: bool,
-    /// An answer of low confidence, kept until that of a larger model is received.
-    pub fallback: Option<Fallback>,
-}
-
-/// An answer that is sent to the caller if no better one is received in time.
-///
-/// Its body is not read meanwhile. The server continues to write it, and the bytes are buffered by
-/// the connection.
-pub struct Fallback {
-    /// The answer.
-    pub response: OpenResponse,
-    /// Index of the model that generated it.
-    pub model: usize,
-    /// When it is sent to the caller at the latest.
-    pub until: Instant,
+    /// Answers of low confidence that are held, the one of the largest model last.
+    pub held: Vec<Fallback>,
 }
 
-impl Fallback {
-    /// Keeps the answer of `model` to `job`.
+impl RequestProgress {
+    /// Returns until when an answer of a larger model is waited for, or any answer if none is held.
     #[must_use]
-    pub fn new(mut response: OpenResponse, model: usize, job: &Job) -> Self {
-        // Its outcome was counted when it was found to be of low confidence.
-        response.tracking_guard = None;
-        let rest = job.deadline.since(job.arrived) / FALLBACK_RESERVE_DIVISOR;
-        let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
-        Self {
-            response,
-            model,
-            until: job.deadline.minus_millis(rest_ms),
-        }
+    pub fn answer_until(&self, job: &Job) -> Instant {
+        self.held.last().map_or(job.deadline, Fallback::until)
     }
-}
 
-impl RequestProgress {
-    /// Returns whether the fallback answer is due.
+    /// Returns whether an answer that is held is due.
     #[must_use]
     pub fn is_fallback_due(&self) -> bool {
-        self.fallback
-            .as_ref()
-            .is_some_and(|fallback| now() >= fallback.until)
+        self.held.last().is_some_and(|held| now() >= held.until())
     }
 }
--- a/crates/gateway/src/registration.rs
+++ b/crates/gateway/src/registration.rs
@@ -148,7 +148,7 @@
             return;
         }
         era = node.store.era();
-        if node.is_stopping.get() {
+        if node.is_stopping() {
             std::future::pending::<()>().await;
         }
         match node.store.call(&StoreRequest::Renew { lease }).await {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -30,10 +30,8 @@
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::slowness::Timing;
 use fescuerack_core::gateway::stream_end::Prediction;
-use http_body_util::BodyExt as _;
 use http_body_util::channel::{Channel, Sender};
 use hyper::Response;
-use hyper::body::Incoming;
 
 use crate::attempt::{self, AttemptResult, ChosenModel, Job, NotRunReason, OpenResponse};
 use crate::body::{AbortReason, Relayed, ResponseBody};
@@ -44,6 +42,7 @@
 use crate::node::Node;
 use crate::pick::{self, Pick};
 use crate::reach;
+use crate::read_ahead::Body;
 use crate::repeat::{Permission, take_retry};
 use crate::rollout::AnswerOutcome;
 use crate::stream_progress::StreamProgress;
@@ -317,9 +316,10 @@
             in_flight,
             tracking_guard: _tracking_guard,
             pick,
+            ahead,
             ..
         } = response;
-        let mut body = answered.response.into_body();
+        let mut body = Body::new(ahead, answered.response.into_body());
         let mut is_proved = false;
         let mut has_begun = false;
         loop {
@@ -365,14 +365,14 @@
     }
 
     /// Waits for the next events of a server.
-    async fn next(&mut self, pick: &Pick, body: &mut Incoming) -> Next {
+    async fn next(&mut self, pick: &Pick, body: &mut Body) -> Next {
         next_events(&self.node, &self.job, pick, body, &mut self.splitter).await
     }
 
     /// Waits for the next events of the stalled server at `pick` while a hedged request to another
     /// server is in progress. Returns them, or the other server's response as an error if its head
     /// is received first.
-    async fn hedge(&mut self, pick: &Pick, body: &mut Incoming) -> Result<Next, Box<OpenResponse>> {
+    async fn hedge(&mut self, pick: &Pick, body: &mut Body) -> Result<Next, Box<OpenResponse>> {
         self.tried.push(pick.id.clone());
         let is_babbling = self.splitter.has_rest();
         tracing::info!(
@@ -617,12 +617,13 @@
     node: &Rc<Node>,
     job: &Job,
     pick: &Pick,
-    body: &mut Incoming,
+    body: &mut Body,
     splitter: &mut Splitter,
 ) -> Next {
     loop {
-        let frame = match body.frame().await {
-            Some(Ok(frame)) => frame,
+        let is_heard = !body.has_ahead();
+        let data = match body.next().await {
+            Some(Ok(data)) => data,
             Some(Err(error)) => return Next::Broken(AnswerOutcome::Broken, error.to_string()),
             None if splitter.is_partial() => {
                 let reason = "ended within an event".to_owned();
@@ -630,10 +631,9 @@
             }
             None => return Next::End(splitter.take_rest()),
         };
-        reach::hear(node, pick.identity);
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
+        if is_heard {
+            reach::hear(node, pick.identity);
+        }
         match splitter.push(&data) {
             Ok(events) if events.is_empty() => {}
             Ok(events) => return Next::Events(events),
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -19,11 +19,12 @@
 use crate::catalog::Kind;
 use crate::clock::{deadline, now};
 use crate::evidence;
+use crate::fallback::Fallback;
 use crate::headers;
 use crate::model;
 use crate::node::Node;
 use crate::pick::Pick;
-use crate::progress::{Fallback, RequestProgress};
+use crate::progress::RequestProgress;
 use crate::reach::{self, Held};
 use crate::refusal::Refusal;
 use crate::relay;
@@ -48,43 +49,87 @@
     progress: &mut RequestProgress,
     response: OpenResponse,
 ) -> Verdict {
-    let status = response.answered.response.status();
-    let permission = Permission::of_route(&job.route);
-    if let Some(rank) = progress.model
-        && status.is_success()
-        && let Some(next) = model::larger(node, job, service, rank, response.head.confidence)
-        && take_retry(permission, node, job, service, progress.sent, "weak")
+    let is_stream =
+        job.route.kind == Kind::Streaming && response.answered.response.status().is_success();
+    if !is_stream {
+        return buffer_answer(node, job, service, progress, response).await;
+    }
+    let model = progress.model;
+    if let Some(larger) = larger_model(node, job, service, progress, &response)
+        && escalate(node, job, service, progress, larger)
     {
-        node.metrics
-            .dropped_answers
-            .with_label_values(&[&*job.route.name])
-            .inc();
-        let ended = AnswerOutcome::Unread(Timing {
-            head_ms: response.head_ms,
-            expected_ms: response.expected_head_ms,
-            event_interval_ms: None,
-        });
-        record_end(node, job, &response.pick, progress.model, ended);
-        progress.fallback = Some(Fallback::new(response, rank, job));
-        progress.model = Some(next);
+        let ended = AnswerOutcome::Unread(timing(&response));
+        record_end(node, job, &response.pick, Some(larger.from), ended);
+        let fallback = Fallback::with_stream(node, job, larger.from, response);
+        progress.held.push(fallback);
         return Verdict::Retry;
     }
-    let is_stream = job.route.kind == Kind::Streaming && status.is_success();
-    if is_stream {
-        let model = progress.model;
-        return Verdict::Answer(relay::start(
-            node,
-            job,
-            service,
-            response,
-            model,
-            progress.sent,
-        ));
+    Verdict::Answer(relay::start(
+        node,
+        job,
+        service,
+        response,
+        model,
+        progress.sent,
+    ))
+}
+
+/// A larger model that is to be asked, since the answer of a smaller one is of low confidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Escalation {
+    /// Index of the model that has answered.
+    from: usize,
+    /// Index of the larger model.
+    to: usize,
+}
+
+/// Returns the larger model to ask if a successful answer is of low confidence.
+fn larger_model(
+    node: &Node,
+    job: &Job,
+    service: &Arc<str>,
+    progress: &RequestProgress,
+    response: &OpenResponse,
+) -> Option<Escalation> {
+    let from = progress.model?;
+    if !response.answered.response.status().is_success() {
+        return None;
     }
-    buffer_answer(node, job, service, progress, response).await
+    let to = model::larger(node, job, service, from, response.head.confidence)?;
+    Some(Escalation { from, to })
 }
 
-/// Buffers an answer that is not a stream, so that the request can be retried if it is truncated.
+/// Takes a further attempt for a larger model; returns whether it is allowed.
+fn escalate(
+    node: &Node,
+    job: &Job,
+    service: &Arc<str>,
+    progress: &mut RequestProgress,
+    escalation: Escalation,
+) -> bool {
+    let permission = Permission::of_route(&job.route);
+    if !take_retry(permission, node, job, service, progress.sent, "weak") {
+        return false;
+    }
+    node.metrics
+        .dropped_answers
+        .with_label_values(&[&*job.route.name])
+        .inc();
+    progress.model = Some(escalation.to);
+    true
+}
+
+/// Returns the timing of an answer whose events were not counted.
+const fn timing(response: &OpenResponse) -> Timing {
+    Timing {
+        head_ms: response.head_ms,
+        expected_ms: response.expected_head_ms,
+        event_interval_ms: None,
+    }
+}
+
+/// Buffers an answer that is not a stream, so that the request can be retried if it is truncated, and the
+/// answer can be held if it is of low confidence.
 async fn buffer_answer(
     node: &Rc<Node>,
     job: &Rc<Job>,
@@ -92,9 +137,10 @@
     progress: &mut RequestProgress,
     response: OpenResponse,
 ) -> Verdict {
-    let permission = Permission::of_route(&job.route);
+    let larger = larger_model(node, job, service, progress, &response);
+    let timing = timing(&response);
     let (mut head, body) = response.answered.response.into_parts();
-    let until = deadline(body_deadline(job, progress, &body));
+    let until = deadline(body_deadline(job, progress, &body, larger));
     let collected = node.buffers.collect(body);
     let collected = tokio::time::timeout_at(until, collected).await;
     let collected = collected.unwrap_or(Err(Failure::TooSlow));
@@ -106,34 +152,32 @@
         Err(Failure::TooSlow) => AnswerOutcome::TimedOut,
         Err(Failure::Broken(_)) => AnswerOutcome::Broken,
         Ok(_) if head.status.is_server_error() => AnswerOutcome::Failed,
-        Ok(_) => AnswerOutcome::Succeeded(Timing {
-            head_ms: response.head_ms,
-            expected_ms: response.expected_head_ms,
-            event_interval_ms: None,
-        }),
+        Ok(_) => AnswerOutcome::Succeeded(timing),
     };
     drop(response.in_flight);
     record_end(node, job, &response.pick, progress.model, ended);
+    let is_escalated = larger.is_some_and(|larger| escalate(node, job, service, progress, larger));
+    let server = response.pick.id;
     match collected {
         Ok(body) => {
             node.pool.keep(response.answered.connection);
-            if head.status.is_server_error()
-                && take_retry(permission, node, job, service, progress.sent, "error")
-            {
-                progress.tried.push(response.pick.id.clone());
+            headers::strip_hop_by_hop(&mut head.headers);
+            let answer = Response::from_parts(head, ResponseBody::buffered(body));
+            if let Some(larger) = larger.filter(|_| is_escalated) {
+                let fallback = Fallback::new(job, larger.from, server, answer);
+                progress.held.push(fallback);
                 return Verdict::Retry;
             }
-            // The caller gets the fallback answer instead of the failure of the larger model.
-            if head.status.is_server_error() && progress.fallback.is_some() {
-                return Verdict::Refuse(Refusal::OutcomeUnknown);
+            if answer.status().is_server_error() && repeat(node, job, service, progress, "error") {
+                progress.tried.push(server);
+                return Verdict::Retry;
             }
-            headers::strip_hop_by_hop(&mut head.headers);
-            Verdict::Answer(Response::from_parts(head, ResponseBody::buffered(body)))
+            Verdict::Answer(answer)
         }
         Err(error) => {
-            tracing::info!(event = "answer-broken", id = job.head.id, server = &*response.pick.id, reason = %error);
-            progress.tried.push(response.pick.id.clone());
-            if take_retry(permission, node, job, service, progress.sent, "broken") {
+            tracing::info!(event = "answer-broken", id = job.head.id, server = &*server, reason = %error);
+            progress.tried.push(server);
+            if is_escalated || repeat(node, job, service, progress, "broken") {
                 return Verdict::Retry;
             }
             Verdict::Refuse(Refusal::OutcomeUnknown)
@@ -141,12 +185,29 @@
     }
 }
 
-/// Returns until when a body is read. One without a length may have no end, so half of the time is kept for
-/// another attempt, if one may follow.
-fn body_deadline(job: &Job, progress: &RequestProgress, body: &Incoming) -> Instant {
-    let has_length = body.size_hint().exact().is_some();
+/// Takes another attempt after one that may have run the request; returns whether it is allowed.
+fn repeat(
+    node: &Node,
+    job: &Job,
+    service: &Arc<str>,
+    progress: &RequestProgress,
+    reason: &str,
+) -> bool {
+    let permission = Permission::of_route(&job.route);
+    take_retry(permission, node, job, service, progress.sent, reason)
+}
+
+/// Returns until when a body is read. One without a length may have no end, and one of low confidence holds up
+/// the larger model, so half of the time is kept for another attempt, if one may follow.
+fn body_deadline(
+    job: &Job,
+    progress: &RequestProgress,
+    body: &Incoming,
+    larger: Option<Escalation>,
+) -> Instant {
+    let may_wait = body.size_hint().exact().is_some() && larger.is_none();
     let is_last = progress.sent >= job.route.attempts;
-    if has_length || is_last || !job.route.is_repeatable() {
+    if may_wait || is_last || !job.route.is_repeatable() {
         return job.deadline;
     }
     now() + job.deadline.since(now()) / 2
