--- a/crates/gateway/src/fallback.rs
+++ b/crates/gateway/src/fallback.rs
@@ -218,7 +218,7 @@
     if held.is_empty() {
         return result;
     }
-    let missing = match check(node, until, result).await {
+    let missing = match begin(node, until, result).await {
         Ok(response) => {
             discard_all(node, job, held);
             return Ok(response);
@@ -242,7 +242,7 @@
 }
 
 /// Returns the response of the larger model if it is a success whose body begins before `until`.
-async fn check(
+async fn begin(
     node: &Node,
     until: Instant,
     result: Result<Response<ResponseBody>, Refusal>,
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -54,7 +54,6 @@
     if !is_stream {
         return buffer_answer(node, job, service, progress, response).await;
     }
-    let model = progress.model;
     if let Some(larger) = larger_model(node, job, service, progress, &response)
         && escalate(node, job, service, progress, larger)
     {
@@ -64,14 +63,8 @@
         progress.held.push(fallback);
         return Verdict::Retry;
     }
-    Verdict::Answer(relay::start(
-        node,
-        job,
-        service,
-        response,
-        model,
-        progress.sent,
-    ))
+    let (model, sent) = (progress.model, progress.sent);
+    Verdict::Answer(relay::start(node, job, service, response, model, sent))
 }
 
 /// A larger model that is to be asked, since the answer of a smaller one is of low confidence.
