--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -25,6 +25,10 @@
 mod disturbances;
 mod observations;
 mod plan;
+#[expect(
+    dead_code,
+    reason = "shared with the crowds, which add to the settings"
+)]
 mod process;
 mod proxy;
 mod statements;
--- a/crates/node/tests/soak/process.rs
+++ b/crates/node/tests/soak/process.rs
@@ -78,6 +78,13 @@
         }
     }
 
+    /// Adds `text` to the settings.
+    pub fn with_settings(self, text: &str) -> Self {
+        let settings = std::fs::read_to_string(&self.settings).expect("read the settings");
+        std::fs::write(&self.settings, settings + text).expect("write the settings");
+        self
+    }
+
     /// Sends the log to a pipe that nobody reads.
     pub fn with_unread_log(mut self) -> Self {
         self.log = None;
