A request's body is read into one buffer

Callers see a process that runs out of memory though the bodies that it reads have few bytes: clients that send chunks of one byte.

Cause: each chunk was kept as a piece of its own until the body was whole. A piece has its bookkeeping, and a small one keeps the whole read buffer of its connection from which it was cut; then the body was copied, and stood there twice. So what is held is not what was sent, and no sum of lengths would show it.

Change: pieces are copied into one buffer that doubles, to the announced length or the limit at most, and dropped.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 //! - [`wait`]: how long a request waits behind the load on its server;
 //! - [`shared_limit`]: which nodes may use a server that accepts few requests, and how often;
 //! - [`stated_limit`]: which servers have stated such a limit in their answers;
+//! - [`body_memory`]: how much memory the bodies of requests take, and who yields;
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`share`]: how much of the slack of all nodes one node may use for them;
 //! - [`standstill`]: from when on requests count that waited while the process stood still;
@@ -38,6 +39,7 @@
 //! - [`crash`]: which requests crash the backend servers that run them.
 
 pub mod affinity;
+pub mod body_memory;
 pub mod bootstrap;
 pub mod brittle;
 pub mod budget;
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity;
+use fescuerack_core::gateway::body_memory::next_capacity;
 use fescuerack_core::gateway::crash::{Key, MAX_KEYS};
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::BodyExt as _;
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use hyper::header::HOST;
 
 use crate::attempt::Job;
@@ -92,13 +93,9 @@
     until: Instant,
 ) -> Result<Job, Refusal> {
     let (parts, body) = request.into_parts();
-    let body = Limited::new(body, admitted.limits.body_bytes).collect();
+    let body = collect(body, admitted.limits.body_bytes);
     let body = match tokio::time::timeout_at(deadline(until), body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            return Err(Refusal::TooLarge);
-        }
-        Ok(Err(_)) => return Err(Refusal::IncompleteBody),
+        Ok(body) => body?,
         // The request was not sent to any server.
         Err(_) => return Err(Refusal::NotRun),
     };
@@ -139,6 +136,29 @@
     })
 }
 
+/// Reads a body of at most `max` bytes into one buffer. The pieces that it arrives in are not kept: each has
+/// its own bookkeeping, and keeps the buffer of its connection from which it was cut.
+async fn collect(mut body: Incoming, max: usize) -> Result<Bytes, Refusal> {
+    let length = body.size_hint().exact();
+    let length = length.and_then(|length| usize::try_from(length).ok());
+    let expected = length.map_or(max, |length| length.min(max));
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Refusal::IncompleteBody)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let needed = whole.len() + data.len();
+        if needed > max {
+            return Err(Refusal::TooLarge);
+        }
+        whole.reserve_exact(next_capacity(whole.capacity(), needed, expected) - whole.len());
+        whole.extend_from_slice(&data);
+    }
+    whole.shrink_to_fit();
+    Ok(Bytes::from(whole))
+}
+
 /// Returns by what crashes of servers under a request are added up: the whole request, and each of its
 /// blocks but the last, which no other request holds.
 fn keys(organisation: Option<&str>, path: &str, body: &Bytes, blocks: &[PrefixBlock]) -> Vec<Key> {
