The bodies of all requests together have a bound

Callers see a process that ends: a few hundred bodies of legal size take the memory of a small machine, above all if each stops just short of its end and stays until its deadline.

Cause: one body was bounded, all of them weren't, and nothing read the memory of the machine that the settings state.

Change: core::gateway::body_memory counts the capacity of each buffer from its first byte to the last attempt that sends it. A quarter of the memory is for bodies (more if operators allow large ones, half at most). When it is full, a body that has stopped for a second yields to any other, the longest stopped first, and its caller is told 503 at once; complete ones never yield; large ones get half of what is left, and the last quarter is for small ones. An announced length that doesn't fit is refused before it is read. 503 with Retry-After is true: nothing was sent to a server. A peer that has no memory lets another peer be asked. Outcome `memory`, log line `body-refused`, gauge fescuerack_body_bytes.

A body's limit is read anew for each piece, so a new configuration holds for bodies that are being read.

Tests of the decision in core, of a body that yields in platform/tests::bodies (the feature is new, so not run on the old code).

--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -2,6 +2,7 @@
 
 mod affinity;
 mod blame;
+mod body_memory;
 mod bootstrap;
 mod brittle;
 mod budget;
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,11 +1,12 @@
 //! Reading a caller's request: finds its route, checks its key and reads its body within limits.
 
+use std::rc::Rc;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity;
-use fescuerack_core::gateway::body_memory::next_capacity;
+use fescuerack_core::gateway::body_memory::Refused;
 use fescuerack_core::gateway::crash::{Key, MAX_KEYS};
 use http_body_util::BodyExt as _;
 use hyper::Request;
@@ -13,8 +14,9 @@
 use hyper::header::HOST;
 
 use crate::attempt::Job;
-use crate::catalog::{Catalog, Limits, Organisation, Route};
-use crate::clock::deadline;
+use crate::bodies::{Held, Reading};
+use crate::catalog::{Catalog, Organisation, Route};
+use crate::clock::{deadline, now};
 use crate::hop::Hop;
 use crate::node::Node;
 use crate::pick;
@@ -26,7 +28,6 @@
     /// Route.
     pub route: Arc<Route>,
     organisation: Option<Arc<Organisation>>,
-    limits: Limits,
 }
 
 /// Finds the route and the organisation of a request by its head.
@@ -59,7 +60,6 @@
     Ok(Admitted {
         route,
         organisation,
-        limits: catalog.limits,
     })
 }
 
@@ -83,8 +83,9 @@
 ///
 /// # Errors
 ///
-/// When the body is too large, truncated or incomplete at `until`.
+/// When the body is too large, truncated or incomplete at `until`, or there is no memory for it.
 pub async fn read_body(
+    node: &Node,
     request: Request<Incoming>,
     admitted: Admitted,
     head: RequestHead,
@@ -93,7 +94,8 @@
     until: Instant,
 ) -> Result<Job, Refusal> {
     let (parts, body) = request.into_parts();
-    let body = collect(body, admitted.limits.body_bytes);
+    let reading = node.bodies.begin(now());
+    let body = collect(node, body, reading, &head.id);
     let body = match tokio::time::timeout_at(deadline(until), body).await {
         Ok(body) => body?,
         // The request was not sent to any server.
@@ -118,7 +120,7 @@
         keys: keys(
             organisation.as_deref(),
             parts.uri.path(),
-            &body,
+            &body.bytes,
             &head.blocks,
         ),
         route: admitted.route,
@@ -129,34 +131,63 @@
         method: parts.method,
         target,
         headers: parts.headers,
-        body,
+        body: Rc::new(body),
         arrived,
         deadline: until,
         hop,
     })
 }
 
-/// Reads a body of at most `max` bytes into one buffer. The pieces that it arrives in are not kept: each has
-/// its own bookkeeping, and keeps the buffer of its connection from which it was cut.
-async fn collect(mut body: Incoming, max: usize) -> Result<Bytes, Refusal> {
+/// Reads a body into one buffer. The pieces that it arrives in are not kept: each has its own bookkeeping, and
+/// keeps the buffer of its connection from which it was cut.
+async fn collect(
+    node: &Node,
+    mut body: Incoming,
+    mut reading: Reading,
+    id: &str,
+) -> Result<Held, Refusal> {
     let length = body.size_hint().exact();
     let length = length.and_then(|length| usize::try_from(length).ok());
-    let expected = length.map_or(max, |length| length.min(max));
-    let mut whole = Vec::new();
-    while let Some(frame) = body.frame().await {
+    if let Some(length) = length {
+        let checked = reading.check(now(), length.min(node.limits().body_bytes));
+        checked.map_err(|reason| no_memory(id, &reading, reason))?;
+    }
+    loop {
+        let frame = tokio::select! {
+            biased;
+            () = reading.yielded() => return Err(no_memory(id, &reading, Refused::Yielded)),
+            frame = body.frame() => frame,
+        };
+        let Some(frame) = frame else {
+            break;
+        };
         let frame = frame.map_err(|_| Refusal::IncompleteBody)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let needed = whole.len() + data.len();
-        if needed > max {
+        // A new configuration may change the limit meanwhile.
+        let max = node.limits().body_bytes;
+        if reading.len() + data.len() > max {
             return Err(Refusal::TooLarge);
         }
-        whole.reserve_exact(next_capacity(whole.capacity(), needed, expected) - whole.len());
-        whole.extend_from_slice(&data);
+        let max = length.map_or(max, |length| length.min(max));
+        let appended = reading.append(now(), &data, max);
+        appended.map_err(|reason| no_memory(id, &reading, reason))?;
     }
-    whole.shrink_to_fit();
-    Ok(Bytes::from(whole))
+    let read = reading.len();
+    reading.complete(now()).map_err(|reason| {
+        log_no_memory(id, read, reason);
+        Refusal::NoMemory
+    })
+}
+
+fn no_memory(id: &str, reading: &Reading, reason: Refused) -> Refusal {
+    log_no_memory(id, reading.len(), reason);
+    Refusal::NoMemory
+}
+
+fn log_no_memory(id: &str, read: usize, reason: Refused) {
+    tracing::info!(event = "body-refused", id, read, %reason);
 }
 
 /// Returns by what crashes of servers under a request are added up: the whole request, and each of its
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,8 @@
 //!
 //! Nodes send each other messages by [`message`].
 //!
-//! [`intake`] reads a [`request`]. [`attempts`] then makes one [`attempt`] after another, at servers
+//! [`intake`] reads a [`request`], whose [body](bodies) counts in the memory of all; [`resources`] says how much
+//! that may be. [`attempts`] then makes one [`attempt`] after another, at servers
 //! that [`pick`] selects from the [`eligible`] ones; servers with a [`server_limit`] get few
 //! requests, [leaving](server_leaving) ones and those that [rest](server_rest) none; servers state
 //! all three in their answers ([`statements`]). [`progress`] holds the state of the request,
@@ -38,6 +39,7 @@
 pub mod attempt;
 pub mod attempt_deadline;
 pub mod attempts;
+pub mod bodies;
 pub mod body;
 pub mod bootstrap;
 pub mod buffers;
@@ -88,6 +90,7 @@
 pub mod relay;
 pub mod repeat;
 pub mod request;
+pub mod resources;
 pub mod rollout;
 pub mod routes;
 pub mod server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub large_item_seconds: Histogram,
     /// Requests in progress.
     pub in_progress: IntGauge,
+    /// Bytes that bodies of requests hold.
+    pub body_bytes: IntGauge,
     /// Revision up to which the store was followed.
     pub revision: IntGauge,
     /// Version of the active configuration.
@@ -259,6 +261,10 @@
                 &["path", "direction"],
             )?,
             in_progress: new.gauge("fescuerack_in_progress", "Requests in progress")?,
+            body_bytes: new.gauge(
+                "fescuerack_body_bytes",
+                "Bytes that bodies of requests hold",
+            )?,
             revision: new.gauge("fescuerack_revision", "Highest revision heard of")?,
             configuration: new.gauge("fescuerack_configuration", "Version of the configuration")?,
             unreadable: new.gauge(
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -24,7 +24,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::arrival::Arrivals;
+use crate::bodies::Bodies;
 use crate::buffers::Buffers;
+use crate::catalog::Limits;
 use crate::clock::{age_ms, now};
 use crate::engine_pools::EnginePools;
 use crate::forward::Forwarding;
@@ -35,6 +37,7 @@
 use crate::platform::Platform;
 use crate::publisher::Publisher;
 use crate::reach::Path;
+use crate::resources::Resources;
 use crate::rollout::TrackedAttempt;
 use crate::server_brittle::BrittleServers;
 use crate::server_limit::ServerLimits;
@@ -106,6 +109,8 @@
     pub peer_sessions: RefCell<Recent>,
     /// Path to the backend servers.
     pub path: Path,
+    /// Bodies of callers' requests.
+    pub bodies: Bodies,
     /// Memory of answers that are being read.
     pub buffers: Buffers,
     /// State of sending and serving requests through peers.
@@ -174,6 +179,8 @@
         let suspects = Rc::new(Shared::new(&settings.instance));
         let brittle = BrittleServers::new(&settings.instance, &settings.zone);
         let metrics = Metrics::new()?;
+        let resources = Resources::new(&settings, &Limits::default());
+        let bodies = Bodies::new(resources.body_bytes, metrics.body_bytes.clone());
         let messages = Client::new(pool.clone(), metrics.peer_bytes.clone());
         let trials = Trials::new(suspects.clone(), messages.clone());
         let limits = ServerLimits::new(&settings.instance, metrics.servers.clone());
@@ -196,6 +203,7 @@
             recent_sessions: RefCell::default(),
             peer_sessions: RefCell::default(),
             path: Path::default(),
+            bodies,
             buffers: Buffers::default(),
             forwarding: Forwarding::default(),
             load: Exchange::default(),
@@ -235,6 +243,20 @@
         share.observe(now(), view.nodes.len(), is_confirmed);
     }
 
+    /// Returns the limits on callers' requests that are in force.
+    #[must_use]
+    pub fn limits(&self) -> Limits {
+        let view = self.view.borrow();
+        let catalog = view.catalog.as_ref();
+        catalog.map_or_else(Limits::default, |catalog| catalog.limits)
+    }
+
+    /// Applies what this node may hold, by its settings and the operators' limits.
+    pub fn update_resources(&self) {
+        let resources = Resources::new(&self.settings.borrow(), &self.limits());
+        self.bodies.set_max(resources.body_bytes);
+    }
+
     /// Whether requests can be routed by what this node knows.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -137,6 +137,7 @@
             tracing::info!(event = "servers-not-back", count = dropped);
         }
         node.observe_members();
+        node.update_resources();
         statements::sweep(&node, now());
         update_server_gauges(&node);
         node.snapshots.sweep(now());
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -41,6 +41,8 @@
     TooLarge,
     /// The body was truncated, or the request was malformed.
     IncompleteBody,
+    /// The request was not run and will not be; this node has no memory for its body now.
+    NoMemory,
     /// The request was not run and will not be; no server can take it now.
     NotRun,
     /// The request was not run and will not be; no server accepts one before the given time.
@@ -63,9 +65,12 @@
     #[must_use]
     pub const fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NotRun | Self::NotBefore(_) | Self::Unreached | Self::Full => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::NoMemory
+            | Self::NotRun
+            | Self::NotBefore(_)
+            | Self::Unreached
+            | Self::Full => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -84,6 +89,7 @@
             Self::UnknownKey => "no-key",
             Self::TooLarge => "too-large",
             Self::IncompleteBody => "no-body",
+            Self::NoMemory => "memory",
             Self::NotRun | Self::NotBefore(_) => "not-run",
             Self::Unreached => "unreached",
             Self::Full => "full",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -56,7 +56,7 @@
             if let Some(timeout_ms) = admitted.route.timeout_ms {
                 deadline = deadline.min(arrived.plus_millis(timeout_ms));
             }
-            match intake::read_body(request, admitted, head, hop, arrived, deadline).await {
+            match intake::read_body(&node, request, admitted, head, hop, arrived, deadline).await {
                 Ok(job) => route(&node, Rc::new(job)).await,
                 Err(refusal) => Err(refusal),
             }
@@ -92,7 +92,8 @@
     let spread = node.random.borrow_mut().random::<f64>();
     let not_taken = match &result {
         Err(Refusal::Unreached) => Some(NotTaken("cut")),
-        Err(Refusal::Full) => Some(NotTaken(hop::FULL)),
+        // Another peer may have room.
+        Err(Refusal::Full | Refusal::NoMemory) => Some(NotTaken(hop::FULL)),
         _ => None,
     };
     let path_lost = match &result {
--- /dev/null
+++ b/crates/gateway/src/resources.rs
@@ -0,0 +1,37 @@
+//! What a node may hold for its callers, by the size of its machine.
+
+use crate::catalog::Limits;
+use crate::settings::Settings;
+
+/// Memory in bytes of a machine whose settings do not state it.
+const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
+/// Share of the memory for the bodies of requests, as a divisor.
+const BODY_SHARE_DIVISOR: usize = 4;
+/// The same for operators who allow large bodies.
+const MAX_BODY_SHARE_DIVISOR: usize = 2;
+/// Number of bodies of the largest size that fit at least, of which one may always be read beside small
+/// ones.
+const MIN_LARGEST_BODIES: usize = 3;
+
+/// What a node may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Resources {
+    /// Bytes of the bodies of all requests.
+    pub body_bytes: usize,
+}
+
+impl Resources {
+    /// Derives them from the settings of a node and the operators' limits.
+    #[must_use]
+    pub fn new(settings: &Settings, limits: &Limits) -> Self {
+        let memory = match settings.memory_bytes {
+            0 => DEFAULT_MEMORY_BYTES,
+            bytes => bytes,
+        };
+        let largest = limits.body_bytes.saturating_mul(MIN_LARGEST_BODIES);
+        let body_bytes = largest
+            .min(memory / MAX_BODY_SHARE_DIVISOR)
+            .max(memory / BODY_SHARE_DIVISOR);
+        Self { body_bytes }
+    }
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -14,6 +14,8 @@
     pub zone: String,
     /// Bandwidth of the instance's link in megabits a second; zero if unknown.
     pub link_mbps: u32,
+    /// Memory of the instance in bytes; zero if unknown.
+    pub memory_bytes: usize,
     /// Region by availability zone.
     pub regions: HashMap<String, String>,
     /// Address on which the node listens for callers.
