--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -141,7 +141,7 @@
                 return Some(Ok(self.relay(answered)));
             }
             let (head, body) = answered.response.into_parts();
-            match self.node.buffers.collect(body).await {
+            match self.node.buffers.collect(body, self.job.deadline).await {
                 Ok(body) => {
                     self.node.pool.keep(answered.connection);
                     let body = ResponseBody::buffered(body);
--- a/crates/gateway/src/head_limit.rs
+++ b/crates/gateway/src/head_limit.rs
@@ -16,7 +16,7 @@
 use crate::clock::now;
 
 /// Maximum size in bytes of a head with its interim responses, and of what is read together with it.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Milliseconds after the first byte of a head after which a further read finds it too slow. A lost
 /// packet is sent again within half a second.
 const MAX_HEAD_MS: u64 = 1_000;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -204,7 +204,7 @@
             peer_sessions: RefCell::default(),
             path: Path::default(),
             bodies,
-            buffers: Buffers::default(),
+            buffers: Buffers::new(resources.answer_bytes),
             forwarding: Forwarding::default(),
             load: Exchange::default(),
             pools: EnginePools::default(),
@@ -255,6 +255,7 @@
     pub fn update_resources(&self) {
         let resources = Resources::new(&self.settings.borrow(), &self.limits());
         self.bodies.set_max(resources.body_bytes);
+        self.buffers.set_max(resources.answer_bytes);
     }
 
     /// Whether requests can be routed by what this node knows.
--- a/crates/gateway/src/read_ahead.rs
+++ b/crates/gateway/src/read_ahead.rs
@@ -8,6 +8,9 @@
 
 use crate::buffers::{Buffers, Reserved};
 
+/// Size in bytes of the bookkeeping of a piece, with that of the allocator.
+const FRAME_BYTES: usize = 64;
+
 /// What has been read of a body ahead.
 #[derive(Debug, Default)]
 pub struct ReadAhead {
@@ -36,7 +39,9 @@
             match next_data(body).await {
                 Some(Ok(data)) => {
                     let reserved = self.reserved.get_or_insert_with(|| buffers.reserve());
-                    let is_full = reserved.add(data.len()).is_err();
+                    // What was read may be a small part of a large buffer, which it would keep.
+                    let data = Bytes::copy_from_slice(&data);
+                    let is_full = reserved.add(data.len() + FRAME_BYTES).is_err();
                     self.frames.push_back(data);
                     if is_full {
                         return;
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -12,12 +12,18 @@
 /// Number of bodies of the largest size that fit at least, of which one may always be read beside small
 /// ones.
 const MIN_LARGEST_BODIES: usize = 3;
+/// Bytes of answers that a node holds at most, however large its machine.
+const MAX_ANSWER_BYTES: usize = 32 << 20;
+/// Share of the memory for answers, as a divisor.
+const ANSWER_SHARE_DIVISOR: usize = 8;
 
 /// What a node may hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resources {
     /// Bytes of the bodies of all requests.
     pub body_bytes: usize,
+    /// Bytes of all answers that are read whole before they are sent.
+    pub answer_bytes: usize,
 }
 
 impl Resources {
@@ -32,6 +38,9 @@
         let body_bytes = largest
             .min(memory / MAX_BODY_SHARE_DIVISOR)
             .max(memory / BODY_SHARE_DIVISOR);
-        Self { body_bytes }
+        Self {
+            body_bytes,
+            answer_bytes: MAX_ANSWER_BYTES.min(memory / ANSWER_SHARE_DIVISOR),
+        }
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -244,7 +244,10 @@
         let stream = net::connect(address).await?;
         let head_limit = HeadLimit::default();
         let stream = head_limit::Limited::new(stream, head_limit.clone());
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(head_limit::MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await?;
         self.opened.set(self.opened.get() + 1);
         tokio::task::spawn_local(async move {
             if let Err(error) = driver.await {
--- a/crates/gateway/src/verdict.rs
+++ b/crates/gateway/src/verdict.rs
@@ -17,7 +17,7 @@
 use crate::body::ResponseBody;
 use crate::buffers::Failure;
 use crate::catalog::Kind;
-use crate::clock::{deadline, now};
+use crate::clock::now;
 use crate::evidence;
 use crate::fallback::Fallback;
 use crate::headers;
@@ -133,15 +133,14 @@
     let larger = larger_model(node, job, service, progress, &response);
     let timing = timing(&response);
     let (mut head, body) = response.answered.response.into_parts();
-    let until = deadline(body_deadline(job, progress, &body, larger));
-    let collected = node.buffers.collect(body);
-    let collected = tokio::time::timeout_at(until, collected).await;
-    let collected = collected.unwrap_or(Err(Failure::TooSlow));
+    let until = body_deadline(job, progress, &body, larger);
+    let collected = node.buffers.collect(body, until).await;
     let ended = match &collected {
         Err(Failure::TooLong(_)) => {
             attempt::record_endless(node, job, &response.pick, "body");
             AnswerOutcome::Failed
         }
+        Err(Failure::NoMemory) => AnswerOutcome::Unread(timing),
         Err(Failure::TooSlow) => AnswerOutcome::TimedOut,
         Err(Failure::Broken(_)) => AnswerOutcome::Broken,
         Ok(_) if head.status.is_server_error() => AnswerOutcome::Failed,
@@ -170,7 +169,9 @@
         Err(error) => {
             tracing::info!(event = "answer-broken", id = job.head.id, server = &*server, reason = %error);
             progress.tried.push(server);
-            if is_escalated || repeat(node, job, service, progress, "broken") {
+            // At another server, too, there would be no memory for it.
+            let is_lost = matches!(error, Failure::NoMemory);
+            if is_escalated || !is_lost && repeat(node, job, service, progress, "broken") {
                 return Verdict::Retry;
             }
             Verdict::Refuse(Refusal::OutcomeUnknown)
