Bodies get an eighth of the memory, not a quarter

An eighth is 15 MB on a machine of 120 MB, some hundred prompts of ordinary size for each of the few requests a second that it serves; three bodies of the largest size always fit, up to half of the memory.

--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -6,7 +6,7 @@
 /// Memory in bytes of a machine whose settings do not state it.
 const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
 /// Share of the memory for the bodies of requests, as a divisor.
-const BODY_SHARE_DIVISOR: usize = 4;
+const BODY_SHARE_DIVISOR: usize = 8;
 /// The same for operators who allow large bodies.
 const MAX_BODY_SHARE_DIVISOR: usize = 2;
 /// Number of bodies of the largest size that fit at least, of which one may always be read beside small
