Connections of callers have a maximum, and one that waits gives way

Callers wait for seconds or fail, and servers, peers, the store and readiness get no descriptor, when clients open connections and send nothing or half a head.

Cause: nothing bounded the connections at the callers' address; `max_fds` of the settings was not read. A connection without a request stays for `idle_timeout_ms` and the time for a head.

Beyond that, a new connection takes the place of the one that has waited for a request for longest: callers may send again what was not read. If all others have requests in progress, the new one is told 503 with Retry-After, unread, and 32 at a time are kept open for that. Gauge, counter by reason, a line for each. The decision is core::gateway::connections.

--- a/crates/core/src/gateway/mod.rs
+++ b/crates/core/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 //! - [`shared_limit`]: which nodes may use a server that accepts few requests, and how often;
 //! - [`stated_limit`]: which servers have stated such a limit in their answers;
 //! - [`body_memory`]: how much memory the bodies of requests take, and who yields;
+//! - [`connections`]: which connections of callers stay open;
 //! - [`budget`]: how many further attempts one node may make;
 //! - [`share`]: how much of the slack of all nodes one node may use for them;
 //! - [`standstill`]: from when on requests count that waited while the process stood still;
@@ -44,6 +45,7 @@
 pub mod brittle;
 pub mod budget;
 pub mod canary;
+pub mod connections;
 pub mod crash;
 pub mod demand;
 pub mod duty;
--- a/crates/core/tests/all/gateway/mod.rs
+++ b/crates/core/tests/all/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod brittle;
 mod budget;
 mod canary;
+mod connections;
 mod crash;
 mod crash_fleet;
 mod duty;
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -171,25 +171,25 @@
     }
 }
 
-/// A body that holds a permit until it has been sent or dropped.
+/// A body that holds a `Guard` until it has been sent or dropped.
 #[derive(Debug)]
-pub struct Permitted {
+pub struct Guarded<Guard> {
     body: ResponseBody,
-    _permit: Option<Permit>,
+    _guard: Guard,
 }
 
-impl Permitted {
-    /// Creates a body that holds `permit`.
+impl<Guard> Guarded<Guard> {
+    /// Creates a body that holds `guard`.
     #[must_use]
-    pub const fn new(body: ResponseBody, permit: Option<Permit>) -> Self {
+    pub const fn new(body: ResponseBody, guard: Guard) -> Self {
         Self {
             body,
-            _permit: permit,
+            _guard: guard,
         }
     }
 }
 
-impl Body for Permitted {
+impl<Guard: Unpin> Body for Guarded<Guard> {
     type Data = Bytes;
     type Error = AbortReason;
 
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -14,7 +14,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use crate::attempt::Job;
-use crate::body::{Permitted, ResponseBody};
+use crate::body::{Guarded, ResponseBody};
 use crate::headers;
 use crate::node::Node;
 use crate::permits::Permit;
@@ -140,6 +140,9 @@
 /// Reason of a node that has too many requests, but may take one soon.
 pub const FULL: &str = "full";
 
+/// The body of an answer, with the permit to serve its request.
+pub type Permitted = Guarded<Option<Permit>>;
+
 /// Serves a request of a peer's caller.
 pub async fn serve(node: Rc<Node>, request: Request<Incoming>) -> Response<Permitted> {
     let permit = match admit(&node, request.headers()) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! runs on a [`Platform`](platform::Platform), whose names and formats an adapter supplies.
 //! [`process`] starts the tasks of a [`node`]:
 //!
-//! - [`listeners`] accepts connections of callers and peers; [`caller_connection`] is one of a caller, and
+//! - [`listeners`] accepts connections of callers and peers; [`caller_connection`] is one of a caller, of which there may be so many ([`connections`]), and
 //!   [`lingering`] its end while the caller is still sending.
 //! - [`bootstrap`] gets the state of the store at the start, as a [`snapshot`] from a peer or by a
 //!   full [`read`].
@@ -47,6 +47,7 @@
 pub mod caller_connection;
 pub mod catalog;
 pub mod clock;
+pub mod connections;
 pub mod delta;
 pub mod delta_codec;
 pub mod eligible;
--- a/crates/gateway/src/listeners.rs
+++ b/crates/gateway/src/listeners.rs
@@ -18,8 +18,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::body::{Paced, Permitted};
+use crate::body::Paced;
+use crate::caller_connection::MAX_REFUSING;
 use crate::clock::{deadline, now};
+use crate::connections::Opened;
+use crate::hop::Permitted;
 use crate::net;
 use crate::node::Node;
 use crate::{caller_connection, hop, lingering, load_report, peer};
@@ -165,8 +168,7 @@
     let accepting = async {
         loop {
             let stream = accept(&listener).await;
-            let serving = caller_connection::serve(stream, node.clone(), phases.clone());
-            tokio::task::spawn_local(serving);
+            open_caller(stream, &node, &phases);
         }
     };
     let closed = async {
@@ -182,6 +184,32 @@
     drop(closing);
 }
 
+/// Serves a new connection of a caller, in place of another one if there are too many, or refuses it.
+fn open_caller(stream: TcpStream, node: &Rc<Node>, phases: &watch::Receiver<Phase>) {
+    let count = |reason| {
+        let closed = &node.metrics.caller_connections_closed;
+        closed.with_label_values(&[reason]).inc();
+    };
+    let place = match node.connections.open() {
+        Opened::Free(place) => place,
+        Opened::Replaces(place) => {
+            count("replaced");
+            tracing::info!(event = "caller-connection-replaced");
+            place
+        }
+        Opened::Refused => {
+            count("refused");
+            tracing::warn!(event = "caller-connection-refused");
+            if let Some(permit) = node.refusing.try_acquire(MAX_REFUSING) {
+                tokio::task::spawn_local(caller_connection::refuse(stream, permit));
+            }
+            return;
+        }
+    };
+    let serving = caller_connection::serve(stream, node.clone(), place, phases.clone());
+    tokio::task::spawn_local(serving);
+}
+
 async fn serve_readiness(listener: TcpListener, node: Rc<Node>) {
     let path = node.settings.borrow().readiness_path.clone();
     loop {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,10 @@
     pub large_item_seconds: Histogram,
     /// Requests in progress.
     pub in_progress: IntGauge,
+    /// Connections of callers that are open.
+    pub caller_connections: IntGauge,
+    /// Connections of callers that were closed since there were too many, by reason.
+    pub caller_connections_closed: IntCounterVec,
     /// Bytes that bodies of requests hold.
     pub body_bytes: IntGauge,
     /// Revision up to which the store was followed.
@@ -261,6 +265,15 @@
                 &["path", "direction"],
             )?,
             in_progress: new.gauge("fescuerack_in_progress", "Requests in progress")?,
+            caller_connections: new.gauge(
+                "fescuerack_caller_connections",
+                "Connections of callers that are open",
+            )?,
+            caller_connections_closed: new.counter(
+                "fescuerack_caller_connections_closed_total",
+                "Connections of callers closed since there were too many",
+                &["reason"],
+            )?,
             body_bytes: new.gauge(
                 "fescuerack_body_bytes",
                 "Bytes that bodies of requests hold",
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -28,12 +28,14 @@
 use crate::buffers::Buffers;
 use crate::catalog::Limits;
 use crate::clock::{age_ms, now};
+use crate::connections::Connections;
 use crate::engine_pools::EnginePools;
 use crate::forward::Forwarding;
 use crate::load_exchange::Exchange;
 use crate::message::Client;
 use crate::metrics::Metrics;
 use crate::outbox::Outbox;
+use crate::permits::Permits;
 use crate::platform::Platform;
 use crate::publisher::Publisher;
 use crate::reach::Path;
@@ -109,6 +111,10 @@
     pub peer_sessions: RefCell<Recent>,
     /// Path to the backend servers.
     pub path: Path,
+    /// Connections of callers.
+    pub connections: Connections,
+    /// Connections of callers that are being refused.
+    pub refusing: Permits,
     /// Bodies of callers' requests.
     pub bodies: Bodies,
     /// Memory of answers that are being read.
@@ -181,6 +187,8 @@
         let metrics = Metrics::new()?;
         let resources = Resources::new(&settings, &Limits::default());
         let bodies = Bodies::new(resources.body_bytes, metrics.body_bytes.clone());
+        let open = metrics.caller_connections.clone();
+        let connections = Connections::new(resources.connections, open);
         let messages = Client::new(pool.clone(), metrics.peer_bytes.clone());
         let trials = Trials::new(suspects.clone(), messages.clone());
         let limits = ServerLimits::new(&settings.instance, metrics.servers.clone());
@@ -203,6 +211,8 @@
             recent_sessions: RefCell::default(),
             peer_sessions: RefCell::default(),
             path: Path::default(),
+            connections,
+            refusing: Permits::default(),
             bodies,
             buffers: Buffers::new(resources.answer_bytes),
             forwarding: Forwarding::default(),
@@ -254,6 +264,7 @@
     /// Applies what this node may hold, by its settings and the operators' limits.
     pub fn update_resources(&self) {
         let resources = Resources::new(&self.settings.borrow(), &self.limits());
+        self.connections.set_max(resources.connections);
         self.bodies.set_max(resources.body_bytes);
         self.buffers.set_max(resources.answer_bytes);
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -16,6 +16,8 @@
     pub link_mbps: u32,
     /// Memory of the instance in bytes; zero if unknown.
     pub memory_bytes: usize,
+    /// Descriptors that the process may open; zero if unknown.
+    pub descriptors: usize,
     /// Region by availability zone.
     pub regions: HashMap<String, String>,
     /// Address on which the node listens for callers.
