A body that stops is given up after the idle time-out

Callers that send no further byte keep their body, its memory and a connection until the deadline that they state themselves, or a minute.

Cause: nothing looked at progress while a body was read.

Change: no byte for `idle_timeout_ms` of the operators' configuration, the time for which a connection may stay idle, ends it with 408, which promises that the request hasn't run; `Connection: close`, outcome `stalled`, a line `body-refused`. Callers inside the limits do not stop for that long. A body that goes on slowly is bounded by its deadline, and yields its memory when it is needed.

--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
@@ -83,7 +84,8 @@
 ///
 /// # Errors
 ///
-/// When the body is too large, truncated or incomplete at `until`, or there is no memory for it.
+/// When the body is too large, truncated or incomplete at `until`, has stopped for as long as a connection may
+/// stay idle, or there is no memory for it.
 pub async fn read_body(
     node: &Node,
     request: Request<Incoming>,
@@ -156,11 +158,13 @@
         checked.map_err(|reason| no_memory(id, &reading, reason))?;
     }
     loop {
+        let idle = Duration::from_millis(node.limits().idle_ms);
         let frame = tokio::select! {
             biased;
             () = reading.yielded() => return Err(no_memory(id, &reading, Refused::Yielded)),
-            frame = body.frame() => frame,
+            frame = tokio::time::timeout(idle, body.frame()) => frame,
         };
+        let frame = frame.map_err(|_| stalled(id, &reading))?;
         let Some(frame) = frame else {
             break;
         };
@@ -184,6 +188,16 @@
     })
 }
 
+fn stalled(id: &str, reading: &Reading) -> Refusal {
+    tracing::info!(
+        event = "body-refused",
+        id,
+        read = reading.len(),
+        reason = "stalled"
+    );
+    Refusal::Stalled
+}
+
 fn no_memory(id: &str, reading: &Reading, reason: Refused) -> Refusal {
     log_no_memory(id, reading.len(), reason);
     Refusal::NoMemory
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -41,6 +41,8 @@
     TooLarge,
     /// The body was truncated, or the request was malformed.
     IncompleteBody,
+    /// The request was not run and will not be; its body stopped for as long as a connection may stay idle.
+    Stalled,
     /// The request was not run and will not be; this node has no memory for its body now.
     NoMemory,
     /// The request was not run and will not be; no server can take it now.
@@ -71,6 +73,7 @@
             | Self::NotBefore(_)
             | Self::Unreached
             | Self::Full => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Stalled => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -89,6 +92,7 @@
             Self::UnknownKey => "no-key",
             Self::TooLarge => "too-large",
             Self::IncompleteBody => "no-body",
+            Self::Stalled => "stalled",
             Self::NoMemory => "memory",
             Self::NotRun | Self::NotBefore(_) => "not-run",
             Self::Unreached => "unreached",
