Own door: the bodies of all requests have a bound, too

Callers of the program's own door met the same faults: bodies of legal size that together take the memory of a small machine, chunks that take more than their bytes, and a length over the limit that is read up to the limit first.

Cause: as at the gateway; `request::body` bounded one body, kept its chunks and copied them. It stood twice, so it was wrong twice.

Change: `gateway::bodies` reads bodies at both doors: one buffer, one sum, one place where a length, the limit, progress and the memory are looked at. Its bytes own their memory, so a body counts until the last attempt, or the last queue that holds it, drops it. At the own door `limits.body_memory_bytes`, 32 MB; a body without memory is refused with 429, "not run", counter callers.no_body_memory and a line. What the system keeps unread is 64 KB a connection there as well.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,7 +11,6 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Method, Request, StatusCode, Uri};
 
-use crate::bodies::Held as HeldBody;
 use crate::catalog::{Kind, Route};
 use crate::clock::{deadline, now};
 use crate::evidence;
@@ -48,7 +47,7 @@
     /// Headers of the caller. Hop-by-hop headers are removed for each attempt.
     pub headers: HeaderMap,
     /// Whole body, which each attempt sends.
-    pub body: Rc<HeldBody>,
+    pub body: Bytes,
     /// When its head was received.
     pub arrived: Instant,
     /// When the answer must have been sent.
@@ -342,7 +341,7 @@
         model,
         last_event,
     };
-    let mut request = Request::new(Full::new(job.body.bytes.clone()));
+    let mut request = Request::new(Full::new(job.body.clone()));
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.target.clone();
     *request.headers_mut() = job.headers.clone();
--- a/crates/gateway/src/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -4,188 +4,279 @@
 //! arrives in are copied and dropped: a piece of one byte would keep the whole buffer of its connection,
 //! and its own bookkeeping takes many times its size.
 
-use std::cell::RefCell;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::body_memory::{BodyMemory, Key, Refused, next_capacity};
-use prometheus::IntGauge;
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Incoming};
 use slotmap::SecondaryMap;
 use tokio::sync::Notify;
 
+/// How a body may be read.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Maximum size in bytes.
+    pub bytes: usize,
+    /// Time in which a part of it must arrive.
+    pub idle: Duration,
+}
+
+/// Why a body is not read to its end. Nothing of it has been sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Reason {
+    /// It is larger than it may be.
+    #[error("the body has more than {0} bytes")]
+    TooLarge(usize),
+    /// It broke off, or its framing is wrong.
+    #[error("the body broke off")]
+    Incomplete,
+    /// Nothing of it arrived for too long.
+    #[error("the body has stopped")]
+    Stalled,
+    /// There is no memory for it.
+    #[error(transparent)]
+    NoMemory(#[from] Refused),
+}
+
+/// A body that was not read to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Bytes that had been read.
+    pub read: usize,
+    /// Why.
+    pub reason: Reason,
+}
+
 /// The bodies of a node.
 #[derive(Clone, Debug)]
-pub struct Bodies(Rc<Shared>);
+pub struct Bodies(Arc<Mutex<Inner>>);
 
 #[derive(Debug)]
-struct Shared {
-    memory: RefCell<BodyMemory>,
-    buffers: RefCell<SecondaryMap<Key, Buffer>>,
-    held: IntGauge,
+struct Inner {
+    memory: BodyMemory,
+    /// Those that are being read.
+    buffers: SecondaryMap<Key, Buffer>,
 }
 
 /// The buffer of a body that is being read.
 #[derive(Debug, Default)]
 struct Buffer {
     bytes: Vec<u8>,
-    yielded: Rc<Notify>,
+    yielded: Arc<Notify>,
 }
 
 impl Bodies {
-    /// Creates an empty set of bodies that may hold `max` bytes in all, shown in the gauge `held`.
+    /// Creates an empty set of bodies that may hold `max` bytes in all.
     #[must_use]
-    pub fn new(max: usize, held: IntGauge) -> Self {
-        Self(Rc::new(Shared {
-            memory: RefCell::new(BodyMemory::new(max)),
-            buffers: RefCell::default(),
-            held,
-        }))
+    pub fn new(max: usize) -> Self {
+        Self(Arc::new(Mutex::new(Inner {
+            memory: BodyMemory::new(max),
+            buffers: SecondaryMap::new(),
+        })))
     }
 
     /// Sets how many bytes all bodies may hold.
     pub fn set_max(&self, max: usize) {
-        self.0.memory.borrow_mut().set_max(max);
+        self.lock().memory.set_max(max);
     }
 
-    /// Begins a body of which nothing has been read.
+    /// Returns the bytes that all bodies hold.
     #[must_use]
-    pub fn begin(&self, now: Instant) -> Reading {
-        let key = self.0.memory.borrow_mut().begin(now);
+    pub fn held(&self) -> usize {
+        self.lock().memory.held()
+    }
+
+    /// Begins a body of which nothing has been read.
+    fn begin(&self, now: Instant) -> Reading {
         let buffer = Buffer::default();
         let yielded = buffer.yielded.clone();
-        self.0.buffers.borrow_mut().insert(key, buffer);
+        let mut inner = self.lock();
+        let key = inner.memory.begin(now);
+        inner.buffers.insert(key, buffer);
+        drop(inner);
         Reading {
             counted: Counted {
-                shared: self.0.clone(),
+                bodies: self.clone(),
                 key,
             },
             yielded,
         }
     }
+
+    /// Reads a body into one buffer, within `limits`, which may change meanwhile. The pieces that it arrives in
+    /// are not kept: each has its own bookkeeping, and keeps the buffer of its connection from which it was cut.
+    ///
+    /// # Errors
+    ///
+    /// When it is not read to its end.
+    pub async fn collect(
+        &self,
+        body: Incoming,
+        now: impl Fn() -> Instant,
+        limits: impl Fn() -> Limits,
+    ) -> Result<Bytes, Failure> {
+        let mut reading = self.begin(now());
+        let result = reading.fill(body, &now, &limits).await;
+        let read = reading.len();
+        let whole = result.and_then(|()| Ok(reading.complete(now())?));
+        whole.map_err(|reason| Failure { read, reason })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
-impl Shared {
+impl Inner {
     /// Makes a body hold `bytes`, and frees the memory of those that yield to it.
-    fn resize(&self, now: Instant, key: Key, bytes: usize) -> Result<(), Refused> {
-        let yielding = self.memory.borrow_mut().resize(now, key, bytes)?;
-        let mut buffers = self.buffers.borrow_mut();
-        for yielding in yielding {
-            if let Some(buffer) = buffers.remove(yielding) {
+    fn resize(&mut self, now: Instant, key: Key, bytes: usize) -> Result<(), Refused> {
+        for yielding in self.memory.resize(now, key, bytes)? {
+            if let Some(buffer) = self.buffers.remove(yielding) {
                 buffer.yielded.notify_one();
             }
         }
-        self.update_gauge();
         Ok(())
     }
-
-    fn update_gauge(&self) {
-        let held = self.memory.borrow().held();
-        self.held.set(i64::try_from(held).unwrap_or(i64::MAX));
-    }
 }
 
 /// Counts a body until this is dropped.
 #[derive(Debug)]
 struct Counted {
-    shared: Rc<Shared>,
+    bodies: Bodies,
     key: Key,
 }
 
 impl Drop for Counted {
     fn drop(&mut self) {
-        self.shared.buffers.borrow_mut().remove(self.key);
-        self.shared.memory.borrow_mut().end(self.key);
-        self.shared.update_gauge();
+        let mut inner = self.bodies.lock();
+        inner.buffers.remove(self.key);
+        inner.memory.end(self.key);
     }
 }
 
 /// A body that is being read.
 #[derive(Debug)]
-pub struct Reading {
+struct Reading {
     counted: Counted,
-    yielded: Rc<Notify>,
+    yielded: Arc<Notify>,
 }
 
 impl Reading {
+    /// Reads a body to its end.
+    async fn fill(
+        &mut self,
+        mut body: Incoming,
+        now: &impl Fn() -> Instant,
+        limits: &impl Fn() -> Limits,
+    ) -> Result<(), Reason> {
+        let length = body.size_hint().exact();
+        let length = length.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if let Some(length) = length {
+            check_size(length, limits().bytes)?;
+            self.check(now(), length)?;
+        }
+        while let Some(data) = self.next_piece(&mut body, limits().idle).await? {
+            let max = limits().bytes;
+            check_size(self.len() + data.len(), max)?;
+            let expected = length.map_or(max, |length| length.min(max));
+            self.append(now(), &data, expected)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the next piece of a body; `None` at its end.
+    async fn next_piece(
+        &self,
+        body: &mut Incoming,
+        idle: Duration,
+    ) -> Result<Option<Bytes>, Reason> {
+        let frame = tokio::select! {
+            biased;
+            () = self.yielded() => return Err(Refused::Yielded.into()),
+            frame = tokio::time::timeout(idle, body.frame()) => frame,
+        };
+        let Some(frame) = frame.map_err(|_| Reason::Stalled)? else {
+            return Ok(None);
+        };
+        let frame = frame.map_err(|_| Reason::Incomplete)?;
+        // Trailers are not passed on.
+        Ok(Some(frame.into_data().unwrap_or_default()))
+    }
+
     /// Checks whether a body of `bytes` could be held now, so that one that cannot is not begun.
-    ///
-    /// # Errors
-    ///
-    /// When it could not.
-    pub fn check(&self, now: Instant, bytes: usize) -> Result<(), Refused> {
-        let memory = self.counted.shared.memory.borrow();
-        memory.check(now, self.counted.key, bytes)
+    fn check(&self, now: Instant, bytes: usize) -> Result<(), Refused> {
+        let Counted { bodies, key } = &self.counted;
+        bodies.lock().memory.check(now, *key, bytes)
     }
 
     /// Adds bytes to the body, which may have `max` bytes in all.
-    ///
-    /// # Errors
-    ///
-    /// When there is no memory for them.
-    pub fn append(&mut self, now: Instant, data: &[u8], max: usize) -> Result<(), Refused> {
-        let Counted { shared, key } = &self.counted;
-        let needed = self.len() + data.len();
-        let capacity = shared.buffers.borrow().get(*key).map(capacity_of);
-        let capacity = capacity.ok_or(Refused::Yielded)?;
+    fn append(&mut self, now: Instant, data: &[u8], max: usize) -> Result<(), Refused> {
+        let Counted { bodies, key } = &self.counted;
+        let mut inner = bodies.lock();
+        let buffer = inner.buffers.get(*key).ok_or(Refused::Yielded)?;
+        let capacity = buffer.bytes.capacity();
+        let needed = buffer.bytes.len() + data.len();
         let next = next_capacity(capacity, needed, max);
         if next > capacity {
-            shared.resize(now, *key, next)?;
+            inner.resize(now, *key, next)?;
         }
-        let mut buffers = shared.buffers.borrow_mut();
-        let bytes = &mut buffers.get_mut(*key).ok_or(Refused::Yielded)?.bytes;
-        bytes.reserve_exact(next - bytes.len());
-        bytes.extend_from_slice(data);
-        shared.memory.borrow_mut().record_read(now, *key, needed);
+        inner.memory.record_read(now, *key, needed);
+        let buffer = inner.buffers.get_mut(*key).ok_or(Refused::Yielded)?;
+        buffer.bytes.reserve_exact(next - buffer.bytes.len());
+        buffer.bytes.extend_from_slice(data);
         Ok(())
     }
 
     /// Returns how many bytes have been read.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        let Counted { shared, key } = &self.counted;
-        let buffers = shared.buffers.borrow();
-        buffers.get(*key).map_or(0, |buffer| buffer.bytes.len())
-    }
-
-    /// Returns whether nothing has been read.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
+    fn len(&self) -> usize {
+        let Counted { bodies, key } = &self.counted;
+        let inner = bodies.lock();
+        inner
+            .buffers
+            .get(*key)
+            .map_or(0, |buffer| buffer.bytes.len())
     }
 
     /// Waits until the body has yielded its memory to another. It may be cancelled.
-    pub async fn yielded(&self) {
+    async fn yielded(&self) {
         self.yielded.notified().await;
     }
 
-    /// Ends the reading of a body that is complete.
-    ///
-    /// # Errors
-    ///
-    /// When it has yielded its memory to another.
-    pub fn complete(self, now: Instant) -> Result<Held, Refused> {
-        let Counted { shared, key } = &self.counted;
-        let buffer = shared.buffers.borrow_mut().remove(*key);
-        let mut bytes = buffer.ok_or(Refused::Yielded)?.bytes;
+    /// Ends the reading of a body that is complete. It counts until the last of its bytes is dropped.
+    fn complete(self, now: Instant) -> Result<Bytes, Refused> {
+        let Counted { bodies, key } = &self.counted;
+        let mut inner = bodies.lock();
+        let buffer = inner.buffers.remove(*key).ok_or(Refused::Yielded)?;
+        let mut bytes = buffer.bytes;
         bytes.shrink_to_fit();
-        shared.memory.borrow_mut().complete(*key);
-        shared.resize(now, *key, bytes.len())?;
-        Ok(Held {
-            bytes: Bytes::from(bytes),
+        inner.memory.complete(*key);
+        inner.resize(now, *key, bytes.len())?;
+        drop(inner);
+        Ok(Bytes::from_owner(Whole {
+            bytes,
             _counted: self.counted,
-        })
+        }))
     }
 }
 
-fn capacity_of(buffer: &Buffer) -> usize {
-    buffer.bytes.capacity()
+fn check_size(bytes: usize, max: usize) -> Result<(), Reason> {
+    if bytes > max {
+        return Err(Reason::TooLarge(max));
+    }
+    Ok(())
 }
 
-/// A whole body, which counts until this is dropped.
-#[derive(Debug)]
-pub struct Held {
-    /// The body.
-    pub bytes: Bytes,
+/// A whole body.
+struct Whole {
+    bytes: Vec<u8>,
     _counted: Counted,
 }
+
+impl AsRef<[u8]> for Whole {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/gateway/src/hop.rs
+++ b/crates/gateway/src/hop.rs
@@ -68,7 +68,7 @@
     ///
     /// When the target of the caller's request is no text.
     pub fn request(&self, node: &Node, job: &Job) -> anyhow::Result<Request<Full<Bytes>>> {
-        let mut request = Request::new(Full::new(job.body.bytes.clone()));
+        let mut request = Request::new(Full::new(job.body.clone()));
         *request.method_mut() = Method::POST;
         *request.uri_mut() = Uri::from_static(PATH);
         let headers = request.headers_mut();
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -1,21 +1,18 @@
 //! Reading a caller's request: finds its route, checks its key and reads its body within limits.
 
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::gateway::affinity;
-use fescuerack_core::gateway::body_memory::Refused;
 use fescuerack_core::gateway::crash::{Key, MAX_KEYS};
-use http_body_util::BodyExt as _;
 use hyper::Request;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use hyper::header::HOST;
 
 use crate::attempt::Job;
-use crate::bodies::{Held, Reading};
+use crate::bodies::{self, Failure, Reason};
 use crate::catalog::{Catalog, Organisation, Route};
 use crate::clock::{deadline, now};
 use crate::hop::Hop;
@@ -96,10 +93,16 @@
     until: Instant,
 ) -> Result<Job, Refusal> {
     let (parts, body) = request.into_parts();
-    let reading = node.bodies.begin(now());
-    let body = collect(node, body, reading, &head.id);
+    let limits = || {
+        let limits = node.limits();
+        bodies::Limits {
+            bytes: limits.body_bytes,
+            idle: Duration::from_millis(limits.idle_ms),
+        }
+    };
+    let body = node.bodies.collect(body, now, limits);
     let body = match tokio::time::timeout_at(deadline(until), body).await {
-        Ok(body) => body?,
+        Ok(body) => body.map_err(|failure| refuse(&head.id, failure))?,
         // The request was not sent to any server.
         Err(_) => return Err(Refusal::NotRun),
     };
@@ -122,7 +125,7 @@
         keys: keys(
             organisation.as_deref(),
             parts.uri.path(),
-            &body.bytes,
+            &body,
             &head.blocks,
         ),
         route: admitted.route,
@@ -133,78 +136,22 @@
         method: parts.method,
         target,
         headers: parts.headers,
-        body: Rc::new(body),
+        body,
         arrived,
         deadline: until,
         hop,
     })
 }
 
-/// Reads a body into one buffer. The pieces that it arrives in are not kept: each has its own bookkeeping, and
-/// keeps the buffer of its connection from which it was cut.
-async fn collect(
-    node: &Node,
-    mut body: Incoming,
-    mut reading: Reading,
-    id: &str,
-) -> Result<Held, Refusal> {
-    let length = body.size_hint().exact();
-    let length = length.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
-    if let Some(length) = length {
-        if length > node.limits().body_bytes {
-            return Err(Refusal::TooLarge);
-        }
-        let checked = reading.check(now(), length);
-        checked.map_err(|reason| no_memory(id, &reading, reason))?;
-    }
-    loop {
-        let idle = Duration::from_millis(node.limits().idle_ms);
-        let frame = tokio::select! {
-            biased;
-            () = reading.yielded() => return Err(no_memory(id, &reading, Refused::Yielded)),
-            frame = tokio::time::timeout(idle, body.frame()) => frame,
-        };
-        let frame = frame.map_err(|_| stalled(id, &reading))?;
-        let Some(frame) = frame else {
-            break;
-        };
-        let frame = frame.map_err(|_| Refusal::IncompleteBody)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        // A new configuration may change the limit meanwhile.
-        let max = node.limits().body_bytes;
-        if reading.len() + data.len() > max {
-            return Err(Refusal::TooLarge);
-        }
-        let max = length.map_or(max, |length| length.min(max));
-        let appended = reading.append(now(), &data, max);
-        appended.map_err(|reason| no_memory(id, &reading, reason))?;
-    }
-    let read = reading.len();
-    reading.complete(now()).map_err(|reason| {
-        log_no_memory(id, read, reason);
-        Refusal::NoMemory
-    })
-}
-
-fn stalled(id: &str, reading: &Reading) -> Refusal {
-    tracing::info!(
-        event = "body-refused",
-        id,
-        read = reading.len(),
-        reason = "stalled"
-    );
-    Refusal::Stalled
-}
-
-fn no_memory(id: &str, reading: &Reading, reason: Refused) -> Refusal {
-    log_no_memory(id, reading.len(), reason);
-    Refusal::NoMemory
-}
-
-fn log_no_memory(id: &str, read: usize, reason: Refused) {
+fn refuse(id: &str, failure: Failure) -> Refusal {
+    let Failure { read, reason } = failure;
     tracing::info!(event = "body-refused", id, read, %reason);
+    match reason {
+        Reason::TooLarge(_) => Refusal::TooLarge,
+        Reason::Incomplete => Refusal::IncompleteBody,
+        Reason::Stalled => Refusal::Stalled,
+        Reason::NoMemory(_) => Refusal::NoMemory,
+    }
 }
 
 /// Returns by what crashes of servers under a request are added up: the whole request, and each of its
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -58,6 +58,8 @@
     pub caller_connections_closed: IntCounterVec,
     /// Bytes that bodies of requests hold.
     pub body_bytes: IntGauge,
+    /// Bytes that answers hold which are read whole before they are sent.
+    pub answer_bytes: IntGauge,
     /// Revision up to which the store was followed.
     pub revision: IntGauge,
     /// Version of the active configuration.
@@ -278,6 +280,10 @@
                 "fescuerack_body_bytes",
                 "Bytes that bodies of requests hold",
             )?,
+            answer_bytes: new.gauge(
+                "fescuerack_answer_bytes",
+                "Bytes that answers hold which are read whole",
+            )?,
             revision: new.gauge("fescuerack_revision", "Highest revision heard of")?,
             configuration: new.gauge("fescuerack_configuration", "Version of the configuration")?,
             unreadable: new.gauge(
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -186,7 +186,7 @@
         let brittle = BrittleServers::new(&settings.instance, &settings.zone);
         let metrics = Metrics::new()?;
         let resources = Resources::new(&settings, &Limits::default());
-        let bodies = Bodies::new(resources.body_bytes, metrics.body_bytes.clone());
+        let bodies = Bodies::new(resources.body_bytes);
         let open = metrics.caller_connections.clone();
         let connections = Connections::new(resources.connections, open);
         let messages = Client::new(pool.clone(), metrics.peer_bytes.clone());
@@ -261,12 +261,15 @@
         catalog.map_or_else(Limits::default, |catalog| catalog.limits)
     }
 
-    /// Applies what this node may hold, by its settings and the operators' limits.
+    /// Applies what this node may hold, by its settings and the operators' limits, and shows what it holds.
     pub fn update_resources(&self) {
         let resources = Resources::new(&self.settings.borrow(), &self.limits());
         self.connections.set_max(resources.connections);
         self.bodies.set_max(resources.body_bytes);
         self.buffers.set_max(resources.answer_bytes);
+        let held = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.metrics.body_bytes.set(held(self.bodies.held()));
+        self.metrics.answer_bytes.set(held(self.buffers.held()));
     }
 
     /// Whether requests can be routed by what this node knows.
--- a/crates/node/src/callers/port.rs
+++ b/crates/node/src/callers/port.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use anyhow::{Context as _, Result};
+use fescuerack_gateway::net;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc, watch};
 
@@ -60,6 +61,7 @@
         let listener = TcpListener::bind(&listen)
             .await
             .with_context(|| format!("listen.callers: bind {listen}"))?;
+        net::limit_unread(&listener);
         let address = listener.local_addr()?;
         let (phase, following) = watch::channel(Phase::Serving);
         let (serving, served) = mpsc::channel(1);
--- a/crates/node/src/callers/request.rs
+++ b/crates/node/src/callers/request.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use fescuerack_config::{folder, key};
 use fescuerack_core::clock::Instant;
+use fescuerack_gateway::bodies::{self, Failure, Reason};
 use fescuerack_wire::error::Kind;
 use fescuerack_wire::header;
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::HeaderMap;
 use hyper::body::Incoming;
 use hyper::http::request::Parts;
@@ -160,7 +160,7 @@
     })
 }
 
-/// Reads a body within the limits on size and time.
+/// Reads a body within the limits on size, time and the memory of all bodies.
 ///
 /// # Errors
 ///
@@ -168,14 +168,32 @@
 pub async fn body(shared: &NodeState, body: Incoming) -> Result<Bytes, Refusal> {
     let limits = &shared.settings.limits;
     let timeout = Duration::from_millis(limits.body_timeout_ms);
-    let limited = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(timeout, limited).await {
-        Err(_) => Err(Refusal::new(Kind::SlowSender, "the body came too slowly")),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is over {} bytes", limits.body_bytes);
-            Err(Refusal::new(Kind::TooLarge, message))
+    let read_limits = || bodies::Limits {
+        bytes: limits.body_bytes,
+        idle: timeout,
+    };
+    let reading = shared.bodies.collect(body, || shared.now(), read_limits);
+    let read = tokio::time::timeout(timeout, reading).await;
+    let result = read.unwrap_or(Err(Failure {
+        read: 0,
+        reason: Reason::Stalled,
+    }));
+    result.map_err(|failure| body_refusal(shared, failure.reason))
+}
+
+fn body_refusal(shared: &NodeState, reason: Reason) -> Refusal {
+    let (kind, message) = match reason {
+        Reason::Stalled => (Kind::SlowSender, "the body came too slowly".to_owned()),
+        Reason::TooLarge(max) => (Kind::TooLarge, format!("the body is over {max} bytes")),
+        Reason::Incomplete => (Kind::InvalidRequest, "the body was cut".to_owned()),
+        Reason::NoMemory(reason) => {
+            shared.metrics.count("callers.no_body_memory");
+            log::info!(reason:%; "refused the body of a request");
+            (
+                Kind::Overloaded,
+                "no memory for the body; not run".to_owned(),
+            )
         }
-        Ok(Err(_)) => Err(Refusal::new(Kind::InvalidRequest, "the body was cut")),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-    }
+    };
+    Refusal::new(kind, message)
 }
--- a/crates/node/src/node_state.rs
+++ b/crates/node/src/node_state.rs
@@ -13,6 +13,7 @@
 use fescuerack_core::attempt::pools::Pools;
 use fescuerack_core::clock::Instant;
 use fescuerack_core::{member, route};
+use fescuerack_gateway::bodies::Bodies;
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64Mcg;
 use tokio::runtime::Handle;
@@ -57,6 +58,8 @@
     pub upstream: Agent,
     /// Connections to backend servers for one non-idempotent call each.
     pub single_use_upstream: Agent,
+    /// Bodies of callers' requests.
+    pub bodies: Bodies,
     /// Admission control.
     pub gate: Gate,
     /// Route table of the backend servers.
@@ -132,6 +135,7 @@
             // being written, and the outcome would be unknown. A call that must
             // not be repeated therefore gets a new connection.
             single_use_upstream: agent(0),
+            bodies: Bodies::new(settings.limits.body_memory_bytes),
             gate: Gate::new(settings.limits.concurrency, rng.random()),
             routes: Mutex::new(route::Table::new(&settings.zone)),
             rates: Mutex::new(RateLimits::new()),
--- a/crates/node/src/settings/check.rs
+++ b/crates/node/src/settings/check.rs
@@ -10,6 +10,8 @@
 /// Maximum length of the name of an instance, an availability zone or a fleet.
 /// Names are parts of store keys and of every message between instances.
 const MAX_NAME_BYTES: usize = 64;
+/// Maximum memory of the bodies of requests, in bytes.
+const MAX_BODY_MEMORY_BYTES: u64 = 1 << 40;
 /// Accepted log levels.
 const LEVELS: [&str; 5] = ["error", "warn", "info", "debug", "trace"];
 /// Accepted socket time-outs, in milliseconds.
@@ -43,7 +45,7 @@
     findings
 }
 
-fn numbers(limits: &Limits) -> [Finding; 11] {
+fn numbers(limits: &Limits) -> [Finding; 12] {
     let count = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
     [
         within("limits.concurrency", count(limits.concurrency), 1..=100_000),
@@ -58,6 +60,12 @@
             count(limits.body_bytes),
             1_024..=268_435_456,
         ),
+        within(
+            "limits.body_memory_bytes",
+            count(limits.body_memory_bytes),
+            // One body of the largest size always fits.
+            count(limits.body_bytes)..=MAX_BODY_MEMORY_BYTES,
+        ),
         within(
             "limits.header_timeout_ms",
             limits.header_timeout_ms,
--- a/crates/node/src/settings/mod.rs
+++ b/crates/node/src/settings/mod.rs
@@ -84,6 +84,8 @@
     pub workers: usize,
     /// Maximum size of a request body, in bytes.
     pub body_bytes: usize,
+    /// Maximum number of bytes that the bodies of all requests hold together.
+    pub body_memory_bytes: usize,
     /// Time within which the headers of a request must arrive, in milliseconds.
     pub header_timeout_ms: u64,
     /// Time within which the body of a request must arrive, in milliseconds.
@@ -108,6 +110,7 @@
             connections: 10_000,
             workers: 2,
             body_bytes: 4 << 20,
+            body_memory_bytes: 32 << 20,
             header_timeout_ms: 5_000,
             body_timeout_ms: 10_000,
             write_timeout_ms: 30_000,
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -18,7 +18,7 @@
 /// Boolean settings. All other settings outside the limits are texts.
 const BOOLEANS: [&str; 2] = ["logs.json", "operators.open_reads"];
 /// Every setting, prefixed by its group.
-const SETTING_NAMES: [&str; 22] = [
+const SETTING_NAMES: [&str; 23] = [
     "instance",
     "zone",
     "platform",
@@ -35,6 +35,7 @@
     "limits.connections",
     "limits.workers",
     "limits.body_bytes",
+    "limits.body_memory_bytes",
     "limits.header_timeout_ms",
     "limits.body_timeout_ms",
     "limits.write_timeout_ms",
