A body may be silent as long as a connection; test of the shares

A configuration may state a short idle time-out or none, which is meant for the time between two requests; a body that was given up after it could have been a lawful one. A body is given up after the time-outs for idle callers and for heads together, as connections are. The line body-refused has the bytes that were read also for a body that has yielded (it said 0). Resources has a test of the table in CAPACITY and of the largest body, and the test of metrics sets the new counter (it has a label, so it isn't shown before).

--- a/crates/gateway/src/bodies.rs
+++ b/crates/gateway/src/bodies.rs
@@ -103,6 +103,7 @@
                 key,
             },
             yielded,
+            read: 0,
         }
     }
 
@@ -120,7 +121,7 @@
     ) -> Result<Bytes, Failure> {
         let mut reading = self.begin(now());
         let result = reading.fill(body, &now, &limits).await;
-        let read = reading.len();
+        let read = reading.read;
         let whole = result.and_then(|()| Ok(reading.complete(now())?));
         whole.map_err(|reason| Failure { read, reason })
     }
@@ -162,6 +163,8 @@
 struct Reading {
     counted: Counted,
     yielded: Arc<Notify>,
+    /// Bytes that have been read.
+    read: usize,
 }
 
 impl Reading {
@@ -180,7 +183,7 @@
         }
         while let Some(data) = self.next_piece(&mut body, limits().idle).await? {
             let max = limits().bytes;
-            check_size(self.len() + data.len(), max)?;
+            check_size(self.read + data.len(), max)?;
             let expected = length.map_or(max, |length| length.min(max));
             self.append(now(), &data, expected)?;
         }
@@ -218,28 +221,19 @@
         let mut inner = bodies.lock();
         let buffer = inner.buffers.get(*key).ok_or(Refused::Yielded)?;
         let capacity = buffer.bytes.capacity();
-        let needed = buffer.bytes.len() + data.len();
+        let needed = self.read + data.len();
         let next = next_capacity(capacity, needed, max);
         if next > capacity {
             inner.resize(now, *key, next)?;
         }
         inner.memory.record_read(now, *key, needed);
         let buffer = inner.buffers.get_mut(*key).ok_or(Refused::Yielded)?;
-        buffer.bytes.reserve_exact(next - buffer.bytes.len());
+        buffer.bytes.reserve_exact(next - self.read);
         buffer.bytes.extend_from_slice(data);
+        self.read = needed;
         Ok(())
     }
 
-    /// Returns how many bytes have been read.
-    fn len(&self) -> usize {
-        let Counted { bodies, key } = &self.counted;
-        let inner = bodies.lock();
-        inner
-            .buffers
-            .get(*key)
-            .map_or(0, |buffer| buffer.bytes.len())
-    }
-
     /// Waits until the body has yielded its memory to another. It may be cancelled.
     async fn yielded(&self) {
         self.yielded.notified().await;
--- a/crates/gateway/src/caller_connection.rs
+++ b/crates/gateway/src/caller_connection.rs
@@ -49,7 +49,7 @@
     let limits = node.limits();
     // One time-out covers the idle time and the time for a head, since hyper starts it when the
     // previous response has ended.
-    let head_timeout = Duration::from_millis(limits.idle_ms + limits.header_ms);
+    let head_timeout = Duration::from_millis(limits.silence_ms());
     // Whether the caller may still be sending the body of the last request.
     let is_sending = Rc::new(Cell::new(false));
     let service = service_fn({
--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -146,6 +146,14 @@
     pub idle_ms: u64,
 }
 
+impl Limits {
+    /// Milliseconds without a byte after which a caller is given up, between two requests and within one.
+    #[must_use]
+    pub const fn silence_ms(&self) -> u64 {
+        self.idle_ms + self.header_ms
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/crates/gateway/src/intake.rs
+++ b/crates/gateway/src/intake.rs
@@ -81,8 +81,8 @@
 ///
 /// # Errors
 ///
-/// When the body is too large, truncated or incomplete at `until`, has stopped for as long as a connection may
-/// stay idle, or there is no memory for it.
+/// When the body is too large, truncated or incomplete at `until`, nothing of it arrives for
+/// [`Limits::silence_ms`](crate::catalog::Limits::silence_ms), or there is no memory for it.
 pub async fn read_body(
     node: &Node,
     request: Request<Incoming>,
@@ -97,7 +97,7 @@
         let limits = node.limits();
         bodies::Limits {
             bytes: limits.body_bytes,
-            idle: Duration::from_millis(limits.idle_ms),
+            idle: Duration::from_millis(limits.silence_ms()),
         }
     };
     let body = node.bodies.collect(body, now, limits);
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -41,7 +41,7 @@
     TooLarge,
     /// The body was truncated, or the request was malformed.
     IncompleteBody,
-    /// The request was not run and will not be; its body stopped for as long as a connection may stay idle.
+    /// The request was not run and will not be; nothing of its body has arrived for too long.
     Stalled,
     /// The request was not run and will not be; this node has no memory for its body now.
     NoMemory,
--- a/crates/gateway/tests/all/main.rs
+++ b/crates/gateway/tests/all/main.rs
@@ -8,5 +8,6 @@
 mod logs;
 mod metrics;
 mod refusal;
+mod resources;
 mod routes;
 mod statements;
--- a/crates/gateway/tests/all/metrics.rs
+++ b/crates/gateway/tests/all/metrics.rs
@@ -35,6 +35,10 @@
         .with_label_values(&["watch", "answered"])
         .inc();
     metrics.forwarded.with_label_values(&["served"]).inc();
+    metrics
+        .caller_connections_closed
+        .with_label_values(&["replaced"])
+        .inc();
     metrics
         .peer_bytes
         .with_label_values(&["/follow", "out"])
